Add the design page, the workspace and the base package

The repository was empty. The design page fixes the packages, their interfaces, the state with its owners and the figures of the target size; the base package holds time, ids, errors, invariants, random numbers, histograms and counters that every other package uses.

--- /dev/null
+++ b/src/base/Hash.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace siskinshunt {
+
+/// 64-bit xxHash of the text; stable over processes and versions.
+uint64_t hash64(std::string_view text, uint64_t seed = 0);
+
+/// Combines two hash values, order-dependent.
+uint64_t combineHash(uint64_t a, uint64_t b);
+
+/// SHA-256 of the text as 64 lower-case hex digits.
+std::string sha256Hex(std::string_view text);
+
+/// Compares in time that depends only on the lengths.
+bool equalConstantTime(std::string_view a, std::string_view b);
+
+}
--- /dev/null
+++ b/src/base/Ids.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "base/Hash.h"
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string_view>
+
+namespace siskinshunt {
+
+/// A 64-bit identifier whose type tells what it names. Zero means none.
+template <class Tag>
+struct Id {
+    uint64_t value = 0;
+
+    constexpr auto operator<=>(const Id&) const = default;
+    constexpr explicit operator bool() const { return value != 0; }
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(value); }
+};
+
+using NodeId = Id<struct NodeTag>; ///< A daemon process; hash of its configured name.
+using VoterId = Id<struct VoterTag>; ///< A consensus identity; random, created with the data folder.
+using UpstreamId = Id<struct UpstreamTag>; ///< An upstream; hash of its announced name.
+using CallId = Id<struct CallTag>; ///< One accepted call.
+using GroupId = Id<struct GroupTag>; ///< A consensus group; 1 is the decision log, 2 and up are ledger groups.
+
+/// Identifier of a configured name. Never zero.
+template <class IdType>
+IdType idOfName(std::string_view name)
+{
+    const uint64_t n = hash64(name);
+    return { n ? n : 1 };
+}
+
+}
+
+template <class Tag>
+struct std::hash<siskinshunt::Id<Tag>> {
+    size_t operator()(siskinshunt::Id<Tag> id) const noexcept { return id.value; }
+};
--- /dev/null
+++ b/src/rules/RuleSet.h
@@ -0,0 +1,168 @@
+#pragma once
+
+#include "base/EnumNames.h"
+#include "base/TimeMs.h"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace siskinshunt {
+
+/// Where a rule stands and who asked for it.
+struct RuleOrigin {
+    int line = 0; ///< 1-based line in the rules file.
+    std::string text; ///< The rule without its comment.
+    std::string person;
+    std::string reason;
+};
+
+enum class Repeat : uint8_t {
+    Yes, ///< May run more than once.
+    Once, ///< Runs at most once.
+};
+
+template <>
+inline constexpr auto enumNames<Repeat> = std::to_array<EnumName<Repeat>>({
+    { Repeat::Yes, "yes" },
+    { Repeat::Once, "once" },
+});
+
+enum class InstanceKind : uint8_t {
+    Reclaimable,
+    OnDemand,
+};
+
+template <>
+inline constexpr auto enumNames<InstanceKind> = std::to_array<EnumName<InstanceKind>>({
+    { InstanceKind::Reclaimable, "reclaimable" },
+    { InstanceKind::OnDemand, "on-demand" },
+});
+
+struct AccountRule {
+    std::string name;
+    std::string tokenSha256; ///< 64 lower-case hex digits.
+    double weight = 1;
+    RuleOrigin origin;
+};
+
+struct ClassRule {
+    std::string name;
+    int priority = 5; ///< 0 is served first, 9 last.
+    TimeMs deadline { 60000 }; ///< For the whole call.
+    uint32_t queueRequests = 1000;
+    uint64_t queueBytes = 16 << 20;
+    RuleOrigin origin;
+};
+
+struct TargetRule {
+    std::string className;
+    TimeMs firstToken { 400 };
+    TimeMs betweenTokens { 26 };
+    double percentile = 0.95;
+    RuleOrigin origin;
+};
+
+struct RouteRule {
+    std::string name;
+    std::string account = "*"; ///< Name or "*".
+    std::string className; ///< Empty: the class that the request names, or "default".
+    std::string model; ///< Empty for services.
+    std::string service; ///< Empty for models.
+    std::string path; ///< Prefix; empty matches all.
+    std::string method; ///< Empty matches all.
+    Repeat repeat = Repeat::Yes;
+    RuleOrigin origin;
+};
+
+struct LimitRule {
+    std::string name;
+    std::string account = "*";
+    std::string className = "*";
+    double rate = 0; ///< Requests per second over the whole system; 0 is no limit.
+    double burst = 0; ///< Requests.
+    uint32_t concurrent = 0; ///< Calls in flight over the whole system; 0 is no limit.
+    double tokensPerSecond = 0; ///< Prompt and completion tokens; 0 is no limit.
+    RuleOrigin origin;
+};
+
+struct RetryRule {
+    std::string name;
+    std::string route = "*";
+    double budget = 0.1; ///< Retries as a share of first attempts.
+    int attempts = 3; ///< Dispatches of one call at most, the first included.
+    TimeMs base { 25 };
+    TimeMs cap { 1000 };
+    bool hedge = false;
+    RuleOrigin origin;
+};
+
+struct VersionRule {
+    std::string name;
+    std::string model;
+    std::string version;
+    double share = 1; ///< Of the model's traffic, 0 to 1.
+    RuleOrigin origin;
+};
+
+struct MoveRule {
+    std::string name;
+    std::string model;
+    std::string from;
+    std::string to;
+    std::optional<TimeMs> start; ///< UTC, since 1970.
+    TimeMs by; ///< UTC, since 1970.
+    double maxShare = 0.05; ///< Share of all traffic of the model before proof.
+    double errors = 0.01; ///< Allowed rise of the error rate.
+    double slower = 1.25; ///< Allowed factor on latency.
+    TimeMs watch { 600000 };
+    RuleOrigin origin;
+};
+
+struct PriceRule {
+    std::string name;
+    std::string domain;
+    std::string machine;
+    InstanceKind kind = InstanceKind::Reclaimable;
+    double perHour = 0;
+    RuleOrigin origin;
+};
+
+struct InstancesRule {
+    std::string name;
+    std::string domain;
+    std::string machine;
+    std::string model;
+    uint32_t min = 0;
+    uint32_t max = 0;
+    std::optional<InstanceKind> kind; ///< Absent: either.
+    RuleOrigin origin;
+};
+
+struct DrainRule {
+    std::string name;
+    TimeMs within { 3000 };
+    TimeMs notice { 30000 };
+    RuleOrigin origin;
+};
+
+/// All rules of one revision, in file order.
+struct RuleSet {
+    uint64_t revision = 0;
+    std::string text;
+    std::vector<AccountRule> accounts;
+    std::vector<ClassRule> classes;
+    std::vector<TargetRule> targets;
+    std::vector<RouteRule> routes;
+    std::vector<LimitRule> limits;
+    std::vector<RetryRule> retries;
+    std::vector<VersionRule> versions;
+    std::vector<MoveRule> moves;
+    std::vector<PriceRule> prices;
+    std::vector<InstancesRule> instances;
+    std::vector<DrainRule> drains;
+};
+
+}
