Add the programs for benchmarks and randomised schedules

Each package adds a source file that registers its benchmark or scenario, so that parallel work on packages does not meet in one list.

--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -23,6 +23,7 @@
     file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
     add_library(siskinshunt_${name} STATIC ${sources})
     target_link_libraries(siskinshunt_${name} PUBLIC siskinshunt_flags ${ARGN})
+    set_property(GLOBAL APPEND PROPERTY SISKINSHUNT_PACKAGES siskinshunt_${name})
 endfunction()
 
 # siskinshunt_program(NAME [libraries...]): program NAME of all sources in the current folder.
--- /dev/null
+++ b/src/bench/Bench.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace siskinshunt {
+
+/// What a benchmark gets: its effort, its seed, and where it reports.
+struct BenchContext {
+    bool quick = false; ///< Keep the whole run of the program under 45 s.
+    uint64_t seed = 1;
+    /// Prints one JSON line {"name","value","unit","seed","size"} on standard output.
+    std::function<void(std::string_view name, double value, std::string_view unit, std::string_view size)> report;
+};
+
+using BenchFunction = void (*)(const BenchContext&);
+
+/// Registers a benchmark at program start; define one static object per benchmark in its source file.
+struct BenchRegistration {
+    BenchRegistration(const char* name, BenchFunction);
+};
+
+}
