Add the rule language and the checked settings of the daemon

Rules are parsed by a table of kinds and keys, so that every message names line, column and what was expected; settings report the first key that is unknown, of the wrong type or out of range.

--- /dev/null
+++ b/src/rules/RuleParser.cpp
@@ -0,0 +1,128 @@
+#include "rules/RuleParser.h"
+
+#include "rules/RuleChecks.h"
+#include "rules/RuleKinds.h"
+
+#include <algorithm>
+
+namespace siskinshunt {
+
+static constexpr size_t maxTextBytes = 1 << 20;
+static constexpr int maxLines = 10000;
+
+static std::string_view trim(std::string_view text)
+{
+    const auto first = text.find_first_not_of(" \t\r");
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(" \t\r") - first + 1);
+}
+
+struct Word {
+    std::string_view text;
+    int column = 0;
+};
+
+static std::vector<Word> splitWords(std::string_view text)
+{
+    std::vector<Word> words;
+    size_t at = 0;
+    while ((at = text.find_first_not_of(" \t\r", at)) != std::string_view::npos) {
+        const size_t end = std::min(text.find_first_of(" \t\r", at), text.size());
+        words.push_back({ text.substr(at, end - at), static_cast<int>(at) + 1 });
+        at = end;
+    }
+    return words;
+}
+
+// Reads "# PERSON: reason" into the origin; returns false when either part is missing.
+static bool parseComment(std::string_view comment, RuleOrigin& origin)
+{
+    const auto colon = comment.find(':');
+    if (colon == std::string_view::npos)
+        return false;
+    origin.person = trim(comment.substr(0, colon));
+    origin.reason = trim(comment.substr(colon + 1));
+    return !origin.person.empty() && !origin.reason.empty();
+}
+
+static void parseFields(const std::vector<Word>& words, RuleInput& input, std::vector<RuleProblem>& problems)
+{
+    for (size_t n = 2; n < words.size(); ++n) {
+        const auto& word = words[n];
+        const auto equals = word.text.find('=');
+        if (equals == std::string_view::npos || equals == 0) {
+            problems.push_back({ input.origin.line, word.column, "expected key=value, found '" + std::string(word.text) + "'" });
+            continue;
+        }
+        RuleField field { std::string(word.text.substr(0, equals)), std::string(word.text.substr(equals + 1)), word.column, word.column + static_cast<int>(equals) + 1 };
+        const bool repeated = std::any_of(input.fields.begin(), input.fields.end(), [&](const RuleField& it) { return it.key == field.key; });
+        if (repeated)
+            problems.push_back({ input.origin.line, word.column, "key '" + field.key + "' is given twice" });
+        else
+            input.fields.push_back(std::move(field));
+    }
+}
+
+static void parseLine(std::string_view line, int number, ParsedRules& out)
+{
+    const auto hash = line.find('#');
+    const std::string_view body = trim(line.substr(0, hash));
+    if (body.empty())
+        return;
+    const auto words = splitWords(line.substr(0, hash));
+    RuleInput input;
+    input.origin = { number, std::string(body), {}, {} };
+    const int commentColumn = static_cast<int>(hash == std::string_view::npos ? line.size() : hash) + 1;
+    if (hash == std::string_view::npos || !parseComment(line.substr(hash + 1), input.origin))
+        out.problems.push_back({ number, commentColumn, "expected a comment '# PERSON: reason' that says who asked for the rule" });
+    input.kind = words[0].text;
+    input.kindColumn = words[0].column;
+    if (words.size() < 2 || !isRuleNameOrStar(words[1].text)) {
+        const int column = words.size() < 2 ? words[0].column + static_cast<int>(words[0].text.size()) : words[1].column;
+        out.problems.push_back({ number, column, "expected a name of letters, digits, '.', '_' or '-' after '" + input.kind + "'" });
+        return;
+    }
+    input.name = words[1].text;
+    input.nameColumn = words[1].column;
+    parseFields(words, input, out.problems);
+    addRule(input, out);
+}
+
+ParsedRules parseRules(std::string_view text)
+{
+    ParsedRules out;
+    out.rules.text = text.substr(0, maxTextBytes);
+    if (text.size() > maxTextBytes) {
+        out.problems.push_back({ 1, 1, "the file has " + std::to_string(text.size()) + " bytes; at most 1 MiB is allowed" });
+        return out;
+    }
+    int number = 0;
+    while (!text.empty()) {
+        if (++number > maxLines) {
+            out.problems.push_back({ number, 1, "more than 10000 lines" });
+            return out;
+        }
+        const auto end = text.find('\n');
+        parseLine(text.substr(0, end), number, out);
+        text = end == std::string_view::npos ? std::string_view {} : text.substr(end + 1);
+    }
+    checkReferences(out);
+    std::stable_sort(out.problems.begin(), out.problems.end(), [](const auto& a, const auto& b) { return a.line < b.line; });
+    return out;
+}
+
+std::string toString(const RuleProblem& problem, std::string_view file)
+{
+    return std::string(file) + ":" + std::to_string(problem.line) + ":" + std::to_string(problem.column) + ": " + problem.message;
+}
+
+Result<RuleSet> loadRules(std::string_view text, const std::string& source)
+{
+    auto parsed = parseRules(text);
+    if (parsed.problems.empty())
+        return std::move(parsed.rules);
+    return fail(ErrorCode::Invalid, Step::ReadRules, source, toString(parsed.problems.front(), source));
+}
+
+}
--- a/src/rules/RuleSet.h
+++ b/src/rules/RuleSet.h
@@ -148,6 +148,13 @@
     RuleOrigin origin;
 };
 
+/// Kind, name and origin of one rule line.
+struct RuleLine {
+    std::string kind;
+    std::string name;
+    RuleOrigin origin;
+};
+
 /// All rules of one revision, in file order.
 struct RuleSet {
     uint64_t revision = 0;
@@ -163,6 +170,7 @@
     std::vector<PriceRule> prices;
     std::vector<InstancesRule> instances;
     std::vector<DrainRule> drains;
+    std::vector<RuleLine> lines; ///< Every rule above.
 };
 
 }
--- /dev/null
+++ b/src/settings/Settings.cpp
@@ -0,0 +1,175 @@
+#include "settings/Settings.h"
+
+#include "settings/SettingsReader.h"
+
+#include <charconv>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace siskinshunt {
+
+static constexpr size_t maxFileBytes = 1 << 20;
+static constexpr size_t minKeyBytes = 32;
+static constexpr size_t maxKeyBytes = 128;
+
+std::string toString(const Endpoint& endpoint)
+{
+    return endpoint.ip + ":" + std::to_string(endpoint.port);
+}
+
+static bool isIpv4(std::string_view text)
+{
+    int parts = 0;
+    while (parts < 4) {
+        const auto dot = text.find('.');
+        const auto part = text.substr(0, dot);
+        unsigned n = 0;
+        const auto [end, ec] = std::from_chars(part.data(), part.data() + part.size(), n);
+        if (part.empty() || part.size() > 3 || ec != std::errc {} || end != part.data() + part.size() || n > 255)
+            return false;
+        ++parts;
+        if (dot == std::string_view::npos)
+            return parts == 4;
+        text.remove_prefix(dot + 1);
+    }
+    return false;
+}
+
+std::optional<Endpoint> parseEndpoint(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return std::nullopt;
+    const auto portText = text.substr(colon + 1);
+    uint16_t port = 0;
+    const auto [end, ec] = std::from_chars(portText.data(), portText.data() + portText.size(), port);
+    if (portText.empty() || ec != std::errc {} || end != portText.data() + portText.size() || !port || !isIpv4(text.substr(0, colon)))
+        return std::nullopt;
+    return Endpoint { std::string(text.substr(0, colon)), port };
+}
+
+static void readOperators(SettingsReader& reader, Settings& settings)
+{
+    reader.list("operators", [&](SettingsReader& item) {
+        OperatorSettings entry;
+        item.name("name", entry.name, true);
+        item.digest("token_sha256", entry.tokenSha256, true);
+        settings.operators.push_back(std::move(entry));
+    });
+}
+
+static void readLimits(SettingsReader& reader, InputLimits& limits)
+{
+    reader.object("limits", [&](SettingsReader& item) {
+        item.integer("header_bytes", limits.headerBytes, 1024, 1 << 20);
+        item.integer("body_bytes", limits.bodyBytes, 1024, 256 << 20);
+        item.integer("json_depth", limits.jsonDepth, 4, 256);
+        item.duration("header_timeout_ms", limits.headerTimeout, 100, 600000);
+        item.duration("body_timeout_ms", limits.bodyTimeout, 100, 600000);
+        item.duration("idle_timeout_ms", limits.idleTimeout, 1000, 3600000);
+        item.integer("connections", limits.connections, 16, 65536);
+    });
+}
+
+static void readTimings(SettingsReader& reader, Timings& timings)
+{
+    reader.object("timings", [&](SettingsReader& item) {
+        item.duration("tick_ms", timings.tick, 1, 1000);
+        item.duration("heartbeat_ms", timings.heartbeat, 10, 10000);
+        item.duration("election_min_ms", timings.electionMin, 50, 60000);
+        item.duration("election_max_ms", timings.electionMax, 100, 120000);
+        item.duration("order_timeout_ms", timings.orderTimeout, 100, 600000);
+        item.duration("clock_slack_ms", timings.clockSlack, 10, 60000);
+        item.duration("progress_timeout_ms", timings.progressTimeout, 100, 600000);
+        item.duration("connect_timeout_ms", timings.connectTimeout, 50, 60000);
+        item.duration("idle_probe_after_ms", timings.idleProbeAfter, 100, 600000);
+        item.duration("entry_valid_ms", timings.entryValid, 100, 3600000);
+        item.duration("ledger_retention_ms", timings.ledgerRetention, 1000, int64_t { 30 } * 24 * 3600 * 1000);
+    });
+}
+
+static void readPeerKey(SettingsReader& reader, Settings& settings, const std::string& file)
+{
+    std::string keyFile;
+    reader.text("peer_key_file", keyFile, false);
+    reader.text("peer_key", settings.peerKey, keyFile.empty());
+    if (keyFile.empty() || reader.failed())
+        return;
+    const auto path = std::filesystem::path(file).parent_path() / keyFile;
+    std::ifstream in(path, std::ios::binary);
+    if (!in)
+        return reader.problem("peer_key_file", "cannot read '" + path.string() + "'");
+    std::getline(in, settings.peerKey);
+}
+
+static void readAll(SettingsReader& reader, Settings& settings, const std::string& file)
+{
+    reader.name("node", settings.node, true);
+    reader.name("cluster", settings.cluster, true);
+    reader.name("region", settings.region, false);
+    reader.name("failure_domain", settings.failureDomain, true);
+    reader.endpoint("http", settings.http, true);
+    reader.endpoint("peer", settings.peer, true);
+    readPeerKey(reader, settings, file);
+    reader.endpoints("seeds", settings.seeds);
+    reader.text("data_folder", settings.dataFolder, false);
+    readOperators(reader, settings);
+    reader.digest("announce_token_sha256", settings.announceTokenSha256, true);
+    reader.object("platform", [&](SettingsReader& item) {
+        item.endpointText("address", settings.platform.address, true);
+        item.boolean("checks_fencing", settings.platform.checksFencing);
+    });
+    reader.endpointText("weight_store", settings.weightStore, false);
+    reader.object("tls", [&](SettingsReader& item) {
+        item.text("certificate_file", settings.tls.certificateFile, true);
+        item.text("key_file", settings.tls.keyFile, true);
+    });
+    readLimits(reader, settings.limits);
+    readTimings(reader, settings.timings);
+    reader.integer("ledger_groups", settings.ledgerGroups, 1, 64);
+    reader.integer("queue_bytes", settings.queueBytes, 1 << 20, 1 << 30);
+    reader.enumeration("log_level", settings.logLevel);
+    reader.finish();
+}
+
+static void checkTogether(SettingsReader& reader, const Settings& settings)
+{
+    if (settings.peerKey.size() < minKeyBytes || settings.peerKey.size() > maxKeyBytes)
+        reader.problem("peer_key", "has " + std::to_string(settings.peerKey.size()) + " bytes; allowed: 32 to 128");
+    if (settings.timings.electionMin < settings.timings.heartbeat * 2)
+        reader.problem("timings.election_min_ms", "is below twice heartbeat_ms; allowed: at least " + std::to_string(settings.timings.heartbeat.value * 2));
+    if (settings.timings.electionMax <= settings.timings.electionMin)
+        reader.problem("timings.election_max_ms", "is not above election_min_ms; allowed: more than " + std::to_string(settings.timings.electionMin.value));
+    if (settings.http == settings.peer)
+        reader.problem("peer", "is the same address as http; allowed: another port");
+}
+
+Result<Settings> parseSettings(std::string_view text, const std::string& file)
+{
+    Settings settings;
+    SettingsDocument document;
+    if (const auto syntaxError = document.parse(text))
+        return fail(ErrorCode::Invalid, Step::ReadSettings, file, *syntaxError);
+    SettingsReader reader(document);
+    readAll(reader, settings, file);
+    if (!reader.failed())
+        checkTogether(reader, settings);
+    if (reader.failed())
+        return fail(ErrorCode::Invalid, Step::ReadSettings, file, reader.message());
+    return settings;
+}
+
+Result<Settings> loadSettings(const std::string& file)
+{
+    std::ifstream in(file, std::ios::binary);
+    if (!in)
+        return fail(ErrorCode::NotFound, Step::ReadSettings, file, "cannot open the file; expected a readable JSON settings file");
+    std::ostringstream text;
+    text << in.rdbuf();
+    if (text.str().size() > maxFileBytes)
+        return fail(ErrorCode::TooLarge, Step::ReadSettings, file, "the file is larger than 1 MiB");
+    return parseSettings(text.str(), file);
+}
+
+}
--- /dev/null
+++ b/src/settings/SettingsReader.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "settings/Settings.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace siskinshunt {
+
+/// A parsed settings file; hides the JSON library from the headers.
+class SettingsDocument {
+public:
+    SettingsDocument();
+    ~SettingsDocument();
+    SettingsDocument(const SettingsDocument&) = delete;
+    SettingsDocument& operator=(const SettingsDocument&) = delete;
+
+    /// Parses the text; returns "line L, column C: reason" when it is not a JSON object.
+    std::optional<std::string> parse(std::string_view text);
+
+private:
+    friend class SettingsReader;
+    struct Value;
+    std::unique_ptr<Value> m_value;
+};
+
+/// Reads typed keys of one JSON object and remembers the first problem: key, what is wrong, what is allowed.
+class SettingsReader {
+public:
+    explicit SettingsReader(const SettingsDocument&);
+    ~SettingsReader();
+    SettingsReader(const SettingsReader&) = delete;
+    SettingsReader& operator=(const SettingsReader&) = delete;
+
+    void text(std::string_view key, std::string& target, bool required);
+    void name(std::string_view key, std::string& target, bool required);
+    void digest(std::string_view key, std::string& target, bool required);
+    void boolean(std::string_view key, bool& target);
+    void endpoint(std::string_view key, Endpoint& target, bool required);
+    void endpointText(std::string_view key, std::string& target, bool required);
+    void endpoints(std::string_view key, std::vector<Endpoint>& target);
+    void duration(std::string_view key, TimeMs& target, int64_t low, int64_t high);
+    void object(std::string_view key, const std::function<void(SettingsReader&)>& read);
+    void list(std::string_view key, const std::function<void(SettingsReader&)>& read);
+
+    template <class T>
+    void integer(std::string_view key, T& target, int64_t low, int64_t high)
+    {
+        if (const auto n = integerInRange(key, low, high))
+            target = static_cast<T>(*n);
+    }
+
+    template <class E>
+    void enumeration(std::string_view key, E& target)
+    {
+        std::string value(nameOf(target));
+        text(key, value, false);
+        std::string allowed;
+        for (const auto& it : enumNames<E>)
+            allowed += (allowed.empty() ? "" : ", ") + std::string(it.name);
+        if (const auto parsed = parseEnum<E>(value))
+            target = *parsed;
+        else
+            problem(key, "is '" + value + "'; allowed: " + allowed);
+    }
+
+    /// Reports keys that nothing has read.
+    void finish();
+    void problem(std::string_view key, const std::string& message);
+    bool failed() const;
+    const std::string& message() const;
+
+private:
+    struct State;
+    explicit SettingsReader(std::unique_ptr<State>);
+    std::optional<int64_t> integerInRange(std::string_view key, int64_t low, int64_t high);
+
+    std::unique_ptr<State> m_state;
+};
+
+}
