--- /dev/null
+++ b/src/api/RunWord.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "base/EnumNames.h"
+
+#include <array>
+#include <cstdint>
+
+namespace siskinshunt {
+
+/// How far the dispatch of a call has come.
+enum class DispatchState : uint8_t {
+    NothingSent, ///< No byte has left for any upstream, or none that an upstream can have acted on.
+    MayHaveLeft, ///< A byte may have left; the outcome is not known.
+    Answered, ///< The upstream's answer is known.
+};
+
+/// What the caller is told about whether its request ran. The names are part of the interface.
+enum class RunWord : uint8_t {
+    NotRun,
+    Unknown,
+    Ran,
+};
+
+template <>
+inline constexpr auto enumNames<RunWord> = std::to_array<EnumName<RunWord>>({
+    { RunWord::NotRun, "not-run" },
+    { RunWord::Unknown, "unknown" },
+    { RunWord::Ran, "ran" },
+});
+
+/// The only place that decides the word.
+constexpr RunWord runWordOf(DispatchState state)
+{
+    switch (state) {
+    case DispatchState::NothingSent:
+        return RunWord::NotRun;
+    case DispatchState::MayHaveLeft:
+        return RunWord::Unknown;
+    case DispatchState::Answered:
+        return RunWord::Ran;
+    }
+    return RunWord::Unknown;
+}
+
+}
