--- /dev/null
+++ b/src/base/Serialize.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cereal/cereal.hpp>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace siskinshunt {
+
+/// Serializes a byte string of at most `limit` bytes; throws cereal::Exception above it, before memory is allocated.
+template <class Archive>
+void serializeBytes(Archive& archive, std::string& bytes, size_t limit)
+{
+    auto n = static_cast<uint32_t>(bytes.size());
+    archive(n);
+    if (n > limit)
+        throw cereal::Exception("byte string of " + std::to_string(n) + " bytes exceeds " + std::to_string(limit));
+    bytes.resize(n);
+    archive(cereal::binary_data(bytes.data(), bytes.size()));
+}
+
+/// Serializes a list of at most `limit` items; throws cereal::Exception above it, before memory is allocated.
+template <class Archive, class T>
+void serializeList(Archive& archive, std::vector<T>& items, size_t limit)
+{
+    auto n = static_cast<uint32_t>(items.size());
+    archive(n);
+    if (n > limit)
+        throw cereal::Exception("list of " + std::to_string(n) + " items exceeds " + std::to_string(limit));
+    items.resize(n);
+    for (auto& it : items)
+        archive(it);
+}
+
+}
--- /dev/null
+++ b/src/consensus/Raft.h
@@ -0,0 +1,164 @@
+#pragma once
+
+#include "base/Random.h"
+#include "consensus/Message.h"
+#include "consensus/RaftLog.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace siskinshunt {
+
+enum class Role : uint8_t {
+    Follower,
+    PreCandidate, ///< Asks whether an election could be won, without raising its term.
+    Candidate,
+    Leader,
+};
+
+template <>
+inline constexpr auto enumNames<Role> = std::to_array<EnumName<Role>>({
+    { Role::Follower, "follower" },
+    { Role::PreCandidate, "pre_candidate" },
+    { Role::Candidate, "candidate" },
+    { Role::Leader, "leader" },
+});
+
+enum class MemberChange : uint8_t {
+    AddLearner,
+    Promote, ///< Learner to voter, only after catch-up.
+    Remove,
+};
+
+struct RaftOptions {
+    uint64_t cluster = 0;
+    GroupId group;
+    VoterId self;
+    uint64_t seed = 1;
+    TimeMs heartbeat = 100_ms;
+    TimeMs electionMin = 500_ms;
+    TimeMs electionMax = 1000_ms;
+    TimeMs lease = 450_ms;
+    size_t maxInflight = 16; ///< Appends sent to one member without a reply.
+    TimeMs resend = 500_ms; ///< An Append or snapshot piece without a reply is sent again after this time.
+    uint64_t catchUpEntries = 64; ///< A learner that lacks more entries than this is not promoted.
+};
+
+enum class SendState : uint8_t {
+    Probe, ///< One Append at a time, until the match index is known.
+    Pipeline,
+    Snapshot,
+};
+
+/// What the leader knows about one other member.
+struct Progress {
+    SendState state = SendState::Probe;
+    uint64_t match = 0; ///< Highest index known to be durable there.
+    uint64_t next = 1;
+    std::deque<uint64_t> inflight; ///< Last index of each Append without a reply.
+    TimeMs lastSend;
+    bool waiting = false; ///< Probe or snapshot piece sent, reply outstanding.
+    TimeMs lastReply;
+    TimeMs ackedSentAt { -farFuture.value }; ///< Send time of the latest request that was answered in this term.
+    uint64_t offset = 0; ///< Of the next snapshot piece.
+    SnapshotMeta sending;
+    std::shared_ptr<const std::string> sendingBytes;
+};
+
+/// A message that must not leave before the writes up to `after` are durable.
+struct HeldMessage {
+    uint64_t after = 0;
+    Message message;
+};
+
+/// A snapshot that arrives in pieces.
+struct IncomingSnapshot {
+    SnapshotMeta meta;
+    uint64_t total = 0;
+    uint64_t checksum = 0;
+    std::string bytes;
+};
+
+/// Raft for one member of one group: messages and ticks in; messages, writes and committed entries out.
+struct Raft {
+    RaftOptions options;
+    Random random { 1 };
+    TimeMs now;
+
+    HardState hard;
+    RaftLog log;
+    Role role = Role::Follower;
+    VoterId leader;
+    uint64_t commit = 0;
+    Members members; ///< The latest in the log, committed or not.
+    uint64_t membersIndex = 0;
+
+    TimeMs electionAt;
+    TimeMs leaderSeen; ///< Last contact with a leader; votes are withheld for electionMin after it.
+    std::set<VoterId> votes;
+    std::set<VoterId> refusals;
+    uint64_t termStart = 0; ///< Index of this leader's Noop.
+    std::map<VoterId, Progress> progress;
+    TimeMs heartbeatAt;
+    VoterId transferTarget;
+    TimeMs transferUntil;
+    bool transferSent = false;
+
+    uint64_t writeSequence = 0; ///< Rises with each change that has to become durable.
+    uint64_t termSequence = 0; ///< The write that carries the current term and vote.
+    uint64_t durableSequence = 0;
+    bool hardDirty = false; ///< The hard state changed since the last takeWrites().
+    std::deque<HeldMessage> held;
+    std::vector<Message> outbox;
+
+    Snapshot latest; ///< Sent to members that lack dropped entries.
+    std::optional<IncomingSnapshot> incoming;
+    std::optional<Snapshot> received; ///< Complete snapshot for the caller to install.
+    std::map<uint64_t, VoterId> leadersSeen; ///< By term, for the invariant; the latest few.
+};
+
+/// What has to be written; all of it is durable when writesDurable(sequence) is called.
+struct RaftWrites {
+    uint64_t sequence = 0;
+    std::optional<HardState> hardState;
+    std::vector<LogEntry> entries;
+};
+
+Raft makeRaft(const RaftOptions&, const HardState&, const Snapshot&, std::vector<LogEntry> entries, TimeMs now);
+
+void tickRaft(Raft&, TimeMs now);
+void receiveMessage(Raft&, const Message&);
+
+/// Appends an entry as leader; 0 if this member does not lead or is handing over.
+uint64_t appendEntry(Raft&, EntryKind, std::string data);
+/// Index of the appended change, or 0 and a reason.
+uint64_t appendMemberChange(Raft&, MemberChange, VoterId, std::string& reason);
+/// Starts the hand-over to a voter; false if it is not possible.
+bool startTransfer(Raft&);
+
+/// Sends gathered entries to the members that can take them; call it once per step.
+void sendAppends(Raft&);
+/// The writes since the last call; nothing if there are none.
+std::optional<RaftWrites> takeWrites(Raft&);
+void writesDurable(Raft&, uint64_t sequence);
+
+/// Replaces the log by the received snapshot, after the caller has restored it.
+void installSnapshot(Raft&, const Snapshot&);
+/// Declares a received snapshot unusable.
+void refuseSnapshot(Raft&);
+/// Notes a snapshot taken here and drops entries from memory, but for `trailing` ones.
+void compactLog(Raft&, const Snapshot&, uint64_t trailing);
+
+/// Whether a quorum answered requests sent within the lease.
+bool leaseHolds(const Raft&);
+
+bool isVoter(const Members&, VoterId);
+bool isLearner(const Members&, VoterId);
+std::string encodeMembers(const Members&);
+/// Empty members if the bytes are not valid.
+Members decodeMembers(std::string_view);
+
+}
