--- /dev/null
+++ b/src/consensus/Election.cpp
@@ -0,0 +1,173 @@
+#include "base/Invariant.h"
+#include "consensus/Internal.h"
+
+#include <algorithm>
+
+namespace siskinshunt {
+
+void resetElectionTimer(Raft& raft)
+{
+    const auto& options = raft.options;
+    raft.electionAt = raft.now + TimeMs { raft.random.between(options.electionMin.value, options.electionMax.value) };
+}
+
+void becomeFollower(Raft& raft, uint64_t term, VoterId leader)
+{
+    if (term > raft.hard.term) {
+        // Replies that wait for a write were meant for the former term's leader or candidate.
+        raft.held.clear();
+        setVote(raft, term, {});
+    }
+    if (raft.role == Role::Leader)
+        raft.leaderSeen = raft.now;
+    raft.role = Role::Follower;
+    raft.leader = leader;
+    raft.progress.clear();
+    raft.votes.clear();
+    raft.refusals.clear();
+    raft.transferTarget = {};
+    raft.transferSent = false;
+    resetElectionTimer(raft);
+}
+
+void becomeLeader(Raft& raft)
+{
+    INVARIANT(raft.durableSequence >= raft.termSequence, "a leader's own vote is durable", "term", raft.hard.term);
+    noteLeader(raft, raft.hard.term, raft.options.self);
+    raft.role = Role::Leader;
+    raft.leader = raft.options.self;
+    raft.incoming.reset();
+    raft.progress.clear();
+    refreshProgress(raft);
+    raft.termStart = appendEntry(raft, EntryKind::Noop, {});
+    broadcastHeartbeat(raft);
+}
+
+static void requestVotes(Raft& raft, MessageKind kind, uint64_t term, bool transfer)
+{
+    for (VoterId voter : raft.members.voters) {
+        if (voter == raft.options.self)
+            continue;
+        Message message = makeMessage(raft, voter, kind);
+        message.term = term;
+        message.index = lastIndex(raft.log);
+        message.logTerm = lastTerm(raft.log);
+        message.transfer = transfer;
+        send(raft, std::move(message));
+    }
+}
+
+void startPreVote(Raft& raft)
+{
+    resetElectionTimer(raft);
+    raft.leader = {};
+    if (!isVoter(raft.members, raft.options.self))
+        return;
+    raft.role = Role::PreCandidate;
+    raft.votes = { raft.options.self };
+    raft.refusals.clear();
+    // A refused or lost pre-vote is repeated sooner than a whole election timeout, so that a new leader is found in time.
+    raft.electionAt = raft.now + raft.options.heartbeat + TimeMs { raft.random.between(0, raft.options.electionMin.value) };
+    requestVotes(raft, MessageKind::PreVote, raft.hard.term + 1, false);
+    countVotes(raft);
+}
+
+void startElection(Raft& raft, bool transfer)
+{
+    raft.held.clear();
+    setVote(raft, raft.hard.term + 1, raft.options.self);
+    raft.role = Role::Candidate;
+    raft.leader = {};
+    raft.votes = { raft.options.self };
+    raft.refusals.clear();
+    resetElectionTimer(raft);
+    requestVotes(raft, MessageKind::Vote, raft.hard.term, transfer);
+    countVotes(raft);
+}
+
+static size_t countIn(const Members& members, const std::set<VoterId>& set)
+{
+    return static_cast<size_t>(std::count_if(set.begin(), set.end(), [&](VoterId it) { return isVoter(members, it); }));
+}
+
+void countVotes(Raft& raft)
+{
+    const size_t needed = quorum(raft.members);
+    if (raft.role == Role::Candidate && raft.durableSequence < raft.termSequence)
+        return;
+    if (countIn(raft.members, raft.votes) >= needed) {
+        if (raft.role == Role::PreCandidate)
+            startElection(raft, false);
+        else if (raft.role == Role::Candidate)
+            becomeLeader(raft);
+    } else if (raft.role == Role::Candidate && countIn(raft.members, raft.refusals) >= needed) {
+        becomeFollower(raft, raft.hard.term, {});
+    }
+}
+
+/// Whether the sender's log holds everything that may be committed.
+static bool isUpToDate(const Raft& raft, const Message& request)
+{
+    const uint64_t term = lastTerm(raft.log);
+    return request.logTerm > term || (request.logTerm == term && request.index >= lastIndex(raft.log));
+}
+
+/// Whether a leader may rely on this voter not to elect another one yet.
+static bool withholdsVote(const Raft& raft)
+{
+    return raft.role == Role::Leader || raft.now - raft.leaderSeen < raft.options.electionMin;
+}
+
+static void receivePreVote(Raft& raft, const Message& request)
+{
+    const bool granted = request.term > raft.hard.term && !withholdsVote(raft) && isUpToDate(raft, request);
+    Message reply = makeReply(raft, request, MessageKind::PreVoteReply);
+    reply.reject = !granted;
+    if (granted)
+        reply.term = request.term;
+    send(raft, std::move(reply));
+}
+
+static void receiveVote(Raft& raft, const Message& request)
+{
+    if (request.term > raft.hard.term) {
+        if (withholdsVote(raft) && !request.transfer)
+            return;
+        becomeFollower(raft, request.term, {});
+    }
+    const bool granted = request.term == raft.hard.term && (!raft.hard.vote || raft.hard.vote == request.from) && !raft.leader
+        && isUpToDate(raft, request);
+    if (granted) {
+        becomeFollower(raft, request.term, {});
+        setVote(raft, request.term, request.from);
+    }
+    Message reply = makeReply(raft, request, MessageKind::VoteReply);
+    reply.reject = !granted;
+    send(raft, std::move(reply));
+}
+
+static void receiveVoteReply(Raft& raft, const Message& reply)
+{
+    const bool pre = reply.kind == MessageKind::PreVoteReply;
+    if (reply.reject && reply.term > raft.hard.term) {
+        becomeFollower(raft, reply.term, {});
+        return;
+    }
+    const uint64_t expected = pre && !reply.reject ? raft.hard.term + 1 : raft.hard.term;
+    if (raft.role != (pre ? Role::PreCandidate : Role::Candidate) || reply.term != expected)
+        return;
+    (reply.reject ? raft.refusals : raft.votes).insert(reply.from);
+    countVotes(raft);
+}
+
+void receiveVoteMessage(Raft& raft, const Message& message)
+{
+    if (message.kind == MessageKind::PreVote)
+        receivePreVote(raft, message);
+    else if (message.kind == MessageKind::Vote)
+        receiveVote(raft, message);
+    else
+        receiveVoteReply(raft, message);
+}
+
+}
--- a/src/consensus/Raft.h
+++ b/src/consensus/Raft.h
@@ -61,11 +61,13 @@
     std::deque<uint64_t> inflight; ///< Last index of each Append without a reply.
     TimeMs lastSend;
     bool waiting = false; ///< Probe or snapshot piece sent, reply outstanding.
-    TimeMs lastReply;
+    TimeMs lastReply; ///< Or the start of the leadership or membership.
+    bool replied = false; ///< In this leadership.
     TimeMs ackedSentAt { -farFuture.value }; ///< Send time of the latest request that was answered in this term.
     uint64_t offset = 0; ///< Of the next snapshot piece.
     SnapshotMeta sending;
     std::shared_ptr<const std::string> sendingBytes;
+    uint64_t sendingChecksum = 0;
 };
 
 /// A message that must not leave before the writes up to `after` are durable.
@@ -95,6 +97,7 @@
     uint64_t commit = 0;
     Members members; ///< The latest in the log, committed or not.
     uint64_t membersIndex = 0;
+    std::map<uint64_t, Members> memberHistory; ///< By index, from the last one at or below the log's base.
 
     TimeMs electionAt;
     TimeMs leaderSeen; ///< Last contact with a leader; votes are withheld for electionMin after it.
@@ -130,8 +133,10 @@
 Raft makeRaft(const RaftOptions&, const HardState&, const Snapshot&, std::vector<LogEntry> entries, TimeMs now);
 
 void tickRaft(Raft&, TimeMs now);
-void receiveMessage(Raft&, const Message&);
+void receiveMessage(Raft&, const Message&, TimeMs now);
 
+/// Appends the first entry, which names the voters. The member must never have held any state.
+void appendFirstMembers(Raft&, const Members&);
 /// Appends an entry as leader; 0 if this member does not lead or is handing over.
 uint64_t appendEntry(Raft&, EntryKind, std::string data);
 /// Index of the appended change, or 0 and a reason.
@@ -145,16 +150,20 @@
 std::optional<RaftWrites> takeWrites(Raft&);
 void writesDurable(Raft&, uint64_t sequence);
 
-/// Replaces the log by the received snapshot, after the caller has restored it.
+/// Replaces the log by the received snapshot, after the caller has restored it. The caller writes the snapshot before
+/// the next writes and discards the stored log.
 void installSnapshot(Raft&, const Snapshot&);
 /// Declares a received snapshot unusable.
 void refuseSnapshot(Raft&);
-/// Notes a snapshot taken here and drops entries from memory, but for `trailing` ones.
+/// Notes a snapshot taken here and drops entries from memory, but for `trailing` ones. The log has to be durable up to
+/// the snapshot.
 void compactLog(Raft&, const Snapshot&, uint64_t trailing);
 
-/// Whether a quorum answered requests sent within the lease.
-bool leaseHolds(const Raft&);
+/// Whether a quorum answered requests that were sent within the lease before `now`.
+bool leaseHolds(const Raft&, TimeMs now);
 
+/// The members in force at the index, which is not below the log's base.
+const Members& membersAt(const Raft&, uint64_t index);
 bool isVoter(const Members&, VoterId);
 bool isLearner(const Members&, VoterId);
 std::string encodeMembers(const Members&);
--- /dev/null
+++ b/src/consensus/Replication.cpp
@@ -0,0 +1,241 @@
+#include "base/Hash.h"
+#include "base/Invariant.h"
+#include "consensus/Internal.h"
+
+#include <algorithm>
+
+namespace siskinshunt {
+
+static void sendAppend(Raft& raft, VoterId peer, Progress& progress)
+{
+    Message message = makeMessage(raft, peer, MessageKind::Append);
+    message.index = progress.next - 1;
+    message.logTerm = termAt(raft.log, message.index);
+    message.commit = raft.commit;
+    size_t bytes = 0;
+    for (uint64_t index = progress.next; index <= lastIndex(raft.log); ++index) {
+        const LogEntry& entry = entryAt(raft.log, index);
+        bytes += entry.data.size();
+        if (message.entries.size() == maxMessageEntries || (bytes > maxAppendBytes && !message.entries.empty()))
+            break;
+        message.entries.push_back(entry);
+    }
+    progress.lastSend = raft.now;
+    if (progress.state == SendState::Probe) {
+        progress.waiting = true;
+    } else {
+        progress.next += message.entries.size();
+        progress.inflight.push_back(progress.next - 1);
+    }
+    send(raft, std::move(message));
+}
+
+static void sendPiece(Raft& raft, VoterId peer, Progress& progress)
+{
+    Message message = makeMessage(raft, peer, MessageKind::SnapshotPiece);
+    const std::string& bytes = *progress.sendingBytes;
+    progress.offset = std::min<uint64_t>(progress.offset, bytes.size());
+    message.piece.meta = progress.sending;
+    message.piece.total = bytes.size();
+    message.piece.checksum = progress.sendingChecksum;
+    message.piece.offset = progress.offset;
+    message.piece.bytes = bytes.substr(progress.offset, snapshotPieceBytes);
+    progress.lastSend = raft.now;
+    progress.waiting = true;
+    send(raft, std::move(message));
+}
+
+static void startSnapshot(Raft& raft, Progress& progress)
+{
+    INVARIANT(raft.latest.bytes && raft.latest.meta.index >= raft.log.baseIndex, "a snapshot covers the dropped entries",
+        "snapshot", raft.latest.meta.index, "base", raft.log.baseIndex);
+    progress.state = SendState::Snapshot;
+    progress.waiting = false;
+    progress.inflight.clear();
+    progress.offset = 0;
+    progress.sending = raft.latest.meta;
+    progress.sendingBytes = raft.latest.bytes;
+    progress.sendingChecksum = hash64(*raft.latest.bytes);
+}
+
+static void sendTo(Raft& raft, VoterId peer, Progress& progress)
+{
+    if (progress.state != SendState::Snapshot && progress.next <= raft.log.baseIndex)
+        startSnapshot(raft, progress);
+    if (progress.state == SendState::Snapshot) {
+        if (!progress.waiting)
+            sendPiece(raft, peer, progress);
+        return;
+    }
+    if (progress.state == SendState::Probe) {
+        if (!progress.waiting && progress.match < lastIndex(raft.log))
+            sendAppend(raft, peer, progress);
+        return;
+    }
+    while (progress.inflight.size() < raft.options.maxInflight && progress.next <= lastIndex(raft.log))
+        sendAppend(raft, peer, progress);
+}
+
+void sendAppends(Raft& raft)
+{
+    if (raft.role != Role::Leader)
+        return;
+    for (auto& [peer, progress] : raft.progress)
+        sendTo(raft, peer, progress);
+    continueTransfer(raft);
+}
+
+void resendLost(Raft& raft)
+{
+    for (auto& [peer, progress] : raft.progress) {
+        if ((!progress.waiting && progress.inflight.empty()) || raft.now - progress.lastSend < raft.options.resend)
+            continue;
+        progress.waiting = false;
+        if (progress.state == SendState::Snapshot)
+            continue;
+        progress.state = SendState::Probe;
+        progress.next = progress.match + 1;
+        progress.inflight.clear();
+    }
+}
+
+void broadcastHeartbeat(Raft& raft)
+{
+    raft.heartbeatAt = raft.now + raft.options.heartbeat;
+    for (auto& [peer, progress] : raft.progress) {
+        Message message = makeMessage(raft, peer, MessageKind::Heartbeat);
+        message.commit = std::min(raft.commit, progress.match);
+        send(raft, std::move(message));
+    }
+}
+
+void receiveHeartbeat(Raft& raft, const Message& message)
+{
+    setCommit(raft, message.commit);
+    send(raft, makeReply(raft, message, MessageKind::HeartbeatReply));
+}
+
+/// Highest index at which this log may still match that of a leader whose entry at `index` has the term.
+static uint64_t matchHint(const Raft& raft, uint64_t index, uint64_t term)
+{
+    uint64_t hint = std::min(index, lastIndex(raft.log));
+    while (hint > raft.commit && termAt(raft.log, hint) > term)
+        --hint;
+    return std::max(std::min(hint, index - 1), raft.commit);
+}
+
+static void mergeEntries(Raft& raft, const Message& message)
+{
+    for (const LogEntry& entry : message.entries) {
+        if (entry.index <= raft.log.baseIndex)
+            continue;
+        if (entry.index <= lastIndex(raft.log)) {
+            const LogEntry& own = entryAt(raft.log, entry.index);
+            INVARIANT(own.term != entry.term || own == entry, "logs match", "index", entry.index, "term", entry.term);
+            if (own.term == entry.term)
+                continue;
+            truncateLocal(raft, entry.index);
+        }
+        appendLocal(raft, entry);
+    }
+}
+
+void receiveAppend(Raft& raft, const Message& message)
+{
+    Message reply = makeReply(raft, message, MessageKind::AppendReply);
+    const bool compacted = message.index < raft.log.baseIndex;
+    if (!compacted && (!hasTerm(raft.log, message.index) || termAt(raft.log, message.index) != message.logTerm)) {
+        reply.reject = true;
+        reply.index = message.index;
+        reply.hint = matchHint(raft, message.index, message.logTerm);
+        send(raft, std::move(reply));
+        return;
+    }
+    mergeEntries(raft, message);
+    reply.index = std::max(message.index + message.entries.size(), compacted ? raft.log.baseIndex : 0);
+    setCommit(raft, std::min(message.commit, reply.index));
+    sendAfter(raft, std::move(reply), raft.writeSequence);
+}
+
+void receiveAppendReply(Raft& raft, const Message& reply)
+{
+    Progress& progress = raft.progress.at(reply.from);
+    if (progress.state == SendState::Snapshot && reply.index < progress.sending.index)
+        return;
+    if (reply.reject) {
+        if (reply.index <= progress.match || reply.index >= progress.next || (progress.state == SendState::Probe && reply.index != progress.next - 1))
+            return;
+        progress.state = SendState::Probe;
+        progress.next = std::max(progress.match, reply.hint) + 1;
+        progress.inflight.clear();
+        progress.waiting = false;
+        return;
+    }
+    INVARIANT(reply.index <= lastIndex(raft.log), "a member acknowledges only what the leader has", "index", reply.index,
+        "last", lastIndex(raft.log), "member", reply.from.value);
+    progress.match = std::max(progress.match, reply.index);
+    progress.next = std::max(progress.next, progress.match + 1);
+    progress.state = SendState::Pipeline;
+    progress.waiting = false;
+    while (!progress.inflight.empty() && progress.inflight.front() <= progress.match)
+        progress.inflight.pop_front();
+    advanceCommit(raft);
+}
+
+void receiveHeartbeatReply(Raft& raft, const Message& reply)
+{
+    Progress& progress = raft.progress.at(reply.from);
+    if (progress.state == SendState::Probe && raft.now - progress.lastSend >= raft.options.heartbeat)
+        progress.waiting = false;
+}
+
+void advanceCommit(Raft& raft)
+{
+    if (raft.role != Role::Leader)
+        return;
+    std::vector<uint64_t> matches;
+    for (VoterId voter : raft.members.voters) {
+        auto it = raft.progress.find(voter);
+        if (it != raft.progress.end())
+            matches.push_back(it->second.match);
+        else
+            matches.push_back(voter == raft.options.self ? raft.log.durableIndex : 0);
+    }
+    std::sort(matches.begin(), matches.end(), std::greater<>());
+    const uint64_t index = matches[quorum(raft.members) - 1];
+    if (index > raft.commit && termAt(raft.log, index) == raft.hard.term)
+        setCommit(raft, index);
+    if (raft.membersIndex <= raft.commit && !isVoter(raft.members, raft.options.self)) {
+        broadcastHeartbeat(raft);
+        becomeFollower(raft, raft.hard.term, {});
+    }
+}
+
+bool startTransfer(Raft& raft)
+{
+    if (raft.role != Role::Leader || raft.transferTarget)
+        return false;
+    const Progress* best = nullptr;
+    for (const auto& [peer, progress] : raft.progress) {
+        const bool replies = progress.replied && raft.now - progress.lastReply < raft.options.electionMin;
+        if (!isVoter(raft.members, peer) || !replies || (best && progress.match <= best->match))
+            continue;
+        best = &progress;
+        raft.transferTarget = peer;
+    }
+    raft.transferUntil = raft.now + raft.options.electionMax;
+    return best != nullptr;
+}
+
+void continueTransfer(Raft& raft)
+{
+    if (!raft.transferTarget || raft.transferSent)
+        return;
+    auto it = raft.progress.find(raft.transferTarget);
+    if (it == raft.progress.end() || it->second.match < lastIndex(raft.log))
+        return;
+    raft.transferSent = true;
+    send(raft, makeMessage(raft, raft.transferTarget, MessageKind::TimeoutNow));
+}
+
+}
--- /dev/null
+++ b/src/consensus/SnapshotTransfer.cpp
@@ -0,0 +1,122 @@
+#include "base/Hash.h"
+#include "base/Invariant.h"
+#include "consensus/Internal.h"
+
+#include <algorithm>
+
+namespace siskinshunt {
+
+static Message pieceReply(Raft& raft, const Message& message)
+{
+    Message reply = makeReply(raft, message, MessageKind::SnapshotReply);
+    reply.hint = message.piece.meta.index;
+    return reply;
+}
+
+static bool continues(const IncomingSnapshot& incoming, const SnapshotPiece& piece)
+{
+    return incoming.meta == piece.meta && incoming.total == piece.total && incoming.checksum == piece.checksum;
+}
+
+void receivePiece(Raft& raft, const Message& message)
+{
+    const SnapshotPiece& piece = message.piece;
+    Message reply = pieceReply(raft, message);
+    if (piece.meta.index <= raft.commit) {
+        reply.commit = raft.commit;
+        sendAfter(raft, std::move(reply), raft.writeSequence);
+        return;
+    }
+    if (piece.total > maxSnapshotBytes || piece.bytes.size() > piece.total || raft.received)
+        return;
+    if (!raft.incoming || !continues(*raft.incoming, piece))
+        raft.incoming = IncomingSnapshot { piece.meta, piece.total, piece.checksum, {} };
+    auto& bytes = raft.incoming->bytes;
+    if (piece.offset == bytes.size() && bytes.size() + piece.bytes.size() <= piece.total)
+        bytes += piece.bytes;
+    if (bytes.size() == piece.total) {
+        if (hash64(bytes) == piece.checksum) {
+            raft.received = Snapshot { piece.meta, std::make_shared<const std::string>(std::move(bytes)) };
+            raft.incoming.reset();
+            return;
+        }
+        bytes.clear();
+        reply.reject = true;
+    }
+    reply.index = bytes.size();
+    send(raft, std::move(reply));
+}
+
+void refuseSnapshot(Raft& raft)
+{
+    raft.received.reset();
+    if (!raft.leader || raft.role != Role::Follower)
+        return;
+    Message reply = makeMessage(raft, raft.leader, MessageKind::SnapshotReply);
+    reply.reject = true;
+    reply.sentAt = { -farFuture.value };
+    send(raft, std::move(reply));
+}
+
+void installSnapshot(Raft& raft, const Snapshot& snapshot)
+{
+    const auto& meta = snapshot.meta;
+    INVARIANT(meta.index > raft.commit, "a snapshot never moves the commit index back", "snapshot", meta.index, "commit", raft.commit);
+    raft.received.reset();
+    if (hasTerm(raft.log, meta.index) && termAt(raft.log, meta.index) == meta.term) {
+        // The entries above the snapshot are kept; the stored log is replaced, so they are written again.
+        dropUpTo(raft.log, meta.index);
+        raft.log.durableIndex = raft.log.writtenIndex = meta.index;
+    } else {
+        resetTo(raft.log, meta.index, meta.term);
+        raft.memberHistory.clear();
+    }
+    raft.commit = meta.index;
+    raft.latest = snapshot;
+    raft.memberHistory.erase(raft.memberHistory.begin(), raft.memberHistory.upper_bound(meta.index));
+    raft.memberHistory[meta.index] = meta.members;
+    refreshMembers(raft);
+    ++raft.writeSequence;
+    if (!raft.leader || raft.role != Role::Follower)
+        return;
+    Message reply = makeMessage(raft, raft.leader, MessageKind::SnapshotReply);
+    reply.hint = meta.index;
+    reply.commit = meta.index;
+    // This reply answers no particular request, so it must not extend the leader's lease.
+    reply.sentAt = { -farFuture.value };
+    sendAfter(raft, std::move(reply), raft.writeSequence);
+}
+
+void receiveSnapshotReply(Raft& raft, const Message& reply)
+{
+    Progress& progress = raft.progress.at(reply.from);
+    if (progress.state != SendState::Snapshot || reply.reject)
+        return;
+    if (!reply.commit && reply.hint == progress.sending.index) {
+        progress.offset = reply.index;
+        progress.waiting = false;
+        return;
+    }
+    if (reply.commit < progress.sending.index)
+        return;
+    progress.match = std::max(progress.match, std::min(reply.commit, lastIndex(raft.log)));
+    progress.next = progress.match + 1;
+    progress.state = SendState::Probe;
+    progress.waiting = false;
+    progress.sendingBytes.reset();
+    advanceCommit(raft);
+}
+
+void compactLog(Raft& raft, const Snapshot& snapshot, uint64_t trailing)
+{
+    const uint64_t index = snapshot.meta.index;
+    INVARIANT(index <= raft.commit && index <= raft.log.durableIndex, "a snapshot covers durable, committed entries", "snapshot",
+        index, "commit", raft.commit, "durable", raft.log.durableIndex);
+    raft.latest = snapshot;
+    dropUpTo(raft.log, index > trailing ? index - trailing : 0);
+    const auto first = raft.memberHistory.upper_bound(raft.log.baseIndex);
+    if (first != raft.memberHistory.begin())
+        raft.memberHistory.erase(raft.memberHistory.begin(), std::prev(first));
+}
+
+}
--- a/src/replica/Replica.h
+++ b/src/replica/Replica.h
@@ -114,7 +114,7 @@
 bool transferLeadership(Replica&);
 
 /// Takes a message from a peer. A message of another cluster, group or addressee is counted and dropped.
-void receive(Replica&, const Message&);
+void receive(Replica&, const Message&, TimeMs now);
 
 /// Advances the clock; call it every 20 ms.
 void tick(Replica&, TimeMs now);
@@ -124,7 +124,7 @@
 
 /// Whether the leader may read its applied state without a round trip: its lease holds and it has applied an entry of
 /// its own term and everything committed before.
-bool canRead(const Replica&);
+bool canRead(const Replica&, TimeMs now);
 
 /// Takes a snapshot now if anything was applied since the last one; used when this group pins old log segments.
 void takeSnapshot(Replica&);
