--- /dev/null
+++ b/src/control/ControlCommand.h
@@ -0,0 +1,155 @@
+#pragma once
+
+#include "base/EnumNames.h"
+#include "base/Ids.h"
+#include "base/TimeMs.h"
+#include "versions/MoveTypes.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace siskinshunt {
+
+/// Replaces the rules if the revision is still the expected one. The caller has checked the text.
+struct ApplyRules {
+    std::string requestId; ///< 1 to 128 bytes; a resend with the same id and text gets the same answer.
+    uint64_t expectedRevision = 0; ///< 0 for the first rules.
+    std::string text; ///< At most 1 MiB.
+    std::string operatorName;
+    TimeMs now; ///< UTC.
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(requestId, expectedRevision, text, operatorName, now); }
+};
+
+/// Records a directive of the move controller. Refused under an epoch that is not the current one.
+struct RecordMove {
+    uint64_t epoch = 0;
+    MoveDirective directive;
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(epoch, directive); }
+};
+
+/// Committed by a new decision leader before its first order; the epoch is its term.
+struct TakeEpoch {
+    NodeId leader;
+    uint64_t term = 0;
+    TimeMs now;
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(leader, term, now); }
+};
+
+enum class IntentState : uint8_t {
+    Open,
+    Confirmed,
+    Failed,
+};
+
+template <>
+inline constexpr auto enumNames<IntentState> = std::to_array<EnumName<IntentState>>({
+    { IntentState::Open, "open" },
+    { IntentState::Confirmed, "confirmed" },
+    { IntentState::Failed, "failed" },
+});
+
+enum class IntentKind : uint8_t {
+    Order, ///< To an upstream.
+    Capacity, ///< To the platform.
+};
+
+template <>
+inline constexpr auto enumNames<IntentKind> = std::to_array<EnumName<IntentKind>>({
+    { IntentKind::Order, "order" },
+    { IntentKind::Capacity, "capacity" },
+});
+
+/// An order that the leader means to give, kept so that a later leader neither forgets nor doubles it.
+struct Intent {
+    std::string id; ///< 1 to 128 bytes.
+    IntentKind kind = IntentKind::Order;
+    std::string action; ///< Name of the order kind, such as "load_version".
+    std::string target; ///< Upstream name, or empty for the platform.
+    std::string domain; ///< Capacity: failure domain.
+    std::string machine; ///< Capacity: machine class.
+    bool reclaimable = true; ///< Capacity.
+    std::string model;
+    std::string version;
+    IntentState state = IntentState::Open;
+    std::string detail; ///< Reason, or why it failed.
+    TimeMs created; ///< UTC.
+    uint64_t epoch = 0; ///< Under which it was opened.
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(id, kind, action, target, domain, machine, reclaimable, model, version, state, detail, created, epoch);
+    }
+};
+
+/// Opens an intent; the same id again is accepted without effect.
+struct OpenIntent {
+    uint64_t epoch = 0;
+    Intent intent;
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(epoch, intent); }
+};
+
+/// Ends an open intent; ending it the same way again is accepted without effect.
+struct CloseIntent {
+    std::string id;
+    IntentState state = IntentState::Confirmed; ///< Confirmed or Failed.
+    std::string detail;
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(id, state, detail); }
+};
+
+using ControlCommand = std::variant<ApplyRules, RecordMove, TakeEpoch, OpenIntent, CloseIntent>;
+
+enum class ControlOutcome : uint8_t {
+    Accepted,
+    Conflict, ///< Another operator won, or the request id came before with another text.
+    Stale, ///< An old epoch or sequence.
+    Finished, ///< The move or intent has ended otherwise.
+    Full, ///< Too many open intents or moves.
+    NotFound,
+    Malformed,
+};
+
+template <>
+inline constexpr auto enumNames<ControlOutcome> = std::to_array<EnumName<ControlOutcome>>({
+    { ControlOutcome::Accepted, "accepted" },
+    { ControlOutcome::Conflict, "conflict" },
+    { ControlOutcome::Stale, "stale" },
+    { ControlOutcome::Finished, "finished" },
+    { ControlOutcome::Full, "full" },
+    { ControlOutcome::NotFound, "not_found" },
+    { ControlOutcome::Malformed, "malformed" },
+});
+
+struct ControlReply {
+    ControlOutcome outcome = ControlOutcome::Malformed;
+    uint64_t revision = 0; ///< ApplyRules: the one made, or on conflict the one in force then.
+    std::string winner; ///< On conflict: the operator of that revision.
+    TimeMs wonAt; ///< On conflict: when it was applied, UTC.
+    uint64_t epoch = 0; ///< In force.
+    std::string detail;
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(outcome, revision, winner, wonAt, epoch, detail); }
+};
+
+std::string encodeControlCommand(const ControlCommand&);
+/// Empty on malformed bytes.
+std::optional<ControlCommand> decodeControlCommand(std::string_view bytes);
+std::string encodeControlReply(const ControlReply&);
+/// Empty on malformed bytes.
+std::optional<ControlReply> decodeControlReply(std::string_view bytes);
+
+}
--- /dev/null
+++ b/src/control/DecisionLog.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "control/ControlCommand.h"
+#include "replica/StateMachine.h"
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace siskinshunt {
+
+struct RulesRevision {
+    uint64_t revision = 0;
+    std::string requestId;
+    std::string operatorName;
+    TimeMs at; ///< UTC.
+    std::string text; ///< Empty for revisions whose text is no longer kept.
+    std::string textDigest; ///< SHA-256 in hex.
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(revision, requestId, operatorName, at, text, textDigest); }
+};
+
+/// Answer that a resend of a request id gets.
+struct AnsweredRequest {
+    std::string textDigest;
+    ControlReply reply;
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(textDigest, reply); }
+};
+
+/// State of the decision log, consensus group 1.
+struct DecisionLog {
+    static constexpr size_t keptTexts = 50;
+    static constexpr size_t keptHistory = 20000; ///< Revisions without text: 8 days at 2,400 changes a day.
+    static constexpr size_t keptRequests = 5000; ///< Request ids: two days at 2,400 changes a day.
+    static constexpr size_t keptMoves = 1000; ///< The oldest finished ones go first.
+    static constexpr size_t keptIntents = 10000; ///< The oldest ended ones go first.
+    static constexpr size_t maxTextBytes = 1 << 20;
+
+    uint64_t revision = 0; ///< In force; 0 before the first rules.
+    std::deque<RulesRevision> history; ///< Oldest first; the last one is in force.
+    std::map<std::string, AnsweredRequest> requests;
+    std::deque<std::string> requestOrder; ///< Oldest first.
+    std::map<std::string, MoveDirective> moves; ///< By name.
+    std::deque<std::string> finishedMoves; ///< Oldest first.
+    std::map<std::string, Intent> intents; ///< By id.
+    std::deque<std::string> endedIntents; ///< Oldest first.
+    uint64_t epoch = 0; ///< Term of the last TakeEpoch.
+    NodeId epochLeader;
+    TimeMs epochAt; ///< UTC.
+};
+
+/// Applies one command. Never fails: errors are outcomes.
+ControlReply applyControl(DecisionLog&, const ControlCommand&);
+
+/// Text of the rules in force; empty before the first.
+const std::string& rulesText(const DecisionLog&);
+/// A revision of the history, or null.
+const RulesRevision* findRevision(const DecisionLog&, uint64_t revision);
+/// All recorded directives, for restoreMoves and for nodes.
+std::vector<MoveDirective> recordedMoves(const DecisionLog&);
+std::vector<Intent> openIntents(const DecisionLog&);
+
+std::string snapshotControl(const DecisionLog&);
+/// False (and an unchanged log) on bytes that are not a snapshot.
+bool restoreControl(DecisionLog&, std::string_view bytes);
+
+/// The log must outlive the state machine.
+StateMachine controlStateMachine(DecisionLog&);
+
+}
