Add the ledger, decision log, orders and move controller

Only commands of group leaders move the ledger's clock, because one node with a wrong clock would otherwise expire the keys of all others.

--- /dev/null
+++ b/src/control/ControlCommand.cpp
@@ -0,0 +1,36 @@
+#include "control/ControlCommand.h"
+
+#include "replica/StateCodec.h"
+
+namespace siskinshunt {
+
+// Larger than the largest rules text with its fields.
+static constexpr size_t maxCommandBytes = 2 << 20;
+
+std::string encodeControlCommand(const ControlCommand& command)
+{
+    return encodeState(command);
+}
+
+std::optional<ControlCommand> decodeControlCommand(std::string_view bytes)
+{
+    ControlCommand command;
+    if (!decodeState(bytes, command, maxCommandBytes))
+        return std::nullopt;
+    return command;
+}
+
+std::string encodeControlReply(const ControlReply& reply)
+{
+    return encodeState(reply);
+}
+
+std::optional<ControlReply> decodeControlReply(std::string_view bytes)
+{
+    ControlReply reply;
+    if (!decodeState(bytes, reply, maxCommandBytes) || reply.outcome > ControlOutcome::Malformed)
+        return std::nullopt;
+    return reply;
+}
+
+}
--- /dev/null
+++ b/src/control/DecisionLog.cpp
@@ -0,0 +1,323 @@
+#include "control/DecisionLog.h"
+
+#include "base/Hash.h"
+#include "base/Invariant.h"
+#include "replica/StateCodec.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace siskinshunt {
+
+static constexpr size_t maxNameBytes = 128;
+static constexpr size_t maxReasonBytes = 4096;
+static constexpr size_t maxRoutes = 1000;
+
+static ControlReply replyOf(const DecisionLog& log, ControlOutcome outcome, std::string detail = {})
+{
+    return { .outcome = outcome, .revision = log.revision, .winner = {}, .wonAt = {}, .epoch = log.epoch, .detail = std::move(detail) };
+}
+
+static ControlReply conflictReply(const DecisionLog& log, const RulesRevision* winner, std::string detail)
+{
+    ControlReply reply = replyOf(log, ControlOutcome::Conflict, std::move(detail));
+    if (winner) {
+        reply.revision = winner->revision;
+        reply.winner = winner->operatorName;
+        reply.wonAt = winner->at;
+    }
+    return reply;
+}
+
+static void remember(DecisionLog& log, const ApplyRules& command, const std::string& digest, const ControlReply& reply)
+{
+    log.requests.emplace(command.requestId, AnsweredRequest { digest, reply });
+    log.requestOrder.push_back(command.requestId);
+    if (log.requestOrder.size() > DecisionLog::keptRequests) {
+        log.requests.erase(log.requestOrder.front());
+        log.requestOrder.pop_front();
+    }
+}
+
+static void appendRevision(DecisionLog& log, const ApplyRules& command, const std::string& digest)
+{
+    const uint64_t last = log.history.empty() ? 0 : log.history.back().revision;
+    INVARIANT(log.revision == last, "the revision in force is the last of the history", "revision", log.revision, "last", last);
+    ++log.revision;
+    log.history.push_back({ log.revision, command.requestId, command.operatorName, command.now, command.text, digest });
+    INVARIANT(log.history.back().revision == last + 1, "a revision rises by one", "from", last, "to", log.revision);
+    if (log.history.size() > DecisionLog::keptTexts) {
+        std::string& old = log.history[log.history.size() - DecisionLog::keptTexts - 1].text;
+        old.clear();
+        old.shrink_to_fit();
+    }
+    if (log.history.size() > DecisionLog::keptHistory)
+        log.history.pop_front();
+}
+
+static ControlReply applyTo(DecisionLog& log, const ApplyRules& command)
+{
+    if (command.requestId.empty() || command.requestId.size() > maxNameBytes || command.operatorName.size() > maxNameBytes
+        || command.text.size() > DecisionLog::maxTextBytes)
+        return replyOf(log, ControlOutcome::Malformed, "a request id, the operator or the text breaks its bounds");
+    const std::string digest = sha256Hex(std::to_string(command.expectedRevision) + ":" + command.text);
+    if (const auto it = log.requests.find(command.requestId); it != log.requests.end()) {
+        if (it->second.textDigest == digest)
+            return it->second.reply;
+        const RulesRevision* winner = findRevision(log, it->second.reply.revision);
+        return conflictReply(log, winner, "request id " + command.requestId + " came before with another text or revision");
+    }
+    ControlReply reply;
+    if (command.expectedRevision == log.revision) {
+        appendRevision(log, command, digest);
+        reply = replyOf(log, ControlOutcome::Accepted);
+    } else {
+        // The revision that took the place of the expected one tells who won the race; the last one if that is forgotten.
+        const RulesRevision* winner = findRevision(log, command.expectedRevision + 1);
+        if (!winner && !log.history.empty())
+            winner = &log.history.back();
+        reply = conflictReply(log, winner,
+            "expected revision " + std::to_string(command.expectedRevision) + ", in force is " + std::to_string(log.revision));
+    }
+    remember(log, command, digest, reply);
+    return reply;
+}
+
+static bool isWellFormed(const MoveDirective& directive)
+{
+    if (directive.move.empty() || directive.move.size() > maxNameBytes || directive.reason.size() > maxReasonBytes
+        || directive.ruleText.size() > maxReasonBytes || directive.ruleReason.size() > maxReasonBytes
+        || directive.shares.size() > maxRoutes || directive.stage > MoveStage::Undone)
+        return false;
+    return std::all_of(directive.shares.begin(), directive.shares.end(), [](const RouteShare& it) {
+        return it.route.size() <= maxNameBytes && std::isfinite(it.share) && it.share >= 0 && it.share <= 1;
+    });
+}
+
+/// Makes room for one more move by forgetting the oldest finished one.
+static bool hasRoomForMove(DecisionLog& log)
+{
+    if (log.moves.size() < DecisionLog::keptMoves)
+        return true;
+    if (log.finishedMoves.empty())
+        return false;
+    log.moves.erase(log.finishedMoves.front());
+    log.finishedMoves.pop_front();
+    return true;
+}
+
+static ControlReply applyTo(DecisionLog& log, const RecordMove& command)
+{
+    if (!isWellFormed(command.directive))
+        return replyOf(log, ControlOutcome::Malformed, "a directive breaks its bounds");
+    if (command.epoch != log.epoch)
+        return replyOf(log, ControlOutcome::Stale, "epoch " + std::to_string(command.epoch) + " is not in force");
+    auto it = log.moves.find(command.directive.move);
+    if (it != log.moves.end() && isFinal(it->second.stage))
+        return replyOf(log, ControlOutcome::Finished, "the move is " + std::string(nameOf(it->second.stage)));
+    if (it != log.moves.end() && command.directive.sequence <= it->second.sequence)
+        return replyOf(log, ControlOutcome::Stale, "sequence " + std::to_string(it->second.sequence) + " is recorded");
+    if (it == log.moves.end()) {
+        if (!hasRoomForMove(log))
+            return replyOf(log, ControlOutcome::Full, "too many open moves");
+        it = log.moves.emplace(command.directive.move, MoveDirective {}).first;
+    }
+    INVARIANT(!isFinal(it->second.stage), "a finished move never changes", "move", it->first, "stage", nameOf(it->second.stage));
+    it->second = command.directive;
+    if (isFinal(it->second.stage))
+        log.finishedMoves.push_back(it->first);
+    return replyOf(log, ControlOutcome::Accepted);
+}
+
+static ControlReply applyTo(DecisionLog& log, const TakeEpoch& command)
+{
+    const bool again = command.term == log.epoch && command.leader == log.epochLeader;
+    if (!again && command.term <= log.epoch)
+        return replyOf(log, ControlOutcome::Stale, "epoch " + std::to_string(log.epoch) + " is in force");
+    const uint64_t before = log.epoch;
+    log.epoch = command.term;
+    INVARIANT(log.epoch >= before, "an epoch never goes down", "from", before, "to", log.epoch);
+    if (!again)
+        log.epochAt = command.now;
+    log.epochLeader = command.leader;
+    return replyOf(log, ControlOutcome::Accepted);
+}
+
+static bool isWellFormed(const Intent& intent)
+{
+    for (const std::string* it : { &intent.action, &intent.target, &intent.domain, &intent.machine, &intent.model, &intent.version }) {
+        if (it->size() > maxNameBytes)
+            return false;
+    }
+    return !intent.id.empty() && intent.id.size() <= maxNameBytes && intent.detail.size() <= maxReasonBytes
+        && intent.kind <= IntentKind::Capacity;
+}
+
+static bool hasRoomForIntent(DecisionLog& log)
+{
+    if (log.intents.size() < DecisionLog::keptIntents)
+        return true;
+    if (log.endedIntents.empty())
+        return false;
+    log.intents.erase(log.endedIntents.front());
+    log.endedIntents.pop_front();
+    return true;
+}
+
+static ControlReply applyTo(DecisionLog& log, const OpenIntent& command)
+{
+    if (!isWellFormed(command.intent))
+        return replyOf(log, ControlOutcome::Malformed, "an intent breaks its bounds");
+    if (command.epoch != log.epoch)
+        return replyOf(log, ControlOutcome::Stale, "epoch " + std::to_string(command.epoch) + " is not in force");
+    if (const auto it = log.intents.find(command.intent.id); it != log.intents.end())
+        return replyOf(log, ControlOutcome::Accepted, std::string(nameOf(it->second.state)));
+    if (!hasRoomForIntent(log))
+        return replyOf(log, ControlOutcome::Full, "too many open intents");
+    Intent intent = command.intent;
+    intent.state = IntentState::Open;
+    intent.epoch = log.epoch;
+    log.intents.emplace(intent.id, std::move(intent));
+    return replyOf(log, ControlOutcome::Accepted);
+}
+
+static ControlReply applyTo(DecisionLog& log, const CloseIntent& command)
+{
+    if (command.detail.size() > maxReasonBytes || (command.state != IntentState::Confirmed && command.state != IntentState::Failed))
+        return replyOf(log, ControlOutcome::Malformed, "an intent ends as confirmed or failed");
+    const auto it = log.intents.find(command.id);
+    if (it == log.intents.end())
+        return replyOf(log, ControlOutcome::NotFound, "no intent " + command.id.substr(0, maxNameBytes));
+    Intent& intent = it->second;
+    if (intent.state == command.state)
+        return replyOf(log, ControlOutcome::Accepted);
+    if (intent.state != IntentState::Open)
+        return replyOf(log, ControlOutcome::Finished, "the intent is " + std::string(nameOf(intent.state)));
+    intent.state = command.state;
+    if (!command.detail.empty())
+        intent.detail = command.detail;
+    log.endedIntents.push_back(command.id);
+    return replyOf(log, ControlOutcome::Accepted);
+}
+
+ControlReply applyControl(DecisionLog& log, const ControlCommand& command)
+{
+    return std::visit([&](const auto& it) { return applyTo(log, it); }, command);
+}
+
+const std::string& rulesText(const DecisionLog& log)
+{
+    static const std::string s_none;
+    return log.history.empty() ? s_none : log.history.back().text;
+}
+
+const RulesRevision* findRevision(const DecisionLog& log, uint64_t revision)
+{
+    if (log.history.empty() || revision < log.history.front().revision || revision > log.history.back().revision)
+        return nullptr;
+    return &log.history[revision - log.history.front().revision];
+}
+
+std::vector<MoveDirective> recordedMoves(const DecisionLog& log)
+{
+    std::vector<MoveDirective> out;
+    out.reserve(log.moves.size());
+    for (const auto& [name, directive] : log.moves)
+        out.push_back(directive);
+    return out;
+}
+
+std::vector<Intent> openIntents(const DecisionLog& log)
+{
+    std::vector<Intent> out;
+    for (const auto& [id, intent] : log.intents) {
+        if (intent.state == IntentState::Open)
+            out.push_back(intent);
+    }
+    return out;
+}
+
+struct ControlSnapshot {
+    uint32_t format = 1;
+    uint64_t revision = 0;
+    std::vector<RulesRevision> history;
+    std::map<std::string, AnsweredRequest> requests;
+    std::vector<std::string> requestOrder;
+    std::map<std::string, MoveDirective> moves;
+    std::vector<std::string> finishedMoves;
+    std::map<std::string, Intent> intents;
+    std::vector<std::string> endedIntents;
+    uint64_t epoch = 0;
+    NodeId epochLeader;
+    TimeMs epochAt;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(format, revision, history, requests, requestOrder, moves, finishedMoves, intents, endedIntents, epoch, epochLeader,
+            epochAt);
+    }
+};
+
+std::string snapshotControl(const DecisionLog& log)
+{
+    return encodeState(ControlSnapshot {
+        .revision = log.revision,
+        .history = { log.history.begin(), log.history.end() },
+        .requests = log.requests,
+        .requestOrder = { log.requestOrder.begin(), log.requestOrder.end() },
+        .moves = log.moves,
+        .finishedMoves = { log.finishedMoves.begin(), log.finishedMoves.end() },
+        .intents = log.intents,
+        .endedIntents = { log.endedIntents.begin(), log.endedIntents.end() },
+        .epoch = log.epoch,
+        .epochLeader = log.epochLeader,
+        .epochAt = log.epochAt,
+    });
+}
+
+static bool isConsistent(const ControlSnapshot& snapshot)
+{
+    if (snapshot.format != 1 || snapshot.revision != (snapshot.history.empty() ? 0 : snapshot.history.back().revision))
+        return false;
+    for (size_t n = 1; n < snapshot.history.size(); ++n) {
+        if (snapshot.history[n].revision != snapshot.history[n - 1].revision + 1)
+            return false;
+    }
+    return true;
+}
+
+bool restoreControl(DecisionLog& log, std::string_view bytes)
+{
+    ControlSnapshot snapshot;
+    if (!decodeState(bytes, snapshot, std::numeric_limits<size_t>::max()) || !isConsistent(snapshot))
+        return false;
+    DecisionLog restored;
+    restored.revision = snapshot.revision;
+    restored.history.assign(snapshot.history.begin(), snapshot.history.end());
+    restored.requests = std::move(snapshot.requests);
+    restored.requestOrder.assign(snapshot.requestOrder.begin(), snapshot.requestOrder.end());
+    restored.moves = std::move(snapshot.moves);
+    restored.finishedMoves.assign(snapshot.finishedMoves.begin(), snapshot.finishedMoves.end());
+    restored.intents = std::move(snapshot.intents);
+    restored.endedIntents.assign(snapshot.endedIntents.begin(), snapshot.endedIntents.end());
+    restored.epoch = snapshot.epoch;
+    restored.epochLeader = snapshot.epochLeader;
+    restored.epochAt = snapshot.epochAt;
+    log = std::move(restored);
+    return true;
+}
+
+StateMachine controlStateMachine(DecisionLog& log)
+{
+    return {
+        .apply = [&log](uint64_t, std::string_view bytes) {
+            const auto command = decodeControlCommand(bytes);
+            return encodeControlReply(command ? applyControl(log, *command) : replyOf(log, ControlOutcome::Malformed, "undecodable command")); },
+        .snapshot = [&log] { return snapshotControl(log); },
+        .restore = [&log](std::string_view bytes) { return restoreControl(log, bytes); },
+    };
+}
+
+}
--- a/src/ledger/CallRecord.h
+++ b/src/ledger/CallRecord.h
@@ -60,6 +60,7 @@
     std::string bodyDigest;
     CallOwner owner;
     uint32_t attempt = 1;
+    uint32_t dispatchedAttempt = 0; ///< Last attempt that was dispatched; 0 if none.
     CallState state = CallState::Reserved;
     std::string request; ///< Kept until the call is final, for a takeover.
     std::string upstream; ///< Of the last dispatch.
@@ -70,7 +71,7 @@
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(call, account, key, bodyDigest, owner, attempt, state, request, upstream, created, deadline, answer);
+        archive(call, account, key, bodyDigest, owner, attempt, dispatchedAttempt, state, request, upstream, created, deadline, answer);
     }
 };
 
--- a/src/ledger/Ledger.h
+++ b/src/ledger/Ledger.h
@@ -43,7 +43,7 @@
 /// State of one ledger group.
 struct Ledger {
     LedgerSettings settings;
-    TimeMs clock; ///< Largest `now` applied.
+    TimeMs clock; ///< UTC, as the group leaders last told it.
     std::map<CallId, CallRecord> calls;
     std::deque<std::pair<TimeMs, KeyDigest>> expired; ///< Forget time and digest, in order of time.
 
@@ -70,7 +70,7 @@
 std::vector<TakeOver> dueForTakeover(const Ledger&, TimeMs now, const CallOwner& self, const IsOwnerAlive&);
 /// Dispatched calls after their deadline whose owner is dead, or silent for `lateOutcome` longer.
 std::vector<MarkUnknown> dueForUnknown(const Ledger&, TimeMs now, const CallOwner& self, const IsOwnerAlive&);
-/// True when an Expire command at `now` would change anything.
+/// True when the group leader should propose Expire: something is overdue, or the ledger's clock is 10 s behind.
 bool dueForExpire(const Ledger&, TimeMs now);
 
 std::string snapshotLedger(const Ledger&);
--- a/src/ledger/LedgerCommand.h
+++ b/src/ledger/LedgerCommand.h
@@ -9,7 +9,8 @@
 
 namespace siskinshunt {
 
-/// Each command carries `now`, the proposer's UTC clock. The ledger's clock is the maximum over all applied commands.
+/// Each command carries `now`, the proposer's UTC clock. The ledger's clock is the maximum over the commands of group
+/// leaders: Expire, TakeOver and MarkUnknown by another than the owner. (The first command of all sets it, too.)
 struct Reserve {
     std::string account; ///< 1 to 256 bytes.
     std::string key; ///< 1 to 256 bytes.
--- /dev/null
+++ b/src/ledger/LedgerTable.cpp
@@ -0,0 +1,198 @@
+#include "ledger/LedgerTable.h"
+
+#include "base/Hash.h"
+#include "base/Invariant.h"
+#include "replica/StateCodec.h"
+
+#include <limits>
+
+namespace siskinshunt {
+
+// Fixed part of a record: the struct and its nodes in four indices.
+static constexpr size_t recordOverhead = sizeof(CallRecord) + 256;
+
+// Without other commands of the leader, the ledger's clock is at most this old.
+static constexpr TimeMs clockLag { 10000 };
+
+KeyDigest digestOfKey(std::string_view account, std::string_view key)
+{
+    std::string text = std::to_string(account.size());
+    text.append(1, ':').append(account).append(key);
+    const std::string hex = sha256Hex(text);
+    return { std::stoull(hex.substr(0, 16), nullptr, 16), std::stoull(hex.substr(16, 16), nullptr, 16) };
+}
+
+size_t bytesOf(const CallRecord& record)
+{
+    size_t bytes = recordOverhead + record.account.size() + record.key.size() + record.bodyDigest.size() + record.request.size()
+        + record.upstream.size() + record.answer.body.size() + record.answer.bodyDigest.size();
+    for (const auto& [name, value] : record.answer.headers)
+        bytes += name.size() + value.size();
+    return bytes;
+}
+
+bool hasRoom(const Ledger& ledger, const CallRecord& record)
+{
+    return ledger.calls.size() < ledger.settings.maxCalls && ledger.calls.size() + ledger.expired.size() < ledger.settings.maxKeys
+        && ledger.bytes + bytesOf(record) <= ledger.settings.maxBytes;
+}
+
+static void indexRecord(Ledger& ledger, const CallRecord& record)
+{
+    ledger.byKey.emplace(digestOfKey(record.account, record.key), record.call);
+    ledger.byCreation.emplace(record.created, record.call);
+    if (!isFinal(record.state))
+        ledger.open.insert(record.call);
+    ledger.bytes += bytesOf(record);
+}
+
+const CallRecord& insertRecord(Ledger& ledger, CallRecord&& record)
+{
+    const auto it = ledger.calls.emplace(record.call, std::move(record)).first;
+    indexRecord(ledger, it->second);
+    return it->second;
+}
+
+void finishRecord(Ledger& ledger, CallRecord& record, CallState state, StoredAnswer&& answer)
+{
+    INVARIANT(!isFinal(record.state) && isFinal(state), "a final state is never left", "call", record.call.value, "from",
+        nameOf(record.state), "to", nameOf(state));
+    INVARIANT(state != CallState::Unknown || record.state == CallState::Dispatched, "only a dispatched call becomes unknown", "call",
+        record.call.value);
+    ledger.bytes -= bytesOf(record);
+    record.state = state;
+    record.answer = std::move(answer);
+    record.request.clear();
+    record.request.shrink_to_fit();
+    ledger.bytes += bytesOf(record);
+    ledger.open.erase(record.call);
+}
+
+static StoredAnswer refusalAfterDeadline()
+{
+    StoredAnswer answer;
+    answer.status = 504;
+    answer.ran = false;
+    return answer;
+}
+
+void endOverdueReservations(Ledger& ledger)
+{
+    for (auto it = ledger.open.begin(); it != ledger.open.end();) {
+        CallRecord& record = ledger.calls.at(*it++);
+        if (record.state == CallState::Reserved && ledger.clock > record.deadline)
+            finishRecord(ledger, record, CallState::Done, refusalAfterDeadline());
+        else if (record.state == CallState::Dispatched && ledger.clock > record.deadline + ledger.settings.lateOutcome)
+            finishRecord(ledger, record, CallState::Unknown, {});
+    }
+}
+
+static void leaveDigest(Ledger& ledger, const CallRecord& record)
+{
+    // A UUIDv7 key that was not dated ahead is refused by its own age, so it needs no digest.
+    const auto creation = creationOfKey(record.key);
+    if (creation && *creation <= record.created)
+        return;
+    const KeyDigest digest = digestOfKey(record.account, record.key);
+    ledger.expired.emplace_back(ledger.clock + ledger.settings.digestRetention, digest);
+    ++ledger.expiredKeys[digest];
+}
+
+void expireKeys(Ledger& ledger)
+{
+    while (!ledger.byCreation.empty()) {
+        const auto [created, call] = *ledger.byCreation.begin();
+        if (created + ledger.settings.retention > ledger.clock)
+            return;
+        const auto it = ledger.calls.find(call);
+        // Deadlines are clamped to half of the retention, and overdue calls have ended in the same command.
+        if (!isFinal(it->second.state))
+            return;
+        leaveDigest(ledger, it->second);
+        ledger.bytes -= bytesOf(it->second);
+        ledger.byKey.erase(digestOfKey(it->second.account, it->second.key));
+        ledger.calls.erase(it);
+        ledger.byCreation.erase(ledger.byCreation.begin());
+    }
+}
+
+void forgetDigests(Ledger& ledger)
+{
+    while (!ledger.expired.empty() && ledger.expired.front().first <= ledger.clock) {
+        const auto it = ledger.expiredKeys.find(ledger.expired.front().second);
+        if (--it->second == 0)
+            ledger.expiredKeys.erase(it);
+        ledger.expired.pop_front();
+    }
+}
+
+bool dueForExpire(const Ledger& ledger, TimeMs now)
+{
+    if (now - ledger.clock >= clockLag)
+        return true;
+    if (!ledger.byCreation.empty() && ledger.byCreation.begin()->first + ledger.settings.retention <= now)
+        return true;
+    if (!ledger.expired.empty() && ledger.expired.front().first <= now)
+        return true;
+    for (const CallId call : ledger.open) {
+        const CallRecord& record = ledger.calls.at(call);
+        const TimeMs grace = record.state == CallState::Dispatched ? ledger.settings.lateOutcome : TimeMs {};
+        if (now > record.deadline + grace)
+            return true;
+    }
+    return false;
+}
+
+const CallRecord* findByKey(const Ledger& ledger, std::string_view account, std::string_view key)
+{
+    const auto it = ledger.byKey.find(digestOfKey(account, key));
+    return it == ledger.byKey.end() ? nullptr : findByCall(ledger, it->second);
+}
+
+const CallRecord* findByCall(const Ledger& ledger, CallId call)
+{
+    const auto it = ledger.calls.find(call);
+    return it == ledger.calls.end() ? nullptr : &it->second;
+}
+
+struct LedgerSnapshot {
+    uint32_t format = 1;
+    TimeMs clock;
+    std::vector<CallRecord> calls;
+    std::vector<std::pair<TimeMs, KeyDigest>> expired;
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(format, clock, calls, expired); }
+};
+
+std::string snapshotLedger(const Ledger& ledger)
+{
+    LedgerSnapshot snapshot;
+    snapshot.clock = ledger.clock;
+    for (const auto& [call, record] : ledger.calls)
+        snapshot.calls.push_back(record);
+    snapshot.expired.assign(ledger.expired.begin(), ledger.expired.end());
+    return encodeState(snapshot);
+}
+
+bool restoreLedger(Ledger& ledger, std::string_view bytes)
+{
+    LedgerSnapshot snapshot;
+    if (!decodeState(bytes, snapshot, std::numeric_limits<size_t>::max()) || snapshot.format != 1)
+        return false;
+    Ledger restored;
+    restored.settings = ledger.settings;
+    restored.clock = snapshot.clock;
+    for (auto& record : snapshot.calls) {
+        if (record.state > CallState::Unknown)
+            return false;
+        insertRecord(restored, std::move(record));
+    }
+    restored.expired.assign(snapshot.expired.begin(), snapshot.expired.end());
+    for (const auto& [time, digest] : restored.expired)
+        ++restored.expiredKeys[digest];
+    ledger = std::move(restored);
+    return true;
+}
+
+}
--- a/src/replica/StateCodec.h
+++ b/src/replica/StateCodec.h
@@ -3,6 +3,7 @@
 #include <bit>
 #include <cereal/cereal.hpp>
 #include <cereal/types/array.hpp>
+#include <cereal/types/common.hpp>
 #include <cereal/types/map.hpp>
 #include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
@@ -105,6 +106,19 @@
     tag.size = size;
 }
 
+// cereal names the parts of optionals and variants; the binary form has no names.
+template <class T>
+void CEREAL_SERIALIZE_FUNCTION_NAME(StateWriter& archive, cereal::NameValuePair<T>& pair)
+{
+    archive(pair.value);
+}
+
+template <class T>
+void CEREAL_SERIALIZE_FUNCTION_NAME(StateReader& archive, cereal::NameValuePair<T>& pair)
+{
+    archive(pair.value);
+}
+
 /// Encodes any value with cereal functions.
 template <class T>
 std::string encodeState(const T& value)
--- /dev/null
+++ b/src/versions/LatencySketch.cpp
@@ -0,0 +1,83 @@
+#include "versions/LatencySketch.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace siskinshunt {
+
+static constexpr double bucketRatio = 1.04;
+static constexpr double smallest = 0.1; // ms; shorter latencies share the first bucket.
+static constexpr uint16_t lastBucket = 470; // About 10^4 s.
+
+static uint16_t bucketOf(double milliseconds)
+{
+    if (!(milliseconds > smallest))
+        return 0;
+    const double bucket = std::ceil(std::log(milliseconds / smallest) / std::log(bucketRatio));
+    return static_cast<uint16_t>(std::min<double>(bucket, lastBucket));
+}
+
+static double upperBound(uint16_t bucket)
+{
+    return smallest * std::pow(bucketRatio, bucket);
+}
+
+static void addTo(std::vector<std::pair<uint16_t, uint32_t>>& buckets, uint16_t bucket, uint32_t count)
+{
+    const auto it = std::lower_bound(buckets.begin(), buckets.end(), bucket, [](const auto& entry, uint16_t n) { return entry.first < n; });
+    if (it != buckets.end() && it->first == bucket)
+        it->second += count;
+    else
+        buckets.insert(it, { bucket, count });
+}
+
+void LatencySketch::record(double milliseconds, uint32_t count)
+{
+    addTo(m_buckets, bucketOf(milliseconds), count);
+}
+
+void LatencySketch::merge(const LatencySketch& other)
+{
+    for (const auto& [bucket, count] : other.m_buckets)
+        addTo(m_buckets, std::min(bucket, lastBucket), count);
+}
+
+void LatencySketch::halve()
+{
+    for (auto& entry : m_buckets)
+        entry.second /= 2;
+    std::erase_if(m_buckets, [](const auto& entry) { return entry.second == 0; });
+}
+
+uint64_t LatencySketch::count() const
+{
+    uint64_t n = 0;
+    for (const auto& entry : m_buckets)
+        n += entry.second;
+    return n;
+}
+
+double LatencySketch::quantile(double q) const
+{
+    const auto rank = std::max(1.0, std::ceil(q * static_cast<double>(count())));
+    uint64_t seen = 0;
+    for (const auto& [bucket, n] : m_buckets) {
+        seen += n;
+        if (static_cast<double>(seen) >= rank)
+            return upperBound(bucket);
+    }
+    return 0;
+}
+
+uint64_t LatencySketch::countOver(double milliseconds) const
+{
+    const uint16_t limit = bucketOf(milliseconds);
+    uint64_t n = 0;
+    for (const auto& [bucket, count] : m_buckets) {
+        if (bucket > limit)
+            n += count;
+    }
+    return n;
+}
+
+}
--- a/src/versions/MoveController.h
+++ b/src/versions/MoveController.h
@@ -7,6 +7,7 @@
 #include "versions/MoveTypes.h"
 #include "versions/SequentialTest.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <span>
@@ -18,12 +19,16 @@
 struct MoveSettings {
     double falseAlarm = 0.01; ///< Per move, over all routes, tests, looks and leaders.
     double proofLevel = 0.05; ///< Per route: chance to take a bad version as proven.
+    double suspicion = 10; ///< A route does not step up while a test's statistic is at least this.
     double routeShareCap = 0.25; ///< Of one route's traffic, before proof.
+    uint64_t thinRoute = 100; ///< A route with fewer requests on the new version has too little traffic for proof.
     double shiftPart = 0.4; ///< Part of the time to the deadline that is kept for shifting.
+    double keptOld = 0.5; ///< Part of the old runners that is kept while a finished move is watched.
     TimeMs confirmMargin { 10000 }; ///< Kept before the deadline for the confirmations of the nodes.
     TimeMs minStep { 20000 }; ///< Shortest time between two steps of a route.
+    TimeMs maxStep { 180000 }; ///< Longest time between two steps of a route that is proven.
     TimeMs burst { 30000 }; ///< Length of one full-load burst of the canary.
-    TimeMs window { 1000 }; ///< Of the evidence.
+    TimeMs warmUp { 15000 }; ///< Latency of new runners does not count for this long: their caches are empty.
 };
 
 /// A runner of either version that announces itself and takes work.
@@ -74,34 +79,48 @@
     std::vector<MoveOrder> orders;
 };
 
-/// Tests of one route. Each takes a window of evidence a second.
+/// Counts that fade with a half-life.
+struct FadingRate {
+    double hits = 0;
+    double trials = 0;
+};
+
+/// Latency measures that are compared: first token and whole request, each at the median and at 90%.
+inline constexpr size_t latencyMeasures = 4;
+
+/// Tests of one route. Each takes one window of evidence a second.
 struct RouteTests {
     SequentialTest errors;
-    std::array<SequentialTest, 4> slow; ///< First token and whole latency, each at the median and at 90%.
-    SequentialTest errorsProof; ///< Rejects "bad by errors".
-    std::array<SequentialTest, 2> slowProof; ///< Rejects "slow": first token and whole latency at the median.
-    VersionEvidence oldRecent; ///< Fades by half every 5 minutes.
+    std::array<SequentialTest, latencyMeasures> slow;
+    SequentialTest errorsProof; ///< Rejects "fails too often".
+    std::array<SequentialTest, 2> slowProof; ///< Rejects "too slow": first token and whole request, at the median.
+    VersionEvidence oldRecent; ///< Fades by half every 5 minutes while there is traffic on the old version.
     VersionEvidence newTotal;
     VersionEvidence pendingOld; ///< Of the current window.
     VersionEvidence pendingNew;
+    FadingRate oldErrorsNow; ///< Half-life of 10 s, to see an outage that hits both versions.
+    std::array<FadingRate, latencyMeasures> oldSlowNow;
+    std::array<double, latencyMeasures> frozen {}; ///< Latency of the old version before the shift, ms.
     double rate = 0; ///< Requests/s of both versions, smoothed.
     double share = 0; ///< In force.
     TimeMs lastStep;
-    TimeMs provenAt { -1 };
+    bool proven = false;
 };
 
 struct ActiveMove {
     MoveDirective directive;
-    MoveRule rule; ///< As it was when the move started.
+    MoveRule rule; ///< As last seen in the rules in force.
     std::map<std::string, RouteTests> routes;
-    uint32_t oldRunners = 0; ///< When proving began.
     TimeMs nextWindow;
     TimeMs fadeAt;
+    TimeMs warmUntil; ///< Latency of the new version counts from here on.
     TimeMs nextBurst; ///< Change between burst and pause of the canary.
-    TimeMs provingSince;
     bool bursting = false;
-    bool tripped = false;
-    std::string tripReason;
+    bool bad = false;
+    bool announce = false; ///< The directive has to be sent again, by a new leader.
+    std::string badReason;
+    uint32_t newRunners = 0;
+    std::map<MoveOrderKind, uint32_t> ordered; ///< Last level of each kind.
 };
 
 /// Runs on the decision leader. Sequences start from the restored directives.
--- /dev/null
+++ b/src/versions/MovePlan.cpp
@@ -0,0 +1,142 @@
+#include "versions/MoveSteps.h"
+
+#include "base/Invariant.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace siskinshunt {
+
+static constexpr std::array<double, 4> ladder { 0.1, 0.25, 0.5, 1.0 };
+
+TimeMs latestShift(const ActiveMove& move, const MoveSettings& settings)
+{
+    const TimeMs whole = move.rule.by - move.directive.started;
+    return move.rule.by - settings.confirmMargin - TimeMs { static_cast<int64_t>(settings.shiftPart * static_cast<double>(whole.value)) };
+}
+
+/// Splits `budget` requests/s evenly over the routes, none above `cap` of its own rate. A rare route thus sends a larger
+/// part of its traffic than a busy one, and evidence comes at a similar pace from all.
+static void splitBudget(std::map<std::string, RouteTests>& routes, double budget, double cap)
+{
+    std::vector<RouteTests*> byRate;
+    for (auto& [name, route] : routes)
+        byRate.push_back(&route);
+    std::sort(byRate.begin(), byRate.end(), [](const auto* a, const auto* b) { return a->rate < b->rate; });
+    for (size_t n = 0; n < byRate.size(); ++n) {
+        const double even = budget / static_cast<double>(byRate.size() - n);
+        RouteTests& route = *byRate[n];
+        route.share = route.rate > 0 ? std::min(cap, even / route.rate) : cap;
+        budget -= route.share * route.rate;
+    }
+}
+
+static void turnBurst(ActiveMove& move, const MoveSettings& settings, double part, TimeMs now)
+{
+    if (now < move.nextBurst)
+        return;
+    move.bursting = !move.bursting || part >= 1;
+    const double pause = static_cast<double>(settings.burst.value) * (1 / std::max(part, 0.01) - 1);
+    move.nextBurst = now + (move.bursting ? settings.burst : TimeMs { static_cast<int64_t>(pause) });
+}
+
+bool planProving(ActiveMove& move, const MoveSettings& settings, TimeMs now)
+{
+    const bool due = now >= move.nextBurst;
+    if (!due)
+        return false;
+    // One runner at the load of the old ones. If that exceeds max-share, it is reached in bursts whose mean is max-share.
+    const double fullLoad = 1.0 / (move.directive.oldRunners + 1);
+    turnBurst(move, settings, move.rule.maxShare / fullLoad, now);
+    const double share = move.directive.canary && move.bursting ? fullLoad : 0;
+    double total = 0;
+    for (const auto& [name, route] : move.routes)
+        total += route.rate;
+    std::map<std::string, double> before;
+    for (const auto& [name, route] : move.routes)
+        before[name] = route.share;
+    if (total > 0)
+        splitBudget(move.routes, share * total, std::max(share, share > 0 ? settings.routeShareCap : 0));
+    bool changed = false;
+    for (auto& [name, route] : move.routes) {
+        if (total <= 0)
+            route.share = share;
+        changed = changed || std::abs(route.share - before[name]) > 0.1 * std::max(route.share, before[name]);
+    }
+    return changed;
+}
+
+static double nextShare(double share)
+{
+    const auto it = std::upper_bound(ladder.begin(), ladder.end(), share + 1e-9);
+    return it == ladder.end() ? 1.0 : *it;
+}
+
+static int64_t stepsLeft(double share)
+{
+    return std::count_if(ladder.begin(), ladder.end(), [&](double it) { return it > share + 1e-9; });
+}
+
+/// Largest share that gives the new runners no more load than the old ones had.
+static double shareOfRunners(const ActiveMove& move)
+{
+    return move.directive.oldRunners ? std::min(1.0, static_cast<double>(move.newRunners) / move.directive.oldRunners) : 1.0;
+}
+
+static bool isThin(const RouteTests& route, const MoveSettings& settings)
+{
+    return !route.proven && route.newTotal.requests < settings.thinRoute;
+}
+
+/// Routes without enough traffic for proof follow when all others are half moved.
+static bool mayFollow(const ActiveMove& move, const MoveSettings& settings)
+{
+    return std::all_of(move.routes.begin(), move.routes.end(), [&](const auto& entry) {
+        return isThin(entry.second, settings) || entry.second.share >= 0.5;
+    });
+}
+
+static bool mayStep(const ActiveMove& move, const RouteTests& route, const MoveSettings& settings, TimeMs now)
+{
+    const double to = nextShare(route.share);
+    if (route.share >= 1 || isSuspect(move, route, settings) || (to > shareOfRunners(move) && move.newRunners < move.directive.oldRunners))
+        return false;
+    if (isThin(route, settings) && !mayFollow(move, settings))
+        return false;
+    if (!route.proven && now < latestShift(move, settings))
+        return false;
+    const int64_t left = move.rule.by.value - settings.confirmMargin.value - now.value;
+    const int64_t pace = std::max<int64_t>(0, left) / (stepsLeft(route.share) + 1);
+    return now >= route.lastStep + TimeMs { std::clamp(pace, settings.minStep.value, settings.maxStep.value) };
+}
+
+bool planShift(ActiveMove& move, const MoveSettings& settings, TimeMs now)
+{
+    bool changed = false;
+    for (auto& [name, route] : move.routes) {
+        if (!mayStep(move, route, settings, now))
+            continue;
+        const double to = nextShare(route.share);
+        INVARIANT(to > route.share && to <= 1, "a step raises the share", "route", name, "from", route.share, "to", to);
+        route.share = to;
+        route.lastStep = now;
+        changed = true;
+    }
+    return changed;
+}
+
+bool allShifted(const ActiveMove& move)
+{
+    return std::all_of(move.routes.begin(), move.routes.end(), [](const auto& entry) { return entry.second.share >= 1; });
+}
+
+uint32_t neededRunners(const ActiveMove& move)
+{
+    double share = 0;
+    for (const auto& [name, route] : move.routes)
+        share = std::max(share, nextShare(route.share));
+    return std::max<uint32_t>(1, static_cast<uint32_t>(std::ceil(share * move.directive.oldRunners)));
+}
+
+}
--- a/src/versions/MoveTypes.h
+++ b/src/versions/MoveTypes.h
@@ -56,6 +56,7 @@
     UpstreamId canary; ///< While Proving the only runner of the new version that gets traffic; else none.
     TimeMs since; ///< Start of the stage, UTC.
     TimeMs started; ///< First start of Proving, UTC.
+    uint32_t oldRunners = 0; ///< Runners of the old version when proving began.
     uint32_t leaders = 0; ///< Decision leaders that have run the move; each gets a part of the false-alarm rate.
     std::string code; ///< Stable code of the last decision, such as "move_step".
     std::string reason; ///< Of the last decision, for people.
@@ -67,7 +68,7 @@
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(move, model, from, to, stage, sequence, shares, canary, since, started, leaders, code, reason, line, ruleText,
+        archive(move, model, from, to, stage, sequence, shares, canary, since, started, oldRunners, leaders, code, reason, line, ruleText,
             person, ruleReason);
     }
 };
