--- /dev/null
+++ b/src/wire/Mac.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace siskinshunt {
+
+/// Secret that all nodes of a cluster share; at least 16 bytes.
+struct MacKey {
+    std::string bytes;
+};
+
+/// HMAC-SHA-256 truncated to 16 bytes.
+using Mac = std::array<char, 16>;
+
+Mac macOf(const MacKey&, std::string_view message);
+
+/// Compares in constant time; false if `mac` is not 16 bytes long.
+bool macMatches(const MacKey&, std::string_view message, std::string_view mac);
+
+}
