Add the upstream table and the public headers of membership

Every node that receives an upstream's announcements vouches for it; the others renew lastSeen as long as a node that vouches is alive, so that second-hand time-outs depend on one withdrawn vouch instead of a heartbeat per upstream.

--- a/src/fleet/Upstream.h
+++ b/src/fleet/Upstream.h
@@ -73,14 +73,29 @@
     UpstreamLoad load;
 };
 
+/// A node that receives the announcements of an upstream says so to the others ("vouches") and takes it back when they
+/// stop. Sequence is the announcement at which the node last changed its word.
+struct Vouch {
+    NodeId home;
+    uint64_t sequence = 0;
+    bool active = false;
+
+    bool operator==(const Vouch&) const = default;
+};
+
 /// Entry of the upstream table: the last announcement and when this node learnt of it.
 struct Upstream {
     UpstreamId id;
     Announcement announced;
-    TimeMs lastSeen; ///< Local clock.
+    /// Local clock. At a node that the upstream announces itself to: the arrival of the last announcement. At the other
+    /// nodes: the last time at which a live node vouched for it.
+    TimeMs lastSeen;
     std::optional<TimeMs> reclaimAt; ///< Local clock.
     std::optional<TimeMs> leavingSince; ///< Local clock; first notice of reclaim or leaving.
     bool local = false; ///< Announces itself to this node.
+    uint64_t localSequence = 0; ///< Highest announcement that arrived here directly.
+    uint64_t contentSequence = 0; ///< Announcement that last changed anything but the load.
+    std::array<Vouch, 4> vouches; ///< Unused slots have no home.
 };
 
 }
--- /dev/null
+++ b/src/fleet/UpstreamTable.cpp
@@ -0,0 +1,443 @@
+#include "fleet/UpstreamTable.h"
+
+#include "base/Invariant.h"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+#include <utility>
+
+namespace siskinshunt {
+
+/// Allowance for a leaving notice that was on its way while its age stood still.
+static constexpr TimeMs noticeTransit { 500 };
+
+static void addSorted(std::vector<UpstreamId>& ids, UpstreamId id)
+{
+    const auto it = std::lower_bound(ids.begin(), ids.end(), id);
+    if (it == ids.end() || *it != id)
+        ids.insert(it, id);
+}
+
+static void removeFrom(std::map<std::string, std::vector<UpstreamId>, std::less<>>& index, const std::string& key, UpstreamId id)
+{
+    const auto it = index.find(key);
+    if (it == index.end())
+        return;
+    std::erase(it->second, id);
+    if (it->second.empty())
+        index.erase(it);
+}
+
+static void addToIndexes(UpstreamTable& table, const Upstream& upstream)
+{
+    addSorted(table.byTarget[upstream.announced.model], upstream.id);
+    addSorted(table.byDomain[upstream.announced.domain], upstream.id);
+}
+
+static void removeFromIndexes(UpstreamTable& table, const Upstream& upstream)
+{
+    removeFrom(table.byTarget, upstream.announced.model, upstream.id);
+    removeFrom(table.byDomain, upstream.announced.domain, upstream.id);
+}
+
+static void note(UpstreamTable& table, UpstreamChange change)
+{
+    if (table.journal.size() >= table.options.maxJournal) {
+        const auto load = std::find_if(table.journal.begin(), table.journal.end(),
+            [](const auto& it) { return it.kind == UpstreamChangeKind::Load; });
+        ++table.journalDropped;
+        if (load == table.journal.end())
+            return;
+        table.journal.erase(load);
+    }
+    table.journal.push_back(change);
+}
+
+static bool sameContent(const Announcement& a, const Announcement& b)
+{
+    return a.address == b.address && a.domain == b.domain && a.machine == b.machine && a.kind == b.kind && a.model == b.model
+        && a.version == b.version && a.adapters == b.adapters && a.role == b.role && a.checksFencing == b.checksFencing
+        && a.reclaimable == b.reclaimable;
+}
+
+static bool isLeaving(const Announcement& a) { return a.leaving || a.reclaimIn.has_value(); }
+
+/// Puts the record's sequence and vouch state in; returns whether it changed anything.
+static bool mergeVouch(Upstream& upstream, const Vouch& vouch)
+{
+    if (!vouch.home)
+        return false;
+    Vouch* slot = nullptr;
+    for (auto& it : upstream.vouches) {
+        if (it.home == vouch.home)
+            slot = &it;
+    }
+    if (slot) {
+        // At one sequence a withdrawn vouch is the later word: the node vouched when the announcement arrived.
+        if (vouch.sequence < slot->sequence || (vouch.sequence == slot->sequence && (vouch.active || !slot->active)))
+            return false;
+        const bool changed = slot->active != vouch.active;
+        *slot = vouch;
+        return changed;
+    }
+    // Replaces an unused slot, else a withdrawn one, else the one with the oldest word.
+    const auto rank = [](const Vouch& it) { return std::tuple(static_cast<bool>(it.home), it.active, it.sequence); };
+    slot = &*std::min_element(upstream.vouches.begin(), upstream.vouches.end(),
+        [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
+    *slot = vouch;
+    return true;
+}
+
+static bool hasActiveVouch(const Upstream& upstream)
+{
+    return std::any_of(upstream.vouches.begin(), upstream.vouches.end(), [](const auto& it) { return it.active; });
+}
+
+static Upstream& insertUpstream(UpstreamTable& table, UpstreamId id, const Announcement& announced)
+{
+    auto& upstream = table.entries[id];
+    upstream = {};
+    upstream.id = id;
+    upstream.announced = announced;
+    upstream.contentSequence = announced.sequence;
+    addToIndexes(table, upstream);
+    return upstream;
+}
+
+static void setLeaving(Upstream& upstream, TimeMs now, bool leaving, std::optional<TimeMs> reclaimIn, TimeMs leavingFor)
+{
+    upstream.announced.leaving = leaving;
+    upstream.announced.reclaimIn = reclaimIn;
+    if (!leaving && !reclaimIn) {
+        upstream.leavingSince.reset();
+        upstream.reclaimAt.reset();
+        return;
+    }
+    const TimeMs since = now - leavingFor;
+    upstream.leavingSince = std::min(upstream.leavingSince.value_or(since), since);
+    if (reclaimIn)
+        upstream.reclaimAt = std::min(upstream.reclaimAt.value_or(farFuture), now + *reclaimIn);
+}
+
+/// Replaces everything but load and vouches; the caller has checked the order.
+static void replaceContent(UpstreamTable& table, Upstream& upstream, const Announcement& announced)
+{
+    removeFromIndexes(table, upstream);
+    const UpstreamLoad load = upstream.announced.load;
+    const uint64_t sequence = std::max(upstream.announced.sequence, announced.sequence);
+    upstream.announced = announced;
+    upstream.announced.load = load;
+    upstream.announced.sequence = sequence;
+    addToIndexes(table, upstream);
+}
+
+static Upsert refuseOrFind(UpstreamTable& table, UpstreamId id, const std::string& name, Upstream*& found)
+{
+    const auto it = table.entries.find(id);
+    if (it == table.entries.end())
+        return table.entries.size() >= table.options.maxUpstreams ? Upsert::Full : Upsert::Added;
+    if (it->second.announced.name != name)
+        return Upsert::Collision;
+    found = &it->second;
+    return Upsert::Changed;
+}
+
+static Upsert takeFirst(UpstreamTable& table, TimeMs now, UpstreamId id, const UpstreamRecord& record, bool local)
+{
+    if (const auto it = table.entries.find(id); it != table.entries.end())
+        removeFromIndexes(table, it->second);
+    auto& upstream = insertUpstream(table, id, record.announced);
+    upstream.contentSequence = record.contentSequence;
+    upstream.local = local;
+    upstream.localSequence = local ? record.announced.sequence : 0;
+    upstream.lastSeen = now;
+    setLeaving(upstream, now, record.announced.leaving, record.announced.reclaimIn, record.leavingFor);
+    mergeVouch(upstream, record.vouch);
+    note(table, { UpstreamChangeKind::Record, id, record.vouch.home, false });
+    return Upsert::Added;
+}
+
+/// Takes what differs beside load; returns whether anything did.
+static bool takeAnnouncedContent(UpstreamTable& table, Upstream& known, TimeMs now, const Announcement& announced)
+{
+    if (announced.sequence <= known.contentSequence)
+        return false;
+    const bool content = !sameContent(known.announced, announced);
+    const bool notice = known.announced.leaving != announced.leaving || known.announced.reclaimIn.has_value() != announced.reclaimIn.has_value();
+    if (content || notice) {
+        replaceContent(table, known, announced);
+        known.contentSequence = announced.sequence;
+        note(table, { UpstreamChangeKind::Record, known.id, table.self, !content });
+    }
+    setLeaving(known, now, announced.leaving, announced.reclaimIn, {});
+    return content || notice;
+}
+
+static bool fitsRecord(const Announcement& announced)
+{
+    size_t sum = 0;
+    size_t longest = 0;
+    const auto count = [&](const std::string& text) {
+        sum += text.size() + 1;
+        longest = std::max(longest, text.size());
+    };
+    for (const auto* text : { &announced.name, &announced.address, &announced.domain, &announced.machine, &announced.model, &announced.version })
+        count(*text);
+    for (const auto& adapter : announced.adapters)
+        count(adapter);
+    return longest <= maxAnnouncedString && sum <= maxAnnouncedText && announced.adapters.size() <= 255;
+}
+
+Upsert upsertAnnouncement(UpstreamTable& table, TimeMs now, const Announcement& announced)
+{
+    if (!fitsRecord(announced))
+        return Upsert::TooLarge;
+    const auto id = idOfName<UpstreamId>(announced.name);
+    Upstream* known = nullptr;
+    const Upsert found = refuseOrFind(table, id, announced.name, known);
+    if (found == Upsert::Collision || found == Upsert::Full)
+        return found;
+    const Vouch vouch { table.self, announced.sequence, true };
+    if (!known || announced.incarnation > known->announced.incarnation)
+        return takeFirst(table, now, id, { announced, announced.sequence, {}, vouch }, true);
+    if (announced.incarnation < known->announced.incarnation || announced.sequence <= known->localSequence)
+        return Upsert::Stale;
+
+    known->local = true;
+    known->localSequence = announced.sequence;
+    known->lastSeen = now;
+    const bool changed = takeAnnouncedContent(table, *known, now, announced);
+    const bool vouched = mergeVouch(*known, vouch);
+    if (vouched)
+        note(table, { UpstreamChangeKind::Vouch, id, table.self, true });
+    if (announced.sequence > known->announced.sequence) {
+        known->announced.sequence = announced.sequence;
+        known->announced.load = announced.load;
+        note(table, { UpstreamChangeKind::Load, id, {}, false });
+    }
+    return changed || vouched ? Upsert::Changed : Upsert::LoadOnly;
+}
+
+static bool withdrawOwnVouch(UpstreamTable& table, Upstream& upstream, uint64_t sequence)
+{
+    upstream.local = false;
+    if (!mergeVouch(upstream, { table.self, sequence, false }))
+        return false;
+    note(table, { UpstreamChangeKind::Vouch, upstream.id, table.self, true });
+    return true;
+}
+
+/// Takes the vouch of another node; a new active one counts as a sighting, the last one withdrawn as silence.
+static bool takeVouch(UpstreamTable& table, Upstream& upstream, TimeMs now, const Vouch& vouch)
+{
+    // Only this node knows whether it vouches: a claim that outlived its restart is withdrawn.
+    if (vouch.home == table.self)
+        return !upstream.local && vouch.active && withdrawOwnVouch(table, upstream, vouch.sequence);
+    const bool changed = mergeVouch(upstream, vouch);
+    if (!changed)
+        return false;
+    if (vouch.active)
+        upstream.lastSeen = std::max(upstream.lastSeen, now);
+    else if (!hasActiveVouch(upstream))
+        upstream.lastSeen = std::min(upstream.lastSeen, now - table.options.noNewWorkAfter - 1_ms);
+    note(table, { UpstreamChangeKind::Vouch, upstream.id, vouch.home, true });
+    return true;
+}
+
+Upsert upsertRecord(UpstreamTable& table, TimeMs now, const UpstreamRecord& record)
+{
+    const auto id = idOfName<UpstreamId>(record.announced.name);
+    Upstream* known = nullptr;
+    const Upsert found = refuseOrFind(table, id, record.announced.name, known);
+    if (found == Upsert::Collision || found == Upsert::Full)
+        return found;
+    if (!known && (!record.vouch.active || record.vouch.home == table.self))
+        return Upsert::Stale;
+    if (!known || record.announced.incarnation > known->announced.incarnation)
+        return takeFirst(table, now, id, record, false);
+    if (record.announced.incarnation < known->announced.incarnation)
+        return Upsert::Stale;
+    bool changed = false;
+    if (record.contentSequence > known->contentSequence) {
+        changed = !sameContent(known->announced, record.announced) || isLeaving(known->announced) != isLeaving(record.announced);
+        replaceContent(table, *known, record.announced);
+        known->contentSequence = record.contentSequence;
+        setLeaving(*known, now, record.announced.leaving, record.announced.reclaimIn, record.leavingFor);
+        note(table, { UpstreamChangeKind::Record, id, record.vouch.home, false });
+    }
+    const bool vouched = takeVouch(table, *known, now, record.vouch);
+    return changed || vouched ? Upsert::Changed : Upsert::Stale;
+}
+
+Upsert applyNotice(UpstreamTable& table, TimeMs now, const UpstreamNotice& notice)
+{
+    const auto it = table.entries.find(notice.id);
+    if (it == table.entries.end() || it->second.announced.incarnation != notice.incarnation)
+        return Upsert::Stale;
+    auto& upstream = it->second;
+    bool changed = false;
+    if (notice.contentSequence > upstream.contentSequence) {
+        upstream.contentSequence = notice.contentSequence;
+        setLeaving(upstream, now, notice.leaving, notice.reclaimIn, notice.leavingFor);
+        note(table, { UpstreamChangeKind::Record, notice.id, notice.vouch.home, true });
+        changed = true;
+    }
+    const bool vouched = takeVouch(table, upstream, now, notice.vouch);
+    return changed || vouched ? Upsert::Changed : Upsert::Stale;
+}
+
+Upsert applyLoad(UpstreamTable& table, const LoadDelta& delta)
+{
+    const auto it = table.entries.find(delta.id);
+    if (it == table.entries.end())
+        return Upsert::Stale;
+    auto& announced = it->second.announced;
+    const auto ahead = static_cast<int32_t>(delta.sequence - static_cast<uint32_t>(announced.sequence));
+    if (static_cast<uint32_t>(announced.incarnation) != delta.incarnation || ahead <= 0)
+        return Upsert::Stale;
+    announced.sequence += static_cast<uint64_t>(ahead);
+    announced.load = { .running = delta.running,
+        .waiting = delta.waiting,
+        .capacity = delta.capacity,
+        .cachedTokens = delta.cachedTokens,
+        .waitingTokens = delta.waitingTokens,
+        .tokensPerSecond = delta.tokensPerSecond,
+        .prefillTokensPerSecond = delta.prefillTokensPerSecond };
+    // A load report may be seconds old when it arrives, so it is no sighting: lastSeen stays.
+    note(table, { UpstreamChangeKind::Load, delta.id, {}, false });
+    return Upsert::LoadOnly;
+}
+
+static Vouch vouchToSend(const Upstream& upstream, NodeId home)
+{
+    const Vouch* best = nullptr;
+    for (const auto& it : upstream.vouches) {
+        if (it.home && it.home == home)
+            return it;
+        if (it.home && (!best || std::tuple(it.active, it.sequence) > std::tuple(best->active, best->sequence)))
+            best = &it;
+    }
+    return best ? *best : Vouch {};
+}
+
+static std::optional<TimeMs> remaining(const Upstream& upstream, TimeMs now)
+{
+    if (!upstream.reclaimAt)
+        return std::nullopt;
+    return std::max(0_ms, *upstream.reclaimAt - now);
+}
+
+UpstreamRecord recordOf(const Upstream& upstream, TimeMs now, NodeId home)
+{
+    UpstreamRecord record { upstream.announced, upstream.contentSequence, {}, vouchToSend(upstream, home) };
+    record.announced.reclaimIn = remaining(upstream, now);
+    record.leavingFor = upstream.leavingSince ? now - *upstream.leavingSince : 0_ms;
+    return record;
+}
+
+UpstreamNotice noticeOf(const Upstream& upstream, TimeMs now, NodeId home)
+{
+    return { .id = upstream.id,
+        .incarnation = upstream.announced.incarnation,
+        .contentSequence = upstream.contentSequence,
+        .leaving = upstream.announced.leaving,
+        .reclaimIn = remaining(upstream, now),
+        .leavingFor = upstream.leavingSince ? now - *upstream.leavingSince : 0_ms,
+        .vouch = vouchToSend(upstream, home) };
+}
+
+template <class To, class From>
+static To clamped(From value)
+{
+    return static_cast<To>(std::min<uint64_t>(value, std::numeric_limits<To>::max()));
+}
+
+LoadDelta loadOf(const Upstream& upstream)
+{
+    const auto& load = upstream.announced.load;
+    return { .id = upstream.id,
+        .incarnation = static_cast<uint32_t>(upstream.announced.incarnation),
+        .sequence = static_cast<uint32_t>(upstream.announced.sequence),
+        .running = clamped<uint16_t>(load.running),
+        .waiting = clamped<uint16_t>(load.waiting),
+        .capacity = clamped<uint16_t>(load.capacity),
+        .cachedTokens = clamped<uint32_t>(load.cachedTokens),
+        .waitingTokens = clamped<uint32_t>(load.waitingTokens),
+        .tokensPerSecond = static_cast<float>(load.tokensPerSecond),
+        .prefillTokensPerSecond = static_cast<float>(load.prefillTokensPerSecond) };
+}
+
+void expireUpstreams(UpstreamTable& table, TimeMs now, const std::function<bool(NodeId)>& isAlive)
+{
+    for (auto it = table.entries.begin(); it != table.entries.end();) {
+        auto& upstream = it->second;
+        const TimeMs silence = now - upstream.lastSeen;
+        if (upstream.local && silence > table.options.noNewWorkAfter)
+            withdrawOwnVouch(table, upstream, upstream.localSequence);
+        if (!upstream.local && isVouched(table, upstream, isAlive))
+            upstream.lastSeen = now;
+        if (now - upstream.lastSeen <= table.options.removeAfter) {
+            ++it;
+            continue;
+        }
+        note(table, { UpstreamChangeKind::Removed, upstream.id, {}, false });
+        removeFromIndexes(table, upstream);
+        it = table.entries.erase(it);
+    }
+}
+
+bool isVouched(const UpstreamTable& table, const Upstream& upstream, const std::function<bool(NodeId)>& isAlive)
+{
+    return std::any_of(upstream.vouches.begin(), upstream.vouches.end(),
+        [&](const auto& it) { return it.active && (it.home == table.self ? upstream.local : isAlive(it.home)); });
+}
+
+bool mayTakeNewWork(const Upstream& upstream, TimeMs now, TimeMs drainWithin, TimeMs noNewWorkAfter)
+{
+    if (now - upstream.lastSeen > noNewWorkAfter)
+        return false;
+    if (upstream.reclaimAt && now >= *upstream.reclaimAt)
+        return false;
+    return !upstream.leavingSince || now - *upstream.leavingSince + noticeTransit < drainWithin;
+}
+
+const Upstream* findUpstream(const UpstreamTable& table, UpstreamId id)
+{
+    const auto it = table.entries.find(id);
+    return it == table.entries.end() ? nullptr : &it->second;
+}
+
+std::span<const UpstreamId> upstreamsOf(const UpstreamTable& table, std::string_view modelOrService)
+{
+    const auto it = table.byTarget.find(modelOrService);
+    return it == table.byTarget.end() ? std::span<const UpstreamId> {} : std::span<const UpstreamId>(it->second);
+}
+
+std::span<const UpstreamId> upstreamsInDomain(const UpstreamTable& table, std::string_view domain)
+{
+    const auto it = table.byDomain.find(domain);
+    return it == table.byDomain.end() ? std::span<const UpstreamId> {} : std::span<const UpstreamId>(it->second);
+}
+
+std::vector<UpstreamChange> takeJournal(UpstreamTable& table)
+{
+    const auto rank = [](const UpstreamChange& it) {
+        return it.kind == UpstreamChangeKind::Load ? 2 : it.kind == UpstreamChangeKind::Vouch ? 1
+                                                                                              : 0;
+    };
+    std::stable_sort(table.journal.begin(), table.journal.end(), [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
+    return std::exchange(table.journal, {});
+}
+
+uint64_t digestOf(const Upstream& upstream)
+{
+    uint64_t vouches = 0;
+    for (const auto& it : upstream.vouches) {
+        if (it.active)
+            vouches ^= combineHash(it.home.value, 1);
+    }
+    return combineHash(combineHash(upstream.id.value, upstream.announced.incarnation), combineHash(upstream.contentSequence, vouches));
+}
+
+}
--- /dev/null
+++ b/src/membership/Messages.h
@@ -0,0 +1,238 @@
+#pragma once
+
+#include "fleet/UpstreamTable.h"
+#include "membership/Member.h"
+#include "wire/Codec.h"
+#include "wire/Compact.h"
+
+#include <array>
+#include <string>
+#include <vector>
+
+namespace siskinshunt {
+
+template <class Archive>
+void serialize(Archive& archive, MemberStatus& it)
+{
+    const auto flags = static_cast<uint8_t>((it.draining ? 1 : 0) | (it.voter ? 2 : 0) | (it.leader ? 4 : 0));
+    uint8_t bits = flags;
+    archive(it.id, it.incarnation, it.state, bits);
+    compactNumber(archive, it.version);
+    compactNumber(archive, it.rulesRevision);
+    compactNumber(archive, it.directive);
+    it.draining = bits & 1;
+    if (bits & 2)
+        archive(it.voter);
+    if (bits & 4)
+        archive(it.leader);
+    if constexpr (Archive::is_loading::value) {
+        if (!isNamed(it.state) || !it.id)
+            throw cereal::Exception("member status has an unknown state or no id");
+    }
+}
+
+template <class Archive>
+void serialize(Archive& archive, MemberIdentity& it)
+{
+    for (auto* text : { &it.name, &it.udpAddress, &it.tcpAddress, &it.httpAddress, &it.domain })
+        compactString(archive, *text);
+}
+
+template <class Archive>
+void serialize(Archive& archive, MemberRecord& it)
+{
+    archive(it.identity, it.status);
+    if constexpr (Archive::is_loading::value) {
+        if (idOfName<NodeId>(it.identity.name) != it.status.id)
+            throw cereal::Exception("member record whose id is not that of its name");
+    }
+}
+
+/// Optional duration of at least zero; 0 is none.
+template <class Archive>
+void compactDuration(Archive& archive, std::optional<TimeMs>& duration)
+{
+    uint64_t n = duration ? static_cast<uint64_t>(duration->value) + 1 : 0;
+    compactNumber(archive, n);
+    if constexpr (Archive::is_loading::value) {
+        // A day is beyond every notice; the bound keeps sums with the clock in range.
+        duration = n ? std::optional(TimeMs { static_cast<int64_t>(std::min<uint64_t>(n - 1, 86400000)) }) : std::nullopt;
+    }
+}
+
+template <class Archive>
+void compactDuration(Archive& archive, TimeMs& duration)
+{
+    std::optional<TimeMs> value = duration;
+    compactDuration(archive, value);
+    duration = value.value_or(TimeMs {});
+}
+
+template <class Archive>
+void serialize(Archive& archive, Vouch& it)
+{
+    archive(it.home, it.active);
+    compactNumber(archive, it.sequence);
+}
+
+template <class Archive>
+void serialize(Archive& archive, Announcement& it)
+{
+    for (auto* text : { &it.name, &it.address, &it.domain, &it.machine, &it.model, &it.version })
+        compactString(archive, *text);
+    auto count = static_cast<uint8_t>(std::min<size_t>(it.adapters.size(), 255));
+    archive(count);
+    if constexpr (Archive::is_loading::value)
+        it.adapters.resize(count);
+    for (uint8_t n = 0; n < count; ++n)
+        compactString(archive, it.adapters[n]);
+    auto flags = static_cast<uint8_t>((it.checksFencing ? 1 : 0) | (it.reclaimable ? 2 : 0) | (it.leaving ? 4 : 0));
+    archive(it.kind, it.role, flags, it.incarnation);
+    it.checksFencing = flags & 1;
+    it.reclaimable = flags & 2;
+    it.leaving = flags & 4;
+    compactDuration(archive, it.reclaimIn);
+    compactNumber(archive, it.sequence);
+    archive(it.load);
+    if constexpr (Archive::is_loading::value) {
+        if (!isNamed(it.kind) || !isNamed(it.role))
+            throw cereal::Exception("announcement has an unknown kind or role");
+    }
+}
+
+template <class Archive>
+void serialize(Archive& archive, UpstreamRecord& it)
+{
+    archive(it.announced, it.vouch);
+    compactNumber(archive, it.contentSequence);
+    compactDuration(archive, it.leavingFor);
+}
+
+template <class Archive>
+void serialize(Archive& archive, UpstreamNotice& it)
+{
+    archive(it.id, it.incarnation, it.leaving, it.vouch);
+    compactNumber(archive, it.contentSequence);
+    compactDuration(archive, it.reclaimIn);
+    compactDuration(archive, it.leavingFor);
+}
+
+template <class Archive>
+void serialize(Archive& archive, LoadDelta& it)
+{
+    archive(it.id, it.incarnation, it.sequence, it.running, it.waiting, it.capacity, it.cachedTokens, it.waitingTokens,
+        it.tokensPerSecond, it.prefillTokensPerSecond);
+}
+
+/// A delta with the number of sends that its receiver owes.
+template <class T>
+struct Passed {
+    uint8_t remaining = 0;
+    T value;
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(remaining, value); }
+};
+
+/// Bits of GossipMessage::flags.
+enum GossipFlag : uint8_t {
+    WantsRecord = 1, ///< The sender does not know the receiver's record.
+    ForOther = 2, ///< PingRequest and its ack: `target` is a third member.
+    Refusal = 4, ///< The receiver's id belongs to another name.
+};
+
+/// Body of a datagram.
+struct GossipMessage {
+    uint32_t probe = 0; ///< Number that the ack repeats.
+    uint32_t round = 0;
+    uint8_t flags = 0;
+    uint32_t memberDigest = 0;
+    uint32_t upstreamDigest = 0;
+    MemberStatus sender;
+    NodeId target;
+    std::vector<MemberRecord> identities; ///< Sender's record when asked for, without passing on.
+    std::vector<Passed<MemberRecord>> records;
+    std::vector<Passed<MemberStatus>> statuses;
+    std::vector<Passed<UpstreamRecord>> upstreams;
+    std::vector<Passed<UpstreamNotice>> notices;
+    std::vector<Passed<MemberStatus>> confirms;
+    std::vector<Passed<LoadDelta>> loads;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(probe, round, flags, memberDigest, upstreamDigest, sender);
+        if (flags & ForOther)
+            archive(target);
+        compactVector(archive, identities);
+        compactVector(archive, records);
+        compactVector(archive, statuses);
+        compactVector(archive, upstreams);
+        compactVector(archive, notices);
+        compactVector(archive, confirms);
+        compactVector(archive, loads);
+    }
+};
+
+constexpr size_t memberBuckets = 32;
+constexpr size_t upstreamBuckets = 64;
+
+/// First step of anti-entropy: hashes of the sender's tables by ranges of ids.
+struct TableDigest {
+    std::array<uint32_t, memberBuckets> members {};
+    std::array<uint32_t, upstreamBuckets> upstreams {};
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(members, upstreams); }
+};
+
+/// Second and third step: records of the ranges that differ, and which ranges the sender wants in return.
+struct TableRecords {
+    std::vector<MemberRecord> members;
+    std::vector<UpstreamRecord> upstreams;
+    uint64_t wantMembers = 0; ///< Bit per range.
+    uint64_t wantUpstreams = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        compactVector(archive, members);
+        compactVector(archive, upstreams);
+        archive(wantMembers, wantUpstreams);
+    }
+};
+
+/// Encoded bytes, without the byte-order byte.
+inline size_t wireSize(const MemberStatus& it)
+{
+    return 18 + (it.voter ? 8 : 0) + (it.leader ? 8 : 0) + compactSize(it.version) + compactSize(it.rulesRevision) + compactSize(it.directive);
+}
+
+inline size_t wireSize(const MemberRecord& it)
+{
+    const auto& id = it.identity;
+    return 5 + id.name.size() + id.udpAddress.size() + id.tcpAddress.size() + id.httpAddress.size() + id.domain.size() + wireSize(it.status);
+}
+
+inline size_t wireSize(const Vouch& it) { return 9 + compactSize(it.sequence); }
+
+inline size_t wireSize(const std::optional<TimeMs>& it) { return compactSize(it ? static_cast<uint64_t>(it->value) + 1 : 0); }
+
+inline size_t wireSize(const UpstreamNotice& it)
+{
+    return 17 + wireSize(it.vouch) + compactSize(it.contentSequence) + wireSize(it.reclaimIn) + wireSize(std::optional(it.leavingFor));
+}
+
+inline size_t wireSize(const UpstreamRecord& it)
+{
+    const auto& a = it.announced;
+    size_t n = 6 + a.name.size() + a.address.size() + a.domain.size() + a.machine.size() + a.model.size() + a.version.size() + 1;
+    for (const auto& adapter : a.adapters)
+        n += 1 + adapter.size();
+    n += 11 + wireSize(a.reclaimIn) + compactSize(a.sequence) + 3 * 4 + 4 * 8;
+    return n + wireSize(it.vouch) + compactSize(it.contentSequence) + wireSize(std::optional(it.leavingFor));
+}
+
+inline size_t wireSize(const LoadDelta&) { return 38; }
+
+}
