--- a/src/limits/ClassQueue.h
+++ b/src/limits/ClassQueue.h
@@ -66,8 +66,8 @@
 };
 
 /// One class: start-time fair queueing over the accounts, earliest deadline first within an account.
-/// While two accounts wait, the work served to them, each divided by its weight, differs by at most one call's cost divided
-/// by its weight for either of them.
+/// While two accounts wait, the work served to them, each divided by its weight, differs by at most the sum over the two of
+/// the largest cost of a call divided by the weight.
 struct ClassQueue {
     std::string name;
     int priority = 5;
--- /dev/null
+++ b/src/limits/Lease.cpp
@@ -0,0 +1,116 @@
+#include "limits/Lease.h"
+
+#include "base/Invariant.h"
+
+#include <algorithm>
+
+namespace siskinshunt {
+
+namespace {
+    /// Shares that nodes other than the given one may still use.
+    double sharesOfOthers(const std::map<NodeId, Granted>& nodes, NodeId self, TimeMs now)
+    {
+        double sum = 0;
+        for (const auto& [node, granted] : nodes)
+            sum += node != self && granted.expiresAt > now ? granted.share : 0;
+        return sum;
+    }
+
+    /// Share by demand; an equal small part goes to every holder, so that an idle one can admit a first call.
+    double wantedShare(const LeaseGrantor& grantor, const std::map<NodeId, Granted>& nodes, NodeId self)
+    {
+        double demand = 0;
+        for (const auto& [node, granted] : nodes)
+            demand += granted.demand;
+        const double floor = grantor.options.minimumShare / static_cast<double>(nodes.size());
+        const double part = demand > 0 ? nodes.at(self).demand / demand : 1.0 / static_cast<double>(nodes.size());
+        return floor + (1 - grantor.options.minimumShare) * part;
+    }
+}
+
+double shareInForce(const LeaseHolder& holder, TimeMs now)
+{
+    return now < holder.expiresAt ? holder.share : 1.0 / std::max<uint32_t>(holder.nodes, 1);
+}
+
+void noteNodes(LeaseHolder& holder, uint32_t nodes)
+{
+    holder.nodes = std::max(holder.nodes, nodes);
+}
+
+void recordDemand(LeaseHolder& holder, double n)
+{
+    holder.arrivals += n;
+}
+
+bool nextRequest(LeaseHolder& holder, const LeaseOptions& options, NodeId self, const LimitKey& key, TimeMs now, LeaseRequest& out)
+{
+    const TimeMs elapsed = now - holder.lastRequest;
+    if (elapsed < options.interval)
+        return false;
+    constexpr double weight = 0.5; // Demand follows a change within about three intervals.
+    const double seconds = std::min(elapsed, options.interval * 4).seconds();
+    holder.demand += weight * (holder.arrivals / seconds - holder.demand);
+    holder.arrivals = 0;
+    holder.lastRequest = now;
+    ++holder.sequence;
+    holder.outstanding = true;
+    out = { self, key, holder.sequence, holder.demand, now < holder.expiresAt ? holder.share : 0 };
+    return true;
+}
+
+bool takeGrant(LeaseHolder& holder, const LeaseGrant& grant, TimeMs now)
+{
+    // A grant for an earlier request may be larger than the share that the latest request reported, and the grantor counts
+    // on that report.
+    if (!holder.outstanding || grant.sequence != holder.sequence)
+        return false;
+    holder.outstanding = false;
+    const TimeMs expiresAt = holder.lastRequest + grant.validity;
+    if (expiresAt <= now)
+        return false;
+    holder.share = grant.share;
+    holder.expiresAt = expiresAt;
+    noteNodes(holder, grant.nodes);
+    return true;
+}
+
+std::optional<LeaseGrant> grant(LeaseGrantor& grantor, const LeaseRequest& request, TimeMs now)
+{
+    const TimeMs lifetime = grantor.options.validity + grantor.options.clockSlack;
+    const bool predecessorMayGrant = now < grantor.startedAt + lifetime;
+    if (predecessorMayGrant && request.share <= 0)
+        return std::nullopt;
+    auto& nodes = grantor.limits[request.key];
+    auto& granted = nodes[request.node];
+    if (request.sequence <= granted.sequence && granted.expiresAt > now)
+        return std::nullopt;
+    granted.sequence = request.sequence;
+    granted.demand = std::max(0.0, request.demand);
+    granted.lastRequest = now;
+    const double free = std::max(0.0, 1 - sharesOfOthers(nodes, request.node, now));
+    // Grants of the predecessor that nobody has reported yet are unknown, so nothing new is given out until they expire.
+    const double wanted = predecessorMayGrant ? std::clamp(request.share, 0.0, 1.0) : wantedShare(grantor, nodes, request.node);
+    const double share = std::min(wanted, free);
+    // The grant may be lost; then the holder keeps the share it reported until that expires.
+    granted.share = std::max(share, request.share);
+    granted.expiresAt = now + lifetime;
+    const double sum = grantedSum(grantor, request.key, now);
+    INVARIANT(sum <= 1 + 1e-6 || now < grantor.startedAt + lifetime * 2, "shares in use sum to at most the limit", "key", request.key, "sum", sum);
+    return LeaseGrant { request.key, request.sequence, share, grantor.options.validity, static_cast<uint32_t>(nodes.size()) };
+}
+
+void expireGrants(LeaseGrantor& grantor, TimeMs now)
+{
+    for (auto& [key, nodes] : grantor.limits)
+        std::erase_if(nodes, [&](const auto& it) { return it.second.expiresAt <= now && it.second.lastRequest + grantor.options.validity <= now; });
+    std::erase_if(grantor.limits, [](const auto& it) { return it.second.empty(); });
+}
+
+double grantedSum(const LeaseGrantor& grantor, const LimitKey& key, TimeMs now)
+{
+    const auto it = grantor.limits.find(key);
+    return it == grantor.limits.end() ? 0 : sharesOfOthers(it->second, {}, now);
+}
+
+}
--- a/src/limits/Lease.h
+++ b/src/limits/Lease.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,7 +47,7 @@
     double share = 0;
     TimeMs expiresAt { -1 };
     uint64_t sequence = 0;
-    std::map<uint64_t, TimeMs> sentAt; ///< Requests without a grant yet; bounded.
+    bool outstanding = false; ///< The latest request has no grant yet. Grants of earlier ones are never taken.
     TimeMs lastRequest { -1000000 };
     uint32_t nodes = 1; ///< Most holders ever named by a grant or by the membership.
     double arrivals = 0; ///< Since the last request.
@@ -67,9 +68,10 @@
 /// Takes a grant. Late, repeated and unknown ones are ignored: false.
 bool takeGrant(LeaseHolder&, const LeaseGrant&, TimeMs now);
 
-/// What the grantor has given out for one limit to one node.
+/// What one node may be using of one limit, as the grantor knows it.
 struct Granted {
-    double share = 0;
+    double share = 0; ///< The larger of the share reported last and the one granted last.
+    uint64_t sequence = 0; ///< Of the last request.
     TimeMs expiresAt;
     double demand = 0;
     TimeMs lastRequest;
@@ -83,8 +85,9 @@
     std::map<LimitKey, std::map<NodeId, Granted>> limits;
 };
 
-/// Answers a request. The granted shares that may still be in use never sum to more than 1.
-LeaseGrant grant(LeaseGrantor&, const LeaseRequest&, TimeMs now);
+/// Answers a request; the shares that may be in use never sum to more than 1. No answer to a late or repeated request, nor
+/// while a predecessor's grants may be in force and the holder reports none: the holder then uses its safe share.
+std::optional<LeaseGrant> grant(LeaseGrantor&, const LeaseRequest&, TimeMs now);
 
 /// Forgets holders whose grants have expired.
 void expireGrants(LeaseGrantor&, TimeMs now);
--- /dev/null
+++ b/src/limits/Limiter.cpp
@@ -0,0 +1,151 @@
+#include "limits/Limiter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace siskinshunt {
+
+namespace {
+    bool matches(const std::string& pattern, std::string_view text) { return pattern == "*" || pattern == text; }
+
+    LimitKey keyOf(const LimitRule& rule, std::string_view account, std::string_view className)
+    {
+        LimitKey out = rule.name;
+        out += '\n';
+        out += account;
+        out += '\n';
+        out += className;
+        return out;
+    }
+
+    /// Brings the local buckets in line with the share in force.
+    void applyShare(LimitState& state, const LimitRule& rule, TimeMs now)
+    {
+        const double share = shareInForce(state.lease, now);
+        // A bucket that holds less than one request would never admit any.
+        const double burst = std::max(1.0, (rule.burst > 0 ? rule.burst : rule.rate) * share);
+        setRate(state.requests, rule.rate * share, burst, now);
+        setRate(state.tokens, rule.tokensPerSecond * share, std::max(1.0, rule.tokensPerSecond * share), now);
+    }
+
+    LimitState& stateOf(Limiter& limiter, size_t n, std::string_view account, std::string_view className, TimeMs now)
+    {
+        const auto& rule = limiter.rules[n];
+        const LimitKey key = keyOf(rule, account, className);
+        auto [it, added] = limiter.states.try_emplace(key);
+        auto& state = it->second;
+        if (added) {
+            state.key = key;
+            state.rule = n;
+            noteNodes(state.lease, limiter.nodes);
+            state.requests = { .at = now };
+            state.tokens = { .at = now };
+            applyShare(state, rule, now);
+            state.requests.tokens = state.requests.burst;
+            state.tokens.tokens = state.tokens.burst;
+        }
+        state.lastUsed = now;
+        return state;
+    }
+
+    uint32_t concurrentLimit(const LimitState& state, const LimitRule& rule, TimeMs now)
+    {
+        return static_cast<uint32_t>(std::floor(rule.concurrent * shareInForce(state.lease, now) + 1e-9));
+    }
+
+    /// Verdict of one limit without taking from it.
+    LimitDecision check(LimitState& state, const LimitRule& rule, uint32_t promptTokens, const LeaseOptions& leases, TimeMs now)
+    {
+        LimitDecision out { .rule = state.rule };
+        const TimeMs rate = rule.rate > 0 ? timeUntil(state.requests, 1, now) : 0_ms;
+        const TimeMs tokens = rule.tokensPerSecond > 0 ? timeUntil(state.tokens, promptTokens, now) : 0_ms;
+        if (rate > 0_ms) {
+            out.verdict = LimitVerdict::OverRate;
+            out.retryAfter = rate;
+        } else if (rule.concurrent && state.inFlight >= concurrentLimit(state, rule, now)) {
+            out.verdict = LimitVerdict::OverConcurrent;
+            out.retryAfter = leases.interval * 2; // The share follows demand within two intervals.
+        } else if (tokens > 0_ms) {
+            out.verdict = LimitVerdict::OverTokens;
+            out.retryAfter = tokens;
+        }
+        return out;
+    }
+
+    template <class Visit>
+    void forEachLimit(Limiter& limiter, std::string_view account, std::string_view className, TimeMs now, Visit visit)
+    {
+        for (size_t n = 0; n < limiter.rules.size(); ++n) {
+            if (matches(limiter.rules[n].account, account) && matches(limiter.rules[n].className, className))
+                visit(stateOf(limiter, n, account, className, now), limiter.rules[n]);
+        }
+    }
+}
+
+void setLimits(Limiter& limiter, std::vector<LimitRule> rules, TimeMs now)
+{
+    std::erase_if(limiter.states, [&](const auto& it) {
+        const auto& name = limiter.rules[it.second.rule].name;
+        return std::none_of(rules.begin(), rules.end(), [&](const auto& rule) { return rule.name == name; });
+    });
+    for (auto& [key, state] : limiter.states) {
+        const auto& name = limiter.rules[state.rule].name;
+        const auto rule = std::find_if(rules.begin(), rules.end(), [&](const auto& it) { return it.name == name; });
+        state.rule = static_cast<size_t>(rule - rules.begin());
+        applyShare(state, *rule, now);
+    }
+    limiter.rules = std::move(rules);
+}
+
+LimitDecision admitCall(Limiter& limiter, std::string_view account, std::string_view className, uint32_t promptTokens, TimeMs now)
+{
+    LimitDecision out;
+    forEachLimit(limiter, account, className, now, [&](LimitState& state, const LimitRule& rule) {
+        recordDemand(state.lease, 1);
+        noteNodes(state.lease, limiter.nodes);
+        applyShare(state, rule, now);
+        const auto decision = check(state, rule, promptTokens, limiter.leases, now);
+        if (decision.verdict != LimitVerdict::Admitted && decision.retryAfter >= out.retryAfter)
+            out = decision;
+    });
+    if (out.verdict != LimitVerdict::Admitted)
+        return out;
+    forEachLimit(limiter, account, className, now, [&](LimitState& state, const LimitRule&) {
+        charge(state.requests, 1, now);
+        charge(state.tokens, promptTokens, now);
+        ++state.inFlight;
+    });
+    return out;
+}
+
+void finishCall(Limiter& limiter, std::string_view account, std::string_view className, uint32_t outputTokens, TimeMs now)
+{
+    forEachLimit(limiter, account, className, now, [&](LimitState& state, const LimitRule&) {
+        charge(state.tokens, outputTokens, now);
+        // The rule may have been added while the call ran.
+        state.inFlight -= state.inFlight ? 1 : 0;
+    });
+}
+
+std::vector<LeaseRequest> leaseRequests(Limiter& limiter, NodeId self, TimeMs now)
+{
+    constexpr TimeMs idle { 60000 };
+    std::erase_if(limiter.states, [&](const auto& it) { return !it.second.inFlight && it.second.lastUsed + idle < now; });
+    std::vector<LeaseRequest> out;
+    for (auto& [key, state] : limiter.states) {
+        LeaseRequest request;
+        if (nextRequest(state.lease, limiter.leases, self, key, now, request))
+            out.push_back(std::move(request));
+    }
+    return out;
+}
+
+void takeLeaseGrant(Limiter& limiter, const LeaseGrant& grant, TimeMs now)
+{
+    const auto it = limiter.states.find(grant.key);
+    if (it == limiter.states.end() || !takeGrant(it->second.lease, grant, now))
+        return;
+    applyShare(it->second, limiter.rules[it->second.rule], now);
+}
+
+}
--- /dev/null
+++ b/src/limits/Retry.cpp
@@ -0,0 +1,49 @@
+#include "limits/Retry.h"
+
+#include <algorithm>
+
+namespace siskinshunt {
+
+void earnRetries(RetryBudget& budget, const RetryRule& rule)
+{
+    budget.retries = std::min(RetryBudget::cap, budget.retries + rule.budget);
+}
+
+TimeMs backoffDelay(const RetryRule& rule, int attempts, Random& random)
+{
+    const int doublings = std::clamp(attempts - 1, 0, 30);
+    const TimeMs full = std::min(rule.cap, rule.base * (int64_t { 1 } << doublings));
+    return { random.between(full.value / 2, full.value) };
+}
+
+RetryDecision decideRetry(RetryBudget& budget, const RetryRule& rule, const FailedAttempt& failed, TimeMs now, Random& random)
+{
+    if (failed.repeat == Repeat::Once && failed.byteLeft)
+        return { RetryVerdict::NotRepeatable, {} };
+    if (failed.attempts >= rule.attempts)
+        return { RetryVerdict::NoAttemptsLeft, {} };
+    const TimeMs delay = backoffDelay(rule, failed.attempts, random);
+    if (now + delay + failed.service > failed.deadline)
+        return { RetryVerdict::PastDeadline, {} };
+    if (budget.retries < 1)
+        return { RetryVerdict::NoBudget, {} };
+    budget.retries -= 1;
+    return { RetryVerdict::Retry, delay };
+}
+
+std::optional<TimeMs> hedgeDelay(const RetryBudget& budget, const RetryRule& rule, Repeat repeat, TimeMs usual)
+{
+    if (repeat == Repeat::Once || !rule.hedge || budget.retries < 1)
+        return std::nullopt;
+    return usual;
+}
+
+bool takeHedge(RetryBudget& budget)
+{
+    if (budget.retries < 1)
+        return false;
+    budget.retries -= 1;
+    return true;
+}
+
+}
--- a/src/routing/Ejection.h
+++ b/src/routing/Ejection.h
@@ -42,7 +42,7 @@
 /// Ejected upstreams a pool of this size may have: half of it, rounded down.
 uint32_t ejectionLimit(uint32_t poolSize);
 
-/// Records a failure. `ejectedInPool` counts the pool's ejected upstreams, this one included. True if it was ejected now.
+/// Records a failure. `ejectedInPool` counts the ejected upstreams of the pool. True if it was ejected now.
 bool recordFailure(UpstreamHealth&, const EjectionOptions&, uint32_t ejectedInPool, uint32_t poolSize, TimeMs now);
 
 /// Records a success. True if it ended an ejection.
--- a/src/routing/PrefixIndex.h
+++ b/src/routing/PrefixIndex.h
@@ -47,7 +47,7 @@
 /// Count of leading blocks that the holder is thought to cache.
 uint32_t expectedBlocks(const PrefixIndex&, std::span<const uint64_t> blocks, CacheHolder);
 
-/// Corrects the index by a reply: the holder had `cachedBlocks` leading blocks and holds all of them now.
+/// Corrects the index by a reply: the holder computed what it lacked of the prompt, so it holds all blocks now.
 void correctByReply(PrefixIndex&, std::span<const uint64_t> blocks, CacheHolder);
 
 }
--- a/src/routing/Router.h
+++ b/src/routing/Router.h
@@ -102,7 +102,8 @@
     uint32_t attempt = 1;
     UpstreamId upstream;
     int priority = 5;
-    uint32_t uncachedTokens = 0; ///< Prompt tokens expected to need prefill.
+    uint32_t promptTokens = 0;
+    uint32_t cachedTokens = 0; ///< Expected prefix cache hit, from the choice.
 };
 
 enum class CallEnd : uint8_t {
@@ -115,7 +116,8 @@
 struct OwnCall {
     uint32_t slot = 0;
     int priority = 5;
-    uint32_t tokens = 0;
+    uint32_t tokens = 0; ///< Expected to need prefill.
+    uint32_t cachedTokens = 0; ///< Expected prefix cache hit.
     TimeMs sentAt;
     std::optional<TimeMs> firstTokenAt;
 };
@@ -142,24 +144,30 @@
     uint32_t othersCalls = 0; ///< Reported calls that are not this node's.
     uint32_t ownCalls = 0; ///< In flight.
     uint64_t ownTokens[priorityCount] {}; ///< Prefill backlog of own calls by priority.
+    double hintTrust = 1; ///< Smoothed part of the expected prefix cache hits that replies confirmed.
     std::vector<RecentCall> recent;
     UpstreamHealth health;
 };
 
+struct SubsetSlot {
+    uint32_t slot = 0;
+    uint64_t hash = 0; ///< Of the upstream's id; kept here so that the rendezvous scan stays in one array.
+};
+
 /// Upstreams of one pool and version.
 struct VersionGroup {
     std::string version;
     std::vector<uint32_t> members; ///< Slots that may take work.
-    std::vector<uint32_t> subset; ///< Those this node uses.
+    std::vector<SubsetSlot> subset; ///< Those this node uses.
 };
 
 struct Pool {
     std::vector<VersionGroup> groups;
     uint32_t members = 0; ///< Over all groups, those that may take work.
-    uint32_t ejected = 0; ///< Members that are ejected.
     double recentTokens[priorityCount] {}; ///< Sent by this node, decayed; the mix of priorities.
     double callMs = 2000; ///< Smoothed duration of a call.
-    std::vector<uint32_t> ejectedSlots;
+    std::vector<uint32_t> ejectedSlots; ///< Members that are ejected; at most half of the members.
+    bool stale = true; ///< The lists above have to be built again.
 };
 
 struct StringHash {
@@ -193,7 +201,8 @@
 /// Takes a cache event of an upstream.
 void updateCache(Router&, UpstreamId, uint64_t block, bool added);
 
-/// Chooses the upstream of a call. Does not record it as sent.
+/// Chooses the upstream of a call. Takes the recovery probe that is due and the credit of a version, but does not record
+/// the call as sent.
 Choice choose(Router&, const RouteRequest&, TimeMs now);
 
 /// Counts a dispatched call until its end.
--- a/src/routing/Subset.h
+++ b/src/routing/Subset.h
@@ -13,7 +13,7 @@
 };
 
 /// Slots of the upstreams that a node uses: all if there are at most `size`, else `size` by rendezvous hash, those of the
-/// own failure domain first. Nodes with equal `hash % groups` choose alike, so that prefixes they share stay together.
+/// own failure domain first but for a quarter. Nodes with equal `hash % groups` choose alike, so that prefixes they share stay together.
 std::vector<uint32_t> chooseSubset(std::span<const SubsetMember>, uint32_t size, uint64_t nodeHash);
 
 }
--- a/src/routing/VersionSplit.h
+++ b/src/routing/VersionSplit.h
@@ -45,6 +45,13 @@
     UpstreamId fullLoadUpstream;
 };
 
+/// True if the model has shares; versions without one then get no calls.
+bool hasShares(const VersionSplit&, std::string_view model);
+
+/// True if calls of the route may go to the version when the picked one has no upstream: it has a share and is not held to
+/// one upstream.
+bool mayStandIn(const VersionSplit&, std::string_view model, std::string_view route, std::string_view version);
+
 /// Picks a version of the model. `poolSize` is the number of upstreams that take work of the model; `sharedNow` is a time
 /// that the nodes agree on to about a second.
 VersionPick pickVersion(VersionSplit&, std::string_view model, std::string_view route, uint32_t poolSize, TimeMs sharedNow, Random&);
