Add randomised schedules of the replicas

A virtual network and fake disks drive whole groups through kills, power losses, partitions, disk faults, emptied disks and voter replacement.

--- a/src/consensus/SnapshotTransfer.cpp
+++ b/src/consensus/SnapshotTransfer.cpp
@@ -71,12 +71,12 @@
         resetTo(raft.log, meta.index, meta.term);
         raft.memberHistory.clear();
     }
+    std::fill(raft.log.sequences.begin(), raft.log.sequences.end(), ++raft.writeSequence);
     raft.commit = meta.index;
     raft.latest = snapshot;
     raft.memberHistory.erase(raft.memberHistory.begin(), raft.memberHistory.upper_bound(meta.index));
     raft.memberHistory[meta.index] = meta.members;
     refreshMembers(raft);
-    ++raft.writeSequence;
     if (!raft.leader || raft.role != Role::Follower)
         return;
     Message reply = makeMessage(raft, raft.leader, MessageKind::SnapshotReply);
--- /dev/null
+++ b/src/soak/ConsensusSoak.cpp
@@ -0,0 +1,272 @@
+#include "soak/ConsensusCluster.h"
+#include "soak/Soak.h"
+
+#include <algorithm>
+
+namespace siskinshunt {
+
+/// One schedule: the cluster, what has gone wrong so far, and a voter whose disk was emptied.
+struct ConsensusSchedule {
+    ConsensusCluster cluster;
+    std::map<std::string, uint64_t> faults;
+    VoterId lost; ///< Identity of the emptied disk, still a member.
+    std::optional<size_t> replacement;
+};
+
+static ClusterOptions optionsOf(uint64_t seed)
+{
+    Random random(seed);
+    return {
+        .seed = seed,
+        .voters = random.chance(0.7) ? size_t(3) : size_t(5),
+        .groups = 1 + random.below(2),
+        .snapshotEntries = static_cast<uint64_t>(random.between(5, 60)),
+        .trailingEntries = random.below(20),
+        .segmentBytes = static_cast<size_t>(random.between(500, 6000)),
+        .snapshotPadding = random.chance(0.1) ? size_t(150000) : size_t(0),
+        .loss = random.chance(0.5) ? 0.0 : 0.1 * random.uniform(),
+        .duplicates = random.chance(0.5) ? 0.0 : 0.1,
+        .maxDelay = { random.between(2, 60) },
+        .maxSync = { random.between(2, 60) },
+        .drift = true,
+    };
+}
+
+static bool isUp(const ConsensusCluster& cluster, size_t n)
+{
+    return !cluster.voters[n]->replicas.empty();
+}
+
+static bool hasFailed(const ConsensusCluster& cluster, size_t n)
+{
+    for (const auto& replica : cluster.voters[n]->replicas) {
+        if (!status(*replica).failure.empty())
+            return true;
+    }
+    return false;
+}
+
+static void restart(ConsensusSchedule& schedule, size_t n)
+{
+    auto& cluster = schedule.cluster;
+    cluster.voters[n]->disk.setFreeBytes(SIZE_MAX);
+    cluster.voters[n]->disk.failSyncAfter(0);
+    if (cluster.voters[n]->id == schedule.lost)
+        return;
+    if (!startProcess(cluster, n) && cluster.violation.empty())
+        cluster.violation = "restart failed: " + cluster.voters[n]->startError;
+}
+
+static void kill(ConsensusSchedule& schedule, size_t n, bool powerLoss)
+{
+    if (!isUp(schedule.cluster, n))
+        return;
+    killProcess(schedule.cluster, n, powerLoss);
+    ++schedule.faults[powerLoss ? "power_loss" : "kill"];
+}
+
+static void killAll(ConsensusSchedule& schedule)
+{
+    for (size_t n = 0; n < schedule.cluster.voters.size(); ++n)
+        kill(schedule, n, true);
+    ++schedule.faults["all_killed"];
+}
+
+static void partition(ConsensusSchedule& schedule)
+{
+    auto& cluster = schedule.cluster;
+    const size_t n = cluster.random.below(cluster.voters.size());
+    if (cluster.random.chance(0.6)) {
+        isolate(cluster, n);
+        ++schedule.faults["isolated"];
+    } else {
+        cluster.cut.insert({ n, cluster.random.below(cluster.voters.size()) });
+        ++schedule.faults["one_way_cut"];
+    }
+}
+
+static void breakDisk(ConsensusSchedule& schedule, size_t n)
+{
+    auto& cluster = schedule.cluster;
+    auto& disk = cluster.voters[n]->disk;
+    const uint64_t kind = cluster.random.below(3);
+    if (kind == 0)
+        disk.setFreeBytes(cluster.random.below(2000));
+    else if (kind == 1)
+        disk.failSyncAfter(1 + static_cast<int>(cluster.random.below(5)));
+    else
+        cluster.voters[n]->hangs = true;
+    ++schedule.faults[kind == 0 ? "disk_full" : kind == 1 ? "sync_failure"
+                                                          : "disk_hang"];
+}
+
+/// Empties a disk: the process comes back as a new voter that has to be added. One at a time, since a second loss before
+/// the repair has ended may cost the quorum for good.
+static void emptyDisk(ConsensusSchedule& schedule, size_t n)
+{
+    auto& cluster = schedule.cluster;
+    if (schedule.lost)
+        return;
+    for (const auto& replica : cluster.voters[n]->replicas) {
+        const auto it = status(*replica);
+        if (std::find(it.voters.begin(), it.voters.end(), cluster.voters[n]->id) == it.voters.end())
+            return;
+    }
+    if (isUp(cluster, n))
+        killProcess(cluster, n, true);
+    schedule.lost = cluster.voters[n]->id;
+    schedule.replacement = addProcess(cluster);
+    startProcess(cluster, *schedule.replacement);
+    ++schedule.faults["emptied_disk"];
+}
+
+/// One attempt of an operator to replace the lost voter in the group; true when the group needs nothing more.
+static bool repairGroup(ConsensusSchedule& schedule, size_t group)
+{
+    auto& cluster = schedule.cluster;
+    const auto leader = leaderOf(cluster, group);
+    if (!leader)
+        return false;
+    const auto it = status(*cluster.voters[*leader]->replicas[group]);
+    const VoterId fresh = cluster.voters[*schedule.replacement]->id;
+    const auto has = [](const auto& list, VoterId id) { return std::find(list.begin(), list.end(), id) != list.end(); };
+    if (has(it.voters, fresh) && !has(it.voters, schedule.lost))
+        return canRead(*cluster.voters[*leader]->replicas[group], clockOf(cluster, *leader));
+    if (has(it.voters, fresh))
+        changeMembersAt(cluster, *leader, group, MemberChange::Remove, schedule.lost);
+    else if (has(it.learners, fresh))
+        changeMembersAt(cluster, *leader, group, MemberChange::Promote, fresh);
+    else
+        changeMembersAt(cluster, *leader, group, MemberChange::AddLearner, fresh);
+    return false;
+}
+
+static void repair(ConsensusSchedule& schedule)
+{
+    if (!schedule.lost)
+        return;
+    bool done = true;
+    for (size_t group = 0; group < schedule.cluster.options.groups; ++group)
+        done = repairGroup(schedule, group) && done;
+    if (!done)
+        return;
+    schedule.lost = {};
+    schedule.replacement.reset();
+    ++schedule.faults["voter_replaced"];
+}
+
+static void injectFault(ConsensusSchedule& schedule)
+{
+    auto& cluster = schedule.cluster;
+    auto& random = cluster.random;
+    const size_t n = random.below(cluster.voters.size());
+    const auto leader = leaderOf(cluster, random.below(cluster.options.groups));
+    switch (random.below(10)) {
+    case 0:
+    case 1:
+        kill(schedule, leader.value_or(n), random.chance(0.5));
+        break;
+    case 2:
+    case 3:
+        kill(schedule, n, random.chance(0.5));
+        break;
+    case 4:
+    case 5:
+        partition(schedule);
+        break;
+    case 6:
+        breakDisk(schedule, n);
+        break;
+    case 7:
+        emptyDisk(schedule, n);
+        break;
+    case 8:
+        if (leader && transferLeadership(*cluster.voters[*leader]->replicas[0]))
+            ++schedule.faults["transfer"];
+        break;
+    default:
+        if (random.chance(0.2))
+            killAll(schedule);
+    }
+}
+
+static void recoverSome(ConsensusSchedule& schedule, double chance)
+{
+    auto& cluster = schedule.cluster;
+    for (size_t n = 0; n < cluster.voters.size(); ++n) {
+        if (!cluster.random.chance(chance))
+            continue;
+        cluster.voters[n]->hangs = false;
+        if (hasFailed(cluster, n))
+            killProcess(cluster, n, false);
+        if (!isUp(cluster, n))
+            restart(schedule, n);
+    }
+    if (cluster.random.chance(chance))
+        heal(cluster);
+}
+
+static void proposeSome(ConsensusSchedule& schedule)
+{
+    auto& cluster = schedule.cluster;
+    for (uint64_t k = cluster.random.below(4); k; --k) {
+        const size_t group = cluster.random.below(cluster.options.groups);
+        const auto leader = leaderOf(cluster, group);
+        const size_t n = leader && cluster.random.chance(0.9) ? *leader : cluster.random.below(cluster.voters.size());
+        if (isUp(cluster, n))
+            proposeAt(cluster, n, group, 8 + cluster.random.below(200));
+    }
+}
+
+static void finish(ConsensusSchedule& schedule)
+{
+    auto& cluster = schedule.cluster;
+    cluster.options.loss = 0;
+    for (auto& voter : cluster.voters) {
+        voter->disk.setFreeBytes(SIZE_MAX);
+        voter->disk.failSyncAfter(0);
+    }
+    recoverSome(schedule, 1);
+    for (int n = 0; n < 200 && schedule.lost; ++n) {
+        repair(schedule);
+        runFor(cluster, 100_ms);
+    }
+    if (schedule.lost && cluster.violation.empty())
+        cluster.violation = "the lost voter could not be replaced";
+    for (size_t group = 0; group < cluster.options.groups; ++group) {
+        const auto leader = awaitLeader(cluster, group, 10_s);
+        if (!leader && cluster.violation.empty())
+            cluster.violation = "no leader within 10 s after the last fault";
+        if (leader)
+            proposeAt(cluster, *leader, group);
+    }
+    runFor(cluster, 5_s);
+    checkEnd(cluster);
+}
+
+static SoakResult runConsensusSchedule(uint64_t seed)
+{
+    ConsensusSchedule schedule { .cluster = makeCluster(optionsOf(seed)), .faults = {}, .lost = {}, .replacement = {} };
+    auto& cluster = schedule.cluster;
+    foundGroups(cluster);
+    runFor(cluster, 1500_ms);
+    for (int round = 0; round < 100 && cluster.violation.empty(); ++round) {
+        proposeSome(schedule);
+        if (cluster.random.chance(0.1))
+            injectFault(schedule);
+        recoverSome(schedule, 0.05);
+        if (cluster.random.chance(0.5))
+            repair(schedule);
+        runFor(cluster, TimeMs { cluster.random.between(5, 150) });
+    }
+    finish(schedule);
+    for (const auto& [code, n] : cluster.events)
+        schedule.faults["log." + code] += n;
+    for (const auto& it : cluster.finished)
+        ++schedule.faults["outcome." + std::string(nameOf(it.outcome->status))];
+    return { .faults = schedule.faults, .violation = cluster.violation };
+}
+
+static const SoakRegistration s_registration("consensus", runConsensusSchedule);
+
+}
