--- /dev/null
+++ b/src/entry/PeerTransport.cpp
@@ -0,0 +1,296 @@
+#include "entry/PeerTransport.h"
+
+#include <array>
+#include <boost/asio.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <deque>
+#include <map>
+
+namespace siskinshunt {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using asio::ip::udp;
+using Clock = std::chrono::steady_clock;
+using boost::system::error_code;
+
+static constexpr size_t lengthBytes = 4;
+static constexpr size_t maxDatagramBytes = 2048;
+// A frame of length zero is a ping on an outgoing connection and its answer on an incoming one.
+static constexpr std::array<char, lengthBytes> emptyFrame {};
+
+static std::chrono::milliseconds toChrono(TimeMs time)
+{
+    return std::chrono::milliseconds(time.value);
+}
+
+static uint32_t readLength(const std::array<unsigned char, lengthBytes>& bytes)
+{
+    return static_cast<uint32_t>(bytes[0]) | static_cast<uint32_t>(bytes[1]) << 8 | static_cast<uint32_t>(bytes[2]) << 16 | static_cast<uint32_t>(bytes[3]) << 24;
+}
+
+static std::array<unsigned char, lengthBytes> writeLength(uint32_t n)
+{
+    return { static_cast<unsigned char>(n), static_cast<unsigned char>(n >> 8), static_cast<unsigned char>(n >> 16), static_cast<unsigned char>(n >> 24) };
+}
+
+namespace {
+
+    // The outgoing connection to one peer.
+    struct Link : boost::intrusive_ref_counter<Link, boost::thread_unsafe_counter> {
+        explicit Link(asio::io_context& context)
+            : wake(context)
+            , socket(context)
+        {
+        }
+
+        Endpoint peer;
+        std::deque<std::string> queue;
+        size_t queuedBytes = 0;
+        asio::steady_timer wake;
+        tcp::socket socket;
+        Clock::time_point lastAnswer;
+        Clock::time_point lastUsed;
+        uint64_t generation = 0; ///< Of the connection.
+    };
+    using LinkPtr = boost::intrusive_ptr<Link>;
+
+}
+
+struct PeerTransport::Impl : std::enable_shared_from_this<PeerTransport::Impl> {
+    Impl(asio::io_context& context, PeerTransportOptions options, PeerTransportHandlers handlers)
+        : context(context)
+        , options(std::move(options))
+        , handlers(std::move(handlers))
+        , datagrams(context)
+        , acceptor(context)
+    {
+    }
+
+    asio::io_context& context;
+    PeerTransportOptions options;
+    PeerTransportHandlers handlers;
+    udp::socket datagrams;
+    tcp::acceptor acceptor;
+    std::map<Endpoint, LinkPtr> links;
+    uint64_t sent = 0;
+    uint64_t received = 0;
+    bool stopping = false;
+
+    void bind();
+    asio::awaitable<void> receiveDatagrams();
+    asio::awaitable<void> acceptLoop();
+    asio::awaitable<void> receiveFrames(tcp::socket);
+    asio::awaitable<void> runLink(LinkPtr);
+    asio::awaitable<void> sendFrames(LinkPtr);
+    asio::awaitable<void> readAnswers(LinkPtr, uint64_t generation);
+};
+
+void PeerTransport::Impl::bind()
+{
+    const auto address = asio::ip::make_address(options.listen.ip);
+    datagrams.open(udp::v4());
+    datagrams.bind({ address, options.listen.port });
+    acceptor.open(tcp::v4());
+    acceptor.set_option(asio::socket_base::reuse_address(true));
+    acceptor.bind({ address, options.listen.port });
+    acceptor.listen();
+}
+
+asio::awaitable<void> PeerTransport::Impl::receiveDatagrams()
+{
+    const auto self = shared_from_this();
+    std::string buf(maxDatagramBytes, '\0');
+    while (!stopping) {
+        udp::endpoint from;
+        error_code ec;
+        const size_t n = co_await datagrams.async_receive_from(asio::buffer(buf), from, asio::redirect_error(asio::use_awaitable, ec));
+        if (ec == asio::error::operation_aborted)
+            co_return;
+        if (ec)
+            continue;
+        received += n;
+        handlers.datagram(buf.substr(0, n), { from.address().to_string(), from.port() });
+    }
+}
+
+asio::awaitable<void> PeerTransport::Impl::acceptLoop()
+{
+    const auto self = shared_from_this();
+    while (!stopping) {
+        error_code ec;
+        tcp::socket socket(context);
+        co_await acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, ec));
+        if (ec == asio::error::operation_aborted)
+            co_return;
+        if (!ec)
+            asio::co_spawn(context, receiveFrames(std::move(socket)), asio::detached);
+    }
+}
+
+asio::awaitable<void> PeerTransport::Impl::receiveFrames(tcp::socket socket)
+{
+    const auto self = shared_from_this();
+    error_code ec;
+    socket.set_option(tcp::no_delay(true), ec);
+    while (!stopping) {
+        std::array<unsigned char, lengthBytes> length {};
+        co_await asio::async_read(socket, asio::buffer(length), asio::redirect_error(asio::use_awaitable, ec));
+        const uint32_t n = readLength(length);
+        if (ec || n > options.maxFrameBytes)
+            co_return;
+        received += lengthBytes + n;
+        if (!n) {
+            co_await asio::async_write(socket, asio::buffer(emptyFrame), asio::redirect_error(asio::use_awaitable, ec));
+            sent += lengthBytes;
+            continue;
+        }
+        // Grows with the bytes received, so that a length field alone cannot take memory.
+        std::string bytes;
+        co_await asio::async_read(socket, asio::dynamic_buffer(bytes, n), asio::transfer_exactly(n), asio::redirect_error(asio::use_awaitable, ec));
+        if (ec)
+            co_return;
+        handlers.frame(std::move(bytes));
+    }
+}
+
+asio::awaitable<void> PeerTransport::Impl::readAnswers(LinkPtr link, uint64_t generation)
+{
+    const auto self = shared_from_this();
+    std::array<char, 64> buf {};
+    error_code ec;
+    while (!ec && link->generation == generation) {
+        const size_t n = co_await link->socket.async_read_some(asio::buffer(buf), asio::redirect_error(asio::use_awaitable, ec));
+        received += n;
+        link->lastAnswer = Clock::now();
+    }
+    if (link->generation == generation)
+        link->socket.close(ec);
+    link->wake.cancel();
+}
+
+// Writes queued frames and pings until the connection breaks or goes silent.
+asio::awaitable<void> PeerTransport::Impl::sendFrames(LinkPtr link)
+{
+    auto lastPing = Clock::now();
+    link->lastAnswer = lastPing;
+    error_code ec;
+    while (!ec && link->socket.is_open() && !stopping) {
+        if (!link->queue.empty()) {
+            const std::string frame = std::move(link->queue.front());
+            link->queue.pop_front();
+            link->queuedBytes -= frame.size();
+            const auto length = writeLength(static_cast<uint32_t>(frame.size()));
+            const std::array<asio::const_buffer, 2> buffers { asio::buffer(length), asio::buffer(frame) };
+            sent += lengthBytes + frame.size();
+            co_await asio::async_write(link->socket, buffers, asio::redirect_error(asio::use_awaitable, ec));
+            continue;
+        }
+        const auto now = Clock::now();
+        if (now - link->lastAnswer > toChrono(options.silence))
+            co_return;
+        if (now - lastPing >= toChrono(options.heartbeat)) {
+            lastPing = now;
+            sent += lengthBytes;
+            co_await asio::async_write(link->socket, asio::buffer(emptyFrame), asio::redirect_error(asio::use_awaitable, ec));
+        }
+        error_code ignored;
+        link->wake.expires_after(toChrono(options.heartbeat));
+        co_await link->wake.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+asio::awaitable<void> PeerTransport::Impl::runLink(LinkPtr link)
+{
+    const auto self = shared_from_this();
+    const tcp::endpoint endpoint(asio::ip::make_address(link->peer.ip), link->peer.port);
+    while (!stopping) {
+        error_code ec;
+        if (link->queue.empty() && Clock::now() - link->lastUsed > std::chrono::seconds(30))
+            break;
+        link->socket = tcp::socket(context);
+        // Closes a connection attempt that gets no answer: the system's own limit is minutes.
+        asio::steady_timer limit(context, toChrono(options.silence));
+        limit.async_wait([link](error_code timerError) {
+            error_code closeError;
+            if (!timerError)
+                link->socket.close(closeError);
+        });
+        co_await link->socket.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, ec));
+        limit.cancel();
+        if (!ec && link->socket.is_open()) {
+            link->socket.set_option(tcp::no_delay(true), ec);
+            asio::co_spawn(context, readAnswers(link, ++link->generation), asio::detached);
+            co_await sendFrames(link);
+        }
+        ++link->generation;
+        link->socket.close(ec);
+        link->queue.clear();
+        link->queuedBytes = 0;
+        link->wake.expires_after(toChrono(options.reconnect));
+        co_await link->wake.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+    links.erase(link->peer);
+}
+
+PeerTransport::PeerTransport(asio::io_context& context, PeerTransportOptions options, PeerTransportHandlers handlers)
+    : m_impl(std::make_shared<Impl>(context, std::move(options), std::move(handlers)))
+{
+    m_impl->bind();
+}
+
+PeerTransport::~PeerTransport()
+{
+    m_impl->stopping = true;
+    error_code ec;
+    m_impl->datagrams.close(ec);
+    m_impl->acceptor.close(ec);
+}
+
+void PeerTransport::start()
+{
+    asio::co_spawn(m_impl->context, m_impl->receiveDatagrams(), asio::detached);
+    asio::co_spawn(m_impl->context, m_impl->acceptLoop(), asio::detached);
+}
+
+void PeerTransport::send(const Datagram& datagram)
+{
+    error_code ec;
+    const udp::endpoint to(asio::ip::make_address(datagram.peer.ip, ec), datagram.peer.port);
+    if (ec)
+        return;
+    // A full send buffer drops the datagram, as the network may; gossip repeats.
+    m_impl->datagrams.non_blocking(true, ec);
+    m_impl->sent += m_impl->datagrams.send_to(asio::buffer(datagram.bytes), to, 0, ec);
+}
+
+void PeerTransport::send(PeerFrame frame)
+{
+    auto& link = m_impl->links[frame.peer];
+    const bool fresh = !link;
+    if (fresh) {
+        link = LinkPtr(new Link(m_impl->context));
+        link->peer = frame.peer;
+    }
+    link->lastUsed = Clock::now();
+    if (frame.bytes.empty() || link->queuedBytes + frame.bytes.size() > m_impl->options.maxQueuedBytes)
+        return;
+    link->queuedBytes += frame.bytes.size();
+    link->queue.push_back(std::move(frame.bytes));
+    link->wake.cancel();
+    if (fresh)
+        asio::co_spawn(m_impl->context, m_impl->runLink(link), asio::detached);
+}
+
+uint64_t PeerTransport::bytesSent() const
+{
+    return m_impl->sent;
+}
+
+uint64_t PeerTransport::bytesReceived() const
+{
+    return m_impl->received;
+}
+
+}
--- /dev/null
+++ b/src/node/Answers.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "api/Refusal.h"
+#include "node/NodeState.h"
+
+namespace siskinshunt {
+
+/// Answers an exchange with a JSON body.
+void answerJson(Node&, ExchangeId, uint16_t status, std::string body, HttpHeaders headers = {});
+/// Refuses a request before it became a call.
+void refuseRequest(Node&, ExchangeId, RefusalCode, std::string message, TimeMs retryAfter = {});
+/// Gives the refusal to the exchange; status, headers and body come from it.
+void answerRefusal(Node&, ExchangeId, const Refusal&);
+/// Whether the request's bearer token has this SHA-256 digest. Compared in constant time.
+bool tokenMatches(const HttpRequest&, std::string_view sha256);
+/// The bearer token of the request; empty if it has none.
+std::string_view bearerToken(const HttpRequest&);
+/// The operator whose token the request carries; empty if none.
+std::string operatorOf(const Node&, const HttpRequest&);
+
+}
--- /dev/null
+++ b/src/node/CallEvents.cpp
@@ -0,0 +1,262 @@
+#include "api/ModelRequest.h"
+#include "node/Answers.h"
+#include "node/CallFlow.h"
+#include "node/MovesFlow.h"
+#include "node/OnceFlow.h"
+#include "rules/RuleMatch.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace siskinshunt {
+
+static constexpr uint32_t maxFreeRetries = 20;
+static constexpr size_t maxAnswerBytes = 16 << 20;
+
+static bool isEventStream(const HttpHeaders& headers)
+{
+    return findHeader(headers, headers::contentType).starts_with("text/event-stream");
+}
+
+// An answer that names another call or attempt than the one sent on this connection has crossed with another.
+static bool isCrossed(const NodeCall& call, const HttpHeaders& headers)
+{
+    const auto named = findHeader(headers, headers::call);
+    const auto attempt = findHeader(headers, headers::attempt);
+    return (!named.empty() && named != hexOf(call.id)) || (!attempt.empty() && attempt != std::to_string(call.attempts));
+}
+
+static void detachDispatch(Node& node, NodeCall& call, CallEnd end, bool cancel)
+{
+    if (!call.dispatch)
+        return;
+    if (recordEnd(node.router, call.id, call.attempts, end, node.now))
+        addLog(node, LogLevel::Warning, "upstream_ejected", Step::Route, call.upstreamName, "the upstream failed repeatedly and gets no calls for a while");
+    if (cancel)
+        node.out.cancels.push_back(call.dispatch);
+    node.byDispatch.erase(call.dispatch);
+    call.dispatch = 0;
+}
+
+static bool reclaimAnnounced(const Node& node, UpstreamId id)
+{
+    const Upstream* upstream = findUpstream(node.membership.upstreams, id);
+    return !upstream || upstream->leavingSince.has_value();
+}
+
+void retryCall(Node& node, NodeCall& call, std::string reason)
+{
+    const bool byteLeft = call.dispatchState != DispatchState::NothingSent;
+    if (call.repeat == Repeat::Once && byteLeft)
+        return recordUnknown(node, call, std::move(reason));
+    if (call.headForwarded && !canResume(call.stream))
+        return refuseCall(node, call, RefusalCode::UpstreamFailed, "the stream broke and its engine does not number its events: " + reason, retryAfterOf(node, call));
+    // What a reclaim interrupts is the system's to carry on; it neither uses up the call's attempts nor the budget.
+    const bool free = reclaimAnnounced(node, call.upstream) && call.freeRetries < maxFreeRetries;
+    TimeMs delay { 10 };
+    if (free)
+        ++call.freeRetries;
+    else {
+        const FailedAttempt failed { .repeat = call.repeat, .byteLeft = byteLeft, .attempts = static_cast<int>(call.attempts - call.freeRetries), .deadline = call.deadline, .service = {} };
+        const auto decision = decideRetry(node.retryBudgets[call.route], findRetry(*node.rules, call.route), failed, node.now, node.random);
+        if (decision.verdict != RetryVerdict::Retry)
+            return refuseCall(node, call, RefusalCode::UpstreamFailed, reason + " (" + std::string(nameOf(decision.verdict)) + ")", retryAfterOf(node, call));
+        delay = decision.delay;
+    }
+    node.counters.add(free ? "retries_after_reclaim" : "retries");
+    if (call.repeat == Repeat::Once)
+        return returnToReserved(node, call);
+    call.dispatchState = DispatchState::NothingSent;
+    call.stage = CallStage::Waiting;
+    call.retryAt = node.now + delay;
+}
+
+static void failDispatch(Node& node, NodeCall& call, UpstreamFailure failure, const std::string& detail)
+{
+    const bool silent = failure == UpstreamFailure::Silent;
+    if (silent) {
+        node.counters.add("silent_connections");
+        node.out.replacedPools.push_back(call.address);
+    }
+    addLog(node, LogLevel::Info, "dispatch_failed", Step::Receive, call.upstreamName, std::string(nameOf(failure)) + ": " + detail,
+        { { "call", hexOf(call.id) }, { "attempt", std::to_string(call.attempts) }, { "rule_line", std::to_string(call.origin.line) } });
+    if (call.isModel)
+        recordMoveOutcome(node, call, true);
+    detachDispatch(node, call, CallEnd::Failed, false);
+    // A silent connection may be the fault of something in between: one try on a new connection to the same upstream.
+    if (silent && call.silentOnce != call.upstream)
+        call.silentOnce = call.upstream;
+    else
+        call.avoid.push_back(call.upstream);
+    retryCall(node, call, call.upstreamName + " failed: " + std::string(nameOf(failure)));
+}
+
+static void takeHead(Node& node, NodeCall& call, UpstreamEvent& event)
+{
+    if (isCrossed(call, event.headers)) {
+        node.counters.add("crossed_answers");
+        const DispatchId dispatch = call.dispatch;
+        failDispatch(node, call, UpstreamFailure::Malformed, "the answer belongs to another call or attempt");
+        node.out.cancels.push_back(dispatch);
+        return;
+    }
+    call.status = event.status;
+    const bool retryable = call.repeat == Repeat::Yes && (event.status >= 500 || event.status == 429);
+    if (retryable) {
+        const DispatchId dispatch = call.dispatch;
+        failDispatch(node, call, UpstreamFailure::Closed, "status " + std::to_string(event.status));
+        node.out.cancels.push_back(dispatch);
+        return;
+    }
+    call.answerHeaders = std::move(event.headers);
+    call.stage = CallStage::Answering;
+    call.streaming = event.status == 200 && isEventStream(call.answerHeaders);
+    if (!call.streaming || call.headForwarded || !call.exchange)
+        return;
+    call.headForwarded = true;
+    HttpHeaders headers { { std::string(headers::contentType), "text/event-stream" }, { "Cache-Control", "no-store" }, { std::string(headers::call), hexOf(call.id) } };
+    node.out.answers.push_back({ call.exchange, AnswerPart::Head, 200, std::move(headers), {} });
+}
+
+static ClassHistograms* classOf(Node& node, const NodeCall& call)
+{
+    const auto it = node.histograms.find({ call.account, call.className });
+    return it == node.histograms.end() ? nullptr : &it->second;
+}
+
+static void noteToken(Node& node, NodeCall& call)
+{
+    if (!call.firstTokenSeen) {
+        call.firstTokenSeen = true;
+        const bool first = !call.firstTokenEver;
+        call.firstTokenEver = true;
+        if (first)
+            call.firstTokenAt = node.now;
+    } else if (auto* histograms = classOf(node, call))
+        histograms->betweenTokens.record(static_cast<uint64_t>((node.now - call.lastTokenAt).value) * 1000);
+    call.lastTokenAt = node.now;
+}
+
+// Forwards one event; false when the stream has to be taken up again because events are missing.
+static bool takeStreamEvent(Node& node, NodeCall& call, const ServerEvent& event)
+{
+    const uint64_t before = call.stream.offset;
+    const auto verdict = acceptEvent(call.stream, event);
+    switch (verdict) {
+    case EventVerdict::Gap:
+        return false;
+    case EventVerdict::Duplicate:
+    case EventVerdict::Late:
+        node.counters.add("stream_events_" + std::string(nameOf(verdict)));
+        return true;
+    case EventVerdict::Forward:
+    case EventVerdict::Complete:
+        break;
+    }
+    if (call.stream.offset != before || !call.stream.numbered)
+        noteToken(node, call);
+    parseUsage(event.data, call.usage);
+    if (call.exchange)
+        node.out.answers.push_back({ call.exchange, AnswerPart::Body, 0, {}, toBytes(event) });
+    return true;
+}
+
+static void takeBody(Node& node, NodeCall& call, const std::string& bytes)
+{
+    if (!call.streaming) {
+        call.body += bytes;
+        if (call.body.size() > maxAnswerBytes) {
+            const DispatchId dispatch = call.dispatch;
+            failDispatch(node, call, UpstreamFailure::Malformed, "the answer is over 16 MiB");
+            node.out.cancels.push_back(dispatch);
+        }
+        return;
+    }
+    bool ok = call.reader.feed(bytes);
+    while (ok) {
+        const auto event = call.reader.next();
+        if (!event)
+            return;
+        ok = takeStreamEvent(node, call, *event);
+    }
+    node.counters.add("stream_gaps");
+    const DispatchId dispatch = call.dispatch;
+    failDispatch(node, call, UpstreamFailure::Malformed, "events are missing in the stream");
+    node.out.cancels.push_back(dispatch);
+}
+
+static void finishModelCall(Node& node, NodeCall& call)
+{
+    if (!call.streaming)
+        parseUsage(call.body, call.usage);
+    const auto cached = static_cast<uint32_t>(call.usage.cachedTokens);
+    recordFirstToken(node.router, call.id, call.attempts, call.blocks, cached, call.firstTokenSeen ? call.firstTokenAt : node.now);
+    node.counters.add("tokens_prompt", call.usage.promptTokens);
+    node.counters.add("tokens_cached", call.usage.cachedTokens);
+    node.counters.add("tokens_completion", call.usage.completionTokens);
+    recordMoveOutcome(node, call, false);
+}
+
+static void takeEnd(Node& node, NodeCall& call)
+{
+    call.dispatchState = DispatchState::Answered;
+    if (call.streaming && !call.stream.done) {
+        call.dispatchState = DispatchState::MayHaveLeft;
+        return failDispatch(node, call, UpstreamFailure::Closed, "the stream ended without its end mark");
+    }
+    if (call.isModel)
+        finishModelCall(node, call);
+    detachDispatch(node, call, CallEnd::Done, false);
+    if (call.repeat == Repeat::Once)
+        return recordAnswer(node, call);
+    if (!call.streaming)
+        answerWhole(node, call, call.status, call.answerHeaders, std::move(call.body));
+    else if (call.exchange) {
+        node.out.answers.push_back({ call.exchange, AnswerPart::End, 0, {}, {} });
+        node.byExchange.erase(call.exchange);
+        call.exchange = 0;
+    }
+    endCall(node, call, "ok");
+}
+
+void takeCallEvent(Node& node, UpstreamEvent&& event)
+{
+    const auto it = node.byDispatch.find(event.dispatch);
+    if (it == node.byDispatch.end()) {
+        node.counters.add("late_upstream_events");
+        return;
+    }
+    NodeCall* call = findCall(node, it->second);
+    if (!call || call->dispatch != event.dispatch)
+        return;
+    switch (event.kind) {
+    case UpstreamEventKind::Sending:
+        call->dispatchState = DispatchState::MayHaveLeft;
+        call->stage = CallStage::Sent;
+        return;
+    case UpstreamEventKind::Head:
+        return takeHead(node, *call, event);
+    case UpstreamEventKind::Body:
+        return takeBody(node, *call, event.bytes);
+    case UpstreamEventKind::End:
+        return takeEnd(node, *call);
+    case UpstreamEventKind::Failed:
+        return failDispatch(node, *call, event.failure, event.detail);
+    }
+}
+
+void moveCall(Node& node, CallId id)
+{
+    NodeCall* call = findCall(node, id);
+    // A once call cannot be moved: it is left to finish within the notice.
+    if (!call || !call->dispatch || call->repeat == Repeat::Once)
+        return;
+    node.counters.add("calls_moved_before_reclaim");
+    addLog(node, LogLevel::Info, "call_moved", Step::Route, call->upstreamName, "taken off an upstream that is about to be reclaimed",
+        { { "call", hexOf(id) }, { "offset", std::to_string(call->stream.offset) } });
+    detachDispatch(node, *call, CallEnd::Cancelled, true);
+    call->avoid.push_back(call->upstream);
+    retryCall(node, *call, "the upstream is being reclaimed");
+}
+
+}
--- /dev/null
+++ b/src/node/CallFlow.cpp
@@ -0,0 +1,535 @@
+#include "node/CallFlow.h"
+
+#include "base/Hash.h"
+#include "node/Answers.h"
+#include "node/MovesFlow.h"
+#include "node/OnceFlow.h"
+#include "rules/RuleMatch.h"
+
+#include <algorithm>
+
+namespace siskinshunt {
+
+static constexpr std::string_view servicesPrefix = "/services/";
+static constexpr size_t maxCalls = 20000;
+static constexpr size_t maxHistograms = 4096;
+static constexpr TimeMs minimumRetryAfter { 500 };
+static constexpr TimeMs drainRetryAfter { 1000 };
+
+NodeCall* findCall(Node& node, CallId id)
+{
+    const auto it = node.calls.find(id);
+    return it == node.calls.end() ? nullptr : it->second.get();
+}
+
+NodeCall& addCall(Node& node, CallId id)
+{
+    auto& slot = node.calls[id];
+    slot = std::make_unique<NodeCall>();
+    slot->id = id;
+    return *slot;
+}
+
+TimeMs retryAfterOf(const Node& node, const NodeCall& call)
+{
+    const auto it = node.queues.find(call.pool);
+    const TimeMs wait = it == node.queues.end() ? TimeMs {} : expectedWait(it->second, call.priority, 1);
+    return std::max(minimumRetryAfter, wait);
+}
+
+static ClassHistograms* histogramsOf(Node& node, const NodeCall& call)
+{
+    const auto key = std::make_pair(call.account, call.className);
+    const auto it = node.histograms.find(key);
+    if (it != node.histograms.end())
+        return &it->second;
+    return node.histograms.size() < maxHistograms ? &node.histograms[key] : nullptr;
+}
+
+static void recordOutcome(Node& node, const NodeCall& call, std::string_view outcome)
+{
+    auto* histograms = histogramsOf(node, call);
+    if (!histograms)
+        return;
+    ++histograms->outcomes[std::string(outcome)];
+    if (outcome == "ok")
+        histograms->whole.record(static_cast<uint64_t>((node.now - call.arrived).value) * 1000);
+    if (call.firstTokenEver)
+        histograms->firstToken.record(static_cast<uint64_t>((call.firstTokenAt - call.arrived).value) * 1000);
+}
+
+void endCall(Node& node, NodeCall& call, std::string_view outcome)
+{
+    recordOutcome(node, call, outcome);
+    if (call.admitted)
+        finishCall(node.limiter, call.account, call.className, static_cast<uint32_t>(call.usage.completionTokens), node.now);
+    if (call.dispatch) {
+        recordEnd(node.router, call.id, call.attempts, CallEnd::Cancelled, node.now);
+        node.out.cancels.push_back(call.dispatch);
+        node.byDispatch.erase(call.dispatch);
+    }
+    if (call.queuedBytes) {
+        node.queuedBytes -= call.queuedBytes;
+        if (const auto it = node.queues.find(call.pool); it != node.queues.end())
+            removeCall(it->second, call.id);
+    }
+    if (call.exchange)
+        node.byExchange.erase(call.exchange);
+    const std::string pool = call.pool;
+    node.calls.erase(call.id);
+    pumpQueue(node, pool);
+}
+
+// Gives the caller a refusal. A stream that has begun ends with an error event, so that it is never silently cut.
+static void giveRefusal(Node& node, NodeCall& call, const Refusal& refusal)
+{
+    if (!call.exchange)
+        return;
+    if (!call.headForwarded)
+        answerRefusal(node, call.exchange, refusal);
+    else {
+        node.counters.add("streams_ended_with_error");
+        node.out.answers.push_back({ call.exchange, AnswerPart::Body, 0, {}, "event: error\ndata: " + refusalBody(refusal) + "\n\n" });
+        node.out.answers.push_back({ call.exchange, AnswerPart::End, 0, {}, {} });
+    }
+    node.byExchange.erase(call.exchange);
+    call.exchange = 0;
+}
+
+void refuseCall(Node& node, NodeCall& call, RefusalCode code, std::string message, TimeMs retryAfter)
+{
+    if (call.reservedInLedger)
+        return recordRefusal(node, call, code, std::move(message), retryAfter);
+    const Refusal refusal { code, runWordOf(call.dispatchState), std::move(message), hexOf(call.id), retryAfter };
+    giveRefusal(node, call, refusal);
+    endCall(node, call, nameOf(code));
+}
+
+void answerWhole(Node& node, NodeCall& call, uint16_t status, const HttpHeaders& headers, std::string body, bool stored)
+{
+    if (!call.exchange)
+        return;
+    HttpHeaders out;
+    for (const auto& [name, value] : headers) {
+        if (equalHeaderNames(name, headers::contentType) || equalHeaderNames(name, "Location") || equalHeaderNames(name, "ETag"))
+            out.emplace_back(name, value);
+    }
+    out.emplace_back(headers::call, hexOf(call.id));
+    out.emplace_back(headers::run, std::string(nameOf(RunWord::Ran)));
+    if (stored)
+        out.emplace_back("Siskinshunt-Stored", "true");
+    node.out.answers.push_back({ call.exchange, AnswerPart::Whole, status, std::move(out), std::move(body) });
+    node.byExchange.erase(call.exchange);
+    call.exchange = 0;
+}
+
+static std::string serviceOfPath(std::string_view path)
+{
+    path.remove_prefix(servicesPrefix.size());
+    return std::string(path.substr(0, path.find('/')));
+}
+
+// Headers that go on to the upstream. Credentials and connection headers stay here.
+static HttpHeaders forwardedHeaders(const HttpHeaders& headers)
+{
+    static constexpr std::array<std::string_view, 5> passed { "Content-Type", "Accept", "Accept-Language", "Idempotency-Key", "User-Agent" };
+    HttpHeaders out;
+    for (const auto& [name, value] : headers) {
+        const bool keep = std::any_of(passed.begin(), passed.end(), [&](std::string_view it) { return equalHeaderNames(it, name); });
+        if (keep)
+            out.emplace_back(name, value);
+    }
+    return out;
+}
+
+namespace {
+
+    // A request that has passed all checks before limits.
+    struct CheckedRequest {
+        const AccountRule* account = nullptr;
+        const RouteRule* route = nullptr;
+        std::string pool;
+        std::string className;
+        bool isModel = false;
+        ModelRequest model;
+    };
+
+}
+
+static bool readTarget(Node& node, const RequestArrived& arrived, CheckedRequest& out)
+{
+    const auto path = pathOf(arrived.request.target);
+    if (path.starts_with(servicesPrefix)) {
+        out.pool = serviceOfPath(path);
+        return true;
+    }
+    if (path != "/v1/chat/completions" && path != "/v1/completions") {
+        refuseRequest(node, arrived.exchange, RefusalCode::UnknownRoute, "no such path");
+        return false;
+    }
+    if (arrived.request.method != "POST") {
+        refuseRequest(node, arrived.exchange, RefusalCode::MethodNotAllowed, "model calls are sent by POST");
+        return false;
+    }
+    out.isModel = true;
+    std::string problem;
+    out.model = handle([&] { return parseModelRequest(path, arrived.request.body, node.options.settings.limits.jsonDepth); },
+        [&](const Error& error) { problem = error.detail; return ModelRequest {}; });
+    if (!problem.empty()) {
+        refuseRequest(node, arrived.exchange, RefusalCode::MalformedRequest, problem);
+        return false;
+    }
+    out.pool = out.model.model;
+    return true;
+}
+
+static bool checkRequest(Node& node, const RequestArrived& arrived, CheckedRequest& out)
+{
+    const auto& request = arrived.request;
+    if (!node.rules) {
+        refuseRequest(node, arrived.exchange, RefusalCode::NoRules, "this node has no rules yet", drainRetryAfter);
+        return false;
+    }
+    const auto token = bearerToken(request);
+    out.account = token.empty() ? nullptr : findAccountByToken(*node.rules, sha256Hex(token));
+    if (!out.account) {
+        refuseRequest(node, arrived.exchange, RefusalCode::Unauthorized, "the bearer token is missing or unknown");
+        return false;
+    }
+    if (!readTarget(node, arrived, out))
+        return false;
+    const RouteQuery query {
+        .account = out.account->name,
+        .className = findHeader(request.headers, headers::className),
+        .model = out.isModel ? std::string_view(out.pool) : std::string_view {},
+        .service = out.isModel ? std::string_view {} : std::string_view(out.pool),
+        .path = pathOf(request.target),
+        .method = request.method,
+    };
+    out.route = matchRoute(*node.rules, query);
+    if (!out.route) {
+        refuseRequest(node, arrived.exchange, RefusalCode::UnknownRoute, "no route rule matches the request");
+        return false;
+    }
+    out.className = classOfRequest(*out.route, query);
+    if (out.route->repeat == Repeat::Once && !isUsableKey(findHeader(request.headers, headers::idempotencyKey))) {
+        refuseRequest(node, arrived.exchange, RefusalCode::IdempotencyKeyRequired, "this call runs at most once; send an Idempotency-Key header of 1 to 256 bytes");
+        return false;
+    }
+    return true;
+}
+
+static NodeCall& makeCall(Node& node, const RequestArrived& arrived, CheckedRequest& checked)
+{
+    const bool once = checked.route->repeat == Repeat::Once;
+    const std::string key(findHeader(arrived.request.headers, headers::idempotencyKey));
+    const uint32_t groups = node.options.settings.ledgerGroups;
+    const GroupId group = once ? groupOfKey(checked.account->name, key, groups) : GroupId { 2 };
+    NodeCall& call = addCall(node, makeCallId(node.random.next(), group, groups));
+    const auto& classRule = findClass(*node.rules, checked.className);
+    call.exchange = arrived.exchange;
+    call.account = checked.account->name;
+    call.weight = checked.account->weight;
+    call.className = checked.className;
+    call.priority = classRule.priority;
+    call.route = checked.route->name;
+    call.origin = checked.route->origin;
+    call.repeat = checked.route->repeat;
+    call.pool = checked.pool;
+    call.isModel = checked.isModel;
+    call.request = { arrived.request.method, arrived.request.target, forwardedHeaders(arrived.request.headers), arrived.request.body };
+    call.arrived = node.now;
+    call.deadline = node.now + classRule.deadline;
+    if (const auto* target = findTarget(*node.rules, checked.className))
+        call.firstTokenTarget = target->firstToken;
+    call.model = std::move(checked.model);
+    if (call.isModel) {
+        call.blocks = prefixBlocks(call.model.prompt);
+        call.model.prompt.clear();
+        call.model.prompt.shrink_to_fit();
+    }
+    if (once) {
+        call.key = key;
+        call.group = group;
+        call.owner = node.owner;
+    }
+    node.byExchange[arrived.exchange] = call.id;
+    return call;
+}
+
+void acceptCall(Node& node, const RequestArrived& arrived)
+{
+    CheckedRequest checked;
+    if (!checkRequest(node, arrived, checked))
+        return;
+    const bool full = node.calls.size() >= maxCalls || node.queuedBytes > node.options.settings.queueBytes;
+    if (full)
+        return refuseRequest(node, arrived.exchange, RefusalCode::QueueFull, "this node holds as many calls as it may", minimumRetryAfter);
+    if (node.left)
+        return refuseRequest(node, arrived.exchange, RefusalCode::Draining, "this node has left; ask for the entry addresses again", drainRetryAfter);
+    NodeCall& call = makeCall(node, arrived, checked);
+    node.counters.add("calls_accepted");
+    const auto decision = admitCall(node.limiter, call.account, call.className, static_cast<uint32_t>(call.model.promptTokens), node.now);
+    if (decision.verdict != LimitVerdict::Admitted) {
+        const auto& rule = node.limiter.rules[decision.rule];
+        return refuseCall(node, call, RefusalCode::LimitExceeded, "over the limit '" + rule.name + "' (" + std::string(nameOf(decision.verdict)) + ")",
+            std::max(minimumRetryAfter, decision.retryAfter));
+    }
+    call.admitted = true;
+    earnRetries(node.retryBudgets[call.route], findRetry(*node.rules, call.route));
+    if (call.repeat == Repeat::Once)
+        return startOnceCall(node, call);
+    enqueueCall(node, call);
+}
+
+void callerGone(Node& node, ExchangeId exchange)
+{
+    const auto it = node.byExchange.find(exchange);
+    if (it == node.byExchange.end())
+        return;
+    const CallId id = it->second;
+    node.byExchange.erase(it);
+    NodeCall* call = findCall(node, id);
+    if (!call)
+        return;
+    call->exchange = 0;
+    node.counters.add("callers_gone");
+    // An accepted once call goes on: its caller can ask for the outcome.
+    if (call->repeat == Repeat::Yes || call->stage == CallStage::Joining)
+        endCall(node, *call, "caller_gone");
+}
+
+static void refuseQueued(Node& node, const std::vector<RefusedCall>& refused)
+{
+    for (const auto& it : refused) {
+        NodeCall* call = findCall(node, it.call);
+        if (!call)
+            continue;
+        node.queuedBytes -= call->queuedBytes;
+        call->queuedBytes = 0;
+        const TimeMs retryAfter = std::max(minimumRetryAfter, it.retryAfter);
+        if (it.reason == QueueRefusal::Late)
+            refuseCall(node, *call, RefusalCode::DeadlineUnreachable, "the call cannot be answered before its deadline", retryAfter);
+        else
+            refuseCall(node, *call, RefusalCode::QueueFull, it.reason == QueueRefusal::Full ? "the queue is full" : "the queue is full and the account uses the largest part of it", retryAfter);
+    }
+}
+
+static TimeMs expectedService(const NodeCall& call)
+{
+    static constexpr int64_t tokenMs = 20;
+    return call.isModel ? TimeMs { 200 + static_cast<int64_t>(call.model.maxTokens) * tokenMs } : TimeMs { 50 };
+}
+
+void enqueueCall(Node& node, NodeCall& call)
+{
+    auto& queue = node.queues[call.pool];
+    const auto& classRule = findClass(*node.rules, call.className);
+    setQueueBounds(queue, call.className, call.priority, { classRule.queueRequests, classRule.queueBytes });
+    call.stage = CallStage::Queued;
+    call.queuedBytes = call.request.body.size() + 512;
+    node.queuedBytes += call.queuedBytes;
+    const QueuedCall entry {
+        .call = call.id,
+        .account = call.account,
+        .weight = call.weight,
+        .className = call.className,
+        .priority = call.priority,
+        .arrived = call.arrived,
+        .deadline = call.deadline,
+        // A caller that waits for the whole answer would give up on a long draft; what counts is that it starts in time.
+        .service = std::min(expectedService(call), (call.deadline - call.arrived) / 2),
+        .cost = 1,
+        .bytes = call.queuedBytes,
+    };
+    std::vector<RefusedCall> refused;
+    enqueue(queue, entry, node.now, refused);
+    const std::string pool = call.pool;
+    refuseQueued(node, refused);
+    pumpQueue(node, pool);
+}
+
+// Calls that the pool's upstreams can take beyond those they have. An engine batches a few calls beyond its capacity; more
+// would wait there out of reach of the class order.
+bool poolHasRoom(const Node& node, const std::string& pool)
+{
+    const auto it = node.router.pools.find(pool);
+    if (it == node.router.pools.end())
+        return false;
+    for (const auto& group : it->second.groups) {
+        for (const uint32_t slot : group.subset) {
+            const auto& row = node.router.rows[slot];
+            if (row.ownCalls + row.othersCalls < row.load.capacity + row.load.capacity / 4 + 2)
+                return true;
+        }
+    }
+    return false;
+}
+
+void pumpQueue(Node& node, const std::string& pool)
+{
+    const auto it = node.queues.find(pool);
+    if (it == node.queues.end())
+        return;
+    std::vector<RefusedCall> refused;
+    while (poolHasRoom(node, pool)) {
+        const auto entry = dequeue(it->second, node.now, refused);
+        if (!entry)
+            break;
+        NodeCall* call = findCall(node, entry->call);
+        if (!call)
+            continue;
+        node.queuedBytes -= call->queuedBytes;
+        call->queuedBytes = 0;
+        if (!tryDispatch(node, *call)) {
+            call->stage = CallStage::Waiting;
+            call->retryAt = node.now + TimeMs { 50 };
+        }
+    }
+    refuseQueued(node, refused);
+}
+
+bool chooseUpstream(Node& node, NodeCall& call)
+{
+    const RouteRequest request {
+        .pool = call.pool,
+        .route = call.route,
+        .blocks = call.blocks,
+        .promptTokens = static_cast<uint32_t>(call.model.promptTokens + call.stream.offset),
+        .outputTokens = call.model.maxTokens,
+        .priority = call.priority,
+        .firstTokenTarget = call.firstTokenTarget,
+        .repeatable = call.repeat == Repeat::Yes,
+        .avoid = call.avoid,
+    };
+    auto choice = choose(node.router, request, node.now);
+    if (!choice.upstream && !call.avoid.empty()) {
+        // Every upstream has failed this call once; the first may work again.
+        call.avoid.clear();
+        choice = choose(node.router, request, node.now);
+    }
+    const Upstream* upstream = choice.upstream ? findUpstream(node.membership.upstreams, choice.upstream) : nullptr;
+    if (!upstream)
+        return false;
+    call.upstream = choice.upstream;
+    call.upstreamName = upstream->announced.name;
+    call.address = upstream->announced.address;
+    call.version = upstream->announced.version;
+    return true;
+}
+
+bool tryDispatch(Node& node, NodeCall& call)
+{
+    if (!chooseUpstream(node, call))
+        return false;
+    if (call.repeat == Repeat::Once)
+        commitDispatch(node, call);
+    else
+        sendDispatch(node, call);
+    return true;
+}
+
+static HttpHeaders dispatchHeaders(const NodeCall& call)
+{
+    HttpHeaders headers = call.request.headers;
+    headers.emplace_back(headers::call, hexOf(call.id));
+    headers.emplace_back(headers::attempt, std::to_string(call.attempts));
+    headers.emplace_back(headers::priority, std::to_string(call.priority));
+    if (call.stream.offset)
+        headers.emplace_back(headers::offset, std::to_string(call.stream.offset));
+    return headers;
+}
+
+static std::string textSoFar(const NodeCall& call)
+{
+    std::string text;
+    for (const auto& data : call.stream.forwarded)
+        text += textOfEvent(data);
+    return text;
+}
+
+// Time without a first byte after which the upstream counts as silent. An answer that is not streamed has its first byte
+// at the end, so its whole duration is allowed, three times over.
+static TimeMs firstByteTimeout(const Node& node, const NodeCall& call)
+{
+    const TimeMs left = std::max(TimeMs { 100 }, call.deadline - node.now);
+    if (call.repeat == Repeat::Once)
+        return left + TimeMs { 60000 };
+    const TimeMs progress = node.options.settings.timings.progressTimeout;
+    const TimeMs usual = call.isModel && !call.model.stream ? expectedService(call) * 3 : TimeMs {};
+    return std::min(left, progress + usual);
+}
+
+void sendDispatch(Node& node, NodeCall& call)
+{
+    ++call.attempts;
+    call.dispatch = ++node.lastDispatch;
+    node.byDispatch[call.dispatch] = call.id;
+    call.stage = CallStage::Connecting;
+    call.dispatchedAt = node.now;
+    call.firstTokenSeen = false;
+    call.reader = EventReader {};
+    call.body.clear();
+    call.streaming = false;
+    UpstreamDispatch dispatch;
+    dispatch.dispatch = call.dispatch;
+    dispatch.address = call.address;
+    dispatch.request = { call.request.method, call.request.target, dispatchHeaders(call),
+        call.stream.offset ? withResume(call.request.body, call.stream.offset, textSoFar(call)) : call.request.body };
+    dispatch.freshConnection = call.repeat == Repeat::Once || call.silentOnce == call.upstream;
+    dispatch.connectTimeout = node.options.settings.timings.connectTimeout;
+    dispatch.firstByteTimeout = firstByteTimeout(node, call);
+    dispatch.progressTimeout = node.options.settings.timings.progressTimeout;
+    const uint32_t uncached = static_cast<uint32_t>(call.model.promptTokens);
+    recordSent(node.router, { .call = call.id, .attempt = call.attempts, .upstream = call.upstream, .priority = call.priority, .uncachedTokens = uncached }, node.now);
+    if (auto* histograms = histogramsOf(node, call); histograms && call.attempts == 1)
+        histograms->queued.record(static_cast<uint64_t>((node.now - call.arrived).value) * 1000);
+    node.counters.add("dispatches");
+    node.out.dispatches.push_back(std::move(dispatch));
+}
+
+static bool atDeadline(Node& node, NodeCall& call)
+{
+    if (node.now < call.deadline)
+        return false;
+    if (call.stage == CallStage::Reserving || call.stage == CallStage::Recording || call.stage == CallStage::Committing)
+        return false;
+    if (call.repeat == Repeat::Once && call.dispatchState == DispatchState::MayHaveLeft) {
+        // The outcome may still come and is recorded then; the caller learns now that it is unknown and where to ask.
+        giveRefusal(node, call, { RefusalCode::DeadlineExceeded, RunWord::Unknown, "no outcome before the deadline; ask GET /v1/calls/" + hexOf(call.id), hexOf(call.id), drainRetryAfter });
+        return false;
+    }
+    if (call.stage == CallStage::Joining)
+        giveRefusal(node, call, { RefusalCode::DeadlineExceeded, RunWord::Unknown, "the first call with this key has no outcome yet; ask GET /v1/calls/" + hexOf(call.id), hexOf(call.id), drainRetryAfter });
+    refuseCall(node, call, RefusalCode::DeadlineExceeded, "the deadline of the class has passed", retryAfterOf(node, call));
+    return true;
+}
+
+void tickCalls(Node& node)
+{
+    for (auto& [pool, queue] : node.queues) {
+        std::vector<RefusedCall> refused;
+        tickQueue(queue, node.now, refused);
+        refuseQueued(node, refused);
+    }
+    std::vector<CallId> ids;
+    for (const auto& [id, call] : node.calls) {
+        if (node.now >= call->deadline || call->stage == CallStage::Waiting || call->stage == CallStage::Joining || call->stage == CallStage::Recording)
+            ids.push_back(id);
+    }
+    // In a fixed order, so that a seed repeats a run.
+    std::sort(ids.begin(), ids.end());
+    for (const CallId id : ids) {
+        NodeCall* call = findCall(node, id);
+        if (!call || atDeadline(node, *call))
+            continue;
+        if (call->stage == CallStage::Waiting && node.now >= call->retryAt && !tryDispatch(node, *call))
+            call->retryAt = node.now + TimeMs { 50 };
+        else if (call->stage == CallStage::Joining || call->stage == CallStage::Recording)
+            tickOnceCall(node, *call);
+    }
+    for (auto& [pool, queue] : node.queues)
+        pumpQueue(node, pool);
+}
+
+}
--- /dev/null
+++ b/src/node/FleetFlow.cpp
@@ -0,0 +1,146 @@
+#include "node/FleetFlow.h"
+
+#include "api/AnnouncementJson.h"
+#include "node/Answers.h"
+#include "node/CallFlow.h"
+#include "node/MovesFlow.h"
+#include "node/Peers.h"
+#include "rules/RuleMatch.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+namespace siskinshunt {
+
+static constexpr TimeMs refreshInterval { 200 };
+static constexpr int announceNodes = 2;
+static constexpr TimeMs announceInterval { 1000 };
+// Load reports are this old on average when they arrive, by the lag that the platform states.
+static constexpr TimeMs loadReportLag { 500 };
+// Taken before the reclaim to move a running stream: two connection times and the commit of nothing.
+static constexpr TimeMs moveMargin { 700 };
+
+bool mayTakeWork(const Node& node, const Upstream& upstream)
+{
+    const TimeMs within = node.rules ? findDrain(*node.rules).within : TimeMs { 3000 };
+    return !upstream.leavingSince && mayTakeNewWork(upstream, node.now, within);
+}
+
+static double priceOf(const Node& node, const Announcement& announced)
+{
+    if (!node.rules)
+        return 1;
+    const auto kind = announced.reclaimable ? InstanceKind::Reclaimable : InstanceKind::OnDemand;
+    const auto& prices = node.rules->prices;
+    const auto it = std::find_if(prices.begin(), prices.end(), [&](const PriceRule& rule) { return rule.domain == announced.domain && rule.machine == announced.machine && rule.kind == kind; });
+    return it == prices.end() ? 1 : it->perHour;
+}
+
+static void updateOne(Node& node, const Upstream& upstream)
+{
+    const auto& announced = upstream.announced;
+    updateTarget(node.router, {
+                                  .id = upstream.id,
+                                  .pool = announced.model,
+                                  .version = announced.version,
+                                  .domain = announced.domain,
+                                  .kind = announced.kind,
+                                  .role = announced.role,
+                                  .incarnation = announced.incarnation,
+                                  .mayTakeWork = mayTakeWork(node, upstream),
+                                  .pricePerHour = priceOf(node, announced),
+                                  .reclaimRisk = announced.reclaimable ? 0.1 : 0,
+                              });
+    updateLoad(node.router, upstream.id, announced.load, node.now - loadReportLag);
+}
+
+void upstreamChanged(Node& node, UpstreamId id)
+{
+    if (const Upstream* upstream = findUpstream(node.membership.upstreams, id)) {
+        updateOne(node, *upstream);
+        pumpQueue(node, upstream->announced.model);
+    }
+}
+
+void upstreamRemoved(Node& node, UpstreamId id)
+{
+    removeTarget(node.router, id);
+}
+
+void refreshTargets(Node& node)
+{
+    for (const auto& [id, upstream] : node.membership.upstreams.entries)
+        updateOne(node, upstream);
+    node.nextRefresh = node.now + refreshInterval;
+}
+
+void tickReclaims(Node& node)
+{
+    if (node.now >= node.nextRefresh)
+        refreshTargets(node);
+    std::vector<CallId> moving;
+    for (const auto& [id, call] : node.calls) {
+        if (call->stage != CallStage::Answering && call->stage != CallStage::Sent)
+            continue;
+        const Upstream* upstream = findUpstream(node.membership.upstreams, call->upstream);
+        if (upstream && upstream->reclaimAt && node.now + moveMargin >= *upstream->reclaimAt)
+            moving.push_back(id);
+    }
+    std::sort(moving.begin(), moving.end());
+    for (const CallId id : moving)
+        moveCall(node, id);
+}
+
+void answerAnnounce(Node& node, const RequestArrived& arrived)
+{
+    if (arrived.request.method != "POST")
+        return refuseRequest(node, arrived.exchange, RefusalCode::MethodNotAllowed, "announcements are sent by POST");
+    if (!tokenMatches(arrived.request, node.options.settings.announceTokenSha256))
+        return refuseRequest(node, arrived.exchange, RefusalCode::Unauthorized, "the announce token is missing or wrong");
+    std::string problem;
+    const auto announced = handle([&]() -> Result<Announcement> { return parseAnnouncement(arrived.request.body); },
+        [&](const Error& error) { problem = error.detail; return Announcement {}; });
+    if (problem.empty() && !parseEndpoint(announced.address))
+        problem = "\"address\": expected IP:PORT";
+    if (!problem.empty())
+        return refuseRequest(node, arrived.exchange, RefusalCode::MalformedRequest, problem);
+    const auto upsert = announce(node.membership, node.now, announced, node.membershipOutputs);
+    if (upsert == Upsert::Collision || upsert == Upsert::Full || upsert == Upsert::TooLarge)
+        return refuseRequest(node, arrived.exchange, RefusalCode::Conflict, "the announcement was refused: " + std::string(nameOf(upsert)));
+    if (const Upstream* upstream = findUpstream(node.membership.upstreams, idOfName<UpstreamId>(announced.name)))
+        updateOne(node, *upstream);
+    pumpQueue(node, announced.model);
+    boost::json::array nodes;
+    // Two nodes that keep serving; this one first, so that an upstream stays where it is known.
+    if (!node.draining)
+        nodes.emplace_back(toString(node.options.settings.http));
+    std::vector<std::pair<bool, std::string>> others;
+    for (const auto& [id, member] : node.membership.members) {
+        if (isAlive(node.membership, id) && !member.status.draining)
+            others.emplace_back(member.identity.domain != announced.domain, member.identity.httpAddress);
+    }
+    std::sort(others.begin(), others.end());
+    for (const auto& [foreign, address] : others) {
+        if (nodes.size() < announceNodes)
+            nodes.emplace_back(address);
+    }
+    answerJson(node, arrived.exchange, 200, boost::json::serialize(boost::json::object { { "nodes", nodes }, { "interval_ms", announceInterval.value } }));
+}
+
+void answerEntries(Node& node, const RequestArrived& arrived)
+{
+    boost::json::array entries;
+    if (!node.draining)
+        entries.push_back(boost::json::object { { "address", toString(node.options.settings.http) }, { "domain", node.options.settings.failureDomain } });
+    std::vector<std::pair<std::string, std::string>> others;
+    for (const auto& [id, member] : node.membership.members) {
+        if (isAlive(node.membership, id) && !member.status.draining)
+            others.emplace_back(member.identity.httpAddress, member.identity.domain);
+    }
+    std::sort(others.begin(), others.end());
+    for (const auto& [address, domain] : others)
+        entries.push_back(boost::json::object { { "address", address }, { "domain", domain } });
+    answerJson(node, arrived.exchange, 200, boost::json::serialize(boost::json::object { { "entries", entries }, { "valid_ms", node.options.settings.timings.entryValid.value } }));
+}
+
+}
--- /dev/null
+++ b/src/node/Metrics.cpp
@@ -0,0 +1,65 @@
+#include "node/Metrics.h"
+
+#include "node/Groups.h"
+
+#include <cstdio>
+
+namespace siskinshunt {
+
+static void appendValue(std::string& out, const std::string& name, const std::string& labels, double value)
+{
+    char text[64];
+    std::snprintf(text, sizeof(text), " %.9g\n", value);
+    out += "siskinshunt_" + name + (labels.empty() ? "" : "{" + labels + "}") + text;
+}
+
+static void appendHistogram(std::string& out, const std::string& name, const std::string& labels, const Histogram& histogram)
+{
+    if (!histogram.count())
+        return;
+    for (const double q : { 0.5, 0.95, 0.99 }) {
+        char quantile[16];
+        std::snprintf(quantile, sizeof(quantile), "%g", q);
+        appendValue(out, name, labels + ",quantile=\"" + quantile + "\"", static_cast<double>(histogram.quantile(q)) / 1e6);
+    }
+    appendValue(out, name + "_sum", labels, static_cast<double>(histogram.sum()) / 1e6);
+    appendValue(out, name + "_count", labels, static_cast<double>(histogram.count()));
+}
+
+static void appendGroups(std::string& out, const Node& node)
+{
+    for (const auto& [id, group] : node.groups) {
+        const auto state = status(*group.replica);
+        const std::string labels = "group=\"" + std::to_string(id.value) + "\"";
+        appendValue(out, "group_term", labels, static_cast<double>(state.term));
+        appendValue(out, "group_applied", labels, static_cast<double>(state.applied));
+        appendValue(out, "group_leader", labels, state.role == Role::Leader ? 1 : 0);
+    }
+}
+
+void answerMetrics(Node& node, const RequestArrived& arrived)
+{
+    std::string out;
+    for (const auto& [name, value] : node.counters.all())
+        appendValue(out, name + "_total", {}, static_cast<double>(value));
+    for (const auto& [reason, n] : node.dropped)
+        appendValue(out, "peer_messages_dropped_total", "reason=\"" + reason + "\"", static_cast<double>(n));
+    for (const auto& [key, histograms] : node.histograms) {
+        const std::string labels = "account=\"" + key.first + "\",class=\"" + key.second + "\"";
+        appendHistogram(out, "first_token_seconds", labels, histograms.firstToken);
+        appendHistogram(out, "between_tokens_seconds", labels, histograms.betweenTokens);
+        appendHistogram(out, "call_seconds", labels, histograms.whole);
+        appendHistogram(out, "queue_seconds", labels, histograms.queued);
+        for (const auto& [outcome, n] : histograms.outcomes)
+            appendValue(out, "calls_total", labels + ",outcome=\"" + outcome + "\"", static_cast<double>(n));
+    }
+    appendGroups(out, node);
+    appendValue(out, "rules_revision", {}, static_cast<double>(node.view.rules.revision));
+    appendValue(out, "calls_in_flight", {}, static_cast<double>(node.calls.size()));
+    appendValue(out, "queued_bytes", {}, static_cast<double>(node.queuedBytes));
+    appendValue(out, "members_alive", {}, static_cast<double>(liveMembers(node.membership).size()));
+    appendValue(out, "upstreams", {}, static_cast<double>(node.membership.upstreams.entries.size()));
+    node.out.answers.push_back({ arrived.exchange, AnswerPart::Whole, 200, { { "Content-Type", "text/plain; version=0.0.4" } }, std::move(out) });
+}
+
+}
--- /dev/null
+++ b/src/node/Node.cpp
@@ -0,0 +1,179 @@
+#include "node/Node.h"
+
+#include "base/Invariant.h"
+#include "node/CallFlow.h"
+#include "node/ControlFlow.h"
+#include "node/FleetFlow.h"
+#include "node/Groups.h"
+#include "node/LeaderFlow.h"
+#include "node/MovesFlow.h"
+#include "node/NodeState.h"
+#include "node/Peers.h"
+#include "node/RequestFlow.h"
+#include "wire/Envelope.h"
+
+#include <charconv>
+
+namespace siskinshunt {
+
+// Gossip needs this long to spread the leaving record.
+static constexpr TimeMs leaveSpread { 2000 };
+
+void NodeDeleter::operator()(Node* node) const
+{
+    delete node;
+}
+
+static MembershipOptions membershipOptions(const NodeOptions& options, uint64_t cluster, const MacKey& key)
+{
+    const auto& settings = options.settings;
+    MembershipOptions out;
+    out.identity = { .name = settings.node, .udpAddress = toString(settings.peer), .tcpAddress = toString(settings.peer), .httpAddress = toString(settings.http), .domain = settings.failureDomain };
+    out.cluster = cluster;
+    out.key = key;
+    for (const auto& seed : settings.seeds)
+        out.seeds.push_back(toString(seed));
+    out.startedAtUtc = options.startedAtUtc;
+    out.seed = options.seed;
+    return out;
+}
+
+static RouterOptions routerOptions(const NodeOptions& options)
+{
+    RouterOptions out;
+    out.self = idOfName<NodeId>(options.settings.node);
+    out.domain = options.settings.failureDomain;
+    out.seed = options.seed + 1;
+    return out;
+}
+
+Node::Node(NodeOptions given)
+    : options(std::move(given))
+    , self(idOfName<NodeId>(options.settings.node))
+    , owner { self, static_cast<uint64_t>(options.startedAtUtc.value) }
+    , cluster(hash64(options.settings.cluster))
+    , key(makeMacKey(options.settings.peerKey))
+    , now(options.startedAtUtc)
+    , random(options.seed + 2)
+    , frameSequence(firstSequence(options.startedAtUtc))
+    , membership(makeMembership(membershipOptions(options, cluster, key), now))
+    , router(routerOptions(options))
+{
+}
+
+void addLog(Node& node, LogLevel level, std::string code, Step step, std::string peer, std::string text, std::vector<std::pair<std::string, std::string>> fields)
+{
+    node.out.log.push_back({ level, std::move(code), step, std::move(peer), std::move(text), std::move(fields) });
+}
+
+std::string hexOf(CallId id)
+{
+    static constexpr std::string_view digits = "0123456789abcdef";
+    std::string out(16, '0');
+    for (size_t n = 0; n < out.size(); ++n)
+        out[n] = digits[(id.value >> (60 - 4 * n)) & 15];
+    return out;
+}
+
+std::optional<CallId> parseCallId(std::string_view text)
+{
+    CallId id;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), id.value, 16);
+    if (text.size() != 16 || ec != std::errc {} || end != text.data() + text.size() || !id)
+        return std::nullopt;
+    return id;
+}
+
+Result<NodePtr> makeNode(NodeOptions options, TimeMs now)
+{
+    NodePtr node(new Node(std::move(options)));
+    node->now = now;
+    BOOST_LEAF_CHECK(openGroups(*node));
+    BOOST_LEAF_CHECK(restoreView(*node));
+    return node;
+}
+
+static void takeCompletion(Node& node, const DiskCompletion& completion)
+{
+    if (viewStored(node, completion))
+        return;
+    const auto it = node.groups.find(completion.group);
+    if (it != node.groups.end())
+        diskCompleted(*it->second.replica, completion.request, completion.ok, completion.error);
+}
+
+static void takeUpstreamEvent(Node& node, UpstreamEvent&& event)
+{
+    if (!takeOrderEvent(node, event))
+        takeCallEvent(node, std::move(event));
+}
+
+static void takeInputs(Node& node, Inputs&& inputs)
+{
+    if (inputs.drain && !node.draining) {
+        node.draining = true;
+        node.drainSince = node.now;
+    }
+    for (const auto& completion : inputs.completions)
+        takeCompletion(node, completion);
+    for (const auto& datagram : inputs.datagrams)
+        receiveDatagram(node, datagram.from, datagram.bytes);
+    for (const auto& frame : inputs.frames)
+        receiveFrame(node, frame);
+    for (auto& event : inputs.events)
+        takeUpstreamEvent(node, std::move(event));
+    for (const auto& request : inputs.requests)
+        takeRequest(node, request);
+    for (const ExchangeId exchange : inputs.gone)
+        callerGone(node, exchange);
+}
+
+// A node that leaves is first off the address list, then serves until callers have let go of its address and its calls
+// have ended, hands its leaderships over, and only then tells the others that it has left.
+static void tickDrain(Node& node)
+{
+    if (!node.draining)
+        return;
+    if (!node.left && node.now - node.drainSince >= node.options.settings.timings.entryValid && node.calls.empty()) {
+        node.left = true;
+        node.leftAt = node.now;
+        for (auto& [id, group] : node.groups)
+            transferLeadership(*group.replica);
+        leave(node.membership, node.now, node.membershipOutputs);
+        addLog(node, LogLevel::Info, "node_left", Step::Command, {}, "all calls have ended");
+    }
+    if (node.left && node.now - node.leftAt >= leaveSpread)
+        node.out.stop = true;
+}
+
+static void tickAll(Node& node)
+{
+    tickMembership(node);
+    flushMembership(node);
+    tickGroups(node);
+    tickControl(node);
+    tickLeader(node);
+    tickReclaims(node);
+    tickCalls(node);
+    tickEvidence(node);
+    tickLeases(node);
+    tickDrain(node);
+}
+
+void step(Node& node, TimeMs now, Inputs&& inputs, Outputs& out)
+{
+    INVARIANT(now >= node.now, "the clock of a node does not go back", "now", now.value, "was", node.now.value);
+    node.now = now;
+    std::swap(node.out, out);
+    takeInputs(node, std::move(inputs));
+    if (now >= node.nextTick) {
+        node.nextTick = now + node.options.settings.timings.tick;
+        tickAll(node);
+    }
+    flushGroups(node);
+    tickControl(node);
+    flushMembership(node);
+    std::swap(node.out, out);
+}
+
+}
--- /dev/null
+++ b/src/node/Peers.cpp
@@ -0,0 +1,154 @@
+#include "node/Peers.h"
+
+#include "node/ControlFlow.h"
+#include "node/FleetFlow.h"
+#include "node/Groups.h"
+#include "node/LeaderFlow.h"
+#include "node/MovesFlow.h"
+#include "wire/Codec.h"
+#include "wire/FrameReader.h"
+
+namespace siskinshunt {
+
+void countDrop(Node& node, DropReason reason)
+{
+    ++node.dropped[std::string(nameOf(reason))];
+}
+
+static Endpoint endpointOf(const std::string& address)
+{
+    return parseEndpoint(address).value_or(Endpoint {});
+}
+
+void sendFrame(Node& node, NodeId to, FrameKind kind, GroupId group, std::string body)
+{
+    const Member* member = findMember(node.membership, to);
+    if (!member)
+        return;
+    const Envelope envelope { .cluster = node.cluster, .sender = node.self, .group = group, .sentAt = node.now, .sequence = ++node.frameSequence, .kind = static_cast<uint8_t>(kind), .body = std::move(body) };
+    node.counters.add("peer_frames_sent");
+    node.out.frames.push_back({ endpointOf(member->identity.tcpAddress), seal(node.key, envelope) });
+}
+
+void receiveDatagram(Node& node, const std::string& from, std::string_view bytes)
+{
+    const auto reason = receive(node.membership, node.now, from, bytes, node.membershipOutputs);
+    if (reason != DropReason::None)
+        countDrop(node, reason);
+}
+
+static void receiveBody(Node& node, const Envelope& envelope)
+{
+    switch (static_cast<FrameKind>(envelope.kind)) {
+    case FrameKind::Consensus:
+        return receiveConsensus(node, envelope.group, envelope.body);
+    case FrameKind::Propose:
+        return receivePropose(node, envelope.sender, envelope.group, envelope.body);
+    case FrameKind::ProposeReply:
+        return receiveProposeReply(node, envelope.group, envelope.body);
+    case FrameKind::LookUp:
+        return receiveLookUp(node, envelope.sender, envelope.group, envelope.body);
+    case FrameKind::LookUpReply:
+        return receiveLookUpReply(node, envelope.group, envelope.body);
+    case FrameKind::FetchView:
+        return receiveFetchView(node, envelope.sender, envelope.body);
+    case FrameKind::View:
+        return receiveView(node, envelope.body);
+    case FrameKind::Evidence:
+        return receiveEvidence(node, envelope.sender, envelope.body);
+    case FrameKind::LeaseRequests:
+        return receiveLeaseRequests(node, envelope.sender, envelope.body);
+    case FrameKind::LeaseGrants:
+        return receiveLeaseGrants(node, envelope.body);
+    case FrameKind::TableDigest:
+    case FrameKind::TableRecords: {
+        const auto kind = static_cast<FrameKind>(envelope.kind) == FrameKind::TableDigest ? TableFrameKind::TableDigest : TableFrameKind::TableRecords;
+        const auto reason = receiveTableFrame(node.membership, node.now, envelope.sender, kind, envelope.body, node.membershipOutputs);
+        if (reason != DropReason::None)
+            countDrop(node, reason);
+        return;
+    }
+    case FrameKind::Explain:
+    case FrameKind::ExplainReply:
+        break;
+    }
+    countDrop(node, DropReason::BadKind);
+}
+
+void receiveFrame(Node& node, std::string_view bytes)
+{
+    auto opened = open(node.key, node.cluster, bytes, maxFrame);
+    if (opened.reason == DropReason::None && (!opened.envelope.sender || opened.envelope.sender == node.self))
+        opened.reason = DropReason::BadSender;
+    if (opened.reason == DropReason::None)
+        opened.reason = node.frameReplays.accept(node.now, opened.envelope);
+    if (opened.reason != DropReason::None)
+        return countDrop(node, opened.reason);
+    receiveBody(node, opened.envelope);
+}
+
+static void takeEvent(Node& node, const MembershipEvent& event)
+{
+    switch (event.kind) {
+    case MembershipEventKind::UpstreamChanged:
+        return upstreamChanged(node, event.upstream);
+    case MembershipEventKind::UpstreamRemoved:
+        return upstreamRemoved(node, event.upstream);
+    case MembershipEventKind::HigherRevision:
+        return viewSeen(node, event.member);
+    case MembershipEventKind::MemberUp:
+    case MembershipEventKind::MemberChanged:
+        return viewSeen(node, event.member);
+    case MembershipEventKind::Replaced:
+    case MembershipEventKind::Collision:
+        addLog(node, LogLevel::Error, std::string(nameOf(event.kind)), Step::Receive, event.detail, "this node stops: another process runs under its name or id");
+        node.out.stop = true;
+        return;
+    case MembershipEventKind::MemberDown:
+    case MembershipEventKind::MemberLeft:
+    case MembershipEventKind::MemberSuspect:
+    case MembershipEventKind::Refuted: {
+        const Member* member = findMember(node.membership, event.member);
+        addLog(node, LogLevel::Info, std::string(nameOf(event.kind)), Step::Receive, member ? member->identity.name : event.detail, "membership changed");
+        return;
+    }
+    }
+}
+
+void flushMembership(Node& node)
+{
+    for (int round = 0; round < 8; ++round) {
+        MembershipOutputs out;
+        std::swap(out, node.membershipOutputs);
+        for (auto& datagram : out.datagrams)
+            node.out.datagrams.push_back({ endpointOf(datagram.address), std::move(datagram.bytes) });
+        for (auto& frame : out.frames) {
+            const auto kind = frame.kind == TableFrameKind::TableDigest ? FrameKind::TableDigest : FrameKind::TableRecords;
+            sendFrame(node, frame.to, kind, {}, std::move(frame.body));
+        }
+        for (const auto& event : out.events)
+            takeEvent(node, event);
+        if (out.events.empty())
+            return;
+    }
+}
+
+void tickMembership(Node& node)
+{
+    NodeId leader;
+    const auto it = node.groups.find(decisionGroup);
+    if (it != node.groups.end())
+        leader = nodeOfVoter(node, status(*it->second.replica).leader);
+    setOwnStatus(node.membership, node.now, { .rulesRevision = node.view.rules.revision, .directive = node.view.index, .voter = node.options.voter, .draining = node.draining, .leader = leader });
+    tick(node.membership, node.now, node.membershipOutputs);
+}
+
+std::string httpAddressOf(const Node& node, NodeId id)
+{
+    if (id == node.self)
+        return toString(node.options.settings.http);
+    const Member* member = findMember(node.membership, id);
+    return member ? member->identity.httpAddress : std::string {};
+}
+
+}
--- /dev/null
+++ b/src/node/VoterRepair.cpp
@@ -0,0 +1,101 @@
+#include "node/VoterRepair.h"
+
+#include "node/Groups.h"
+#include "node/OnceFlow.h"
+
+#include <algorithm>
+
+namespace siskinshunt {
+
+static constexpr TimeMs repairInterval { 1000 };
+// A restart of the process keeps its voter id, so only a lost disk or instance is absent this long.
+static constexpr TimeMs missingBeforeRepair { 30000 };
+
+static void noteMissing(Node& node, Group& group, const std::vector<VoterId>& voters)
+{
+    std::erase_if(group.missingSince, [&](const auto& it) { return std::find(voters.begin(), voters.end(), it.first) == voters.end(); });
+    for (const VoterId voter : voters) {
+        if (nodeOfVoter(node, voter))
+            group.missingSince.erase(voter);
+        else
+            group.missingSince.try_emplace(voter, node.now);
+    }
+}
+
+static VoterId lostVoter(const Node& node, const Group& group)
+{
+    for (const auto& [voter, since] : group.missingSince) {
+        if (node.now - since >= missingBeforeRepair)
+            return voter;
+    }
+    return {};
+}
+
+// A live voter id outside the group, from the failure domain that holds fewest of its voters.
+static VoterId spareVoter(const Node& node, const ReplicaStatus& state)
+{
+    std::map<std::string, int> perDomain;
+    const auto domainOf = [&](VoterId voter) -> std::string {
+        const NodeId id = nodeOfVoter(node, voter);
+        if (id == node.self)
+            return node.options.settings.failureDomain;
+        const Member* member = findMember(node.membership, id);
+        return member ? member->identity.domain : std::string {};
+    };
+    for (const VoterId voter : state.voters)
+        ++perDomain[domainOf(voter)];
+    std::vector<std::pair<int, VoterId>> spares;
+    for (const auto& [id, member] : node.membership.members) {
+        const VoterId voter = member.status.voter;
+        const bool used = std::find(state.voters.begin(), state.voters.end(), voter) != state.voters.end();
+        if (voter && !used && isAlive(node.membership, id) && !member.status.draining)
+            spares.emplace_back(perDomain[member.identity.domain], voter);
+    }
+    std::sort(spares.begin(), spares.end());
+    return spares.empty() ? VoterId {} : spares.front().second;
+}
+
+static void logChange(Node& node, const Group& group, std::string code, VoterId voter, std::string text)
+{
+    addLog(node, LogLevel::Warning, std::move(code), Step::Propose, "group " + std::to_string(group.id.value), std::move(text), { { "voter", std::to_string(voter.value) } });
+}
+
+void repairVoters(Node& node, Group& group)
+{
+    if (node.now < group.nextRepair || !leadsGroup(node, group))
+        return;
+    group.nextRepair = node.now + repairInterval;
+    const auto state = status(*group.replica);
+    noteMissing(node, group, state.voters);
+    const VoterId lost = lostVoter(node, group);
+    if (!state.learners.empty()) {
+        const VoterId learner = state.learners.front();
+        if (!nodeOfVoter(node, learner)) {
+            logChange(node, group, "learner_removed", learner, "the learner is no longer alive");
+            changeMembers(*group.replica, MemberChange::Remove, learner);
+        } else
+            changeMembers(*group.replica, MemberChange::Promote, learner);
+        return;
+    }
+    if (!lost)
+        return;
+    // The group has grown by the spare, so that the lost voter can go.
+    const bool grown = std::count_if(state.voters.begin(), state.voters.end(), [&](VoterId it) { return nodeOfVoter(node, it).value != 0; }) >= static_cast<int64_t>(state.voters.size()) - 1 && state.voters.size() % 2 == 0;
+    if (grown) {
+        logChange(node, group, "voter_removed", lost, "the voter was lost and has been replaced");
+        changeMembers(*group.replica, MemberChange::Remove, lost);
+        return;
+    }
+    if (const VoterId spare = spareVoter(node, state)) {
+        logChange(node, group, "voter_replacement_started", spare, "a voter has been missing; adding a spare as learner");
+        changeMembers(*group.replica, MemberChange::AddLearner, spare);
+    }
+}
+
+void resumeTakenOver(Node& node, const Ledger& ledger, CallId call)
+{
+    if (const CallRecord* record = findByCall(ledger, call))
+        takeOverCall(node, *record);
+}
+
+}
