--- /dev/null
+++ b/src/bench/ReplicaBench.cpp
@@ -0,0 +1,273 @@
+#include "bench/ReplicaBench.h"
+
+#include "base/Histogram.h"
+#include "replica/DiskQueue.h"
+#include "replica/Replica.h"
+#include "storage/FileDisk.h"
+#include "storage/Storage.h"
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <stdexcept>
+#include <thread>
+
+namespace siskinshunt {
+
+using Clock = std::chrono::steady_clock;
+
+/// Wakes the replica thread when a write has ended.
+struct Wake {
+    std::mutex mutex;
+    std::condition_variable changed;
+    bool raised = false;
+};
+
+/// A voter with its disk thread. The thread only reads `running` between `start` and `ended`.
+struct BenchVoter {
+    VoterId id;
+    std::unique_ptr<FileDisk> disk;
+    std::unique_ptr<Storage> storage;
+    std::vector<ReplicaPtr> replicas;
+    DiskQueue queue;
+    uint64_t syncs = 0;
+
+    std::thread thread;
+    std::mutex mutex;
+    std::condition_variable start;
+    std::span<const DiskRequest> running;
+    bool stop = false;
+    std::atomic<bool> ended = false;
+    std::string error;
+};
+
+struct BenchGroup {
+    std::array<BenchVoter, 3> voters;
+    Wake wake;
+    std::deque<Message> network;
+    Clock::time_point begin = Clock::now();
+    std::map<std::pair<size_t, uint64_t>, Clock::time_point> open; ///< By group and proposal.
+    uint64_t commits = 0;
+    Histogram latencyUs;
+};
+
+static TimeMs clockOf(const BenchGroup& bench)
+{
+    return { std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - bench.begin).count() };
+}
+
+static void runDiskThread(BenchVoter& voter, Wake& wake)
+{
+    std::unique_lock lock(voter.mutex);
+    for (;;) {
+        voter.start.wait(lock, [&] { return voter.stop || !voter.running.empty(); });
+        if (voter.stop)
+            return;
+        voter.error = handle(
+            [&]() -> Result<std::string> {
+                BOOST_LEAF_CHECK(voter.storage->write(voter.running));
+                return std::string();
+            },
+            [](const Error& error) { return toString(error); });
+        voter.running = {};
+        voter.ended = true;
+        const std::lock_guard guard(wake.mutex);
+        wake.raised = true;
+        wake.changed.notify_one();
+    }
+}
+
+static StateMachine countingMachine()
+{
+    return {
+        .apply = [](uint64_t, std::string_view) { return std::string("ok"); },
+        .snapshot = [] { return std::string("state"); },
+        .restore = [](std::string_view) { return true; },
+    };
+}
+
+static Result<void> openVoters(BenchGroup& bench, const ReplicaBenchOptions& options)
+{
+    for (size_t n = 0; n < bench.voters.size(); ++n) {
+        auto& voter = bench.voters[n];
+        voter.id = { n + 1 };
+        BOOST_LEAF_ASSIGN(voter.disk, FileDisk::open(options.folder + "/voter-" + std::to_string(n)));
+        BOOST_LEAF_ASSIGN(voter.storage, Storage::open(*voter.disk, { .cluster = 1 }));
+        for (size_t group = 0; group < options.groups; ++group) {
+            // The first voter gets a shorter timeout, so that it leads all groups.
+            const ReplicaOptions replicaOptions {
+                .cluster = 1,
+                .group = { group + 1 },
+                .self = voter.id,
+                .seed = options.seed,
+                .electionMin = n ? 1500_ms : 500_ms,
+                .electionMax = n ? 2500_ms : 600_ms,
+            };
+            BOOST_LEAF_AUTO(replica, openReplica(replicaOptions, countingMachine(), {}, 0_ms));
+            BOOST_LEAF_CHECK(bootstrap(*replica, { { 1 }, { 2 }, { 3 } }));
+            voter.replicas.push_back(std::move(replica));
+        }
+    }
+    return {};
+}
+
+static void proposeOne(BenchGroup& bench, size_t group, size_t bytes)
+{
+    const uint64_t id = propose(*bench.voters[0].replicas[group], std::string(bytes, 'c'));
+    bench.open.emplace(std::pair(group, id), Clock::now());
+}
+
+static void takeOutcome(BenchGroup& bench, size_t group, const ProposalOutcome& outcome, size_t bytes)
+{
+    auto it = bench.open.find({ group, outcome.proposal });
+    if (it == bench.open.end())
+        return;
+    if (outcome.status != ProposalStatus::Applied)
+        throw std::runtime_error("proposal ended as " + std::string(nameOf(outcome.status)) + ": " + outcome.reply);
+    ++bench.commits;
+    bench.latencyUs.record(static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - it->second).count()));
+    bench.open.erase(it);
+    proposeOne(bench, group, bytes);
+}
+
+/// Collects the outputs of all groups of one voter; returns whether there were any.
+static bool collect(BenchGroup& bench, BenchVoter& voter, size_t bytes)
+{
+    bool busy = false;
+    for (size_t group = 0; group < voter.replicas.size(); ++group) {
+        ReplicaOutputs out = takeOutputs(*voter.replicas[group]);
+        busy = busy || !out.messages.empty() || !out.disk.empty() || !out.outcomes.empty();
+        std::move(out.messages.begin(), out.messages.end(), std::back_inserter(bench.network));
+        submit(voter.queue, std::move(out.disk));
+        for (const auto& outcome : out.outcomes)
+            takeOutcome(bench, group, outcome, bytes);
+    }
+    return busy;
+}
+
+static void startWrite(BenchVoter& voter)
+{
+    const auto requests = startBatch(voter.queue);
+    if (requests.empty())
+        return;
+    ++voter.syncs;
+    const std::lock_guard guard(voter.mutex);
+    voter.running = requests;
+    voter.start.notify_one();
+}
+
+static void endWrite(BenchVoter& voter)
+{
+    if (!voter.ended.exchange(false))
+        return;
+    const std::lock_guard guard(voter.mutex);
+    if (!voter.error.empty())
+        throw std::runtime_error(voter.error);
+    for (const auto& request : finishBatch(voter.queue))
+        diskCompleted(*voter.replicas[request.group.value - 1], request.id, true);
+}
+
+static void deliver(BenchGroup& bench)
+{
+    std::deque<Message> messages;
+    messages.swap(bench.network);
+    for (const auto& message : messages)
+        receive(*bench.voters[message.to.value - 1].replicas[message.group.value - 1], message, clockOf(bench));
+}
+
+/// Everything that can be done now, then waits for a write to end.
+static void step(BenchGroup& bench, size_t bytes)
+{
+    for (auto& voter : bench.voters) {
+        endWrite(voter);
+        for (auto& replica : voter.replicas)
+            tick(*replica, clockOf(bench));
+    }
+    for (bool busy = true; busy;) {
+        deliver(bench);
+        busy = false;
+        for (auto& voter : bench.voters)
+            busy = collect(bench, voter, bytes) || busy;
+    }
+    for (auto& voter : bench.voters)
+        startWrite(voter);
+    std::unique_lock lock(bench.wake.mutex);
+    bench.wake.changed.wait_for(lock, std::chrono::milliseconds(20), [&] { return bench.wake.raised; });
+    bench.wake.raised = false;
+}
+
+static bool leadsAll(const BenchGroup& bench)
+{
+    for (const auto& replica : bench.voters[0].replicas) {
+        if (!canRead(*replica, clockOf(bench)))
+            return false;
+    }
+    return true;
+}
+
+static ReplicaBenchResult measure(BenchGroup& bench, const ReplicaBenchOptions& options)
+{
+    while (!leadsAll(bench)) {
+        if (clockOf(bench) > 10_s)
+            throw std::runtime_error("the first voter leads not all groups after 10 s");
+        step(bench, options.commandBytes);
+    }
+    for (size_t n = 0; n < options.callers; ++n)
+        proposeOne(bench, n % options.groups, options.commandBytes);
+    for (auto& voter : bench.voters)
+        voter.syncs = 0;
+    const auto start = Clock::now();
+    double seconds = 0;
+    while (seconds < options.seconds) {
+        step(bench, options.commandBytes);
+        seconds = std::chrono::duration<double>(Clock::now() - start).count();
+    }
+    uint64_t syncs = 1;
+    for (const auto& voter : bench.voters)
+        syncs = std::max(syncs, voter.syncs);
+    return {
+        .commitsPerSecond = static_cast<double>(bench.commits) / seconds,
+        .commitsPerSync = static_cast<double>(bench.commits) / static_cast<double>(syncs),
+        .p99Ms = static_cast<double>(bench.latencyUs.quantile(0.99)) / 1000,
+    };
+}
+
+static void stopThreads(BenchGroup& bench)
+{
+    for (auto& voter : bench.voters) {
+        {
+            const std::lock_guard guard(voter.mutex);
+            voter.stop = true;
+        }
+        voter.start.notify_one();
+        voter.thread.join();
+    }
+}
+
+ReplicaBenchResult runReplicaBench(const ReplicaBenchOptions& options)
+{
+    BenchGroup bench;
+    const std::string error = handle(
+        [&]() -> Result<std::string> {
+            BOOST_LEAF_CHECK(openVoters(bench, options));
+            return std::string();
+        },
+        [](const Error& it) { return toString(it); });
+    if (!error.empty())
+        throw std::runtime_error(error);
+    for (auto& voter : bench.voters)
+        voter.thread = std::thread([&bench, &voter] { runDiskThread(voter, bench.wake); });
+    try {
+        const ReplicaBenchResult result = measure(bench, options);
+        stopThreads(bench);
+        return result;
+    } catch (...) {
+        stopThreads(bench);
+        throw;
+    }
+}
+
+}
--- /dev/null
+++ b/tests/storage/StorageTest.cpp
@@ -0,0 +1,264 @@
+#include "storage/Storage.h"
+#include "storage/FakeDisk.h"
+#include "storage/FileDisk.h"
+
+#include <boost/test/unit_test.hpp>
+#include <filesystem>
+#include <unistd.h>
+
+using namespace siskinshunt;
+
+static constexpr GroupId group { 2 };
+
+static DiskRequest entriesFrom(uint64_t index, size_t n, uint64_t term)
+{
+    DiskRequest request { .group = group, .hardState = HardState { term, VoterId { 9 } } };
+    for (size_t k = 0; k < n; ++k)
+        request.entries.push_back({ .index = index + k, .term = term, .kind = EntryKind::Command, .data = std::string(40, 'd') });
+    return request;
+}
+
+static Snapshot snapshotAt(uint64_t index, uint64_t term)
+{
+    const SnapshotMeta meta { .index = index, .term = term, .members = { .voters = { VoterId { 9 } }, .learners = {} } };
+    return { meta, std::make_shared<const std::string>("state at " + std::to_string(index)) };
+}
+
+/// Opens the storage, writes the requests one by one, and returns the first error or an empty text.
+static std::string writeAll(Disk& disk, const std::vector<DiskRequest>& requests, const StorageOptions& options = {})
+{
+    return handle(
+        [&]() -> Result<std::string> {
+            BOOST_LEAF_AUTO(storage, Storage::open(disk, options));
+            for (const auto& it : requests)
+                BOOST_LEAF_CHECK(storage->write({ &it, 1 }));
+            return std::string();
+        },
+        [](const Error& error) { return toString(error); });
+}
+
+struct Reopened {
+    std::string error;
+    GroupState state;
+    std::vector<LogRecord> log;
+};
+
+static Reopened reopen(Disk& disk, const StorageOptions& options = {})
+{
+    return handle(
+        [&]() -> Result<Reopened> {
+            BOOST_LEAF_AUTO(storage, Storage::open(disk, options));
+            return Reopened { {}, storage->takeRecovered()[group], storage->log() };
+        },
+        [](const Error& error) { return Reopened { toString(error), {}, {} }; });
+}
+
+static std::string lastSegment(Disk& disk)
+{
+    return handle(
+        [&]() -> Result<std::string> {
+            BOOST_LEAF_AUTO(names, disk.list());
+            std::string last;
+            for (const auto& name : names)
+                last = name.starts_with("log-") ? name : last;
+            return last;
+        },
+        [](const Error&) { return std::string(); });
+}
+
+// Guards against an incomplete last write that stops the voter, or that later appends follow and turn into damage.
+BOOST_AUTO_TEST_CASE(tornTailIsCutAndReported)
+{
+    for (size_t kept : { 1, 31, 32, 60, 100 }) {
+        FakeDisk disk;
+        auto storage = std::move(Storage::open(disk, {}).value());
+        const auto first = entriesFrom(1, 3, 1);
+        const auto second = entriesFrom(4, 3, 1);
+        BOOST_TEST(!!storage->write({ &first, 1 }));
+        disk.setFreeBytes(kept);
+        BOOST_TEST(!storage->write({ &second, 1 }));
+        disk.setFreeBytes(SIZE_MAX);
+        const Reopened torn = reopen(disk);
+        BOOST_TEST(torn.error == "");
+        BOOST_TEST(torn.state.entries.size() == 3);
+        BOOST_REQUIRE(torn.log.size() == 1);
+        BOOST_TEST(torn.log[0].code == "torn_tail_cut");
+        BOOST_TEST(writeAll(disk, { entriesFrom(4, 2, 1) }) == "");
+        BOOST_TEST(reopen(disk).state.entries.size() == 5);
+    }
+}
+
+// Guards against blocks of zeros, which a file system leaves when the length became durable first, passing for damage.
+BOOST_AUTO_TEST_CASE(zeroedTailIsCutAndReported)
+{
+    FakeDisk disk;
+    BOOST_TEST(writeAll(disk, { entriesFrom(1, 3, 1) }) == "");
+    BOOST_TEST(!!disk.append(lastSegment(disk), std::string(700, '\0')));
+    const Reopened cut = reopen(disk);
+    BOOST_TEST(cut.error == "");
+    BOOST_TEST(cut.state.entries.size() == 3);
+    BOOST_REQUIRE(cut.log.size() == 1);
+    BOOST_TEST(cut.log[0].code == "torn_tail_cut");
+}
+
+// Guards against damage of anything that was synced being taken for a torn tail, which would lose acknowledged entries.
+BOOST_AUTO_TEST_CASE(everyDamagedByteStopsTheVoter)
+{
+    FakeDisk disk;
+    BOOST_TEST(writeAll(disk, { entriesFrom(1, 2, 1), entriesFrom(3, 2, 1), entriesFrom(5, 1, 2) }) == "");
+    const std::string name = lastSegment(disk);
+    for (size_t offset = 0; offset < disk.size(name); ++offset) {
+        disk.corrupt(name, offset);
+        const std::string error = reopen(disk).error;
+        BOOST_TEST(error.find("recover " + name + ": the log is damaged at byte ") == 0, "offset " << offset << ": " << error);
+        disk.corrupt(name, offset);
+    }
+    BOOST_TEST(reopen(disk).state.entries.size() == 5);
+}
+
+// Guards against a voter that goes on after a failed write, when nobody knows what the disk holds.
+BOOST_AUTO_TEST_CASE(failedWriteStopsAllFurtherWrites)
+{
+    for (bool full : { true, false }) {
+        FakeDisk disk;
+        auto storage = std::move(Storage::open(disk, {}).value());
+        const auto first = entriesFrom(1, 3, 1);
+        BOOST_TEST(!!storage->write({ &first, 1 }));
+        if (full)
+            disk.setFreeBytes(10);
+        else
+            disk.failSyncAfter(1);
+        const auto second = entriesFrom(4, 3, 1);
+        BOOST_TEST(!storage->write({ &second, 1 }));
+        disk.setFreeBytes(SIZE_MAX);
+        BOOST_TEST(!storage->write({ &second, 1 }));
+        disk.crashClean();
+        BOOST_TEST(reopen(disk).state.entries.size() == 3);
+    }
+}
+
+// Guards against entries of a deposed leader that come back at a restart.
+BOOST_AUTO_TEST_CASE(conflictingSuffixIsReplaced)
+{
+    FakeDisk disk;
+    BOOST_TEST(writeAll(disk, { entriesFrom(1, 6, 1), entriesFrom(4, 1, 2) }) == "");
+    const auto state = reopen(disk).state;
+    BOOST_REQUIRE(state.entries.size() == 4);
+    BOOST_TEST(state.entries[2].term == 1);
+    BOOST_TEST(state.entries[3].term == 2);
+    BOOST_TEST(state.hardState.term == 2);
+}
+
+// Guards against old segments that are never dropped, and against a hard state that is dropped with them.
+BOOST_AUTO_TEST_CASE(segmentsBelowTheSnapshotAreDropped)
+{
+    FakeDisk disk;
+    std::vector<DiskRequest> requests;
+    for (uint64_t n = 0; n < 50; ++n) {
+        requests.push_back(entriesFrom(1 + n * 4, 4, 3));
+        if (n)
+            requests.back().hardState.reset();
+    }
+    DiskRequest snapshot { .group = group, .snapshot = snapshotAt(198, 3) };
+    requests.push_back(snapshot);
+    const StorageOptions small { .segmentBytes = 1000 };
+    BOOST_TEST(writeAll(disk, requests, small) == "");
+    BOOST_TEST(disk.list().value().size() <= 4U);
+    const auto state = reopen(disk, small).state;
+    BOOST_TEST(state.hardState.term == 3);
+    BOOST_TEST(*state.snapshot.bytes == "state at 198");
+    BOOST_REQUIRE(state.entries.size() == 2);
+    BOOST_TEST(state.entries[0].index == 199);
+}
+
+// Guards against an idle group whose few entries keep every segment of the busy groups.
+BOOST_AUTO_TEST_CASE(pinningGroupIsNamed)
+{
+    FakeDisk disk;
+    auto storage = std::move(Storage::open(disk, { .segmentBytes = 200, .maxSegments = 3 }).value());
+    DiskRequest idle = entriesFrom(1, 1, 1);
+    idle.group = { 5 };
+    BOOST_TEST(!!storage->write({ &idle, 1 }));
+    std::vector<GroupId> pinning;
+    for (uint64_t n = 0; n < 10; ++n) {
+        DiskRequest busy = entriesFrom(1 + n * 4, 4, 1);
+        busy.snapshot = snapshotAt(4 + n * 4, 1);
+        pinning = storage->write({ &busy, 1 }).value().pinning;
+    }
+    BOOST_REQUIRE(pinning.size() == 1);
+    BOOST_TEST(pinning[0].value == 5);
+}
+
+// Guards against a crash at any point of a snapshot installation or of a segment change that leaves an unreadable folder
+// or a state that is neither the former nor the next one.
+BOOST_AUTO_TEST_CASE(crashAtAnySyncKeepsADurablePrefix)
+{
+    const StorageOptions small { .segmentBytes = 300 };
+    std::vector<DiskRequest> requests { entriesFrom(1, 6, 1), entriesFrom(7, 2, 1), entriesFrom(7, 2, 2) };
+    DiskRequest install = entriesFrom(21, 2, 4);
+    install.snapshot = snapshotAt(20, 4);
+    install.discardLog = true;
+    requests.push_back(install);
+    requests.push_back(entriesFrom(23, 3, 4));
+    const std::vector<uint64_t> lastAfter { 0, 6, 8, 8, 22, 25 };
+    for (int failing = 1; failing < 30; ++failing) {
+        FakeDisk disk;
+        Random random(static_cast<uint64_t>(failing));
+        disk.failSyncAfter(failing);
+        size_t done = 0;
+        for (auto storage = std::move(Storage::open(disk, small).value()); done < requests.size(); ++done) {
+            if (!storage->write({ &requests[done], 1 }))
+                break;
+        }
+        disk.failSyncAfter(0);
+        disk.crash(random);
+        const Reopened after = reopen(disk, small);
+        BOOST_TEST(after.error == "", "sync " << failing << ": " << after.error);
+        const auto& entries = after.state.entries;
+        const uint64_t last = entries.empty() ? after.state.snapshot.meta.index : entries.back().index;
+        BOOST_TEST(last >= (done == 3 ? 8 : lastAfter[done]), "sync " << failing);
+        // Writing on after the restart has to give a readable folder again.
+        BOOST_TEST(writeAll(disk, { entriesFrom(last + 1, 1, 5) }, small) == "");
+        BOOST_TEST(reopen(disk, small).error == "");
+    }
+}
+
+// Guards against a data folder that was copied from another cluster.
+BOOST_AUTO_TEST_CASE(snapshotOfAnotherClusterIsRefused)
+{
+    FakeDisk disk;
+    const DiskRequest request { .group = group, .snapshot = snapshotAt(5, 1) };
+    BOOST_TEST(writeAll(disk, { request }, { .cluster = 1 }) == "");
+    BOOST_TEST(reopen(disk, { .cluster = 2 }).error == "recover snapshot-2-5: the snapshot belongs to another cluster");
+}
+
+// Guards against a damaged snapshot being restored.
+BOOST_AUTO_TEST_CASE(damagedSnapshotStopsTheVoter)
+{
+    FakeDisk disk;
+    const DiskRequest request { .group = group, .snapshot = snapshotAt(5, 1) };
+    BOOST_TEST(writeAll(disk, { request }) == "");
+    disk.corrupt("snapshot-2-5", disk.size("snapshot-2-5") / 2);
+    BOOST_TEST(reopen(disk).error == "recover snapshot-2-5: the snapshot is damaged; this voter must be replaced");
+}
+
+// Guards against POSIX calls that do not do what the fake does.
+BOOST_AUTO_TEST_CASE(fileDiskKeepsWhatWasWritten)
+{
+    const auto folder = std::filesystem::temp_directory_path() / ("siskinshunt-storage-test-" + std::to_string(::getpid()));
+    std::filesystem::remove_all(folder);
+    {
+        auto disk = std::move(FileDisk::open(folder).value());
+        DiskRequest snapshot = entriesFrom(4, 2, 1);
+        snapshot.snapshot = snapshotAt(3, 1);
+        BOOST_TEST(writeAll(*disk, { entriesFrom(1, 3, 1), snapshot }) == "");
+        BOOST_TEST(!!disk->append(lastSegment(*disk), "torn"));
+    }
+    auto disk = std::move(FileDisk::open(folder).value());
+    const Reopened after = reopen(*disk);
+    BOOST_TEST(after.error == "");
+    BOOST_TEST(after.log.size() == 1);
+    BOOST_TEST(after.state.snapshot.meta.index == 3);
+    BOOST_TEST(after.state.entries.size() == 2);
+    std::filesystem::remove_all(folder);
+}
