--- a/src/soak/ConsensusSoak.cpp
+++ b/src/soak/ConsensusSoak.cpp
@@ -249,7 +249,9 @@
     ConsensusSchedule schedule { .cluster = makeCluster(optionsOf(seed)), .faults = {}, .lost = {}, .replacement = {} };
     auto& cluster = schedule.cluster;
     foundGroups(cluster);
-    runFor(cluster, 1500_ms);
+    // Without a first commit the founder's disk is the only one that knows of the group, and emptying it ends the group.
+    for (size_t group = 0; group < cluster.options.groups; ++group)
+        awaitLeader(cluster, group, 10_s);
     for (int round = 0; round < 100 && cluster.violation.empty(); ++round) {
         proposeSome(schedule);
         if (cluster.random.chance(0.1))
