--- a/src/membership/Member.h
+++ b/src/membership/Member.h
@@ -57,6 +57,13 @@
     bool operator==(const MemberIdentity&) const = default;
 };
 
+/// Whether the strings are short enough for a record to fit into one datagram. Settings have to keep to it.
+inline bool fitsDatagram(const MemberIdentity& it)
+{
+    return !it.name.empty() && it.name.size() <= 128 && it.domain.size() <= 128 && it.udpAddress.size() <= 64 && it.tcpAddress.size() <= 64
+        && it.httpAddress.size() <= 64;
+}
+
 struct MemberRecord {
     MemberIdentity identity;
     MemberStatus status;
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -51,13 +51,15 @@
     TimeMs deadRetention { 6 * 3600 * 1000 }; ///< Regions lose each other for an hour now and then.
     TimeMs recontactInterval { 5000 }; ///< One dead member is pinged per interval.
     TimeMs seedInterval { 30000 }; ///< One seed that is no live member is pinged per interval; 1 s while alone.
-    TimeMs syncInterval { 10000 }; ///< Digest comparison while tables agree; 1 s while they differ.
+    TimeMs syncInterval { 10000 }; ///< Digest comparison while tables agree.
+    TimeMs syncIntervalDiffering { 500 }; ///< The same while most exchanges show another digest.
     size_t maxMembers = 1024;
     size_t datagramLimit = 800; ///< Payload of a usual datagram; never above maxDatagram.
     size_t bytesPerSecond = 13000; ///< Both ways with IP and UDP headers; above it datagrams carry no deltas.
     size_t loadBytesPerSecond = 10000; ///< Above it datagrams carry no loads.
     size_t loadBytesPerDatagram = 340;
-    size_t syncChunk = 5000; ///< Bytes of one TableRecords frame.
+    size_t syncChunk = 3000; ///< Bytes of one TableRecords frame.
+    size_t syncBytesPerSecond = 14000; ///< A TableRecords frame that would exceed it is not sent; the peer asks again.
     UpstreamTableOptions upstreams;
 };
 
@@ -152,6 +154,7 @@
     std::vector<NodeId> domainRing; ///< Those of this node's failure domain.
     bool ringsStale = true;
     uint32_t round = 0; ///< Shared count of rounds, which decides the partners of each round.
+    uint32_t seenRound = 0; ///< Highest round of any member.
     uint32_t nextProbe = 1;
     uint64_t nextSequence = 0;
     std::map<uint32_t, Probe> probes;
