Weigh the load of an upstream in the choice under the target

The baseline prefix_hash_only now sends prompts shorter than its key to a random upstream, which is fairer to it.

--- a/src/bench/PolicySim.cpp
+++ b/src/bench/PolicySim.cpp
@@ -225,8 +225,10 @@
     int prefixHashOnly(Sim& sim, const EngineRequest& request)
     {
         const auto& blocks = request.blocks;
-        const size_t used = std::min<size_t>(blocks.size(), sim.options.router.affinityBlocks);
-        const uint64_t key = blocks.empty() ? sim.random.next() : blocks[used - 1];
+        // A prompt shorter than the key goes to a random upstream: calls that share only an instruction would else all meet
+        // at one upstream.
+        const size_t used = sim.options.router.affinityBlocks;
+        const uint64_t key = blocks.size() < used ? sim.random.next() : blocks[used - 1];
         int best = -1;
         uint64_t bestRank = 0;
         for (size_t n = 0; n < sim.fleet.size(); ++n) {
--- a/src/bench/PolicySim.h
+++ b/src/bench/PolicySim.h
@@ -14,7 +14,7 @@
     Siskinshunt,
     RoundRobin, ///< In turn over the upstreams that may take work.
     LeastLoad, ///< Fewest calls: reported ones of others plus own ones in flight.
-    PrefixHashOnly, ///< Rendezvous hash of the prompt's first blocks; at random for prompts without a full block.
+    PrefixHashOnly, ///< Rendezvous hash of the prompt's first blocks; at random for prompts with fewer blocks.
 };
 
 template <>
--- a/src/routing/Choice.cpp
+++ b/src/routing/Choice.cpp
@@ -5,6 +5,7 @@
 #include "routing/Router.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace siskinshunt {
 
@@ -151,6 +152,16 @@
         return excess * decision.partUpToPriority * decision.pool.callMs / std::max<uint32_t>(row.load.capacity, 1);
     }
 
+    /// Price of the work that the call adds: its prefill, what it waits for, and the slowing of the calls beside it.
+    double workCost(const Decision& decision, const TargetRow& row, const Estimate& it)
+    {
+        const double stepMs = row.load.tokensPerSecond > 0 ? 1000 / row.load.tokensPerSecond : 10;
+        const double calls = row.othersCalls + row.ownCalls;
+        const double workMs = it.prefillMs + it.queueMs + decision.router.options.loadWeight * calls * stepMs;
+        const double risk = row.target.reclaimRisk * decision.pool.callMs / 3.6e6;
+        return workMs * std::pow(row.target.pricePerHour, decision.router.options.priceWeight) * (1 + risk);
+    }
+
     Estimate estimate(const Decision& decision, uint32_t slot)
     {
         const auto& row = decision.router.rows[slot];
@@ -166,10 +177,7 @@
         const double uncached = request.promptTokens - out.cachedTokens;
         out.queueMs = ahead / rate * 1000 + slotWaitMs(decision, row) + (row.ownDomain ? 0 : decision.router.options.crossDomainMs);
         out.prefillMs = uncached / rate * 1000;
-        const double decodeMs = row.load.tokensPerSecond > 0 ? request.outputTokens * 1000 / row.load.tokensPerSecond : 0;
-        const double busyMs = out.prefillMs + decodeMs / std::max<uint32_t>(row.load.capacity, 1);
-        const double risk = row.target.reclaimRisk * (busyMs + decodeMs) / 3.6e6;
-        out.cost = row.target.pricePerHour * (busyMs + out.queueMs) * (1 + risk);
+        out.cost = workCost(decision, row, out);
         return out;
     }
 
--- a/src/routing/Router.h
+++ b/src/routing/Router.h
@@ -32,6 +32,8 @@
     uint32_t subsetSize = 64; ///< Upstreams of one pool and version that this node uses.
     double targetMargin = 0.5; ///< Part of the first-token target that the expected time may take.
     double crossDomainMs = 2; ///< Added to the expected time of upstreams of other failure domains.
+    double loadWeight = 3; ///< Weight of the calls at an upstream against the uncached prefill, per call and step time.
+    double priceWeight = 1; ///< Exponent of the price in the cost of a choice.
     uint32_t affinityBlocks = 4; ///< The rendezvous key of a prompt covers at most this many blocks.
     uint32_t indexCapacity = 1 << 16; ///< Blocks of the prefix index.
     TimeMs sharedClockOffset; ///< Added to `now` for times that nodes agree on.
