Add the daemon: HTTP server, upstream client, peer transport, disk thread

The node step is driven by one event loop; a second thread only writes and syncs, and gathers the requests that arrive while a write is under way.

--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -6,7 +6,7 @@
     # GCC 12 reports false positives of these two on std::string concatenation and std::optional at -O2.
     target_compile_options(siskinshunt_flags INTERFACE -Wno-restrict -Wno-maybe-uninitialized)
 endif()
-target_compile_definitions(siskinshunt_flags INTERFACE BOOST_ALL_DYN_LINK BOOST_LOG_DYN_LINK BOOST_ASIO_NO_DEPRECATED)
+target_compile_definitions(siskinshunt_flags INTERFACE SISKINSHUNT_VERSION="${PROJECT_VERSION}" BOOST_ALL_DYN_LINK BOOST_LOG_DYN_LINK BOOST_ASIO_NO_DEPRECATED)
 target_include_directories(siskinshunt_flags INTERFACE ${CMAKE_SOURCE_DIR}/src)
 target_link_libraries(siskinshunt_flags INTERFACE Boost::headers Threads::Threads)
 if(SISKINSHUNT_SANITIZE)
--- /dev/null
+++ b/src/entry/Daemon.cpp
@@ -0,0 +1,256 @@
+#include "entry/Daemon.h"
+
+#include "base/Hash.h"
+#include "base/Invariant.h"
+#include "entry/DiskThread.h"
+#include "entry/HttpServer.h"
+#include "entry/Log.h"
+#include "entry/PeerTransport.h"
+#include "entry/UpstreamClient.h"
+#include "node/Node.h"
+#include "storage/FileDisk.h"
+#include "storage/Identity.h"
+#include "storage/Storage.h"
+
+#include <boost/asio.hpp>
+#include <chrono>
+#include <random>
+
+namespace siskinshunt {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    // Milliseconds since 1970 at the start, then the monotonic clock, so that the time never goes back.
+    class NodeClock {
+    public:
+        NodeClock()
+            : m_startUtc(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count())
+            , m_start(std::chrono::steady_clock::now())
+        {
+        }
+
+        TimeMs now() const
+        {
+            return { m_startUtc + std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_start).count() };
+        }
+
+    private:
+        int64_t m_startUtc;
+        std::chrono::steady_clock::time_point m_start;
+    };
+
+    // The data folder of a node that has one.
+    struct DataFolder {
+        std::unique_ptr<FileDisk> disk;
+        std::unique_ptr<Storage> storage;
+        VoterId voter;
+        std::map<GroupId, GroupState> recovered;
+    };
+
+    class Daemon {
+    public:
+        Daemon(const Settings&, const NodeClock&, NodePtr, DataFolder);
+        int run();
+
+    private:
+        void apply(Inputs);
+        void carry(Outputs&);
+        void writeDisk(std::vector<DiskRequest>);
+        void diskWritten(std::vector<DiskCompletion>);
+        void tick();
+        void waitForSignal();
+
+        const Settings& m_settings;
+        const NodeClock& m_clock;
+        NodePtr m_node;
+        DataFolder m_folder;
+        asio::io_context m_context { 1 };
+        asio::signal_set m_signals { m_context, SIGTERM, SIGINT };
+        asio::steady_timer m_timer { m_context };
+        HttpServer m_server;
+        UpstreamClient m_client;
+        PeerTransport m_transport;
+        std::vector<DiskRequest> m_waitingDisk; ///< Gather while a write is under way: one sync covers all of them.
+        bool m_writing = false;
+        bool m_drainAsked = false;
+        int m_exitCode = 0;
+        DiskThread m_diskThread; ///< Last, so that its work ends before anything it refers to.
+    };
+
+}
+
+static Result<DataFolder> openDataFolder(const Settings& settings)
+{
+    DataFolder out;
+    if (settings.dataFolder.empty())
+        return out;
+    BOOST_LEAF_ASSIGN(out.disk, FileDisk::open(settings.dataFolder));
+    std::random_device device;
+    const VoterId fresh { static_cast<uint64_t>(device()) << 32 | device() | 1 };
+    BOOST_LEAF_AUTO(identity, openIdentity(*out.disk, { .cluster = settings.cluster, .node = settings.node, .voter = fresh }));
+    out.voter = identity.voter;
+    BOOST_LEAF_ASSIGN(out.storage, Storage::open(*out.disk, { .cluster = hash64(settings.cluster) }));
+    for (const auto& record : out.storage->log())
+        writeLog(record);
+    out.recovered = out.storage->takeRecovered();
+    return out;
+}
+
+Daemon::Daemon(const Settings& settings, const NodeClock& clock, NodePtr node, DataFolder folder)
+    : m_settings(settings)
+    , m_clock(clock)
+    , m_node(std::move(node))
+    , m_folder(std::move(folder))
+    , m_server(m_context, { .listen = settings.http, .limits = settings.limits, .tls = settings.tls },
+          {
+              .arrived = [this](RequestArrived arrived) {
+                  Inputs inputs;
+                  inputs.requests.push_back(std::move(arrived));
+                  apply(std::move(inputs)); },
+              .gone = [this](ExchangeId exchange) {
+                  Inputs inputs;
+                  inputs.gone.push_back(exchange);
+                  apply(std::move(inputs)); },
+              .log = writeLog,
+          })
+    , m_client(m_context, { .idleProbeAfter = settings.timings.idleProbeAfter }, [this](UpstreamEvent event) {
+        Inputs inputs;
+        inputs.events.push_back(std::move(event));
+        apply(std::move(inputs));
+    })
+    , m_transport(m_context, { .listen = settings.peer }, {
+                                                              .datagram = [this](std::string bytes, Endpoint from) {
+                  Inputs inputs;
+                  inputs.datagrams.push_back({ toString(from), std::move(bytes) });
+                  apply(std::move(inputs)); },
+                                                              .frame = [this](std::string bytes) {
+                  Inputs inputs;
+                  inputs.frames.push_back(std::move(bytes));
+                  apply(std::move(inputs)); },
+                                                              .log = writeLog,
+                                                          })
+{
+}
+
+void Daemon::apply(Inputs inputs)
+{
+    Outputs outputs;
+    step(*m_node, m_clock.now(), std::move(inputs), outputs);
+    carry(outputs);
+}
+
+void Daemon::carry(Outputs& outputs)
+{
+    for (const auto& record : outputs.log)
+        writeLog(record);
+    for (auto& answer : outputs.answers)
+        m_server.answer(std::move(answer));
+    for (const DispatchId dispatch : outputs.cancels)
+        m_client.cancel(dispatch);
+    for (const auto& address : outputs.replacedPools)
+        m_client.replacePool(address);
+    for (auto& dispatch : outputs.dispatches)
+        m_client.dispatch(std::move(dispatch));
+    for (const auto& datagram : outputs.datagrams)
+        m_transport.send(datagram);
+    for (auto& frame : outputs.frames)
+        m_transport.send(std::move(frame));
+    if (!outputs.disk.empty())
+        writeDisk(std::move(outputs.disk));
+    if (outputs.stop)
+        m_context.stop();
+}
+
+void Daemon::writeDisk(std::vector<DiskRequest> requests)
+{
+    for (auto& request : requests)
+        m_waitingDisk.push_back(std::move(request));
+    if (m_writing || m_waitingDisk.empty())
+        return;
+    m_writing = true;
+    auto batch = std::make_shared<std::vector<DiskRequest>>(std::move(m_waitingDisk));
+    m_waitingDisk.clear();
+    m_diskThread.post([this, batch] {
+        std::string problem;
+        const bool ok = handle(
+            [&]() -> Result<bool> {
+                BOOST_LEAF_CHECK(m_folder.storage->write(*batch));
+                return true;
+            },
+            [&](const Error& error) { problem = toString(error); return false; });
+        std::vector<DiskCompletion> completions;
+        for (const auto& request : *batch)
+            completions.push_back({ request.group, request.id, ok, problem });
+        asio::post(m_context, [this, completions = std::move(completions)]() mutable { diskWritten(std::move(completions)); });
+    });
+}
+
+void Daemon::diskWritten(std::vector<DiskCompletion> completions)
+{
+    m_writing = false;
+    Inputs inputs;
+    inputs.completions = std::move(completions);
+    apply(std::move(inputs));
+    writeDisk({});
+}
+
+void Daemon::tick()
+{
+    m_timer.expires_after(std::chrono::milliseconds(m_settings.timings.tick.value));
+    m_timer.async_wait([this](boost::system::error_code ec) {
+        if (ec)
+            return;
+        apply({});
+        tick();
+    });
+}
+
+void Daemon::waitForSignal()
+{
+    m_signals.async_wait([this](boost::system::error_code ec, int signal) {
+        if (ec)
+            return;
+        if (signal == SIGINT || m_drainAsked) {
+            writeLog({ LogLevel::Warning, "stopped", Step::Command, {}, "stopped by a signal without draining", {} });
+            return m_context.stop();
+        }
+        m_drainAsked = true;
+        writeLog({ LogLevel::Info, "drain_started", Step::Command, {}, "SIGTERM: leaving the entry addresses, then stopping", {} });
+        Inputs inputs;
+        inputs.drain = true;
+        apply(std::move(inputs));
+        waitForSignal();
+    });
+}
+
+int Daemon::run()
+{
+    m_server.start();
+    m_transport.start();
+    waitForSignal();
+    tick();
+    writeLog({ LogLevel::Info, "started", Step::Accept, toString(m_settings.http), "serving", { { "peer_address", toString(m_settings.peer) }, { "data_folder", m_settings.dataFolder } } });
+    m_context.run();
+    writeLog({ LogLevel::Info, "exiting", Step::Command, {}, "the process ends", {} });
+    return m_exitCode;
+}
+
+Result<int> runDaemon(const Settings& settings)
+{
+    startLog(settings.node, settings.logLevel);
+    setInvariantHandler([](const std::string& line) { writeLog({ LogLevel::Error, "invariant_failed", Step::Command, {}, line, {} }); });
+    const NodeClock clock;
+    BOOST_LEAF_AUTO(folder, openDataFolder(settings));
+    std::random_device device;
+    NodeOptions options { .settings = settings, .startedAtUtc = clock.now(), .seed = static_cast<uint64_t>(device()) << 32 | device(), .voter = folder.voter, .recovered = std::move(folder.recovered) };
+    BOOST_LEAF_AUTO(node, makeNode(std::move(options), clock.now()));
+    try {
+        return Daemon(settings, clock, std::move(node), std::move(folder)).run();
+    } catch (const boost::system::system_error& error) {
+        return fail(ErrorCode::Io, Step::Accept, toString(settings.http), error.what());
+    }
+}
+
+}
--- a/src/entry/PeerTransport.cpp
+++ b/src/entry/PeerTransport.cpp
@@ -194,6 +194,7 @@
             lastPing = now;
             sent += lengthBytes;
             co_await asio::async_write(link->socket, asio::buffer(emptyFrame), asio::redirect_error(asio::use_awaitable, ec));
+            continue;
         }
         error_code ignored;
         link->wake.expires_after(toChrono(options.heartbeat));
--- a/src/node/CallFlow.cpp
+++ b/src/node/CallFlow.cpp
@@ -357,8 +357,8 @@
     if (it == node.router.pools.end())
         return false;
     for (const auto& group : it->second.groups) {
-        for (const uint32_t slot : group.subset) {
-            const auto& row = node.router.rows[slot];
+        for (const auto& entry : group.subset) {
+            const auto& row = node.router.rows[entry.slot];
             if (row.ownCalls + row.othersCalls < row.load.capacity + row.load.capacity / 4 + 2)
                 return true;
         }
@@ -412,6 +412,7 @@
     if (!upstream)
         return false;
     call.upstream = choice.upstream;
+    call.expectedCached = choice.cachedTokens;
     call.upstreamName = upstream->announced.name;
     call.address = upstream->announced.address;
     call.version = upstream->announced.version;
@@ -480,8 +481,8 @@
     dispatch.connectTimeout = node.options.settings.timings.connectTimeout;
     dispatch.firstByteTimeout = firstByteTimeout(node, call);
     dispatch.progressTimeout = node.options.settings.timings.progressTimeout;
-    const uint32_t uncached = static_cast<uint32_t>(call.model.promptTokens);
-    recordSent(node.router, { .call = call.id, .attempt = call.attempts, .upstream = call.upstream, .priority = call.priority, .uncachedTokens = uncached }, node.now);
+    const auto tokens = static_cast<uint32_t>(call.model.promptTokens + call.stream.offset);
+    recordSent(node.router, { .call = call.id, .attempt = call.attempts, .upstream = call.upstream, .priority = call.priority, .promptTokens = tokens, .cachedTokens = call.expectedCached }, node.now);
     if (auto* histograms = histogramsOf(node, call); histograms && call.attempts == 1)
         histograms->queued.record(static_cast<uint64_t>((node.now - call.arrived).value) * 1000);
     node.counters.add("dispatches");
--- a/src/node/Groups.cpp
+++ b/src/node/Groups.cpp
@@ -87,9 +87,9 @@
     return {};
 }
 
-bool leadsGroup(const Node&, const Group& group)
+bool leadsGroup(const Node& node, const Group& group)
 {
-    return group.replica && canRead(*group.replica);
+    return canRead(*group.replica, node.now);
 }
 
 static void finishCommand(Node& node, uint64_t request, bool applied, const std::string& reply)
@@ -170,7 +170,7 @@
         const auto state = status(*group.replica);
         if (state.role == Role::Leader) {
             if (command.command.empty()) {
-                if (canRead(*group.replica) && group.ledger)
+                if (canRead(*group.replica, node.now) && group.ledger)
                     finishCommand(node, request, true, lookUpHere(group, command.call, command.account));
                 return;
             }
@@ -217,7 +217,7 @@
     const bool ok = handle(
         [&]() -> Result<bool> {
             BOOST_LEAF_AUTO(message, decode<Message>(body, maxMessageBytes));
-            receive(*it->second.replica, message);
+            receive(*it->second.replica, message, node.now);
             return true;
         },
         [](const Error&) { return false; });
@@ -264,7 +264,7 @@
     if (it == node.groups.end() || !it->second.ledger || !frame.request)
         return countDrop(node, DropReason::BadGroup);
     Group& group = it->second;
-    LookUpReplyFrame reply { .request = frame.request, .answered = canRead(*group.replica), .reply = {}, .leader = status(*group.replica).leader };
+    LookUpReplyFrame reply { .request = frame.request, .answered = canRead(*group.replica, node.now), .reply = {}, .leader = status(*group.replica).leader };
     if (reply.answered)
         reply.reply = lookUpHere(group, frame.call, frame.account);
     sendFrame(node, from, FrameKind::LookUpReply, id, encode(reply));
--- a/src/node/LeaderFlow.cpp
+++ b/src/node/LeaderFlow.cpp
@@ -278,8 +278,10 @@
     if (requests.empty())
         return;
     if (node.leadsDecisions) {
-        for (const auto& request : requests)
-            takeLeaseGrant(node.limiter, grant(node.leader.grantor, request, node.now), node.now);
+        for (const auto& request : requests) {
+            if (const auto given = grant(node.leader.grantor, request, node.now))
+                takeLeaseGrant(node.limiter, *given, node.now);
+        }
         return;
     }
     std::vector<LeaseRequestItem> items;
@@ -298,7 +300,8 @@
     std::vector<LeaseGrantItem> grants;
     for (const auto& item : items) {
         const auto given = grant(node.leader.grantor, { .node = from, .key = item.key, .sequence = item.sequence, .demand = item.demand, .share = item.share }, node.now);
-        grants.push_back({ given.key, given.sequence, given.share, given.validity, given.nodes });
+        if (given)
+            grants.push_back({ given->key, given->sequence, given->share, given->validity, given->nodes });
     }
     if (!grants.empty())
         sendFrame(node, from, FrameKind::LeaseGrants, {}, encode(grants));
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -52,7 +52,7 @@
     , self(idOfName<NodeId>(options.settings.node))
     , owner { self, static_cast<uint64_t>(options.startedAtUtc.value) }
     , cluster(hash64(options.settings.cluster))
-    , key(makeMacKey(options.settings.peerKey))
+    , key { options.settings.peerKey }
     , now(options.startedAtUtc)
     , random(options.seed + 2)
     , frameSequence(firstSequence(options.startedAtUtc))
--- a/src/replica/Replica.h
+++ b/src/replica/Replica.h
@@ -60,7 +60,7 @@
 };
 
 /// Progress of another member as the leader sees it.
-struct MemberStatus {
+struct FollowerStatus {
     VoterId voter;
     bool learner = false;
     uint64_t match = 0; ///< Highest index known to be durable there.
@@ -81,7 +81,7 @@
     uint64_t snapshotIndex = 0;
     std::vector<VoterId> voters;
     std::vector<VoterId> learners;
-    std::vector<MemberStatus> members;
+    std::vector<FollowerStatus> members;
     uint64_t droppedMessages = 0; ///< Of another cluster or group, not addressed to this voter, or out of bounds.
     std::string failure; ///< Why the replica has stopped; empty while it works.
 };
