Add the stand-ins and siskinshuntctl fakes

Experiments need engines, plain services, a platform API and a weight store whose answers a client can check completely. Answers are functions of the prompt alone, so a lost, cut or crossed answer shows without a record of it. Asio, Beast and JSON headers are in four source files only; the rest sees the plain headers Loop, HttpServer, HttpClient and Json.

--- /dev/null
+++ b/src/experiment/Commands.cpp
@@ -0,0 +1,59 @@
+#include "experiment/Commands.h"
+
+#include "experiment/CommandOptions.h"
+#include "experiment/Fakes.h"
+
+#include <algorithm>
+#include <iostream>
+
+namespace siskinshunt {
+
+namespace {
+    struct Command {
+        const char* name;
+        const char* summary;
+        int (*run)(const std::vector<std::string>&);
+    };
+
+    constexpr Command commands[] = {
+        { "fakes", "serve the stand-ins of a file: engines, services, platform, weight store", runFakesCommand },
+    };
+}
+
+static int printUsage(std::ostream& out, int code)
+{
+    out << "usage: siskinshuntctl COMMAND [OPTIONS]\n\ncommands:\n";
+    for (const auto& it : commands)
+        out << "  " << it.name << std::string(12 - std::string_view(it.name).size(), ' ') << it.summary << '\n';
+    out << "\nsiskinshuntctl COMMAND --help describes the options of a command.\n"
+           "exit codes: 0 ok; 1 the answer is no or a check failed; 2 usage or input error; 3 the system cannot be reached\n";
+    return code;
+}
+
+int runCommandLine(int argc, char** argv)
+{
+    const std::vector<std::string> all(argv + 1, argv + argc);
+    if (all.empty())
+        return printUsage(std::cerr, exits::usage);
+    if (all[0] == "--help" || all[0] == "-h" || all[0] == "help")
+        return printUsage(std::cout, exits::ok);
+    for (const auto& it : commands) {
+        if (all[0] == it.name)
+            return it.run({ all.begin() + 1, all.end() });
+    }
+    std::cerr << "siskinshuntctl: unknown command " << all[0] << '\n';
+    return printUsage(std::cerr, exits::usage);
+}
+
+int runFakesCommand(const std::vector<std::string>& arguments)
+{
+    CommandOptions options("siskinshuntctl fakes --config FILE", "Serves the stand-ins of the file until SIGINT or SIGTERM.");
+    options.add("config", "stand-ins file (JSON with comments)");
+    if (const auto code = options.parse(arguments))
+        return *code;
+    if (!options.require({ "config" }))
+        return exits::usage;
+    return runFakes(options.text("config"));
+}
+
+}
--- /dev/null
+++ b/src/experiment/Commands.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace siskinshunt {
+
+/// Exit codes of siskinshuntctl.
+namespace exits {
+    constexpr int ok = 0;
+    constexpr int no = 1; ///< The answer is no, or a check failed.
+    constexpr int usage = 2; ///< Usage or input error.
+    constexpr int unreachable = 3; ///< The system cannot be reached.
+}
+
+/// Runs siskinshuntctl; returns its exit code.
+int runCommandLine(int argc, char** argv);
+
+/// The subcommands; `arguments` are those after the name of the subcommand.
+int runFakesCommand(const std::vector<std::string>& arguments);
+
+}
--- /dev/null
+++ b/src/experiment/FakeFleet.cpp
@@ -0,0 +1,187 @@
+#include "experiment/FakeFleet.h"
+
+#include <algorithm>
+
+namespace siskinshunt {
+
+FakeFleet::FakeFleet(Loop& loop, const FakesConfig& config)
+    : m_loop(loop)
+    , m_config(config)
+    , m_surroundings { .faults = {}, .weights = WeightStore(config.weights.perSecond, config.weights.burst), .random = Random(config.seed) }
+{
+    for (const auto& it : config.engines)
+        addInstance(addEngine(it), it.identity.name, it.identity.reclaimable ? "reclaimable" : "on-demand", "stopped");
+    for (const auto& it : config.services) {
+        m_upstreams.push_back(std::make_unique<FakeService>(loop, it, AnnounceOptions { config.daemons, config.announceToken }, m_executions));
+        addInstance(*m_upstreams.back(), it.identity.name, it.identity.reclaimable ? "reclaimable" : "on-demand", "stopped");
+    }
+}
+
+FakeUpstream& FakeFleet::addEngine(FakeEngineConfig config)
+{
+    auto engine = std::make_unique<FakeEngine>(m_loop, std::move(config), AnnounceOptions { m_config.daemons, m_config.announceToken }, m_surroundings);
+    m_engines.push_back(engine.get());
+    m_upstreams.push_back(std::move(engine));
+    return *m_upstreams.back();
+}
+
+void FakeFleet::addInstance(FakeUpstream& upstream, const std::string& id, const std::string& kind, const std::string& state)
+{
+    const auto& identity = upstream.identity();
+    m_instances[id] = { .id = id, .domain = identity.domain, .machine = identity.machine, .kind = kind, .state = state, .address = identity.address, .upstream = &upstream };
+    upstream.onStopped([this, id] {
+        charge();
+        m_instances[id].state = "stopped";
+    });
+}
+
+Result<void> FakeFleet::start()
+{
+    m_chargedAt = m_loop.now();
+    for (auto& [id, instance] : m_instances) {
+        BOOST_LEAF_CHECK(instance.upstream->start());
+        instance.state = "running";
+    }
+    return {};
+}
+
+std::string FakeFleet::freeAddress() const
+{
+    for (const auto& address : m_config.platform.addressPool) {
+        const bool used = std::any_of(m_instances.begin(), m_instances.end(), [&](const auto& it) {
+            return it.second.address == address && it.second.state != "stopped";
+        });
+        if (!used)
+            return address;
+    }
+    return {};
+}
+
+FakeFleet::StartVerdict FakeFleet::startInstance(const Json& order)
+{
+    const std::string id(order["id"].asText());
+    if (m_instances.contains(id))
+        return StartVerdict::Known;
+    const std::string domain(order["domain"].asText());
+    const auto address = freeAddress();
+    if (address.empty() || m_refusing.contains(domain) || m_refusing.contains("*"))
+        return StartVerdict::Refused;
+    auto config = m_config.platform.engine;
+    const auto kind = order["kind"].asText();
+    config.identity = { .name = id, .address = address, .domain = domain, .machine = std::string(order["machine"].asText()), .model = std::string(order["model"].asText()), .version = std::string(order["version"].asText()), .checksFencing = m_config.platform.engine.identity.checksFencing, .reclaimable = kind != "on-demand" };
+    charge();
+    auto& upstream = addEngine(config);
+    addInstance(upstream, id, kind == "on-demand" ? "on-demand" : "reclaimable", "starting");
+    m_loop.after(m_config.platform.startTime, [this, id] {
+        auto& instance = m_instances[id];
+        if (instance.state != "starting")
+            return;
+        const bool started = handle([&]() -> Result<bool> { BOOST_LEAF_CHECK(instance.upstream->start()); return true; }, [](const Error&) { return false; });
+        instance.state = started ? "running" : "stopped";
+    });
+    return StartVerdict::Created;
+}
+
+bool FakeFleet::stopInstance(const std::string& id)
+{
+    const auto it = m_instances.find(id);
+    if (it == m_instances.end())
+        return false;
+    charge();
+    it->second.state = "stopped";
+    it->second.upstream->stop();
+    return true;
+}
+
+void FakeFleet::refuseStarts(const std::string& domain, bool refuse)
+{
+    const std::string key = domain.empty() ? "*" : domain;
+    if (refuse)
+        m_refusing.insert(key);
+    else
+        m_refusing.erase(key);
+}
+
+std::vector<FakeUpstream*> FakeFleet::select(std::string_view name, std::string_view domain)
+{
+    std::vector<FakeUpstream*> out;
+    for (const auto& it : m_upstreams) {
+        const auto& identity = it->identity();
+        if ((!name.empty() && identity.name == name) || (!domain.empty() && identity.domain == domain))
+            out.push_back(it.get());
+    }
+    return out;
+}
+
+Json FakeFleet::describeUpstreams()
+{
+    auto list = Json::array();
+    for (const auto& it : m_upstreams)
+        list.push(it->describe());
+    return Json::object({ { "upstreams", list } });
+}
+
+Json FakeFleet::describeInstances() const
+{
+    auto list = Json::array();
+    for (const auto& [id, it] : m_instances) {
+        const auto& identity = it.upstream->identity();
+        list.push(Json::object({ { "id", id }, { "domain", it.domain }, { "machine", it.machine }, { "kind", it.kind }, { "state", it.state }, { "address", it.address }, { "model", identity.model }, { "version", identity.version } }));
+    }
+    return Json::object({ { "instances", list } });
+}
+
+Json FakeFleet::describeNotices()
+{
+    auto list = Json::array();
+    for (const auto& [id, it] : m_instances) {
+        if (const auto left = it.upstream->reclaimIn())
+            list.push(Json::object({ { "id", id }, { "name", it.upstream->identity().name }, { "domain", it.domain }, { "reclaim_in_ms", *left } }));
+    }
+    return Json::object({ { "notices", list } });
+}
+
+Json FakeFleet::describePrices() const
+{
+    auto list = Json::array();
+    for (const auto& it : m_config.platform.prices)
+        list.push(Json::object({ { "domain", it.domain }, { "machine", it.machine }, { "kind", it.kind }, { "per_hour", it.perHour } }));
+    return Json::object({ { "prices", list } });
+}
+
+double FakeFleet::perHour() const
+{
+    double out = 0;
+    for (const auto& [id, instance] : m_instances) {
+        if (!instance.upstream->up() && instance.state != "starting")
+            continue;
+        for (const auto& price : m_config.platform.prices) {
+            if (price.domain == instance.domain && price.machine == instance.machine && price.kind == instance.kind)
+                out += price.perHour;
+        }
+    }
+    return out;
+}
+
+void FakeFleet::charge()
+{
+    const auto now = m_loop.now();
+    m_spent += perHour() * (now - m_chargedAt).seconds() / 3600;
+    m_chargedAt = now;
+}
+
+Json FakeFleet::describeCost()
+{
+    charge();
+    EngineTotals sum;
+    for (const auto* it : m_engines) {
+        const auto totals = it->totals();
+        sum.prefilledTokens += totals.prefilledTokens;
+        sum.cachedTokens += totals.cachedTokens;
+        sum.resumedTokens += totals.resumedTokens;
+        sum.decodedTokens += totals.decodedTokens;
+    }
+    return Json::object({ { "per_hour", perHour() }, { "spent", m_spent }, { "prefilled_tokens", sum.prefilledTokens }, { "cached_tokens", sum.cachedTokens }, { "resumed_tokens", sum.resumedTokens }, { "decoded_tokens", sum.decodedTokens }, { "weight_fetches", m_surroundings.weights.fetches() } });
+}
+
+}
--- /dev/null
+++ b/src/experiment/FakeFleet.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "experiment/FakeEngine.h"
+#include "experiment/FakeService.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace siskinshunt {
+
+/// All upstream stand-ins of one process, and the instances that they run on.
+class FakeFleet {
+public:
+    /// What became of a start through the platform API.
+    enum class StartVerdict : uint8_t {
+        Created,
+        Known,
+        Refused, ///< Starts are refused in that domain, or no address is left.
+    };
+    struct Instance {
+        std::string id;
+        std::string domain;
+        std::string machine;
+        std::string kind; ///< reclaimable or on-demand.
+        std::string state; ///< starting, running, stopped.
+        std::string address;
+        FakeUpstream* upstream = nullptr;
+    };
+
+    FakeFleet(Loop&, const FakesConfig&);
+
+    /// Starts every configured upstream. Fails when a port is taken.
+    Result<void> start();
+
+    StartVerdict startInstance(const Json& order);
+    /// False when the id is unknown.
+    bool stopInstance(const std::string& id);
+    void refuseStarts(const std::string& domain, bool refuse);
+    /// Upstreams whose name or failure domain matches; an empty text matches none.
+    std::vector<FakeUpstream*> select(std::string_view name, std::string_view domain);
+
+    EngineSurroundings& surroundings() { return m_surroundings; }
+    const Executions& executions() const { return m_executions; }
+    Json describeUpstreams();
+    Json describeInstances() const;
+    Json describeNotices();
+    Json describePrices() const;
+    /// `{"per_hour","spent","prefilled_tokens","resumed_tokens","cached_tokens","decoded_tokens","weight_fetches"}`.
+    Json describeCost();
+
+private:
+    FakeUpstream& addEngine(FakeEngineConfig);
+    void addInstance(FakeUpstream&, const std::string& id, const std::string& kind, const std::string& state);
+    std::string freeAddress() const;
+    double perHour() const;
+    void charge();
+
+    Loop& m_loop;
+    const FakesConfig& m_config;
+    EngineSurroundings m_surroundings;
+    Executions m_executions;
+    std::vector<std::unique_ptr<FakeUpstream>> m_upstreams;
+    std::vector<FakeEngine*> m_engines;
+    std::map<std::string, Instance> m_instances;
+    std::set<std::string> m_refusing;
+    double m_spent = 0;
+    TimeMs m_chargedAt;
+};
+
+}
--- /dev/null
+++ b/src/experiment/FakeService.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "experiment/FakeUpstream.h"
+
+#include <map>
+#include <string>
+
+namespace siskinshunt {
+
+/// Every once-only execution over all services of the process, by booking id. It outlives the restart of a service.
+class Executions {
+public:
+    void record(const std::string& key, const std::string& service) { m_counts[key].push_back(service); }
+    size_t count(const std::string& key) const;
+    /// `{"executions":[{"key","count","by":[...]}]}`.
+    Json toJson() const;
+
+private:
+    std::map<std::string, std::vector<std::string>> m_counts;
+};
+
+/// Stand-in for a plain service (hire desk, showroom app). Each request other than GET with a booking id (member
+/// `booking` of the body, else the header Idempotency-Key) executes; GET looks up. Answers carry `confirmation`.
+class FakeService : public FakeUpstream {
+public:
+    FakeService(Loop&, FakeServiceConfig, AnnounceOptions, Executions&);
+    ~FakeService() override { *m_alive = false; }
+
+    FakeLoad load() override;
+    const char* kind() const override { return "service"; }
+
+protected:
+    void handleRequest(const HttpRequest&, const std::shared_ptr<HttpReply>&) override;
+    void forget() override;
+
+private:
+    FakeServiceConfig m_config;
+    Executions& m_executions;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    uint32_t m_running = 0;
+    uint64_t m_generation = 0;
+};
+
+}
--- /dev/null
+++ b/src/experiment/FakeUpstream.cpp
@@ -0,0 +1,120 @@
+#include "experiment/FakeUpstream.h"
+
+#include <chrono>
+
+namespace siskinshunt {
+
+FakeUpstream::FakeUpstream(Loop& loop, FakeIdentity identity, AnnounceOptions options)
+    : m_loop(loop)
+    , m_identity(std::move(identity))
+    , m_options(std::move(options))
+{
+}
+
+FakeUpstream::~FakeUpstream() { *m_alive = false; }
+
+Result<void> FakeUpstream::start()
+{
+    if (up())
+        return {};
+    BOOST_LEAF_ASSIGN(m_server, HttpServer::listen(m_loop, m_identity.address, [this](const auto& request, const auto& reply) {
+        handleRequest(request, reply);
+    }));
+    // The wall clock gives each start a higher number, also after a restart of the stand-ins.
+    const auto wall = std::chrono::system_clock::now().time_since_epoch();
+    const auto now = static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(wall).count());
+    m_incarnation = std::max(m_incarnation + 1, now);
+    m_sequence = 0;
+    m_leaving = false;
+    m_reclaimAt.reset();
+    m_announcer = std::make_unique<Announcer>(m_loop, m_options.nodes, m_options.token, [this] { return announcement(); });
+    return {};
+}
+
+void FakeUpstream::stop()
+{
+    if (!up())
+        return;
+    m_announcer.reset();
+    m_server.reset();
+    m_reclaimAt.reset();
+    m_dropAnswers = 0;
+    forget();
+    if (m_onStopped)
+        m_onStopped();
+}
+
+void FakeUpstream::reclaim(TimeMs notice)
+{
+    if (!up())
+        return;
+    m_reclaimAt = m_loop.now() + notice;
+    m_announcer->announceNow();
+    m_loop.after(notice, [this, alive = m_alive, incarnation = m_incarnation] {
+        if (*alive && m_incarnation == incarnation)
+            stop();
+    });
+}
+
+std::optional<TimeMs> FakeUpstream::reclaimIn() const
+{
+    if (!m_reclaimAt)
+        return std::nullopt;
+    return std::max(TimeMs {}, *m_reclaimAt - m_loop.now());
+}
+
+void FakeUpstream::freezeConnections()
+{
+    if (m_server)
+        m_server->freezeOpen();
+}
+
+bool FakeUpstream::takeDropAnswer()
+{
+    if (!m_dropAnswers)
+        return false;
+    --m_dropAnswers;
+    return true;
+}
+
+void FakeUpstream::setLeaving()
+{
+    m_leaving = true;
+    m_announcer->announceNow();
+}
+
+Json FakeUpstream::announcement()
+{
+    const auto now = load();
+    auto out = Json::object({ { "name", m_identity.name }, { "address", m_identity.address }, { "domain", m_identity.domain },
+        { "machine", m_identity.machine }, { "kind", kind() }, { "model", m_identity.model }, { "version", m_identity.version },
+        { "adapters", Json::array() }, { "role", "mixed" }, { "checks_fencing", m_identity.checksFencing },
+        { "reclaimable", m_identity.reclaimable }, { "leaving", m_leaving }, { "incarnation", m_incarnation }, { "sequence", ++m_sequence } });
+    if (const auto left = reclaimIn())
+        out.set("reclaim_in_ms", *left);
+    out.set("load", Json::object({ { "running", now.running }, { "waiting", now.waiting }, { "capacity", now.capacity }, { "cached_tokens", now.cachedTokens }, { "waiting_tokens", now.waitingTokens }, { "tokens_per_second", now.tokensPerSecond }, { "prefill_tokens_per_second", now.prefillTokensPerSecond } }));
+    return out;
+}
+
+Json FakeUpstream::describe()
+{
+    const auto now = load();
+    auto out = Json::object({ { "name", m_identity.name }, { "kind", kind() }, { "address", m_identity.address }, { "domain", m_identity.domain },
+        { "model", m_identity.model }, { "version", m_identity.version }, { "up", up() }, { "running", now.running }, { "waiting", now.waiting },
+        { "announcements_accepted", announcementsAccepted() } });
+    if (const auto left = reclaimIn())
+        out.set("reclaim_in_ms", *left);
+    return out;
+}
+
+std::string fakeErrorBody(std::string_view code, std::string_view message)
+{
+    return toText(Json::object({ { "error", Json::object({ { "code", code }, { "message", message } }) } }));
+}
+
+void answerJson(const std::shared_ptr<HttpReply>& reply, int status, const Json& body)
+{
+    reply->answer(status, { { "Content-Type", "application/json" } }, toText(body));
+}
+
+}
--- /dev/null
+++ b/src/experiment/Fencing.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "experiment/Json.h"
+
+#include <map>
+
+namespace siskinshunt {
+
+/// Orders that a stand-in has accepted: by id, and the highest fencing number (epoch, sequence) seen.
+class OrderLog {
+public:
+    enum class Verdict : uint8_t {
+        Fresh,
+        Known, ///< The id was accepted before; nothing is done again.
+        Old, ///< Its fencing number is lower than one seen, and this stand-in checks.
+    };
+
+    explicit OrderLog(bool checksFencing)
+        : m_checks(checksFencing)
+    {
+    }
+
+    /// Judges an order with members `id`, `epoch` and `sequence`, and records it unless it is Old.
+    Verdict judge(const Json& order);
+    size_t oldOrdersTaken() const { return m_oldTaken; } ///< Taken though an order with a higher number came before.
+
+private:
+    bool m_checks;
+    std::pair<int64_t, int64_t> m_highest { -1, -1 };
+    std::map<std::string, bool, std::less<>> m_ids;
+    size_t m_oldTaken = 0;
+};
+
+}
--- /dev/null
+++ b/src/experiment/Fields.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "experiment/Json.h"
+
+#include <set>
+
+namespace siskinshunt {
+
+/// Reads the members of one object of a configuration file and checks type and range of each. Every key that is read is
+/// known; finish() reports the first other one. The first error is kept as one line with file, key and what is allowed.
+class Fields {
+public:
+    Fields(const Json& object, std::string path, std::string& firstError);
+
+    std::string text(const std::string& key, std::string_view otherwise);
+    std::string requiredText(const std::string& key);
+    /// "IP:port" with the IP in 127.0.0.0/8.
+    std::string address(const std::string& key, bool required = true);
+    int64_t integer(const std::string& key, int64_t low, int64_t high, int64_t otherwise);
+    double number(const std::string& key, double low, double high, double otherwise);
+    bool flag(const std::string& key, bool otherwise);
+    TimeMs time(const std::string& key, int64_t low, int64_t high, TimeMs otherwise);
+    /// Items of an array; none when absent.
+    const std::vector<Json>& items(const std::string& key);
+    std::vector<std::string> texts(const std::string& key);
+    const Json& member(const std::string& key);
+    std::string pathOfKey(const std::string& key) const { return m_path + "." + key; }
+    void report(const std::string& key, const std::string& allowed);
+    void finish();
+
+private:
+    const Json& m_object;
+    std::string m_path;
+    std::string& m_error;
+    std::set<std::string> m_known;
+};
+
+/// True for "IP:port" with the IP in 127.0.0.0/8.
+bool isLocalAddress(std::string_view);
+
+}
--- /dev/null
+++ b/src/experiment/HttpClient.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "base/EnumNames.h"
+#include "experiment/Http.h"
+#include "experiment/Loop.h"
+
+#include <array>
+#include <functional>
+#include <memory>
+
+namespace siskinshunt {
+
+/// How an exchange ended.
+enum class HttpEnd : uint8_t {
+    Complete, ///< The whole answer arrived.
+    NotConnected, ///< No connection; the request was not sent.
+    Cut, ///< The connection ended after the request was sent and before the end of the answer.
+    Timeout,
+    Cancelled,
+};
+
+template <>
+inline constexpr auto enumNames<HttpEnd> = std::to_array<EnumName<HttpEnd>>({
+    { HttpEnd::Complete, "complete" },
+    { HttpEnd::NotConnected, "not_connected" },
+    { HttpEnd::Cut, "cut" },
+    { HttpEnd::Timeout, "timeout" },
+    { HttpEnd::Cancelled, "cancelled" },
+});
+
+struct HttpCall {
+    std::string address; ///< "IP:port".
+    std::string method = "GET";
+    std::string target = "/";
+    HttpHeaders headers;
+    std::string body;
+    TimeMs timeout { 10000 }; ///< For the whole exchange.
+};
+
+struct HttpAnswer {
+    HttpEnd end = HttpEnd::NotConnected;
+    int status = 0; ///< 0 when no head arrived.
+    HttpHeaders headers;
+    std::string body;
+};
+
+/// A running exchange; cancel() closes its connection and leads to the end Cancelled.
+class HttpExchange {
+public:
+    virtual ~HttpExchange() = default;
+    virtual void cancel() = 0;
+};
+
+using HttpDataHandler = std::function<void(const HttpAnswer& soFar, std::string_view data)>;
+using HttpDoneHandler = std::function<void(const HttpAnswer&)>;
+
+/// Starts a call on a connection of its own. `onData`, which may be empty, sees each piece of the body as it arrives;
+/// `onDone` is called exactly once, with the whole body.
+std::shared_ptr<HttpExchange> startHttpCall(Loop&, HttpCall, HttpDataHandler onData, HttpDoneHandler onDone);
+
+/// Makes one call on a loop of its own and waits for its end.
+HttpAnswer callHttp(HttpCall);
+
+}
