Drive the engine stand-ins with the emulator package

The engine model of work/routing fits: it takes chained block hashes, offsets and imported KV cache and reports lagged load and lossy cache events, so the plain timer model of the stand-ins is gone. Failing versions still answer 500 before the first byte; slow ones use the fault table of the model.

--- a/src/experiment/Answers.cpp
+++ b/src/experiment/Answers.cpp
@@ -45,20 +45,6 @@
     return out;
 }
 
-uint64_t promptTokens(std::string_view prompt) { return (prompt.size() + 3) / 4; }
-
-std::vector<uint64_t> prefixBlocks(std::string_view prompt)
-{
-    constexpr size_t blockBytes = prefixBlockTokens * 4;
-    std::vector<uint64_t> out;
-    uint64_t seed = 0;
-    for (size_t at = 0; at + blockBytes <= prompt.size(); at += blockBytes) {
-        seed = hash64(prompt.substr(at, blockBytes), seed);
-        out.push_back(seed);
-    }
-    return out;
-}
-
 std::string_view serviceTarget(std::string_view target)
 {
     constexpr std::string_view prefix = "/services/";
--- a/src/experiment/Answers.h
+++ b/src/experiment/Answers.h
@@ -5,13 +5,12 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace siskinshunt {
 
 /// The answers of the stand-ins are functions of the request alone, so that a client can check each answer completely:
 /// token k of an answer is a word of five letters and a space, derived from xxh64(prompt) and k. An answer always has
-/// `max_tokens` tokens.
+/// `max_tokens` tokens. Prompt tokens and prefix blocks are those of base/PrefixHash.h, with seed 0.
 
 /// The prompt of a request body: `prompt`, or the contents of `messages` joined by newlines.
 std::string promptOf(const Json& body);
@@ -24,15 +23,6 @@
 /// Characters of one answer token.
 constexpr size_t answerTokenSize = 6;
 
-/// Tokens of a prompt: four bytes each, rounded up.
-uint64_t promptTokens(std::string_view prompt);
-
-constexpr uint64_t prefixBlockTokens = 256;
-
-/// Chained xxh64 over the whole blocks of 256 tokens (1,024 bytes) of a prompt; the hash of a block is seeded with that
-/// of the block before it, the first one with 0.
-std::vector<uint64_t> prefixBlocks(std::string_view prompt);
-
 /// The part of a service target after "/services/NAME"; the whole target when it has no such prefix.
 std::string_view serviceTarget(std::string_view target);
 
--- a/src/experiment/FakeEngine.cpp
+++ b/src/experiment/FakeEngine.cpp
@@ -1,65 +1,55 @@
 #include "experiment/FakeEngine.h"
 
+#include "base/PrefixHash.h"
 #include "experiment/Answers.h"
 
+#include <algorithm>
 #include <charconv>
+#include <cstdio>
 
 namespace siskinshunt {
 
-static constexpr TimeMs tickTime { 5 };
-
 FakeEngine::FakeEngine(Loop& loop, FakeEngineConfig config, AnnounceOptions options, EngineSurroundings& surroundings)
     : FakeUpstream(loop, config.identity, std::move(options))
     , m_config(std::move(config))
     , m_surroundings(surroundings)
-    , m_model(m_config.speed)
     , m_orders(m_config.identity.checksFencing)
 {
 }
 
-FakeLoad FakeEngine::currentLoad() const
+void FakeEngine::startModel()
 {
-    return {
-        .running = m_model.running(),
-        .waiting = m_model.waiting(),
-        .capacity = m_config.speed.capacity,
-        .cachedTokens = m_model.cachedTokens(),
-        .waitingTokens = m_model.waitingTokens(),
-        .tokensPerSecond = m_model.decodeRate(),
-        .prefillTokensPerSecond = m_config.speed.prefillTokensPerSecond,
-    };
+    if (m_engine)
+        return;
+    auto options = m_config.engine;
+    options.seed = m_surroundings.random.next();
+    options.startedAt = loop().now();
+    m_engine.emplace(std::move(options));
 }
 
 FakeLoad FakeEngine::load()
 {
-    const auto now = loop().now();
-    m_samples.push_back({ now, currentLoad() });
-    while (m_samples.size() > 1 && m_samples[1].at + m_config.loadLag <= now)
-        m_samples.pop_front();
-    return m_samples.front().load;
-}
-
-EngineTotals FakeEngine::totals() const
-{
-    const auto& current = m_model.totals();
+    startModel();
+    const auto now = siskinshunt::load(*m_engine, loop().now());
     return {
-        .prefilledTokens = m_totals.prefilledTokens + current.prefilledTokens,
-        .cachedTokens = m_totals.cachedTokens + current.cachedTokens,
-        .resumedTokens = m_totals.resumedTokens + current.resumedTokens,
-        .decodedTokens = m_totals.decodedTokens + current.decodedTokens,
+        .running = now.running,
+        .waiting = now.waiting,
+        .capacity = now.capacity,
+        .cachedTokens = now.cachedTokens,
+        .waitingTokens = now.waitingTokens,
+        .tokensPerSecond = now.tokensPerSecond,
+        .prefillTokensPerSecond = now.prefillTokensPerSecond,
     };
 }
 
 void FakeEngine::forget()
 {
-    m_totals = totals();
     ++m_generation;
-    m_model = EngineModel(m_config.speed);
+    m_engine.reset();
     m_orders = OrderLog(m_config.identity.checksFencing);
     m_calls.clear();
     m_imported.clear();
-    m_samples.clear();
-    m_ticking = false;
+    m_tickAt = farFuture;
 }
 
 void FakeEngine::handleRequest(const HttpRequest& request, const std::shared_ptr<HttpReply>& reply)
@@ -90,76 +80,134 @@
     return out;
 }
 
-void FakeEngine::complete(const HttpRequest& request, const std::shared_ptr<HttpReply>& reply, const Json& body)
+static HttpHeaders echoOf(const HttpRequest& request)
 {
-    const auto fault = m_surroundings.faults.find(identity().version, request.target, m_model.running() + 1, loop().now());
-    HttpHeaders echo;
+    HttpHeaders out;
     for (const char* name : { "Siskinshunt-Call", "Siskinshunt-Attempt" }) {
         if (const auto value = findHeader(request.headers, name); !value.empty())
-            echo.emplace_back(name, value);
+            out.emplace_back(name, value);
     }
+    return out;
+}
+
+void FakeEngine::complete(const HttpRequest& request, const std::shared_ptr<HttpReply>& reply, const Json& body)
+{
+    startModel();
+    noteWork();
+    const auto running = static_cast<uint32_t>(m_engine->running.size()) + 1;
+    const auto fault = m_surroundings.faults.find(identity().version, request.target, running, loop().now());
+    const auto echo = echoOf(request);
     if (fault.mode == FaultMode::Fail && m_surroundings.random.chance(fault.rate))
         return reply->answer(500, echo, fakeErrorBody("engine_failed", "this version fails"));
     const auto prompt = promptOf(body);
-    const uint64_t maxTokens = static_cast<uint64_t>(std::max<int64_t>(1, body["max_tokens"].asInt(16)));
-    const uint64_t offset = std::min(maxTokens, numberOf(findHeader(request.headers, "Siskinshunt-Offset"), 0));
-    const std::string callHeader(findHeader(request.headers, "Siskinshunt-Call"));
+    const auto maxTokens = static_cast<uint32_t>(std::clamp<int64_t>(body["max_tokens"].asInt(16), 1, 1000000));
+    const auto offset = static_cast<uint32_t>(std::min<uint64_t>(maxTokens, numberOf(findHeader(request.headers, "Siskinshunt-Offset"), 0)));
     const uint64_t id = m_nextCall++;
-    m_model.wake(loop().now());
-    m_model.submit({ .id = id,
-        .priority = static_cast<int>(numberOf(findHeader(request.headers, "Siskinshunt-Priority"), 5)),
-        .promptTokens = promptTokens(prompt),
-        .blocks = prefixBlocks(prompt),
-        .offset = offset,
-        .maxTokens = maxTokens,
-        .slowdown = fault.mode == FaultMode::Slow ? fault.factor : 1,
-        .imported = m_imported.erase(callHeader) != 0 });
-    auto& call = m_calls[id];
-    call = { .reply = reply, .callHeader = callHeader, .echo = echo, .hash = promptHash(prompt), .promptTokens = promptTokens(prompt), .offset = offset, .start = offset, .stream = body["stream"].asBool(), .chat = pathOf(request.target) == "/v1/chat/completions" };
-    reply->onGone([this, id, alive = m_alive, generation = m_generation] {
+    auto& call = addCall(id, { .reply = reply, .callHeader = std::string(findHeader(request.headers, "Siskinshunt-Call")), .echo = echo, .hash = promptHash(prompt), .promptTokens = estimateTokens(prompt), .start = offset, .offset = offset, .stream = body["stream"].asBool(), .chat = pathOf(request.target) == "/v1/chat/completions" });
+    EngineRequest work { .priority = static_cast<int>(numberOf(findHeader(request.headers, "Siskinshunt-Priority"), 5)), .blocks = prefixHashes(prompt), .promptTokens = call.promptTokens, .outputTokens = maxTokens, .offset = offset };
+    if (offset < maxTokens && !submitCall(id, call, std::move(work), fault)) {
+        m_calls.erase(id);
+        return reply->answer(503, echo, fakeErrorBody("engine_full", "the waiting list of the engine is full"));
+    }
+    if (call.stream) {
+        auto headers = echo;
+        headers.emplace_back("Content-Type", "text/event-stream");
+        reply->startStream(200, headers);
+        keepAlive(id);
+    }
+    if (offset == maxTokens) {
+        auto ended = std::move(call);
+        m_calls.erase(id);
+        return finish(ended);
+    }
+    scheduleTick();
+}
+
+FakeEngine::Call& FakeEngine::addCall(uint64_t id, Call call)
+{
+    auto& out = m_calls[id];
+    out = std::move(call);
+    out.reply->onGone([this, id, alive = m_alive, generation = m_generation] {
         if (!*alive || generation != m_generation)
             return;
-        m_model.cancel(id);
+        cancel(*m_engine, { id }, loop().now());
         m_calls.erase(id);
     });
-    if (call.stream) {
-        echo.emplace_back("Content-Type", "text/event-stream");
-        reply->startStream(200, echo);
+    return out;
+}
+
+bool FakeEngine::submitCall(uint64_t id, const Call& call, EngineRequest work, const VersionFault& fault)
+{
+    work.call = { id };
+    if (const auto it = m_imported.find(call.callHeader); it != m_imported.end()) {
+        work.importedTokens = it->second;
+        m_imported.erase(it);
     }
-    scheduleTick();
+    if (fault.mode == FaultMode::Slow) {
+        work.route = "slow";
+        m_engine->options.faults = { EngineFault { .route = "slow", .slowdown = fault.factor } };
+    }
+    return submit(*m_engine, std::move(work), loop().now()) == SubmitResult::Accepted;
 }
 
-void FakeEngine::scheduleTick()
+void FakeEngine::keepAlive(uint64_t id)
 {
-    if (m_ticking)
+    if (m_config.keepAlive.value == 0)
         return;
-    m_ticking = true;
-    loop().after(tickTime, [this, alive = m_alive, generation = m_generation] {
+    loop().after(m_config.keepAlive, [this, id, alive = m_alive, generation = m_generation] {
         if (!*alive || generation != m_generation)
             return;
-        m_ticking = false;
+        const auto it = m_calls.find(id);
+        if (it == m_calls.end() || it->second.offset != it->second.start)
+            return;
+        it->second.reply->write(": waiting\n\n");
+        keepAlive(id);
+    });
+}
+
+void FakeEngine::scheduleTick()
+{
+    const auto now = loop().now();
+    const auto at = std::max(nextEventAt(*m_engine), now + TimeMs { 1 });
+    if (at >= farFuture || m_tickAt <= at)
+        return;
+    m_tickAt = at;
+    loop().after(at - now, [this, at, alive = m_alive, generation = m_generation] {
+        if (!*alive || generation != m_generation || m_tickAt != at)
+            return;
+        m_tickAt = farFuture;
         tick();
     });
 }
 
 void FakeEngine::tick()
 {
-    for (const auto& progress : m_model.advance(loop().now())) {
-        const auto it = m_calls.find(progress.id);
-        if (it == m_calls.end())
-            continue;
-        emitTokens(it->second, progress);
-        if (!progress.finished)
-            continue;
-        auto call = std::move(it->second);
-        m_calls.erase(it);
-        finish(call);
+    for (const auto& event : advance(*m_engine, loop().now()))
+        take(event);
+    scheduleTick();
+}
+
+void FakeEngine::take(const EngineEvent& event)
+{
+    const auto it = m_calls.find(event.call.value);
+    if (it == m_calls.end())
+        return;
+    auto& call = it->second;
+    if (event.kind == EngineEventKind::FirstToken) {
+        call.cached = event.cachedTokens;
+        m_totals.prefilledTokens += event.computedTokens;
+        m_totals.cachedTokens += event.cachedTokens;
+        m_totals.resumedTokens += call.start ? event.computedTokens : 0;
     }
-    if (!m_model.idle())
-        scheduleTick();
+    emitTokens(call, event.offset);
+    if (event.kind != EngineEventKind::Done)
+        return;
+    auto ended = std::move(call);
+    m_calls.erase(it);
+    finish(ended);
 }
 
-Json FakeEngine::usage(const Call& call) const
+Json FakeEngine::usage(const Call& call)
 {
     return Json::object({ { "prompt_tokens", call.promptTokens }, { "completion_tokens", call.offset }, { "total_tokens", call.promptTokens + call.offset }, { "cached_tokens", call.cached } });
 }
@@ -178,19 +226,18 @@
     return Json::object({ { "id", call.callHeader }, { "object", object }, { "model", identity().model }, { "version", identity().version }, { "choices", Json::array({ choice }) } });
 }
 
-void FakeEngine::emitTokens(Call& call, const EngineProgress& progress)
+void FakeEngine::emitTokens(Call& call, uint32_t offset)
 {
-    call.cached = progress.cachedTokens;
     std::string events;
-    for (uint64_t n = 0; n < progress.tokens; ++n) {
+    while (call.offset < offset) {
         const auto token = answerToken(call.hash, call.offset++);
+        ++m_totals.decodedTokens;
         if (call.stream)
             events += "id: " + std::to_string(call.offset) + "\ndata: " + toText(chunk(call, token, false)) + "\n\n";
         else
             call.text += token;
     }
-    if (!events.empty())
-        call.reply->write(events);
+    call.reply->write(events);
 }
 
 void FakeEngine::finish(Call& call)
@@ -246,36 +293,43 @@
 
 void FakeEngine::exportCache(const std::shared_ptr<HttpReply>& reply, const Json& body)
 {
-    for (const auto& [id, call] : m_calls) {
-        if (call.callHeader != body["call"].asText())
-            continue;
-        return answerJson(reply, 200, Json::object({ { "call", body["call"] }, { "tokens", m_model.contextOf(id) }, { "offset", call.offset } }));
+    const auto it = std::find_if(m_calls.begin(), m_calls.end(), [&](const auto& entry) { return entry.second.callHeader == body["call"].asText(); });
+    if (it == m_calls.end())
+        return reply->answer(404, {}, fakeErrorBody("unknown_call", "no such call is running"));
+    const auto exported = exportKv(*m_engine, { it->first }, loop().now());
+    if (!exported)
+        return reply->answer(409, {}, fakeErrorBody("in_prefill", "the call is not past its prefill"));
+    auto call = std::move(it->second);
+    m_calls.erase(it);
+    const auto answer = Json::object({ { "call", body["call"] }, { "tokens", exported->tokens }, { "offset", exported->offset } });
+    if (call.stream) {
+        call.reply->write("event: error\ndata: " + fakeErrorBody("exported", "the KV cache of this call was exported") + "\n\n");
+        call.reply->finish();
+    } else {
+        call.reply->answer(409, call.echo, fakeErrorBody("exported", "the KV cache of this call was exported"));
     }
-    reply->answer(404, {}, fakeErrorBody("unknown_call", "no such call is running"));
+    loop().after(exported->readyAt - loop().now(), [reply, answer] { answerJson(reply, 200, answer); });
 }
 
 void FakeEngine::importCache(const std::shared_ptr<HttpReply>& reply, const Json& body)
 {
     if (body["call"].asText().empty())
         return reply->answer(400, {}, fakeErrorBody("malformed", "call is missing"));
-    m_imported.emplace(body["call"].asText());
+    m_imported[std::string(body["call"].asText())] = static_cast<uint32_t>(body["tokens"].asInt(INT32_MAX));
     answerJson(reply, 200, Json::object({ { "call", body["call"] } }));
 }
 
 void FakeEngine::cacheEvents(const std::shared_ptr<HttpReply>& reply, const HttpRequest& request)
 {
-    const uint64_t since = numberOf(queryOf(request.target, "since"), 0);
+    startModel();
+    uint64_t next = numberOf(queryOf(request.target, "since"), 0);
     auto events = Json::array();
-    uint64_t next = since;
-    for (const auto& it : m_model.events()) {
-        if (it.sequence <= since || it.at + m_config.cacheEventDelay > loop().now())
-            continue;
+    tick();
+    for (const auto& it : siskinshunt::cacheEvents(*m_engine, next)) {
         next = it.sequence;
-        if (m_surroundings.random.chance(m_config.cacheEventLoss))
-            continue;
         char block[17];
         std::snprintf(block, sizeof block, "%016llx", static_cast<unsigned long long>(it.block));
-        events.push(Json::object({ { "sequence", it.sequence }, { "kind", it.stored ? "stored" : "evicted" }, { "block", block }, { "tokens", prefixBlockTokens } }));
+        events.push(Json::object({ { "sequence", it.sequence }, { "kind", it.added ? "stored" : "evicted" }, { "block", block }, { "tokens", prefixBlockTokens } }));
     }
     answerJson(reply, 200, Json::object({ { "events", events }, { "next", next } }));
 }
--- a/src/experiment/FakeEngine.h
+++ b/src/experiment/FakeEngine.h
@@ -1,15 +1,13 @@
 #pragma once
 
 #include "base/Random.h"
-#include "experiment/EngineModel.h"
+#include "emulator/Engine.h"
 #include "experiment/FakeUpstream.h"
 #include "experiment/Fencing.h"
 #include "experiment/VersionFaults.h"
 #include "experiment/WeightStore.h"
 
-#include <deque>
 #include <map>
-#include <set>
 
 namespace siskinshunt {
 
@@ -20,6 +18,14 @@
     Random random { 1 };
 };
 
+/// Tokens that an engine worked on.
+struct EngineTotals {
+    uint64_t prefilledTokens = 0;
+    uint64_t cachedTokens = 0;
+    uint64_t resumedTokens = 0; ///< Prefilled again because a call was resumed at an offset.
+    uint64_t decodedTokens = 0;
+};
+
 /// Stand-in for a model engine, with the HTTP interface of the design page. Answers come from Answers.h.
 class FakeEngine : public FakeUpstream {
 public:
@@ -29,7 +35,7 @@
     FakeLoad load() override;
     const char* kind() const override { return "engine"; }
     /// Over all processes of this engine.
-    EngineTotals totals() const;
+    const EngineTotals& totals() const { return m_totals; }
 
 protected:
     void handleRequest(const HttpRequest&, const std::shared_ptr<HttpReply>&) override;
@@ -41,18 +47,14 @@
         std::string callHeader;
         HttpHeaders echo;
         uint64_t hash = 0;
-        uint64_t promptTokens = 0;
-        uint64_t offset = 0; ///< Tokens sent or skipped so far.
-        uint64_t cached = 0;
-        uint64_t start = 0;
+        uint32_t promptTokens = 0;
+        uint32_t start = 0; ///< Offset at which the attempt began.
+        uint32_t offset = 0; ///< Tokens sent or skipped so far.
+        uint32_t cached = 0;
         bool stream = false;
         bool chat = false;
         std::string text; ///< Of an answer that is not a stream.
     };
-    struct LoadSample {
-        TimeMs at;
-        FakeLoad load;
-    };
 
     void complete(const HttpRequest&, const std::shared_ptr<HttpReply>&, const Json& body);
     void order(const std::shared_ptr<HttpReply>&, const Json& body);
@@ -60,26 +62,29 @@
     void exportCache(const std::shared_ptr<HttpReply>&, const Json& body);
     void importCache(const std::shared_ptr<HttpReply>&, const Json& body);
     void cacheEvents(const std::shared_ptr<HttpReply>&, const HttpRequest&);
+    Call& addCall(uint64_t id, Call);
+    bool submitCall(uint64_t id, const Call&, EngineRequest, const VersionFault&);
+    void keepAlive(uint64_t id);
     void scheduleTick();
     void tick();
-    void emitTokens(Call&, const EngineProgress&);
+    void take(const EngineEvent&);
+    void emitTokens(Call&, uint32_t offset);
+    void startModel();
     void finish(Call&);
-    Json usage(const Call&) const;
+    static Json usage(const Call&);
     Json chunk(const Call&, std::string_view text, bool last) const;
-    FakeLoad currentLoad() const;
 
     FakeEngineConfig m_config;
     EngineSurroundings& m_surroundings;
-    EngineModel m_model;
+    std::optional<Engine> m_engine; ///< None until the first use after a start.
     EngineTotals m_totals;
     OrderLog m_orders;
     std::map<uint64_t, Call> m_calls;
-    std::set<std::string> m_imported; ///< Call ids whose KV cache was imported.
-    std::deque<LoadSample> m_samples;
+    std::map<std::string, uint32_t> m_imported; ///< Tokens of imported KV cache by call id.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     uint64_t m_nextCall = 1;
     uint64_t m_generation = 0; ///< Rises when the process "ends"; timers of earlier ones do nothing.
-    bool m_ticking = false;
+    TimeMs m_tickAt = farFuture; ///< When the next step is due; far future when none is.
 };
 
 }
--- a/src/experiment/FakeFleet.cpp
+++ b/src/experiment/FakeFleet.cpp
@@ -175,13 +175,16 @@
     charge();
     EngineTotals sum;
     for (const auto* it : m_engines) {
-        const auto totals = it->totals();
+        const auto& totals = it->totals();
         sum.prefilledTokens += totals.prefilledTokens;
         sum.cachedTokens += totals.cachedTokens;
         sum.resumedTokens += totals.resumedTokens;
         sum.decodedTokens += totals.decodedTokens;
     }
-    return Json::object({ { "per_hour", perHour() }, { "spent", m_spent }, { "prefilled_tokens", sum.prefilledTokens }, { "cached_tokens", sum.cachedTokens }, { "resumed_tokens", sum.resumedTokens }, { "decoded_tokens", sum.decodedTokens }, { "weight_fetches", m_surroundings.weights.fetches() } });
+    uint64_t late = 0;
+    for (const auto& it : m_upstreams)
+        late += it->workAfterNotice();
+    return Json::object({ { "per_hour", perHour() }, { "spent", m_spent }, { "prefilled_tokens", sum.prefilledTokens }, { "cached_tokens", sum.cachedTokens }, { "resumed_tokens", sum.resumedTokens }, { "decoded_tokens", sum.decodedTokens }, { "work_after_notice", late }, { "weight_fetches", m_surroundings.weights.fetches() } });
 }
 
 }
--- a/src/experiment/FakeFleet.h
+++ b/src/experiment/FakeFleet.h
@@ -47,7 +47,7 @@
     Json describeInstances() const;
     Json describeNotices();
     Json describePrices() const;
-    /// `{"per_hour","spent","prefilled_tokens","resumed_tokens","cached_tokens","decoded_tokens","weight_fetches"}`.
+    /// `{"per_hour","spent","prefilled_tokens","resumed_tokens","cached_tokens","decoded_tokens","work_after_notice","weight_fetches"}`.
     Json describeCost();
 
 private:
--- a/src/experiment/FakeUpstream.cpp
+++ b/src/experiment/FakeUpstream.cpp
@@ -48,7 +48,8 @@
 {
     if (!up())
         return;
-    m_reclaimAt = m_loop.now() + notice;
+    m_noticeAt = m_loop.now();
+    m_reclaimAt = m_noticeAt + notice;
     m_announcer->announceNow();
     m_loop.after(notice, [this, alive = m_alive, incarnation = m_incarnation] {
         if (*alive && m_incarnation == incarnation)
@@ -69,6 +70,13 @@
         m_server->freezeOpen();
 }
 
+void FakeUpstream::noteWork()
+{
+    constexpr TimeMs allowed { 3000 };
+    if (m_reclaimAt && m_loop.now() > m_noticeAt + allowed)
+        ++m_workAfterNotice;
+}
+
 bool FakeUpstream::takeDropAnswer()
 {
     if (!m_dropAnswers)
@@ -101,7 +109,7 @@
     const auto now = load();
     auto out = Json::object({ { "name", m_identity.name }, { "kind", kind() }, { "address", m_identity.address }, { "domain", m_identity.domain },
         { "model", m_identity.model }, { "version", m_identity.version }, { "up", up() }, { "running", now.running }, { "waiting", now.waiting },
-        { "announcements_accepted", announcementsAccepted() } });
+        { "work_after_notice", m_workAfterNotice }, { "announcements_accepted", announcementsAccepted() } });
     if (const auto left = reclaimIn())
         out.set("reclaim_in_ms", *left);
     return out;
--- a/src/experiment/FakeUpstream.h
+++ b/src/experiment/FakeUpstream.h
@@ -45,6 +45,8 @@
     /// Executes each of the next `count` calls, then closes its connection without an answer.
     void dropAnswers(uint32_t count) { m_dropAnswers = count; }
     const FakeIdentity& identity() const { return m_identity; }
+    /// Calls that arrived more than 3 s after a reclaim notice, over all starts.
+    uint64_t workAfterNotice() const { return m_workAfterNotice; }
     uint64_t announcementsAccepted() const { return m_announcer ? m_announcer->accepted() : 0; }
     /// Called after each stop.
     void onStopped(std::function<void()> body) { m_onStopped = std::move(body); }
@@ -58,6 +60,8 @@
     /// Forgets what a process loses when it ends.
     virtual void forget() = 0;
     bool takeDropAnswer();
+    /// To be called for each call that arrives.
+    void noteWork();
     void setLeaving();
     FakeIdentity& mutableIdentity() { return m_identity; }
     Loop& loop() { return m_loop; }
@@ -71,11 +75,13 @@
     std::unique_ptr<HttpServer> m_server;
     std::unique_ptr<Announcer> m_announcer;
     std::optional<TimeMs> m_reclaimAt;
+    TimeMs m_noticeAt;
     std::function<void()> m_onStopped;
     /// Timers look at this to see whether the upstream still exists.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     uint64_t m_incarnation = 0;
     uint64_t m_sequence = 0;
+    uint64_t m_workAfterNotice = 0;
     uint32_t m_dropAnswers = 0;
     bool m_leaving = false;
 };
--- a/src/experiment/FakesConfig.cpp
+++ b/src/experiment/FakesConfig.cpp
@@ -1,7 +1,9 @@
 #include "experiment/FakesConfig.h"
 
+#include "base/PrefixHash.h"
 #include "experiment/Fields.h"
 
+#include <algorithm>
 #include <set>
 
 namespace siskinshunt {
@@ -20,18 +22,23 @@
     };
 }
 
+/// The file gives rates; the model wants durations. A call that runs alone decodes at `tokens_per_second`, one in a full
+/// batch at `1 / (1 + batch_slowdown)` of that.
 static void readEngine(Fields& fields, FakeEngineConfig& out)
 {
-    auto& speed = out.speed;
-    speed.capacity = static_cast<uint32_t>(fields.integer("capacity", 1, 100000, speed.capacity));
-    speed.tokensPerSecond = fields.number("tokens_per_second", 0.1, 1e6, speed.tokensPerSecond);
-    speed.prefillTokensPerSecond = fields.number("prefill_tokens_per_second", 1, 1e9, speed.prefillTokensPerSecond);
-    speed.batchSlowdown = fields.number("batch_slowdown", 0, 100, speed.batchSlowdown);
-    speed.cacheTokens = static_cast<uint64_t>(fields.integer("cache_tokens", 0, INT64_C(1) << 40, static_cast<int64_t>(speed.cacheTokens)));
+    auto& engine = out.engine;
+    engine.maxBatch = static_cast<uint32_t>(fields.integer("capacity", 1, 100000, 8));
+    const double tokenMs = 1000 / fields.number("tokens_per_second", 0.1, 1e6, 100);
+    const double slowdown = fields.number("batch_slowdown", 0, 100, 1);
+    engine.stepPerCallMs = tokenMs * slowdown / engine.maxBatch;
+    engine.stepBaseMs = tokenMs - std::min(tokenMs, engine.stepPerCallMs);
+    engine.prefillMsPerToken = 1000 / fields.number("prefill_tokens_per_second", 1, 1e9, 20000);
+    engine.cacheBlocks = static_cast<uint32_t>(fields.integer("cache_tokens", 0, INT64_C(1) << 30, 65536) / prefixBlockTokens);
+    engine.cacheEventLag = fields.time("cache_event_delay_ms", 0, 60000, { 500 });
+    engine.cacheEventLoss = fields.number("cache_event_loss", 0, 1, 0.02);
+    engine.loadLag = fields.time("load_lag_ms", 0, 60000, { 500 });
     out.loadTime = fields.time("load_ms", 0, 3600000, out.loadTime);
-    out.cacheEventDelay = fields.time("cache_event_delay_ms", 0, 60000, out.cacheEventDelay);
-    out.cacheEventLoss = fields.number("cache_event_loss", 0, 1, out.cacheEventLoss);
-    out.loadLag = fields.time("load_lag_ms", 0, 60000, out.loadLag);
+    out.keepAlive = fields.time("keep_alive_ms", 0, 60000, out.keepAlive);
 }
 
 static FakePlatformConfig readPlatform(const Json& value, const std::string& path, std::string& error)
--- a/src/experiment/FakesConfig.h
+++ b/src/experiment/FakesConfig.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "experiment/EngineModel.h"
+#include "emulator/Engine.h"
 #include "experiment/Json.h"
 
 #include <string>
@@ -22,11 +22,9 @@
 
 struct FakeEngineConfig {
     FakeIdentity identity;
-    EngineSpeed speed;
+    EngineOptions engine; ///< Speeds and sizes; version and start time are set at each start.
     TimeMs loadTime { 2000 }; ///< Time to load a version once its weights may be fetched.
-    TimeMs cacheEventDelay { 500 };
-    double cacheEventLoss = 0.02;
-    TimeMs loadLag { 1000 }; ///< Age of the load figures that it announces.
+    TimeMs keepAlive { 1000 }; ///< Interval of SSE comments before the first token; 0: none.
 };
 
 struct FakeServiceConfig {
