Add siskinshuntctl load and report

Every answer is checked completely against the function of its prompt, and the once-only calls are compared with what the stand-ins executed, so that a run says by itself whether anything was lost, cut, crossed, doubled, answered but never run, or wrongly called not run.

--- /dev/null
+++ b/src/experiment/AnswerChecker.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "base/EnumNames.h"
+#include "experiment/Json.h"
+#include "experiment/SseParser.h"
+
+#include <array>
+#include <string>
+
+namespace siskinshunt {
+
+/// What the answer of one attempt is.
+enum class AnswerVerdict : uint8_t {
+    Whole, ///< Complete and the caller's own.
+    Incomplete, ///< Ended early without an error event.
+    Crossed, ///< Holds text that does not belong to this request.
+    ErrorEvent, ///< The stream says that it failed.
+    Refusal, ///< A status other than 200.
+};
+
+template <>
+inline constexpr auto enumNames<AnswerVerdict> = std::to_array<EnumName<AnswerVerdict>>({
+    { AnswerVerdict::Whole, "whole" },
+    { AnswerVerdict::Incomplete, "incomplete" },
+    { AnswerVerdict::Crossed, "crossed" },
+    { AnswerVerdict::ErrorEvent, "error_event" },
+    { AnswerVerdict::Refusal, "refusal" },
+});
+
+/// What a right answer holds.
+struct AnswerExpectation {
+    enum class Form : uint8_t {
+        Stream, ///< Server-sent events that end with [DONE].
+        Body, ///< One JSON object of a completion.
+        Service, ///< JSON object with `confirmation`.
+    };
+    Form form = Form::Body;
+    std::string text; ///< The whole completion text, or the confirmation.
+};
+
+/// Checks the answer of one attempt as it arrives.
+class AnswerChecker {
+public:
+    explicit AnswerChecker(AnswerExpectation);
+
+    /// Takes a piece of the body of a 200 answer that is a stream; returns the number of answer tokens in it.
+    size_t feed(std::string_view piece);
+    /// Judges the answer; `complete` says that the HTTP message ended as its framing says.
+    AnswerVerdict finish(int status, std::string_view body, bool complete);
+
+    const std::string& version() const { return m_version; } ///< Version that answered; empty when not told.
+    const std::string& code() const { return m_code; } ///< Error code of a refusal or error event.
+    const std::string& run() const { return m_run; } ///< Run word of a refusal or error event.
+    TimeMs retryAfter() const { return m_retryAfter; }
+
+private:
+    void takeChunk(const Json&);
+    void takeError(const Json&);
+    AnswerVerdict finishBody(std::string_view body);
+
+    AnswerExpectation m_expected;
+    SseParser m_parser;
+    size_t m_at = 0; ///< Length of the text so far.
+    bool m_done = false;
+    bool m_crossed = false;
+    bool m_error = false;
+    std::string m_version;
+    std::string m_code;
+    std::string m_run;
+    TimeMs m_retryAfter;
+};
+
+}
--- a/src/experiment/Commands.cpp
+++ b/src/experiment/Commands.cpp
@@ -16,6 +16,8 @@
     };
 
     constexpr Command commands[] = {
+        { "load", "send load to the system and check every answer", runLoadCommand },
+        { "report", "render one saved load run, or two side by side", runReportCommand },
         { "fakes", "serve the stand-ins of a file: engines, services, platform, weight store", runFakesCommand },
     };
 }
--- a/src/experiment/Commands.h
+++ b/src/experiment/Commands.h
@@ -18,5 +18,7 @@
 
 /// The subcommands; `arguments` are those after the name of the subcommand.
 int runFakesCommand(const std::vector<std::string>& arguments);
+int runLoadCommand(const std::vector<std::string>& arguments);
+int runReportCommand(const std::vector<std::string>& arguments);
 
 }
--- /dev/null
+++ b/src/experiment/EntryFinder.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "base/Random.h"
+#include "experiment/HttpClient.h"
+#include "experiment/Loop.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace siskinshunt {
+
+/// How one caller finds the system: it asks a target for the entry addresses, takes one and keeps it for its validity
+/// time, as real callers do. An address that fails is given up at once.
+class EntryFinder {
+public:
+    EntryFinder(Loop&, std::vector<std::string> targets, std::string token, bool useEntries, uint64_t seed);
+
+    /// Gives the address to use, at once or after GET /v1/entries.
+    void find(std::function<void(const std::string& address)>);
+    /// The address did not take a connection or broke one off.
+    void failed(const std::string& address);
+
+private:
+    void ask();
+    void take(const HttpAnswer&);
+    void settle(const std::string& address, TimeMs valid);
+
+    Loop& m_loop;
+    std::vector<std::string> m_targets;
+    std::string m_token;
+    bool m_useEntries;
+    Random m_random;
+    size_t m_nextTarget;
+    std::string m_address;
+    TimeMs m_until;
+    std::string m_lastFailed;
+    bool m_asking = false;
+    std::vector<std::function<void(const std::string&)>> m_waiting;
+};
+
+}
--- /dev/null
+++ b/src/experiment/LoadTally.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "base/Histogram.h"
+#include "experiment/Audit.h"
+#include "experiment/ClientPolicy.h"
+#include "experiment/Json.h"
+
+#include <array>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace siskinshunt {
+
+/// One ended call.
+struct CallRecord {
+    std::string mix;
+    CallResult result = CallResult::Answered;
+    TimeMs startedAt; ///< Since the start of the run.
+    TimeMs firstToken; ///< From the start of the call; only of streams that gave a token.
+    TimeMs total;
+    uint64_t tokens = 0;
+    std::string version;
+    std::string code; ///< Of the last refusal or error.
+    std::string run;
+    uint32_t attempts = 1;
+    uint32_t broken = 0; ///< Attempts whose connection ended after the request had been sent.
+};
+
+/// Sums of the calls of one mix.
+struct MixTally {
+    uint64_t calls = 0;
+    std::array<uint64_t, enumNames<CallResult>.size()> results {};
+    uint64_t tokens = 0;
+    uint64_t resent = 0;
+    uint64_t broken = 0;
+    Histogram firstTokenMs;
+    Histogram totalMs; ///< Of answered calls.
+    Histogram tokenGapMs; ///< Mean time between the tokens of each answered stream, in hundredths of a millisecond.
+};
+
+/// Cost figures of the stand-ins at one time.
+struct CostSample {
+    TimeMs at;
+    double perHour = 0;
+    double spent = 0;
+    uint64_t prefilled = 0;
+    uint64_t resumed = 0;
+    uint64_t cached = 0;
+    uint64_t decoded = 0;
+    uint64_t workAfterNotice = 0;
+};
+
+/// All sums of one run.
+class LoadTally {
+public:
+    explicit LoadTally(TimeMs window)
+        : m_window(window)
+    {
+    }
+
+    void record(const CallRecord&);
+    void addCost(const CostSample& sample) { m_costs.push_back(sample); }
+    void setAudit(AuditResult audit) { m_audit = std::move(audit); }
+    void setAuditMissing(std::string reason) { m_auditMissing = std::move(reason); }
+
+    uint64_t calls() const;
+    uint64_t count(CallResult) const;
+    /// The saved form of the run; `about` gives seed, duration and so on.
+    Json toJson(const Json& about) const;
+
+private:
+    struct Window {
+        std::map<std::string, Histogram> firstTokenMs;
+        std::map<std::string, Histogram> totalMs;
+        std::map<std::string, uint64_t> versions;
+        uint64_t answered = 0;
+        uint64_t others = 0;
+    };
+
+    Json windowsJson() const;
+    Json costsJson() const;
+    Json checksJson() const;
+
+    TimeMs m_window;
+    std::map<std::string, MixTally> m_mixes;
+    std::map<int64_t, Window> m_windows;
+    std::map<std::string, uint64_t> m_refusals; ///< By "CODE RUN".
+    std::vector<CostSample> m_costs;
+    AuditResult m_audit;
+    std::string m_auditMissing;
+};
+
+/// True when nothing was lost, cut, crossed, doubled, missing or wrongly called not run; with `strict` also no
+/// connection broke after the request had been sent.
+bool runIsClean(const Json& run, bool strict);
+
+}
