--- a/src/experiment/Announcer.cpp
+++ b/src/experiment/Announcer.cpp
@@ -1,6 +1,7 @@
 #include "experiment/Announcer.h"
 
 #include "experiment/HttpClient.h"
+#include "experiment/Json.h"
 
 #include <algorithm>
 
@@ -44,7 +45,7 @@
 void AnnounceTargets::failed(const std::string& node, TimeMs now) { m_failedAt[node] = now; }
 
 struct Announcer::State : std::enable_shared_from_this<Announcer::State> {
-    State(Loop& loop, std::vector<std::string> nodes, std::string token, std::function<Json()> makeBody)
+    State(Loop& loop, std::vector<std::string> nodes, std::string token, std::function<std::string()> makeBody)
         : loop(loop)
         , targets(std::move(nodes))
         , token(std::move(token))
@@ -60,7 +61,7 @@
     Loop& loop;
     AnnounceTargets targets;
     std::string token;
-    std::function<Json()> makeBody;
+    std::function<std::string()> makeBody;
     TimeMs interval { 1000 };
     uint64_t accepted = 0;
     bool stopped = false;
@@ -80,7 +81,7 @@
 {
     if (stopped)
         return;
-    const auto body = toText(makeBody());
+    const auto body = makeBody();
     for (const auto& node : targets.choose(loop.now()))
         post(node, body);
 }
@@ -107,7 +108,7 @@
     targets.learn(std::move(nodes));
 }
 
-Announcer::Announcer(Loop& loop, std::vector<std::string> nodes, std::string token, std::function<Json()> makeBody)
+Announcer::Announcer(Loop& loop, std::vector<std::string> nodes, std::string token, std::function<std::string()> makeBody)
     : m_state(std::make_shared<State>(loop, std::move(nodes), std::move(token), std::move(makeBody)))
 {
     m_state->send();
--- a/src/experiment/Announcer.h
+++ b/src/experiment/Announcer.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "experiment/Json.h"
 #include "experiment/Loop.h"
 
 #include <functional>
@@ -32,7 +31,7 @@
 class Announcer {
 public:
     /// `makeBody` gives the announcement; it is called once for each round, and both nodes get the same one.
-    Announcer(Loop&, std::vector<std::string> nodes, std::string token, std::function<Json()> makeBody);
+    Announcer(Loop&, std::vector<std::string> nodes, std::string token, std::function<std::string()> makeBody);
     ~Announcer();
 
     /// Announces out of turn, for news that must not wait.
--- a/src/experiment/Arrivals.cpp
+++ b/src/experiment/Arrivals.cpp
@@ -11,7 +11,7 @@
 
 namespace siskinshunt {
 
-static uint32_t draw(Random& random, TokenRange range)
+static uint32_t draw(Random& random, LoadTokenRange range)
 {
     return static_cast<uint32_t>(random.between(range.low, range.high));
 }
--- a/src/experiment/FakeEngine.cpp
+++ b/src/experiment/FakeEngine.cpp
@@ -10,7 +10,7 @@
 namespace siskinshunt {
 
 FakeEngine::FakeEngine(Loop& loop, FakeEngineConfig config, AnnounceOptions options, EngineSurroundings& surroundings)
-    : FakeUpstream(loop, config.identity, std::move(options))
+    : UpstreamStandIn(loop, config.identity, std::move(options))
     , m_config(std::move(config))
     , m_surroundings(surroundings)
     , m_orders(m_config.identity.checksFencing)
@@ -27,7 +27,7 @@
     m_engine.emplace(std::move(options));
 }
 
-FakeLoad FakeEngine::load()
+UpstreamLoad FakeEngine::load()
 {
     startModel();
     const auto now = siskinshunt::load(*m_engine, loop().now());
@@ -90,6 +90,13 @@
     return out;
 }
 
+static uint32_t maxTokensOf(const Json& body)
+{
+    constexpr int64_t otherwise = 256;
+    const auto& value = body.has("max_completion_tokens") ? body["max_completion_tokens"] : body["max_tokens"];
+    return static_cast<uint32_t>(std::clamp<int64_t>(value.asInt(otherwise), 1, 1000000));
+}
+
 void FakeEngine::complete(const HttpRequest& request, const std::shared_ptr<HttpReply>& reply, const Json& body)
 {
     startModel();
@@ -100,8 +107,10 @@
     if (fault.mode == FaultMode::Fail && m_surroundings.random.chance(fault.rate))
         return reply->answer(500, echo, fakeErrorBody("engine_failed", "this version fails"));
     const auto prompt = promptOf(body);
-    const auto maxTokens = static_cast<uint32_t>(std::clamp<int64_t>(body["max_tokens"].asInt(16), 1, 1000000));
+    const auto maxTokens = maxTokensOf(body);
     const auto offset = static_cast<uint32_t>(std::min<uint64_t>(maxTokens, numberOf(findHeader(request.headers, "Siskinshunt-Offset"), 0)));
+    if (const auto& resume = body["resume"]; resume.has("text") && resume["text"].asText() != expectedAnswer(prompt, 0, offset))
+        return reply->answer(400, echo, fakeErrorBody("wrong_resume", "resume.text is not the answer up to the offset"));
     const uint64_t id = m_nextCall++;
     auto& call = addCall(id, { .reply = reply, .callHeader = std::string(findHeader(request.headers, "Siskinshunt-Call")), .echo = echo, .hash = promptHash(prompt), .promptTokens = estimateTokens(prompt), .start = offset, .offset = offset, .stream = body["stream"].asBool(), .chat = pathOf(request.target) == "/v1/chat/completions" });
     EngineRequest work { .priority = static_cast<int>(numberOf(findHeader(request.headers, "Siskinshunt-Priority"), 5)), .blocks = prefixHashes(prompt), .promptTokens = call.promptTokens, .outputTokens = maxTokens, .offset = offset };
@@ -136,7 +145,7 @@
     return out;
 }
 
-bool FakeEngine::submitCall(uint64_t id, const Call& call, EngineRequest work, const VersionFault& fault)
+bool FakeEngine::submitCall(uint64_t id, const Call& call, EngineRequest work, const FakeVersionFault& fault)
 {
     work.call = { id };
     if (const auto it = m_imported.find(call.callHeader); it != m_imported.end()) {
@@ -322,7 +331,7 @@
 void FakeEngine::cacheEvents(const std::shared_ptr<HttpReply>& reply, const HttpRequest& request)
 {
     startModel();
-    uint64_t next = numberOf(queryOf(request.target, "since"), 0);
+    uint64_t next = numberOf(queryValue(request.target, "since"), 0);
     auto events = Json::array();
     tick();
     for (const auto& it : siskinshunt::cacheEvents(*m_engine, next)) {
--- a/src/experiment/FakeEngine.h
+++ b/src/experiment/FakeEngine.h
@@ -2,9 +2,9 @@
 
 #include "base/Random.h"
 #include "emulator/Engine.h"
-#include "experiment/FakeUpstream.h"
+#include "experiment/FakeVersionFaults.h"
 #include "experiment/Fencing.h"
-#include "experiment/VersionFaults.h"
+#include "experiment/UpstreamStandIn.h"
 #include "experiment/WeightStore.h"
 
 #include <map>
@@ -13,7 +13,7 @@
 
 /// What the engines of one process share.
 struct EngineSurroundings {
-    VersionFaults faults;
+    FakeVersionFaults faults;
     WeightStore weights { 1, 2 };
     Random random { 1 };
 };
@@ -27,13 +27,13 @@
 };
 
 /// Stand-in for a model engine, with the HTTP interface of the design page. Answers come from Answers.h.
-class FakeEngine : public FakeUpstream {
+class FakeEngine : public UpstreamStandIn {
 public:
     FakeEngine(Loop&, FakeEngineConfig, AnnounceOptions, EngineSurroundings&);
     ~FakeEngine() override { *m_alive = false; }
 
-    FakeLoad load() override;
-    const char* kind() const override { return "engine"; }
+    UpstreamLoad load() override;
+    UpstreamKind kind() const override { return UpstreamKind::Engine; }
     /// Over all processes of this engine.
     const EngineTotals& totals() const { return m_totals; }
 
@@ -63,7 +63,7 @@
     void importCache(const std::shared_ptr<HttpReply>&, const Json& body);
     void cacheEvents(const std::shared_ptr<HttpReply>&, const HttpRequest&);
     Call& addCall(uint64_t id, Call);
-    bool submitCall(uint64_t id, const Call&, EngineRequest, const VersionFault&);
+    bool submitCall(uint64_t id, const Call&, EngineRequest, const FakeVersionFault&);
     void keepAlive(uint64_t id);
     void scheduleTick();
     void tick();
--- a/src/experiment/FakeFleet.cpp
+++ b/src/experiment/FakeFleet.cpp
@@ -17,7 +17,7 @@
     }
 }
 
-FakeUpstream& FakeFleet::addEngine(FakeEngineConfig config)
+UpstreamStandIn& FakeFleet::addEngine(FakeEngineConfig config)
 {
     auto engine = std::make_unique<FakeEngine>(m_loop, std::move(config), AnnounceOptions { m_config.daemons, m_config.announceToken }, m_surroundings);
     m_engines.push_back(engine.get());
@@ -25,7 +25,7 @@
     return *m_upstreams.back();
 }
 
-void FakeFleet::addInstance(FakeUpstream& upstream, const std::string& id, const std::string& kind, const std::string& state)
+void FakeFleet::addInstance(UpstreamStandIn& upstream, const std::string& id, const std::string& kind, const std::string& state)
 {
     const auto& identity = upstream.identity();
     m_instances[id] = { .id = id, .domain = identity.domain, .machine = identity.machine, .kind = kind, .state = state, .address = identity.address, .upstream = &upstream };
@@ -102,9 +102,9 @@
         m_refusing.erase(key);
 }
 
-std::vector<FakeUpstream*> FakeFleet::select(std::string_view name, std::string_view domain)
+std::vector<UpstreamStandIn*> FakeFleet::select(std::string_view name, std::string_view domain)
 {
-    std::vector<FakeUpstream*> out;
+    std::vector<UpstreamStandIn*> out;
     for (const auto& it : m_upstreams) {
         const auto& identity = it->identity();
         if ((!name.empty() && identity.name == name) || (!domain.empty() && identity.domain == domain))
--- a/src/experiment/FakeFleet.h
+++ b/src/experiment/FakeFleet.h
@@ -26,7 +26,7 @@
         std::string kind; ///< reclaimable or on-demand.
         std::string state; ///< starting, running, stopped.
         std::string address;
-        FakeUpstream* upstream = nullptr;
+        UpstreamStandIn* upstream = nullptr;
     };
 
     FakeFleet(Loop&, const FakesConfig&);
@@ -39,7 +39,7 @@
     bool stopInstance(const std::string& id);
     void refuseStarts(const std::string& domain, bool refuse);
     /// Upstreams whose name or failure domain matches; an empty text matches none.
-    std::vector<FakeUpstream*> select(std::string_view name, std::string_view domain);
+    std::vector<UpstreamStandIn*> select(std::string_view name, std::string_view domain);
 
     EngineSurroundings& surroundings() { return m_surroundings; }
     const Executions& executions() const { return m_executions; }
@@ -51,8 +51,8 @@
     Json describeCost();
 
 private:
-    FakeUpstream& addEngine(FakeEngineConfig);
-    void addInstance(FakeUpstream&, const std::string& id, const std::string& kind, const std::string& state);
+    UpstreamStandIn& addEngine(FakeEngineConfig);
+    void addInstance(UpstreamStandIn&, const std::string& id, const std::string& kind, const std::string& state);
     std::string freeAddress() const;
     double perHour() const;
     void charge();
@@ -61,7 +61,7 @@
     const FakesConfig& m_config;
     EngineSurroundings m_surroundings;
     Executions m_executions;
-    std::vector<std::unique_ptr<FakeUpstream>> m_upstreams;
+    std::vector<std::unique_ptr<UpstreamStandIn>> m_upstreams;
     std::vector<FakeEngine*> m_engines;
     std::map<std::string, Instance> m_instances;
     std::set<std::string> m_refusing;
--- a/src/experiment/FakeService.cpp
+++ b/src/experiment/FakeService.cpp
@@ -23,13 +23,13 @@
 }
 
 FakeService::FakeService(Loop& loop, FakeServiceConfig config, AnnounceOptions options, Executions& executions)
-    : FakeUpstream(loop, config.identity, std::move(options))
+    : UpstreamStandIn(loop, config.identity, std::move(options))
     , m_config(std::move(config))
     , m_executions(executions)
 {
 }
 
-FakeLoad FakeService::load()
+UpstreamLoad FakeService::load()
 {
     return { .running = m_running, .capacity = m_config.capacity };
 }
--- a/src/experiment/FakeService.h
+++ b/src/experiment/FakeService.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "experiment/FakeUpstream.h"
+#include "experiment/UpstreamStandIn.h"
 
 #include <map>
 #include <string>
@@ -21,13 +21,13 @@
 
 /// Stand-in for a plain service (hire desk, showroom app). Each request other than GET with a booking id (member
 /// `booking` of the body, else the header Idempotency-Key) executes; GET looks up. Answers carry `confirmation`.
-class FakeService : public FakeUpstream {
+class FakeService : public UpstreamStandIn {
 public:
     FakeService(Loop&, FakeServiceConfig, AnnounceOptions, Executions&);
     ~FakeService() override { *m_alive = false; }
 
-    FakeLoad load() override;
-    const char* kind() const override { return "service"; }
+    UpstreamLoad load() override;
+    UpstreamKind kind() const override { return UpstreamKind::Service; }
 
 protected:
     void handleRequest(const HttpRequest&, const std::shared_ptr<HttpReply>&) override;
--- a/src/experiment/VersionFaults.cpp
+++ b/src/experiment/FakeVersionFaults.cpp
@@ -1,8 +1,8 @@
-#include "experiment/VersionFaults.h"
+#include "experiment/FakeVersionFaults.h"
 
 namespace siskinshunt {
 
-bool VersionFaults::set(const Json& order, TimeMs now)
+bool FakeVersionFaults::set(const Json& order, TimeMs now)
 {
     const auto mode = parseEnum<FaultMode>(order["mode"].asText());
     if (!mode || order["version"].asText().empty())
@@ -18,14 +18,14 @@
     return true;
 }
 
-VersionFault VersionFaults::find(const std::string& version, std::string_view path, uint32_t running, TimeMs now) const
+FakeVersionFault FakeVersionFaults::find(const std::string& version, std::string_view path, uint32_t running, TimeMs now) const
 {
     const auto it = m_faults.find(version);
     if (it == m_faults.end())
         return {};
     const auto& fault = it->second;
     const bool shows = now >= fault.from && running >= fault.underLoad && path.starts_with(fault.path);
-    return shows ? fault : VersionFault {};
+    return shows ? fault : FakeVersionFault {};
 }
 
 }
--- a/src/experiment/VersionFaults.h
+++ b/src/experiment/FakeVersionFaults.h
@@ -23,7 +23,7 @@
 });
 
 /// How a version misbehaves, and when.
-struct VersionFault {
+struct FakeVersionFault {
     FaultMode mode = FaultMode::Good;
     TimeMs from; ///< Instant from which it shows.
     uint32_t underLoad = 0; ///< Only while the engine serves at least this many calls.
@@ -33,15 +33,15 @@
 };
 
 /// Faults by version name.
-class VersionFaults {
+class FakeVersionFaults {
 public:
     /// Sets the fault from `{"version","mode","after_ms","under_load","path","rate","factor"}`; false when the mode is unknown.
     bool set(const Json& order, TimeMs now);
     /// The fault that shows for a call now; mode Good when none.
-    VersionFault find(const std::string& version, std::string_view path, uint32_t running, TimeMs now) const;
+    FakeVersionFault find(const std::string& version, std::string_view path, uint32_t running, TimeMs now) const;
 
 private:
-    std::map<std::string, VersionFault> m_faults;
+    std::map<std::string, FakeVersionFault> m_faults;
 };
 
 }
--- a/src/experiment/Fields.cpp
+++ b/src/experiment/Fields.cpp
@@ -1,6 +1,6 @@
 #include "experiment/Fields.h"
 
-#include "experiment/Http.h"
+#include "experiment/SocketAddress.h"
 
 namespace siskinshunt {
 
--- a/src/experiment/HttpClient.cpp
+++ b/src/experiment/HttpClient.cpp
@@ -1,5 +1,7 @@
 #include "experiment/HttpClient.h"
 
+#include "experiment/SocketAddress.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/src/experiment/HttpClient.h
+++ b/src/experiment/HttpClient.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "api/HttpMessage.h"
 #include "base/EnumNames.h"
-#include "experiment/Http.h"
 #include "experiment/Loop.h"
 
 #include <array>
--- a/src/experiment/HttpServer.cpp
+++ b/src/experiment/HttpServer.cpp
@@ -1,5 +1,7 @@
 #include "experiment/HttpServer.h"
 
+#include "experiment/SocketAddress.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -62,7 +64,7 @@
         void readRequest();
         void freeze();
         void close();
-        void send(uint64_t exchange, std::string text, bool last);
+        void send(uint64_t exchange, std::string_view text, bool last);
         void setGone(uint64_t exchange, std::function<void()>);
         bool isCurrent(uint64_t exchange) const { return exchange == m_exchange && m_busy && !m_closed; }
 
@@ -174,7 +176,7 @@
         });
     }
 
-    void Connection::send(uint64_t exchange, std::string text, bool last)
+    void Connection::send(uint64_t exchange, std::string_view text, bool last)
     {
         if (!isCurrent(exchange) || m_frozen || m_last)
             return;
--- a/src/experiment/LoadCaller.h
+++ b/src/experiment/LoadCaller.h
@@ -17,7 +17,7 @@
     uint64_t seed = 1;
     TimeMs startedAt;
     Random random;
-    std::function<void(const CallRecord&, const OnceRecord*)> onEnd;
+    std::function<void(const LoadRecord&, const OnceRecord*)> onEnd;
 };
 
 /// Makes one call of the load with its attempts, checks the answer, and reports the end once.
@@ -42,7 +42,7 @@
     std::optional<AnswerChecker> m_checker;
     std::shared_ptr<HttpExchange> m_exchange;
     std::string m_address;
-    CallRecord m_record;
+    LoadRecord m_record;
     TimeMs m_startedAt;
     size_t m_attemptTokens = 0;
     bool m_doubt = false;
--- a/src/experiment/LoadConfig.cpp
+++ b/src/experiment/LoadConfig.cpp
@@ -4,7 +4,7 @@
 
 namespace siskinshunt {
 
-static TokenRange readRange(Fields& fields, const std::string& key, TokenRange otherwise)
+static LoadTokenRange readRange(Fields& fields, const std::string& key, LoadTokenRange otherwise)
 {
     constexpr int64_t most = 1000000;
     const auto& items = fields.items(key);
--- a/src/experiment/LoadConfig.h
+++ b/src/experiment/LoadConfig.h
@@ -12,7 +12,7 @@
     std::string token;
 };
 
-struct TokenRange {
+struct LoadTokenRange {
     uint32_t low = 1;
     uint32_t high = 1;
 };
@@ -26,8 +26,8 @@
     std::string path;
     std::string model;
     double ratePerSecond = 1;
-    TokenRange prompt;
-    TokenRange answer;
+    LoadTokenRange prompt;
+    LoadTokenRange answer;
     uint32_t sharedPrefixTokens = 0; ///< Leading prompt tokens that calls share.
     uint32_t sharedPrefixes = 1; ///< Number of different shared prefixes.
     bool stream = false;
--- a/src/experiment/LoadRun.cpp
+++ b/src/experiment/LoadRun.cpp
@@ -23,10 +23,10 @@
             , m_tally({ std::max<int64_t>(1000, options.duration.value / 60) })
             , m_context { .loop = m_loop, .config = m_config, .seed = options.seed, .startedAt = {}, .random = Random(options.seed), .onEnd = {} }
         {
-            m_context.onEnd = [this](const CallRecord& call, const OnceRecord* once) { takeEnd(call, once); };
-            for (size_t account = 0; account < m_config.accounts.size(); ++account) {
+            m_context.onEnd = [this](const LoadRecord& call, const OnceRecord* once) { takeEnd(call, once); };
+            for (const auto& account : m_config.accounts) {
                 for (uint32_t caller = 0; caller < m_config.callers; ++caller)
-                    m_finders.push_back(std::make_unique<EntryFinder>(m_loop, options.targets, m_config.accounts[account].token, m_config.useEntries, options.seed + m_finders.size()));
+                    m_finders.push_back(std::make_unique<EntryFinder>(m_loop, options.targets, account.token, m_config.useEntries, options.seed + m_finders.size()));
             }
         }
 
@@ -37,7 +37,7 @@
 
     private:
         void startDue();
-        void takeEnd(const CallRecord&, const OnceRecord*);
+        void takeEnd(const LoadRecord&, const OnceRecord*);
         void sampleCost();
         void takeCost(const HttpAnswer&);
         void showProgress();
@@ -91,7 +91,7 @@
         m_loop.after(std::max(TimeMs { 1 }, m_arrivals[m_next].at - now), [this] { startDue(); });
     }
 
-    void LoadRun::takeEnd(const CallRecord& call, const OnceRecord* once)
+    void LoadRun::takeEnd(const LoadRecord& call, const OnceRecord* once)
     {
         m_tally.record(call);
         if (once)
--- a/src/experiment/LoadTally.cpp
+++ b/src/experiment/LoadTally.cpp
@@ -4,7 +4,7 @@
 
 static constexpr double gapUnitsPerMs = 100;
 
-void LoadTally::record(const CallRecord& call)
+void LoadTally::record(const LoadRecord& call)
 {
     auto& mix = m_mixes[call.mix];
     auto& window = m_windows[call.startedAt.value / m_window.value];
--- a/src/experiment/LoadTally.h
+++ b/src/experiment/LoadTally.h
@@ -13,7 +13,7 @@
 namespace siskinshunt {
 
 /// One ended call.
-struct CallRecord {
+struct LoadRecord {
     std::string mix;
     CallResult result = CallResult::Answered;
     TimeMs startedAt; ///< Since the start of the run.
@@ -59,7 +59,7 @@
     {
     }
 
-    void record(const CallRecord&);
+    void record(const LoadRecord&);
     void addCost(const CostSample& sample) { m_costs.push_back(sample); }
     void setAudit(AuditResult audit) { m_audit = std::move(audit); }
     void setAuditMissing(std::string reason) { m_auditMissing = std::move(reason); }
--- a/src/experiment/RunReport.cpp
+++ b/src/experiment/RunReport.cpp
@@ -152,11 +152,11 @@
     {
         std::vector<PlotLine> out;
         for (const auto& window : run["windows"].items) {
-            for (const auto& [name, value] : window[member].members) {
-                auto it = std::find_if(out.begin(), out.end(), [&](const auto& line) { return line.name == name; });
+            for (const auto& entry : window[member].members) {
+                auto it = std::find_if(out.begin(), out.end(), [&](const auto& line) { return line.name == entry.first; });
                 if (it == out.end())
-                    it = out.insert(out.end(), PlotLine { name, {} });
-                it->points.emplace_back(window["at_s"].asDouble(), value.asDouble());
+                    it = out.insert(out.end(), PlotLine { entry.first, {} });
+                it->points.emplace_back(window["at_s"].asDouble(), entry.second.asDouble());
             }
         }
         return out;
--- a/src/experiment/FakeUpstream.cpp
+++ b/src/experiment/UpstreamStandIn.cpp
@@ -1,19 +1,21 @@
-#include "experiment/FakeUpstream.h"
+#include "experiment/UpstreamStandIn.h"
+
+#include "api/AnnouncementJson.h"
 
 #include <chrono>
 
 namespace siskinshunt {
 
-FakeUpstream::FakeUpstream(Loop& loop, FakeIdentity identity, AnnounceOptions options)
+UpstreamStandIn::UpstreamStandIn(Loop& loop, FakeIdentity identity, AnnounceOptions options)
     : m_loop(loop)
     , m_identity(std::move(identity))
     , m_options(std::move(options))
 {
 }
 
-FakeUpstream::~FakeUpstream() { *m_alive = false; }
+UpstreamStandIn::~UpstreamStandIn() { *m_alive = false; }
 
-Result<void> FakeUpstream::start()
+Result<void> UpstreamStandIn::start()
 {
     if (up())
         return {};
@@ -31,7 +33,7 @@
     return {};
 }
 
-void FakeUpstream::stop()
+void UpstreamStandIn::stop()
 {
     if (!up())
         return;
@@ -44,7 +46,7 @@
         m_onStopped();
 }
 
-void FakeUpstream::reclaim(TimeMs notice)
+void UpstreamStandIn::reclaim(TimeMs notice)
 {
     if (!up())
         return;
@@ -57,27 +59,27 @@
     });
 }
 
-std::optional<TimeMs> FakeUpstream::reclaimIn() const
+std::optional<TimeMs> UpstreamStandIn::reclaimIn() const
 {
     if (!m_reclaimAt)
         return std::nullopt;
     return std::max(TimeMs {}, *m_reclaimAt - m_loop.now());
 }
 
-void FakeUpstream::freezeConnections()
+void UpstreamStandIn::freezeConnections()
 {
     if (m_server)
         m_server->freezeOpen();
 }
 
-void FakeUpstream::noteWork()
+void UpstreamStandIn::noteWork()
 {
     constexpr TimeMs allowed { 3000 };
     if (m_reclaimAt && m_loop.now() > m_noticeAt + allowed)
         ++m_workAfterNotice;
 }
 
-bool FakeUpstream::takeDropAnswer()
+bool UpstreamStandIn::takeDropAnswer()
 {
     if (!m_dropAnswers)
         return false;
@@ -85,29 +87,36 @@
     return true;
 }
 
-void FakeUpstream::setLeaving()
+void UpstreamStandIn::setLeaving()
 {
     m_leaving = true;
     m_announcer->announceNow();
 }
 
-Json FakeUpstream::announcement()
+std::string UpstreamStandIn::announcement()
 {
-    const auto now = load();
-    auto out = Json::object({ { "name", m_identity.name }, { "address", m_identity.address }, { "domain", m_identity.domain },
-        { "machine", m_identity.machine }, { "kind", kind() }, { "model", m_identity.model }, { "version", m_identity.version },
-        { "adapters", Json::array() }, { "role", "mixed" }, { "checks_fencing", m_identity.checksFencing },
-        { "reclaimable", m_identity.reclaimable }, { "leaving", m_leaving }, { "incarnation", m_incarnation }, { "sequence", ++m_sequence } });
-    if (const auto left = reclaimIn())
-        out.set("reclaim_in_ms", *left);
-    out.set("load", Json::object({ { "running", now.running }, { "waiting", now.waiting }, { "capacity", now.capacity }, { "cached_tokens", now.cachedTokens }, { "waiting_tokens", now.waitingTokens }, { "tokens_per_second", now.tokensPerSecond }, { "prefill_tokens_per_second", now.prefillTokensPerSecond } }));
-    return out;
+    return toJson(Announcement {
+        .name = m_identity.name,
+        .address = m_identity.address,
+        .domain = m_identity.domain,
+        .machine = m_identity.machine,
+        .kind = kind(),
+        .model = m_identity.model,
+        .version = m_identity.version,
+        .checksFencing = m_identity.checksFencing,
+        .reclaimable = m_identity.reclaimable,
+        .leaving = m_leaving,
+        .reclaimIn = reclaimIn(),
+        .incarnation = m_incarnation,
+        .sequence = ++m_sequence,
+        .load = load(),
+    });
 }
 
-Json FakeUpstream::describe()
+Json UpstreamStandIn::describe()
 {
     const auto now = load();
-    auto out = Json::object({ { "name", m_identity.name }, { "kind", kind() }, { "address", m_identity.address }, { "domain", m_identity.domain },
+    auto out = Json::object({ { "name", m_identity.name }, { "kind", nameOf(kind()) }, { "address", m_identity.address }, { "domain", m_identity.domain },
         { "model", m_identity.model }, { "version", m_identity.version }, { "up", up() }, { "running", now.running }, { "waiting", now.waiting },
         { "work_after_notice", m_workAfterNotice }, { "announcements_accepted", announcementsAccepted() } });
     if (const auto left = reclaimIn())
--- a/src/experiment/FakeUpstream.h
+++ b/src/experiment/UpstreamStandIn.h
@@ -3,23 +3,13 @@
 #include "experiment/Announcer.h"
 #include "experiment/FakesConfig.h"
 #include "experiment/HttpServer.h"
+#include "fleet/Upstream.h"
 
 #include <memory>
 #include <optional>
 
 namespace siskinshunt {
 
-/// Load of an upstream stand-in, as announced.
-struct FakeLoad {
-    uint32_t running = 0;
-    uint32_t waiting = 0;
-    uint32_t capacity = 1;
-    uint64_t cachedTokens = 0;
-    uint64_t waitingTokens = 0;
-    double tokensPerSecond = 0;
-    double prefillTokensPerSecond = 0;
-};
-
 /// Where and how upstream stand-ins announce themselves.
 struct AnnounceOptions {
     std::vector<std::string> nodes;
@@ -27,10 +17,10 @@
 };
 
 /// An upstream stand-in: identity, port, announcements, reclaim and faults. A derived class gives the behaviour.
-class FakeUpstream {
+class UpstreamStandIn {
 public:
-    FakeUpstream(Loop&, FakeIdentity, AnnounceOptions);
-    virtual ~FakeUpstream();
+    UpstreamStandIn(Loop&, FakeIdentity, AnnounceOptions);
+    virtual ~UpstreamStandIn();
 
     /// Opens the port and begins to announce, under a new incarnation. Fails when the port is taken.
     Result<void> start();
@@ -50,9 +40,9 @@
     uint64_t announcementsAccepted() const { return m_announcer ? m_announcer->accepted() : 0; }
     /// Called after each stop.
     void onStopped(std::function<void()> body) { m_onStopped = std::move(body); }
-    virtual FakeLoad load() = 0;
-    /// "engine" or "service".
-    virtual const char* kind() const = 0;
+    /// As announced, late by the reporting lag.
+    virtual UpstreamLoad load() = 0;
+    virtual UpstreamKind kind() const = 0;
     Json describe();
 
 protected:
@@ -67,7 +57,7 @@
     Loop& loop() { return m_loop; }
 
 private:
-    Json announcement();
+    std::string announcement();
 
     Loop& m_loop;
     FakeIdentity m_identity;
