--- /dev/null
+++ b/src/experiment/AdminCommands.cpp
@@ -0,0 +1,315 @@
+#include "experiment/AdminClient.h"
+#include "experiment/Arrivals.h"
+#include "experiment/CommandOptions.h"
+#include "experiment/Commands.h"
+#include "experiment/TextTable.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+namespace siskinshunt {
+
+namespace {
+
+    /// Options that every operator command has.
+    class AdminOptions : public CommandOptions {
+    public:
+        AdminOptions(const std::string& usage, const std::string& text)
+            : CommandOptions("siskinshuntctl " + usage + " --address ADDR... [--token-file FILE]", text)
+        {
+            addMany("address", "nodes (IP:port) to ask, in order");
+            add("token-file", "file with the operator token; the default is the environment variable SISKINSHUNT_TOKEN");
+            addDefault("timeout", "milliseconds to wait for one answer", "5000");
+            addFlag("json", "print the answer as JSON");
+        }
+
+        /// The exit code when the command ends here; else `access` is set.
+        std::optional<int> read(const std::vector<std::string>& arguments)
+        {
+            if (const auto code = parse(arguments))
+                return code;
+            if (!require({ "address" }))
+                return exits::usage;
+            const auto timeout = number("timeout", 1, 600000);
+            if (!timeout)
+                return exits::usage;
+            access.addresses = many("address");
+            access.timeout = { *timeout };
+            return readToken();
+        }
+
+        AdminAccess access;
+
+    private:
+        std::optional<int> readToken()
+        {
+            if (const auto file = text("token-file"); !file.empty()) {
+                std::ifstream in(file);
+                if (!std::getline(in, access.token)) {
+                    std::cerr << file << ": no token can be read\n";
+                    return exits::usage;
+                }
+            } else if (const char* token = std::getenv("SISKINSHUNT_TOKEN")) {
+                access.token = token;
+            } else {
+                std::cerr << "an operator token is required: --token-file or SISKINSHUNT_TOKEN\n";
+                return exits::usage;
+            }
+            return std::nullopt;
+        }
+    };
+
+    int printAnswer(const AdminAnswer& answer, bool asJson)
+    {
+        const int code = exitOf(answer);
+        if (answer.status == 0) {
+            std::cerr << "no node answered after " << answer.attempts << " attempts" << (answer.mayHaveRun ? "; the request may have been carried out" : "") << '\n';
+            return code;
+        }
+        if (asJson) {
+            std::cout << toText(answer.body) << '\n';
+        } else if (code == exits::ok) {
+            std::cout << renderForPeople(answer.body);
+        } else {
+            const auto& error = answer.body["error"];
+            std::cerr << answer.address << " answered " << answer.status << ": " << (error.has("message") ? toPlainText(error["message"]) : toPlainText(answer.body)) << '\n';
+            if (error.kind == Json::Kind::Object)
+                std::cerr << renderForPeople(error);
+        }
+        return code;
+    }
+
+    std::string newRequestId()
+    {
+        std::random_device device;
+        const auto wall = std::chrono::system_clock::now().time_since_epoch();
+        const auto random = [&] { return (static_cast<uint64_t>(device()) << 32) | device(); };
+        return makeUuid7(static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(wall).count()), random(), random());
+    }
+
+    std::optional<std::string> readFile(const std::string& path)
+    {
+        std::ifstream in(path, std::ios::binary);
+        std::ostringstream text;
+        text << in.rdbuf();
+        if (in)
+            return text.str();
+        std::cerr << path << ": the file cannot be read\n";
+        return std::nullopt;
+    }
+
+    /// Percent-encodes what is not unreserved in a query.
+    std::string encodeQuery(std::string_view text)
+    {
+        constexpr std::string_view plain = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~";
+        std::string out;
+        for (const char c : text) {
+            if (plain.find(c) != std::string_view::npos) {
+                out += c;
+                continue;
+            }
+            char hex[4];
+            std::snprintf(hex, sizeof hex, "%%%02X", static_cast<unsigned>(static_cast<unsigned char>(c)));
+            out += hex;
+        }
+        return out;
+    }
+
+    int show(const char* usage, const char* text, const char* target, const std::vector<std::string>& arguments)
+    {
+        AdminOptions options(usage, text);
+        if (const auto code = options.read(arguments))
+            return *code;
+        return printAnswer(callAdmin(options.access, "GET", target), options.flag("json"));
+    }
+
+    int applyRules(const std::vector<std::string>& arguments)
+    {
+        AdminOptions options("rules apply FILE --expected REVISION [--request-id ID]",
+            "Applies the rules file if REVISION is still the revision in force. When an answer is lost the request is sent\n"
+            "again under the same request id, so it is applied at most once. Exits with 1 when another operator was first.");
+        options.addPositional("file", 1);
+        options.add("expected", "revision that the file was edited from");
+        options.add("request-id", "id of this request; the default is a new one, which is printed");
+        if (const auto code = options.read(arguments))
+            return *code;
+        if (!options.require({ "file", "expected" }))
+            return exits::usage;
+        const auto expected = options.number("expected", 0, INT64_MAX);
+        const auto text = readFile(options.many("file")[0]);
+        if (!expected || !text)
+            return exits::usage;
+        const auto id = options.has("request-id") ? options.text("request-id") : newRequestId();
+        const auto answer = callAdmin(options.access, "POST", "/admin/rules", Json::object({ { "request_id", id }, { "expected_revision", *expected }, { "text", *text } }));
+        if (exitOf(answer) == exits::unreachable)
+            std::cerr << "to learn the outcome, run the same command again with --request-id " << id << '\n';
+        return printAnswer(answer, options.flag("json"));
+    }
+
+    int showRules(const std::vector<std::string>& arguments)
+    {
+        return show("rules show", "Prints the rules in force, their revision and the live nodes that have not confirmed it.", "/admin/rules", arguments);
+    }
+
+    int rulesHistory(const std::vector<std::string>& arguments)
+    {
+        return show("rules history", "Lists the revisions with who applied them and when.", "/admin/rules/history", arguments);
+    }
+
+    int diffRules(const std::vector<std::string>& arguments)
+    {
+        AdminOptions options("rules diff FILE", "Compares the rules in force (-) with the file (+). Exits with 1 when they differ.");
+        options.addPositional("file", 1);
+        if (const auto code = options.read(arguments))
+            return *code;
+        if (!options.require({ "file" }))
+            return exits::usage;
+        const auto text = readFile(options.many("file")[0]);
+        if (!text)
+            return exits::usage;
+        const auto answer = callAdmin(options.access, "GET", "/admin/rules");
+        if (exitOf(answer) != exits::ok)
+            return printAnswer(answer, options.flag("json"));
+        const auto diff = diffLines(answer.body["text"].asText(), *text);
+        if (options.flag("json"))
+            std::cout << toText(Json::object({ { "revision", answer.body["revision"] }, { "equal", diff.empty() }, { "diff", diff } })) << '\n';
+        else
+            std::cout << diff;
+        return diff.empty() ? exits::ok : exits::no;
+    }
+
+    int bootstrapVoters(const std::vector<std::string>& arguments)
+    {
+        AdminOptions options("voters bootstrap --voter NODE...", "Names the first voters; works once, on a system without voters.");
+        options.addMany("voter", "names of the nodes: 3, 5 or 7");
+        if (const auto code = options.read(arguments))
+            return *code;
+        if (!options.require({ "voter" }))
+            return exits::usage;
+        auto voters = Json::array();
+        for (const auto& it : options.many("voter"))
+            voters.push(it);
+        return printAnswer(callAdmin(options.access, "POST", "/admin/voters", Json::object({ { "action", "bootstrap" }, { "request_id", newRequestId() }, { "voters", voters } })), options.flag("json"));
+    }
+
+    int replaceVoter(const std::vector<std::string>& arguments)
+    {
+        AdminOptions options("voters replace --remove VOTER --add NODE", "Replaces one voter: the new one joins as a learner and counts after it has caught up.");
+        options.add("remove", "voter id or node name of the voter that leaves");
+        options.add("add", "name of the node that becomes a voter");
+        if (const auto code = options.read(arguments))
+            return *code;
+        if (!options.require({ "remove", "add" }))
+            return exits::usage;
+        return printAnswer(callAdmin(options.access, "POST", "/admin/voters", Json::object({ { "action", "replace" }, { "request_id", newRequestId() }, { "remove", options.text("remove") }, { "add", options.text("add") } })), options.flag("json"));
+    }
+
+    int showVoters(const std::vector<std::string>& arguments)
+    {
+        return show("voters show", "Lists the voters of every consensus group.", "/admin/voters", arguments);
+    }
+
+    struct Word {
+        const char* name;
+        int (*run)(const std::vector<std::string>&);
+    };
+
+    int runWord(const char* command, std::initializer_list<Word> words, const std::vector<std::string>& arguments)
+    {
+        const bool help = !arguments.empty() && (arguments[0] == "--help" || arguments[0] == "-h");
+        for (const auto& it : words) {
+            if (!arguments.empty() && arguments[0] == it.name)
+                return it.run({ arguments.begin() + 1, arguments.end() });
+        }
+        auto& out = help ? std::cout : std::cerr;
+        out << "usage: siskinshuntctl " << command << " WORD [OPTIONS], where WORD is one of";
+        for (const auto& it : words)
+            out << ' ' << it.name;
+        out << "\nsiskinshuntctl " << command << " WORD --help describes the options.\n";
+        return help ? exits::ok : exits::usage;
+    }
+
+}
+
+int runRulesCommand(const std::vector<std::string>& arguments)
+{
+    return runWord("rules", { { "apply", applyRules }, { "show", showRules }, { "diff", diffRules }, { "history", rulesHistory } }, arguments);
+}
+
+int runVotersCommand(const std::vector<std::string>& arguments)
+{
+    return runWord("voters", { { "show", showVoters }, { "bootstrap", bootstrapVoters }, { "replace", replaceVoter } }, arguments);
+}
+
+int runStatusCommand(const std::vector<std::string>& arguments)
+{
+    return show("status", "Prints the state of the node that answers and what it knows of the others.", "/admin/status", arguments);
+}
+
+int runUpstreamsCommand(const std::vector<std::string>& arguments)
+{
+    return show("upstreams", "Lists the upstreams with load, version and reclaim notice.", "/admin/upstreams", arguments);
+}
+
+int runMovesCommand(const std::vector<std::string>& arguments)
+{
+    return show("moves", "Lists the version moves with stage, shares and reason.", "/admin/moves", arguments);
+}
+
+int runExplainCommand(const std::vector<std::string>& arguments)
+{
+    AdminOptions options("explain ID", "Lists the decisions that concern a call, move, order or instance, from all nodes and in order. Exits with 1 when there are none.");
+    options.addPositional("id", 1);
+    if (const auto code = options.read(arguments))
+        return *code;
+    if (!options.require({ "id" }))
+        return exits::usage;
+    return printAnswer(callAdmin(options.access, "GET", "/admin/explain?id=" + encodeQuery(options.many("id")[0])), options.flag("json"));
+}
+
+int runDrainCommand(const std::vector<std::string>& arguments)
+{
+    AdminOptions options("drain", "Drains the node at the address: it leaves the address list and ends when its calls have ended.");
+    if (const auto code = options.read(arguments))
+        return *code;
+    if (options.access.addresses.size() != 1) {
+        std::cerr << "drain takes exactly one --address, since it acts on that node\n";
+        return exits::usage;
+    }
+    return printAnswer(callAdmin(options.access, "POST", "/admin/drain", Json::object()), options.flag("json"));
+}
+
+int runSnapshotCommand(const std::vector<std::string>& arguments)
+{
+    AdminOptions options("snapshot [--out FILE]", "Gathers status, rules with history, upstreams, moves and voters in one JSON object, for an auditor or a fault report.");
+    options.add("out", "file to write; the default is standard output");
+    if (const auto code = options.read(arguments))
+        return *code;
+    auto all = Json::object();
+    int code = exits::ok;
+    for (const char* part : { "status", "rules", "rules/history", "upstreams", "moves", "voters" }) {
+        const auto answer = callAdmin(options.access, "GET", std::string("/admin/") + part);
+        all.set(part, Json::object({ { "address", answer.address }, { "status", answer.status }, { "body", answer.body } }));
+        code = std::max(code, exitOf(answer));
+    }
+    if (const auto file = options.text("out"); file.empty()) {
+        std::cout << toText(all) << '\n';
+    } else {
+        std::ofstream out(file);
+        out << toText(all) << '\n';
+        out.close();
+        if (!out) {
+            std::cerr << file << ": the file cannot be written\n";
+            return exits::usage;
+        }
+    }
+    return code;
+}
+
+}
--- a/src/experiment/Commands.cpp
+++ b/src/experiment/Commands.cpp
@@ -16,8 +16,17 @@
     };
 
     constexpr Command commands[] = {
+        { "rules", "apply, show, compare and list the rules", runRulesCommand },
+        { "status", "state of the system as a node sees it", runStatusCommand },
+        { "upstreams", "runners and services with load and version", runUpstreamsCommand },
+        { "moves", "version moves with stage and reason", runMovesCommand },
+        { "explain", "decisions that concern an id", runExplainCommand },
+        { "drain", "drain one node", runDrainCommand },
+        { "voters", "show, name or replace the voters", runVotersCommand },
+        { "snapshot", "everything that the operator interface tells, in one JSON object", runSnapshotCommand },
         { "load", "send load to the system and check every answer", runLoadCommand },
         { "report", "render one saved load run, or two side by side", runReportCommand },
+        { "faultplan", "print a random plan of faults from a seed", runFaultPlanCommand },
         { "fakes", "serve the stand-ins of a file: engines, services, platform, weight store", runFakesCommand },
     };
 }
--- a/src/experiment/Commands.h
+++ b/src/experiment/Commands.h
@@ -20,5 +20,14 @@
 int runFakesCommand(const std::vector<std::string>& arguments);
 int runLoadCommand(const std::vector<std::string>& arguments);
 int runReportCommand(const std::vector<std::string>& arguments);
+int runRulesCommand(const std::vector<std::string>& arguments);
+int runStatusCommand(const std::vector<std::string>& arguments);
+int runUpstreamsCommand(const std::vector<std::string>& arguments);
+int runMovesCommand(const std::vector<std::string>& arguments);
+int runExplainCommand(const std::vector<std::string>& arguments);
+int runDrainCommand(const std::vector<std::string>& arguments);
+int runVotersCommand(const std::vector<std::string>& arguments);
+int runSnapshotCommand(const std::vector<std::string>& arguments);
+int runFaultPlanCommand(const std::vector<std::string>& arguments);
 
 }
--- a/src/experiment/RunReport.cpp
+++ b/src/experiment/RunReport.cpp
@@ -2,6 +2,7 @@
 
 #include "experiment/ClientPolicy.h"
 #include "experiment/LoadTally.h"
+#include "experiment/TextTable.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -11,8 +12,6 @@
 
 namespace {
 
-    using Row = std::vector<std::string>;
-
     std::string number(double value)
     {
         char out[32];
@@ -20,26 +19,6 @@
         return out;
     }
 
-    std::string layOut(const std::vector<Row>& rows)
-    {
-        std::vector<size_t> widths;
-        for (const auto& row : rows) {
-            widths.resize(std::max(widths.size(), row.size()));
-            for (size_t n = 0; n < row.size(); ++n)
-                widths[n] = std::max(widths[n], row[n].size());
-        }
-        std::string out;
-        for (const auto& row : rows) {
-            std::string line;
-            for (size_t n = 0; n < row.size(); ++n) {
-                const std::string gap(widths[n] - row[n].size(), ' ');
-                line += n == 0 ? row[n] + gap : "  " + gap + row[n];
-            }
-            out += line + "\n";
-        }
-        return out;
-    }
-
     std::vector<std::string> keysOf(const std::vector<Json>& runs, const char* member)
     {
         std::vector<std::string> out;
@@ -62,14 +41,14 @@
         return out;
     }
 
-    std::vector<Row> resultRows(const std::vector<Json>& runs)
+    std::vector<TextRow> resultRows(const std::vector<Json>& runs)
     {
-        std::vector<Row> out { { "mix", "calls" } };
+        std::vector<TextRow> out { { "mix", "calls" } };
         for (const auto& it : enumNames<CallResult>)
             out[0].emplace_back(it.name);
         out[0].insert(out[0].end(), { "resent", "broken" });
         for (const auto& name : keysOf(runs, "mixes")) {
-            Row row { name, beside(runs, [&](const Json& run) { return number(run["mixes"][name]["calls"].asDouble()); }) };
+            TextRow row { name, beside(runs, [&](const Json& run) { return number(run["mixes"][name]["calls"].asDouble()); }) };
             for (const auto& it : enumNames<CallResult>)
                 row.push_back(beside(runs, [&](const Json& run) { return number(run["mixes"][name]["results"][it.name].asDouble()); }));
             for (const char* key : { "resent", "broken" })
@@ -79,11 +58,11 @@
         return out;
     }
 
-    std::vector<Row> latencyRows(const std::vector<Json>& runs)
+    std::vector<TextRow> latencyRows(const std::vector<Json>& runs)
     {
-        std::vector<Row> out { { "mix", "first token p50 ms", "p95", "p99", "between tokens p95 ms", "whole p50 ms", "p95", "p99" } };
+        std::vector<TextRow> out { { "mix", "first token p50 ms", "p95", "p99", "between tokens p95 ms", "whole p50 ms", "p95", "p99" } };
         for (const auto& name : keysOf(runs, "mixes")) {
-            Row row { name };
+            TextRow row { name };
             const auto add = [&](const char* what, const char* quantile) {
                 row.push_back(beside(runs, [&](const Json& run) {
                     const auto& it = run["mixes"][name][what];
@@ -100,17 +79,17 @@
         return out;
     }
 
-    std::vector<Row> checkRows(const std::vector<Json>& runs)
+    std::vector<TextRow> checkRows(const std::vector<Json>& runs)
     {
-        std::vector<Row> out { { "check", "count" } };
+        std::vector<TextRow> out { { "check", "count" } };
         for (const char* key : { "lost", "cut", "crossed", "doubled", "missing", "false_not_run", "broken_connections", "work_after_notice", "audit" })
             out.push_back({ key, beside(runs, [&](const Json& run) { return toPlainText(run["checks"][key]); }) });
         return out;
     }
 
-    std::vector<Row> refusalRows(const std::vector<Json>& runs)
+    std::vector<TextRow> refusalRows(const std::vector<Json>& runs)
     {
-        std::vector<Row> out { { "last refusal or error (code, run word)", "calls" } };
+        std::vector<TextRow> out { { "last refusal or error (code, run word)", "calls" } };
         for (const auto& key : keysOf(runs, "refusals"))
             out.push_back({ key, beside(runs, [&](const Json& run) { return number(run["refusals"][key].asDouble()); }) });
         return out;
@@ -122,9 +101,9 @@
         return costs.empty() ? 0 : costs.back()[key].asDouble() - costs.front()[key].asDouble();
     }
 
-    std::vector<Row> costRows(const std::vector<Json>& runs)
+    std::vector<TextRow> costRows(const std::vector<Json>& runs)
     {
-        std::vector<Row> out { { "cost", "figure" } };
+        std::vector<TextRow> out { { "cost", "figure" } };
         for (const char* key : { "spent", "prefilled_tokens", "cached_tokens", "resumed_tokens", "decoded_tokens" })
             out.push_back({ key, beside(runs, [&](const Json& run) { return number(growth(run, key)); }) });
         return out;
@@ -136,7 +115,7 @@
         return toPlainText(about["config"]) + ", seed " + toPlainText(about["seed"]) + ", " + number(about["duration_s"].asDouble()) + " s, " + toPlainText(about["arrivals"]) + " calls";
     }
 
-    std::string tableHtml(const std::vector<Row>& rows)
+    std::string tableHtml(const std::vector<TextRow>& rows)
     {
         std::string out = "<table>";
         for (size_t n = 0; n < rows.size(); ++n) {
@@ -212,7 +191,7 @@
         out += headLine(run) + (runIsClean(run, false) ? ": clean\n" : ": NOT CLEAN\n");
     for (const auto& rows : { resultRows(runs), latencyRows(runs), refusalRows(runs), costRows(runs), checkRows(runs) }) {
         if (rows.size() > 1)
-            out += "\n" + layOut(rows);
+            out += "\n" + layOutTable(rows);
     }
     return out;
 }
--- /dev/null
+++ b/tests/experiment/FaultPlanTest.cpp
@@ -0,0 +1,72 @@
+#include "experiment/FaultPlan.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+using namespace siskinshunt;
+
+static std::string textOf(const FaultPlanOptions& options)
+{
+    std::string out;
+    for (const auto& it : makeFaultPlan(options))
+        out += toLine(it) + "\n";
+    return out;
+}
+
+// Guards against a failed run that its seed cannot repeat.
+BOOST_AUTO_TEST_CASE(planRepeatsWithTheSeed)
+{
+    BOOST_TEST(textOf({ .seed = 5 }) == textOf({ .seed = 5 }));
+    BOOST_TEST(textOf({ .seed = 5 }) != textOf({ .seed = 6 }));
+}
+
+// Guards against plans that leave voters, domains or versions away at the end, which no system could survive.
+BOOST_AUTO_TEST_CASE(planGivesBackWhatItTakes)
+{
+    const std::map<FaultAction, FaultAction> pairs {
+        { FaultAction::Kill, FaultAction::Restart },
+        { FaultAction::Stop, FaultAction::Continue },
+        { FaultAction::ReclaimEngine, FaultAction::RestartEngine },
+        { FaultAction::ReclaimDomain, FaultAction::RestartDomain },
+        { FaultAction::RefuseStarts, FaultAction::AllowStarts },
+        { FaultAction::BadVersion, FaultAction::GoodVersion },
+    };
+    for (uint64_t seed = 1; seed <= 300; ++seed) {
+        const auto plan = makeFaultPlan({ .seed = seed, .duration = { 120000 }, .meanGap = { 700 } });
+        BOOST_TEST(countVotersAway(plan, 5).atEnd == 0u);
+        for (const auto& [take, giveBack] : pairs) {
+            std::map<std::string, int64_t> open;
+            for (const auto& it : plan) {
+                BOOST_TEST(it.at.value <= 115000);
+                if (it.action == take)
+                    open[it.target] = it.at.value;
+                if (it.action == giveBack)
+                    open.erase(it.target);
+            }
+            BOOST_TEST(open.empty(), "seed " << seed << ": " << nameOf(take) << " is not undone");
+        }
+    }
+}
+
+// Guards against plans that wipe a voter while others are away, so that no quorum has the data.
+BOOST_AUTO_TEST_CASE(wipedVoterHasTimeToBeRepaired)
+{
+    size_t wipes = 0;
+    for (uint64_t seed = 1; seed <= 300; ++seed) {
+        const auto plan = makeFaultPlan({ .seed = seed, .duration = { 120000 }, .meanGap = { 700 } });
+        std::vector<FaultStep> before;
+        for (const auto& it : plan) {
+            if (it.action != FaultAction::Wipe) {
+                before.push_back(it);
+                continue;
+            }
+            ++wipes;
+            BOOST_TEST(countVotersAway(before, 5).atEnd == 0u);
+            for (const auto& other : plan) {
+                const bool takesVoter = (other.action == FaultAction::Kill || other.action == FaultAction::Stop) && other.target <= "daemon-5" && other.target.size() == 8;
+                BOOST_TEST(!(takesVoter && other.at >= it.at && other.at < it.at + TimeMs { 10000 }));
+            }
+        }
+    }
+    BOOST_TEST(wipes > 20u);
+}
