Count late and bare refusals; derive the state of instances

The state of an instance now follows from its upstream: a restarted one was listed as stopped, and its address could have been given out again. A restart of a domain starts only configured upstreams that are down. Instances are charged before they stop.

--- a/src/experiment/FakeFleet.cpp
+++ b/src/experiment/FakeFleet.cpp
@@ -1,6 +1,7 @@
 #include "experiment/FakeFleet.h"
 
 #include <algorithm>
+#include <iostream>
 
 namespace siskinshunt {
 
@@ -10,10 +11,10 @@
     , m_surroundings { .faults = {}, .weights = WeightStore(config.weights.perSecond, config.weights.burst), .random = Random(config.seed) }
 {
     for (const auto& it : config.engines)
-        addInstance(addEngine(it), it.identity.name, it.identity.reclaimable ? "reclaimable" : "on-demand", "stopped");
+        addInstance(addEngine(it), it.identity.name, it.identity.reclaimable ? "reclaimable" : "on-demand");
     for (const auto& it : config.services) {
         m_upstreams.push_back(std::make_unique<FakeService>(loop, it, AnnounceOptions { config.daemons, config.announceToken }, m_executions));
-        addInstance(*m_upstreams.back(), it.identity.name, it.identity.reclaimable ? "reclaimable" : "on-demand", "stopped");
+        addInstance(*m_upstreams.back(), it.identity.name, it.identity.reclaimable ? "reclaimable" : "on-demand");
     }
 }
 
@@ -25,23 +26,26 @@
     return *m_upstreams.back();
 }
 
-void FakeFleet::addInstance(UpstreamStandIn& upstream, const std::string& id, const std::string& kind, const std::string& state)
+FakeFleet::Instance& FakeFleet::addInstance(UpstreamStandIn& upstream, const std::string& id, const std::string& kind)
 {
     const auto& identity = upstream.identity();
-    m_instances[id] = { .id = id, .domain = identity.domain, .machine = identity.machine, .kind = kind, .state = state, .address = identity.address, .upstream = &upstream };
-    upstream.onStopped([this, id] {
-        charge();
-        m_instances[id].state = "stopped";
-    });
+    m_instances[id] = { .id = id, .domain = identity.domain, .machine = identity.machine, .kind = kind, .address = identity.address, .upstream = &upstream };
+    upstream.onStopping([this] { charge(); });
+    return m_instances[id];
+}
+
+const char* FakeFleet::stateOf(const Instance& instance)
+{
+    if (instance.starting)
+        return "starting";
+    return instance.upstream->up() ? "running" : "stopped";
 }
 
 Result<void> FakeFleet::start()
 {
     m_chargedAt = m_loop.now();
-    for (auto& [id, instance] : m_instances) {
+    for (auto& [id, instance] : m_instances)
         BOOST_LEAF_CHECK(instance.upstream->start());
-        instance.state = "running";
-    }
     return {};
 }
 
@@ -49,7 +53,7 @@
 {
     for (const auto& address : m_config.platform.addressPool) {
         const bool used = std::any_of(m_instances.begin(), m_instances.end(), [&](const auto& it) {
-            return it.second.address == address && it.second.state != "stopped";
+            return it.second.address == address && (it.second.starting || it.second.upstream->up());
         });
         if (!used)
             return address;
@@ -57,6 +61,34 @@
     return {};
 }
 
+static bool tryStart(UpstreamStandIn& upstream)
+{
+    return handle(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_CHECK(upstream.start());
+            return true;
+        },
+        [](const Error& error) {
+            std::cerr << toString(error) << '\n';
+            return false;
+        });
+}
+
+int FakeFleet::restart(const std::string& name, const std::string& domain)
+{
+    int started = 0;
+    charge();
+    for (auto& [id, instance] : m_instances) {
+        const bool named = !name.empty() && instance.upstream->identity().name == name;
+        const bool inDomain = !domain.empty() && instance.domain == domain && instance.configured && !instance.upstream->up();
+        if (!named && !inDomain)
+            continue;
+        instance.upstream->stop();
+        started += tryStart(*instance.upstream);
+    }
+    return started;
+}
+
 FakeFleet::StartVerdict FakeFleet::startInstance(const Json& order)
 {
     const std::string id(order["id"].asText());
@@ -71,13 +103,15 @@
     config.identity = { .name = id, .address = address, .domain = domain, .machine = std::string(order["machine"].asText()), .model = std::string(order["model"].asText()), .version = std::string(order["version"].asText()), .checksFencing = m_config.platform.engine.identity.checksFencing, .reclaimable = kind != "on-demand" };
     charge();
     auto& upstream = addEngine(config);
-    addInstance(upstream, id, kind == "on-demand" ? "on-demand" : "reclaimable", "starting");
+    auto& added = addInstance(upstream, id, kind == "on-demand" ? "on-demand" : "reclaimable");
+    added.starting = true;
+    added.configured = false;
     m_loop.after(m_config.platform.startTime, [this, id] {
         auto& instance = m_instances[id];
-        if (instance.state != "starting")
+        if (!instance.starting)
             return;
-        const bool started = handle([&]() -> Result<bool> { BOOST_LEAF_CHECK(instance.upstream->start()); return true; }, [](const Error&) { return false; });
-        instance.state = started ? "running" : "stopped";
+        instance.starting = false;
+        tryStart(*instance.upstream);
     });
     return StartVerdict::Created;
 }
@@ -88,7 +122,7 @@
     if (it == m_instances.end())
         return false;
     charge();
-    it->second.state = "stopped";
+    it->second.starting = false;
     it->second.upstream->stop();
     return true;
 }
@@ -126,7 +160,7 @@
     auto list = Json::array();
     for (const auto& [id, it] : m_instances) {
         const auto& identity = it.upstream->identity();
-        list.push(Json::object({ { "id", id }, { "domain", it.domain }, { "machine", it.machine }, { "kind", it.kind }, { "state", it.state }, { "address", it.address }, { "model", identity.model }, { "version", identity.version } }));
+        list.push(Json::object({ { "id", id }, { "domain", it.domain }, { "machine", it.machine }, { "kind", it.kind }, { "state", stateOf(it) }, { "address", it.address }, { "model", identity.model }, { "version", identity.version } }));
     }
     return Json::object({ { "instances", list } });
 }
@@ -153,7 +187,7 @@
 {
     double out = 0;
     for (const auto& [id, instance] : m_instances) {
-        if (!instance.upstream->up() && instance.state != "starting")
+        if (!instance.upstream->up() && !instance.starting)
             continue;
         for (const auto& price : m_config.platform.prices) {
             if (price.domain == instance.domain && price.machine == instance.machine && price.kind == instance.kind)
--- a/src/experiment/FakeFleet.h
+++ b/src/experiment/FakeFleet.h
@@ -24,7 +24,8 @@
         std::string domain;
         std::string machine;
         std::string kind; ///< reclaimable or on-demand.
-        std::string state; ///< starting, running, stopped.
+        bool starting = false; ///< Ordered, and its start time has not passed.
+        bool configured = true; ///< From the file, not started through the platform API.
         std::string address;
         UpstreamStandIn* upstream = nullptr;
     };
@@ -37,6 +38,9 @@
     StartVerdict startInstance(const Json& order);
     /// False when the id is unknown.
     bool stopInstance(const std::string& id);
+    /// Starts the upstreams of that name or failure domain again. A named one that runs is ended first; of a domain only
+    /// configured ones that are down are started. Returns how many were started.
+    int restart(const std::string& name, const std::string& domain);
     void refuseStarts(const std::string& domain, bool refuse);
     /// Upstreams whose name or failure domain matches; an empty text matches none.
     std::vector<UpstreamStandIn*> select(std::string_view name, std::string_view domain);
@@ -52,7 +56,8 @@
 
 private:
     UpstreamStandIn& addEngine(FakeEngineConfig);
-    void addInstance(UpstreamStandIn&, const std::string& id, const std::string& kind, const std::string& state);
+    Instance& addInstance(UpstreamStandIn&, const std::string& id, const std::string& kind);
+    static const char* stateOf(const Instance&);
     std::string freeAddress() const;
     double perHour() const;
     void charge();
--- a/src/experiment/Fakes.cpp
+++ b/src/experiment/Fakes.cpp
@@ -115,12 +115,8 @@
     }
     if (path == "/control/kill")
         return forEach(order, [](UpstreamStandIn& it) { it.stop(); });
-    if (path == "/control/restart") {
-        return forEach(order, [&](UpstreamStandIn& it) {
-            it.stop();
-            handle([&]() -> Result<int> { BOOST_LEAF_CHECK(it.start()); return 0; }, [](const Error& error) { std::cerr << toString(error) << '\n'; return 1; });
-        });
-    }
+    if (path == "/control/restart")
+        return m_fleet.restart(std::string(order["name"].asText()), std::string(order["domain"].asText()));
     if (path == "/control/freeze")
         return forEach(order, [](UpstreamStandIn& it) { it.freezeConnections(); });
     if (path == "/control/drop-answers")
@@ -143,7 +139,7 @@
     if (count < 0)
         return reply->answer(404, {}, fakeErrorBody("unknown_path", path));
     if (count == 0)
-        return reply->answer(400, {}, fakeErrorBody("nothing_selected", "no upstream has this name or domain, or the mode is unknown"));
+        return reply->answer(400, {}, fakeErrorBody("nothing_selected", "nothing has this name or domain, nothing of it is down, or the mode is unknown"));
     answerJson(reply, 200, Json::object({ { "affected", count } }));
 }
 
--- a/src/experiment/LoadCaller.cpp
+++ b/src/experiment/LoadCaller.cpp
@@ -31,6 +31,7 @@
 void LoadCaller::send(const std::string& address)
 {
     ++m_record.attempts;
+    m_attemptAt = m_context.loop.now();
     m_address = address;
     m_checker.emplace(m_prepared.expected);
     m_attemptTokens = 0;
@@ -65,9 +66,19 @@
     if (answer.end == HttpEnd::NotConnected || answer.end == HttpEnd::Cut || answer.end == HttpEnd::Timeout)
         m_entries.failed(m_address);
     m_doubt = m_doubt || leavesDoubt(attempt);
+    noteRefusal(attempt);
     resendOrEnd(attempt);
 }
 
+void LoadCaller::noteRefusal(const AttemptOutcome& attempt)
+{
+    if (attempt.verdict != AnswerVerdict::Refusal || attempt.run != "not-run")
+        return;
+    const auto took = m_context.loop.now() - m_attemptAt;
+    m_record.slowRefusals += took * 2 > m_prepared.http.timeout;
+    m_record.bareRefusals += (attempt.status == 429 || attempt.status == 503) && attempt.retryAfter.value <= 0;
+}
+
 TimeMs LoadCaller::backoff(const AttemptOutcome& attempt)
 {
     constexpr int64_t cap = 3000;
--- a/src/experiment/LoadCaller.h
+++ b/src/experiment/LoadCaller.h
@@ -31,6 +31,7 @@
     void send(const std::string& address);
     void takeData(const HttpAnswer&, std::string_view data);
     void takeEnd(const HttpAnswer&);
+    void noteRefusal(const AttemptOutcome&);
     void resendOrEnd(const AttemptOutcome&);
     TimeMs backoff(const AttemptOutcome&);
     void end(const AttemptOutcome&);
@@ -44,6 +45,7 @@
     std::string m_address;
     LoadRecord m_record;
     TimeMs m_startedAt;
+    TimeMs m_attemptAt;
     size_t m_attemptTokens = 0;
     bool m_doubt = false;
 };
--- a/src/experiment/LoadTally.cpp
+++ b/src/experiment/LoadTally.cpp
@@ -13,6 +13,8 @@
     mix.tokens += call.tokens;
     mix.resent += call.attempts - 1;
     mix.broken += call.broken;
+    mix.slowRefusals += call.slowRefusals;
+    mix.bareRefusals += call.bareRefusals;
     if (!call.code.empty() || !call.run.empty())
         ++m_refusals[(call.code.empty() ? "-" : call.code) + " " + (call.run.empty() ? "-" : call.run)];
     if (call.result != CallResult::Answered) {
@@ -104,9 +106,14 @@
 Json LoadTally::checksJson() const
 {
     uint64_t broken = 0;
-    for (const auto& [name, mix] : m_mixes)
+    uint64_t slow = 0;
+    uint64_t bare = 0;
+    for (const auto& [name, mix] : m_mixes) {
         broken += mix.broken;
-    auto out = Json::object({ { "lost", count(CallResult::Lost) }, { "cut", count(CallResult::Cut) }, { "crossed", count(CallResult::Crossed) }, { "doubled", static_cast<uint64_t>(m_audit.doubled.size()) }, { "missing", static_cast<uint64_t>(m_audit.missing.size()) }, { "false_not_run", static_cast<uint64_t>(m_audit.falseNotRun.size()) }, { "broken_connections", broken } });
+        slow += mix.slowRefusals;
+        bare += mix.bareRefusals;
+    }
+    auto out = Json::object({ { "lost", count(CallResult::Lost) }, { "cut", count(CallResult::Cut) }, { "crossed", count(CallResult::Crossed) }, { "doubled", static_cast<uint64_t>(m_audit.doubled.size()) }, { "missing", static_cast<uint64_t>(m_audit.missing.size()) }, { "false_not_run", static_cast<uint64_t>(m_audit.falseNotRun.size()) }, { "broken_connections", broken }, { "slow_refusals", slow }, { "refusals_without_retry_after", bare } });
     out.set("work_after_notice", m_costs.empty() ? 0 : m_costs.back().workAfterNotice - m_costs.front().workAfterNotice);
     out.set("doubled_keys", keysJson(m_audit.doubled));
     out.set("missing_keys", keysJson(m_audit.missing));
--- a/src/experiment/LoadTally.h
+++ b/src/experiment/LoadTally.h
@@ -24,6 +24,8 @@
     std::string code; ///< Of the last refusal or error.
     std::string run;
     uint32_t attempts = 1;
+    uint32_t slowRefusals = 0; ///< Attempts refused as not run only after half of the caller's deadline.
+    uint32_t bareRefusals = 0; ///< Attempts refused as not run with 429 or 503 and no time to come back.
     uint32_t broken = 0; ///< Attempts whose connection ended after the request had been sent.
 };
 
@@ -34,6 +36,8 @@
     uint64_t tokens = 0;
     uint64_t resent = 0;
     uint64_t broken = 0;
+    uint64_t slowRefusals = 0;
+    uint64_t bareRefusals = 0;
     Histogram firstTokenMs;
     Histogram totalMs; ///< Of answered calls.
     Histogram tokenGapMs; ///< Mean time between the tokens of each answered stream, in hundredths of a millisecond.
--- a/src/experiment/RunReport.cpp
+++ b/src/experiment/RunReport.cpp
@@ -82,7 +82,7 @@
     std::vector<TextRow> checkRows(const std::vector<Json>& runs)
     {
         std::vector<TextRow> out { { "check", "count" } };
-        for (const char* key : { "lost", "cut", "crossed", "doubled", "missing", "false_not_run", "broken_connections", "work_after_notice", "audit" })
+        for (const char* key : { "lost", "cut", "crossed", "doubled", "missing", "false_not_run", "broken_connections", "slow_refusals", "refusals_without_retry_after", "work_after_notice", "audit" })
             out.push_back({ key, beside(runs, [&](const Json& run) { return toPlainText(run["checks"][key]); }) });
         return out;
     }
--- a/src/experiment/UpstreamStandIn.cpp
+++ b/src/experiment/UpstreamStandIn.cpp
@@ -37,13 +37,13 @@
 {
     if (!up())
         return;
+    if (m_onStopping)
+        m_onStopping();
     m_announcer.reset();
     m_server.reset();
     m_reclaimAt.reset();
     m_dropAnswers = 0;
     forget();
-    if (m_onStopped)
-        m_onStopped();
 }
 
 void UpstreamStandIn::reclaim(TimeMs notice)
--- a/src/experiment/UpstreamStandIn.h
+++ b/src/experiment/UpstreamStandIn.h
@@ -38,8 +38,8 @@
     /// Calls that arrived more than 3 s after a reclaim notice, over all starts.
     uint64_t workAfterNotice() const { return m_workAfterNotice; }
     uint64_t announcementsAccepted() const { return m_announcer ? m_announcer->accepted() : 0; }
-    /// Called after each stop.
-    void onStopped(std::function<void()> body) { m_onStopped = std::move(body); }
+    /// Called before each stop.
+    void onStopping(std::function<void()> body) { m_onStopping = std::move(body); }
     /// As announced, late by the reporting lag.
     virtual UpstreamLoad load() = 0;
     virtual UpstreamKind kind() const = 0;
@@ -66,7 +66,7 @@
     std::unique_ptr<Announcer> m_announcer;
     std::optional<TimeMs> m_reclaimAt;
     TimeMs m_noticeAt;
-    std::function<void()> m_onStopped;
+    std::function<void()> m_onStopping;
     /// Timers look at this to see whether the upstream still exists.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     uint64_t m_incarnation = 0;
