--- a/src/soak/ConsensusSoak.cpp
+++ b/src/soak/ConsensusSoak.cpp
@@ -1,8 +1,6 @@
 #include "soak/ConsensusCluster.h"
 #include "soak/Soak.h"
 
-#include <algorithm>
-
 namespace siskinshunt {
 
 /// One schedule: the cluster, what has gone wrong so far, and a voter whose disk was emptied.
@@ -100,6 +98,12 @@
                                                           : "disk_hang"];
 }
 
+static Members membersOf(const ConsensusCluster& cluster, size_t voter, size_t group)
+{
+    const auto it = status(*cluster.voters[voter]->replicas[group]);
+    return { it.voters, it.learners };
+}
+
 /// Empties a disk: the process comes back as a new voter that has to be added. One at a time, since a second loss before
 /// the repair has ended may cost the quorum for good.
 static void emptyDisk(ConsensusSchedule& schedule, size_t n)
@@ -107,9 +111,10 @@
     auto& cluster = schedule.cluster;
     if (schedule.lost)
         return;
-    for (const auto& replica : cluster.voters[n]->replicas) {
-        const auto it = status(*replica);
-        if (std::find(it.voters.begin(), it.voters.end(), cluster.voters[n]->id) == it.voters.end())
+    // A voter that was removed while it was down still believes to be one, so the leader's list counts.
+    for (size_t group = 0; group < cluster.options.groups; ++group) {
+        const auto leader = leaderOf(cluster, group);
+        if (!leader || !isVoter(membersOf(cluster, *leader, group), cluster.voters[n]->id))
             return;
     }
     if (isUp(cluster, n))
@@ -127,14 +132,13 @@
     const auto leader = leaderOf(cluster, group);
     if (!leader)
         return false;
-    const auto it = status(*cluster.voters[*leader]->replicas[group]);
+    const Members it = membersOf(cluster, *leader, group);
     const VoterId fresh = cluster.voters[*schedule.replacement]->id;
-    const auto has = [](const auto& list, VoterId id) { return std::find(list.begin(), list.end(), id) != list.end(); };
-    if (has(it.voters, fresh) && !has(it.voters, schedule.lost))
+    if (isVoter(it, fresh) && !isVoter(it, schedule.lost))
         return canRead(*cluster.voters[*leader]->replicas[group], clockOf(cluster, *leader));
-    if (has(it.voters, fresh))
+    if (isVoter(it, fresh))
         changeMembersAt(cluster, *leader, group, MemberChange::Remove, schedule.lost);
-    else if (has(it.learners, fresh))
+    else if (isLearner(it, fresh))
         changeMembersAt(cluster, *leader, group, MemberChange::Promote, fresh);
     else
         changeMembersAt(cluster, *leader, group, MemberChange::AddLearner, fresh);
