Stop a voter that lost entries it had confirmed

A disk that was emptied or restored from a copy under the old identity broke an invariant at the next heartbeat. The voter now stops with a message that names both positions, and says that it must be replaced.

--- a/src/replica/Replica.cpp
+++ b/src/replica/Replica.cpp
@@ -68,7 +68,7 @@
     }
 }
 
-static void stopForGood(Replica& replica, const std::string& reason)
+static void stopForGood(Replica& replica, const char* code, const std::string& reason)
 {
     replica.failure = reason;
     replica.raft.role = Role::Follower;
@@ -76,7 +76,7 @@
     replica.raft.outbox.clear();
     replica.raft.held.clear();
     finishPendingUpTo(replica, UINT64_MAX, reason);
-    addLog(replica, LogLevel::Error, "voter_stopped", Step::Sync, reason);
+    addLog(replica, LogLevel::Error, code, Step::Sync, reason);
 }
 
 Result<ReplicaPtr> openReplica(const ReplicaOptions& options, StateMachine machine, GroupState state, TimeMs now)
@@ -249,6 +249,13 @@
     return message.entries.size() <= maxMessageEntries && message.piece.bytes.size() <= snapshotPieceBytes;
 }
 
+/// Whether the leader knows that this voter had entries durable which it does not hold: its disk lost data, or it was
+/// emptied under the old identity.
+static bool showsLostData(const Replica& replica, const Message& message)
+{
+    return message.kind == MessageKind::Heartbeat && message.term >= replica.raft.hard.term && message.commit > lastIndex(replica.raft.log);
+}
+
 void receive(Replica& replica, const Message& message, TimeMs now)
 {
     if (!replica.failure.empty())
@@ -259,6 +266,11 @@
         ++replica.dropped;
         return;
     }
+    if (showsLostData(replica, message)) {
+        stopForGood(replica, "disk_lost_data",
+            "this voter has stopped because it confirmed entries up to " + std::to_string(message.commit) + " and holds them up to " + std::to_string(lastIndex(replica.raft.log)) + "; its disk lost data, so it must be replaced");
+        return;
+    }
     receiveMessage(replica.raft, message, now);
     advance(replica);
 }
@@ -287,7 +299,7 @@
     const uint64_t sequence = replica.outstanding->sequence;
     replica.outstanding.reset();
     if (!ok) {
-        stopForGood(replica, "this voter has stopped because a disk write failed: " + std::string(error));
+        stopForGood(replica, "disk_write_failed", "this voter has stopped because a disk write failed: " + std::string(error));
         return;
     }
     writesDurable(replica.raft, sequence);
--- a/src/replica/Replica.h
+++ b/src/replica/Replica.h
@@ -102,7 +102,8 @@
 /// list, and on no other occasion. Fails with Conflict unless the replica has never held any state.
 Result<void> bootstrap(Replica&, std::vector<VoterId> voters);
 
-/// Proposes a command of at most maxCommandBytes. Returns the proposal id; the outcome comes with takeOutputs().
+/// Proposes a command of at most maxCommandBytes. Returns the proposal id, which is unique until the process ends; the
+/// outcome comes with takeOutputs().
 uint64_t propose(Replica&, std::string command);
 
 /// Proposes to add a learner, to promote a caught-up learner, or to remove a member. One change at a time; refused
@@ -113,7 +114,8 @@
 /// or no other voter replies.
 bool transferLeadership(Replica&);
 
-/// Takes a message from a peer. A message of another cluster, group or addressee is counted and dropped.
+/// Takes a message from a peer. A message of another cluster, group or addressee is counted and dropped. The replica
+/// stops for good when the message shows that its disk has lost confirmed entries.
 void receive(Replica&, const Message&, TimeMs now);
 
 /// Advances the clock; call it every 20 ms.
--- a/src/soak/ConsensusSoak.cpp
+++ b/src/soak/ConsensusSoak.cpp
@@ -246,6 +246,8 @@
     }
     runFor(cluster, 5_s);
     checkEnd(cluster);
+    if (cluster.events.contains("disk_lost_data") && cluster.violation.empty())
+        cluster.violation = "a voter stopped for lost data though its disk kept everything";
 }
 
 static SoakResult runConsensusSchedule(uint64_t seed)
--- a/src/storage/Storage.cpp
+++ b/src/storage/Storage.cpp
@@ -198,23 +198,35 @@
         batch.records.push_back({ .kind = RecordKind::Entry, .group = request.group, .hardState = {}, .entry = entry });
 }
 
-Result<void> Storage::writeBatch(std::span<const DiskRequest> requests, WriteReport& report)
+Batch Storage::makeBatch(std::span<const DiskRequest> requests, bool fresh) const
 {
     Batch batch { .sequence = m_sequence + 1, .records = {} };
-    const bool fresh = !m_open || m_segmentSize > m_options.segmentBytes;
     if (fresh) {
-        m_segments.push_back({ .number = m_segments.empty() ? 1 : m_segments.back().number + 1, .maxIndex = {} });
-        m_segmentSize = 0;
         for (const auto& [group, hardState] : m_hardStates)
             batch.records.push_back(hardStateRecord(group, hardState));
-        // The first segment after a start restates the outcome of the recovery for groups whose log was replaced.
-        for (const auto& [group, meta] : m_snapshots) {
-            if (!m_open && m_resetOnOpen.contains(group))
-                batch.records.push_back(resetRecord(group, meta));
-        }
+    }
+    // The first segment after a start restates the outcome of the recovery for groups whose log was replaced.
+    for (GroupId group : m_resetOnOpen) {
+        if (!m_open)
+            batch.records.push_back(resetRecord(group, m_snapshots.at(group)));
     }
     for (const auto& request : requests)
         appendRecords(batch, request);
+    return batch;
+}
+
+Result<void> Storage::writeBatch(std::span<const DiskRequest> requests, WriteReport& report)
+{
+    const bool fresh = !m_open || m_segmentSize > m_options.segmentBytes;
+    const Batch batch = makeBatch(requests, fresh);
+    // A snapshot alone is durable already. The first write after a start always opens a segment that holds all hard
+    // states, so that older ones may be dropped.
+    if (m_open && batch.records.empty())
+        return {};
+    if (fresh) {
+        m_segments.push_back({ .number = m_segments.empty() ? 1 : m_segments.back().number + 1, .maxIndex = {} });
+        m_segmentSize = 0;
+    }
     auto& segment = m_segments.back();
     const std::string bytes = encodeBatch(batch);
     BOOST_LEAF_CHECK(m_disk.append(segmentName(segment.number), bytes));
--- a/src/storage/Storage.h
+++ b/src/storage/Storage.h
@@ -55,6 +55,7 @@
     Result<void> replay(const StoredRecord&, Segment&);
     Result<void> finishGroup(GroupId, GroupState&);
     Result<void> writeSnapshots(std::span<const DiskRequest>);
+    Batch makeBatch(std::span<const DiskRequest>, bool fresh) const;
     Result<void> writeBatch(std::span<const DiskRequest>, WriteReport&);
     Result<void> dropSegments();
     bool isSuperseded(const Segment&) const;
--- a/tests/replica/ReplicaTest.cpp
+++ b/tests/replica/ReplicaTest.cpp
@@ -163,6 +163,23 @@
     BOOST_TEST(!bootstrap(*cluster.voters[0]->replicas[0], ids));
 }
 
+// Guards against a voter that goes on without the entries it has confirmed, when its files are lost but not its identity.
+BOOST_AUTO_TEST_CASE(emptiedDiskUnderTheOldIdentityStops)
+{
+    ConsensusCluster cluster = makeCluster({ .seed = 7 });
+    founded(cluster);
+    commitSome(cluster, 10);
+    const size_t emptied = follower(cluster);
+    killProcess(cluster, emptied, true);
+    cluster.voters[emptied]->disk = {};
+    BOOST_REQUIRE(startProcess(cluster, emptied));
+    runFor(cluster, 300_ms);
+    BOOST_TEST(statusOf(cluster, emptied).failure.find("its disk lost data, so it must be replaced") != std::string::npos);
+    BOOST_TEST(cluster.events["disk_lost_data"] == 1);
+    commitSome(cluster, 5);
+    BOOST_TEST(cluster.violation == "");
+}
+
 // Guards against a repair that loses the group when another voter restarts meanwhile, or dies right after it.
 BOOST_AUTO_TEST_CASE(replacementSurvivesARestartAndASecondLoss)
 {
