--- a/tests/consensus/RaftTest.cpp
+++ b/tests/consensus/RaftTest.cpp
@@ -120,6 +120,47 @@
     BOOST_TEST((raft.hard.vote == c));
 }
 
+// Guards against a vote by a voter that restarted and forgot that it has just answered a leader.
+BOOST_AUTO_TEST_CASE(votesAreWithheldAfterAStart)
+{
+    Raft raft = makeRaft({ .cluster = 7, .group = { 1 }, .self = b }, {}, {}, {}, 1000_ms);
+    receiveMessage(raft, from(raft, c, MessageKind::Vote, 2), 1499_ms);
+    BOOST_TEST(raft.hard.term == 0);
+    receiveMessage(raft, from(raft, c, MessageKind::Vote, 2), 1500_ms);
+    BOOST_TEST((raft.hard.vote == c));
+}
+
+// Guards against the commit of an entry of a former term by its count alone: a later leader may still replace it.
+BOOST_AUTO_TEST_CASE(entriesOfFormerTermsAreCommittedWithOneOfTheOwn)
+{
+    Raft raft = makeLeader();
+    writesDurable(raft, takeWrites(raft)->sequence);
+    Message reply = from(raft, b, MessageKind::AppendReply, 2);
+    reply.index = 1;
+    receiveMessage(raft, reply, 2000_ms);
+    BOOST_TEST(raft.commit == 0);
+    reply.index = 2;
+    receiveMessage(raft, reply, 2000_ms);
+    BOOST_TEST(raft.commit == 2);
+}
+
+// Guards against reads by a leader that has ordered another voter to take over.
+BOOST_AUTO_TEST_CASE(leaseEndsWithTheHandOver)
+{
+    Raft raft = makeLeader();
+    writesDurable(raft, takeWrites(raft)->sequence);
+    sendAppends(raft);
+    Message reply = from(raft, b, MessageKind::AppendReply, 2);
+    reply.sentAt = 2000_ms;
+    receiveMessage(raft, reply, 2000_ms);
+    BOOST_REQUIRE(leaseHolds(raft, 2000_ms));
+    BOOST_REQUIRE(startTransfer(raft));
+    sendAppends(raft);
+    BOOST_TEST((sent(raft).back().kind == MessageKind::TimeoutNow));
+    BOOST_TEST(!leaseHolds(raft, 2000_ms));
+    BOOST_TEST(appendEntry(raft, EntryKind::Command, "x") == 0);
+}
+
 // Guards against reads by a leader that has lost contact, and against a leader that never steps down.
 BOOST_AUTO_TEST_CASE(leaseAndLeadershipEndWithoutReplies)
 {
