--- a/src/bench/MovesModel.cpp
+++ b/src/bench/MovesModel.cpp
@@ -1,5 +1,7 @@
 #include "bench/MovesModel.h"
 
+#include "control/DecisionLog.h"
+
 #include <algorithm>
 #include <cmath>
 #include <deque>
@@ -21,6 +23,8 @@
     MoveDirective inForce;
     std::deque<std::pair<TimeMs, MoveDirective>> arriving;
     Evidence pending;
+    TimeMs deadUntil;
+    TimeMs cutOffUntil;
 };
 
 struct Model {
@@ -28,7 +32,9 @@
     Random random;
     RuleSet rules;
     MoveController controller;
-    std::vector<MoveDirective> committed; ///< As the decision log keeps them: the last of each move.
+    DecisionLog log;
+    uint64_t term = 1;
+    uint32_t wantedNew = 0; ///< Runners of the new version that were ordered.
     std::array<ModelNode, nodeCount> nodes;
     std::vector<MoveRunner> runners;
     std::vector<std::pair<TimeMs, uint32_t>> starting; ///< Time and wanted count of new runners.
@@ -204,6 +210,8 @@
         model.noiseUntil = model.now + 10_s;
     model.sentThisSecond = {};
     for (auto& node : model.nodes) {
+        if (model.now < node.cutOffUntil || model.now < node.deadUntil)
+            continue;
         while (!node.arriving.empty() && node.arriving.front().first <= model.now) {
             if (node.arriving.front().second.sequence > node.inForce.sequence)
                 node.inForce = node.arriving.front().second;
@@ -211,8 +219,11 @@
         }
     }
     const auto count = static_cast<uint64_t>(std::max(0.0, model.random.normal(model.options.rate, std::sqrt(model.options.rate))));
-    for (uint64_t n = 0; n < count; ++n)
-        serve(model, model.nodes[model.random.below(nodeCount)], pickRoute(model.random));
+    for (uint64_t n = 0; n < count; ++n) {
+        ModelNode& node = model.nodes[model.random.below(nodeCount)];
+        // Callers of a dead node go to the first one, which never dies.
+        serve(model, model.now < node.deadUntil ? model.nodes[0] : node, pickRoute(model.random));
+    }
     const bool canary = static_cast<bool>(model.nodes[0].inForce.canary);
     const double newRunners = canary ? 1 : std::max<double>(1, runnersOf(model, "v2"));
     model.load[0] = 0.7 * model.load[0] + 0.3 * static_cast<double>(model.sentThisSecond[0]) / std::max<double>(1, runnersOf(model, "v1"));
@@ -235,8 +246,10 @@
 static void followOrder(Model& model, const MoveOrder& order)
 {
     if (order.kind != MoveOrderKind::RetireVersion) {
-        if (order.version == "v2")
+        if (order.version == "v2") {
+            model.wantedNew = std::max(model.wantedNew, order.count);
             model.starting.emplace_back(model.now + runnerStart, order.count);
+        }
         return;
     }
     while (runnersOf(model, order.version.c_str()) > order.count) {
@@ -245,48 +258,108 @@
     }
 }
 
+/// The directive in the decision log, or null.
+static const MoveDirective* committed(const Model& model)
+{
+    const auto it = model.log.moves.find("upgrade");
+    return it == model.log.moves.end() ? nullptr : &it->second;
+}
+
 /// Checks what the controller promises about a directive, with the model's own knowledge.
 static void checkDirective(Model& model, const MoveDirective& directive)
 {
     auto& violations = model.result.violations;
-    const MoveDirective* last = model.committed.empty() ? nullptr : &model.committed.front();
-    if (last && directive.sequence <= last->sequence)
-        violations.push_back("sequence does not rise");
-    if (last && isFinal(last->stage))
-        violations.push_back("a finished move changed");
-    const bool stated = directive.stage == MoveStage::Undone || (directive.stage == MoveStage::Done && last && last->stage != MoveStage::Done);
-    if (stated) {
-        for (const auto& node : model.nodes) {
-            if (node.inForce.sequence < last->sequence)
-                violations.push_back("stated before every node confirmed");
-        }
+    const MoveDirective* last = committed(model);
+    const bool stated = directive.stage == MoveStage::Undone
+        || (directive.stage == MoveStage::Done && last && last->stage == MoveStage::Shifting);
+    for (const auto& node : model.nodes) {
+        if (stated && model.now >= node.deadUntil && (!last || node.inForce.sequence < last->sequence))
+            violations.push_back("stated before every live node confirmed");
+    }
+    double total = 0;
+    for (const auto& it : directive.shares) {
+        for (size_t n = 0; n < routeNames.size(); ++n)
+            total += it.route == routeNames[n] ? it.share * routeWeights[n] : 0;
+    }
+    if (directive.stage == MoveStage::Proving && total > 0.2)
+        violations.push_back("a share above one runner's load while proving");
+    if ((directive.stage == MoveStage::Undoing || directive.stage == MoveStage::Undone || directive.stage == MoveStage::Waiting) && total > 0)
+        violations.push_back("a share for a version that gets no traffic");
+}
+
+static void noteStage(Model& model, const MoveDirective& directive, bool wasUndoing)
+{
+    MovesModelResult& result = model.result;
+    result.stage = directive.stage;
+    if (directive.stage == MoveStage::Undoing && !wasUndoing) {
+        result.alarmed = directive.code == "move_bad";
+        result.firstLate = directive.code == "move_late";
+        result.reason = directive.reason;
+        result.inTime = false;
+        result.undoneAfter = model.now - startAt;
     }
+    if (directive.stage != MoveStage::Done || result.doneAfter.value)
+        return;
+    result.doneAfter = model.now - startAt;
+    result.inTime = model.now <= model.rules.moves[0].by;
+    if (model.options.fault == VersionFault::FailsLater)
+        model.faultAt = std::min(*model.faultAt, model.now + TimeMs { model.random.between(0, model.options.watch.value / 2) });
 }
 
 static void takeDirectives(Model& model, const MoveOutputs& out)
 {
     for (const auto& directive : out.directives) {
         checkDirective(model, directive);
-        if (directive.stage == MoveStage::Undoing && (model.committed.empty() || model.committed.front().stage != MoveStage::Undoing)) {
-            model.result.alarmed = directive.code == "move_bad";
-            model.result.firstLate = directive.code == "move_late";
-            model.result.reason = directive.reason;
-            model.result.inTime = false;
-            model.result.undoneAfter = model.now - startAt;
-        }
-        if (directive.stage == MoveStage::Done && !model.result.doneAfter.value) {
-            model.result.doneAfter = model.now - startAt;
-            model.result.inTime = model.now <= model.rules.moves[0].by;
-            if (model.options.fault == VersionFault::FailsLater)
-                model.faultAt = std::min(*model.faultAt, model.now + TimeMs { model.random.between(0, model.options.watch.value / 2) });
+        const bool wasUndoing = committed(model) && committed(model)->stage == MoveStage::Undoing;
+        const auto bytes = encodeControlCommand(RecordMove { .epoch = model.term, .directive = directive });
+        const auto reply = decodeControlReply(controlStateMachine(model.log).apply(0, bytes));
+        if (!reply || reply->outcome != ControlOutcome::Accepted) {
+            model.result.violations.push_back("the decision log refused a directive: " + (reply ? reply->detail : ""));
+            return;
         }
-        model.result.stage = directive.stage;
-        model.committed.assign(1, directive);
+        noteStage(model, directive, wasUndoing);
         for (auto& node : model.nodes)
             node.arriving.emplace_back(model.now + TimeMs { model.random.between(100, 1500) }, directive);
     }
 }
 
+/// The decision log is restored from its snapshot, and the controller from the log.
+static void changeLeader(Model& model)
+{
+    ++model.result.leaderChanges;
+    DecisionLog restored;
+    if (!restoreControl(restored, snapshotControl(model.log)))
+        model.result.violations.push_back("the decision log was not restored");
+    model.log = std::move(restored);
+    ++model.term;
+    applyControl(model.log, TakeEpoch { .leader = NodeId { model.term }, .term = model.term, .now = model.now });
+    restoreMoves(model.controller, recordedMoves(model.log), model.rules, model.now);
+}
+
+static void injectFaults(Model& model)
+{
+    Random& random = model.random;
+    if (model.options.runnerLoss > 0 && random.chance(model.options.runnerLoss)) {
+        const auto it = std::find_if(model.runners.begin(), model.runners.end(), [](const auto& r) { return r.version == "v2"; });
+        if (it != model.runners.end()) {
+            ++model.result.runnerLosses;
+            model.runners.erase(it);
+            model.starting.emplace_back(model.now + runnerStart, model.wantedNew);
+        }
+    }
+    for (size_t n = 1; n < nodeCount; ++n) {
+        if (model.options.nodeLoss > 0 && random.chance(model.options.nodeLoss)) {
+            ++model.result.nodeLosses;
+            model.nodes[n].deadUntil = model.now + TimeMs { random.between(1000, 60000) };
+            model.nodes[n].trip = LocalTrip();
+        }
+        if (model.options.nodeCutOff > 0 && random.chance(model.options.nodeCutOff)) {
+            ++model.result.nodeCutOffs;
+            model.nodes[n].cutOffUntil = model.now + TimeMs { random.between(1000, 60000) };
+        }
+    }
+}
+
 static void stepController(Model& model)
 {
     std::vector<Evidence> evidence;
@@ -295,13 +368,15 @@
         node.pending.confirmed = node.inForce.sequence;
         node.pending.tripped = node.trip.tripped();
         node.pending.tripReason = node.trip.reason();
-        evidence.push_back(node.pending);
-        nodes.push_back({ node.id, { { "upgrade", node.inForce.sequence } } });
+        if (model.now >= node.deadUntil) {
+            evidence.push_back(node.pending);
+            nodes.push_back({ node.id, { { "upgrade", node.inForce.sequence } } });
+        }
         resetPending(node);
     }
     const auto second = static_cast<uint64_t>((model.now - startAt).value / 1000);
-    if (model.options.leaderChangeEvery && second % model.options.leaderChangeEvery == 0 && second)
-        restoreMoves(model.controller, model.committed, model.rules, model.now);
+    if (!second || (model.options.leaderChangeEvery && second % model.options.leaderChangeEvery == 0))
+        changeLeader(model);
     MoveOutputs out;
     stepMoves(model.controller, { .now = model.now, .rules = &model.rules, .runners = model.runners, .evidence = evidence, .nodes = nodes }, out);
     takeDirectives(model, out);
@@ -376,9 +451,11 @@
     model.load[0] = options.rate / oldRunnerCount;
     if (options.baseline)
         setAllShares(model, 0.05, { 1 });
-    const TimeMs end = startAt + options.duration + options.watch + 60_s;
+    // Past the watch by the longest check and its confirmations.
+    const TimeMs end = startAt + options.duration + options.watch + 240_s;
     for (; model.now < end; model.now += 1_s) {
         startRunners(model);
+        injectFaults(model);
         serveSecond(model);
         if (options.baseline)
             stepBaseline(model);
--- a/src/bench/MovesModel.h
+++ b/src/bench/MovesModel.h
@@ -41,6 +41,9 @@
     TimeMs duration { 1800000 }; ///< From start to deadline.
     TimeMs watch { 600000 };
     uint64_t leaderChangeEvery = 0; ///< Seconds; 0: the leader stays.
+    double runnerLoss = 0; ///< Chance per second that a runner of the new version is reclaimed; another one starts.
+    double nodeLoss = 0; ///< Chance per second that a node dies for up to 60 s.
+    double nodeCutOff = 0; ///< Chance per second that a live node gets no directives for up to 60 s.
 };
 
 struct MovesModelResult {
@@ -55,6 +58,10 @@
     TimeMs doneAfter; ///< From the start; 0 if never done.
     TimeMs undoneAfter;
     std::string reason; ///< Of the last directive that took the move back.
+    uint64_t leaderChanges = 0;
+    uint64_t runnerLosses = 0;
+    uint64_t nodeLosses = 0;
+    uint64_t nodeCutOffs = 0;
     std::vector<std::string> violations; ///< Broken promises of the controller, such as Done before all nodes confirmed.
 };
 
--- a/src/ledger/Ledger.cpp
+++ b/src/ledger/Ledger.cpp
@@ -139,6 +139,27 @@
     return bytes <= maxHeaderBytes;
 }
 
+/// An outcome is never refused for lack of room: what does not fit is dropped, and a body leaves its digest.
+static StoredAnswer fitAnswer(const Ledger& ledger, const CallRecord& record, StoredAnswer answer)
+{
+    const size_t others = ledger.bytes - record.request.size();
+    size_t room = ledger.settings.maxBytes - std::min(ledger.settings.maxBytes, others);
+    size_t headerBytes = 0;
+    for (const auto& [name, value] : answer.headers)
+        headerBytes += name.size() + value.size();
+    if (headerBytes > room)
+        answer.headers.clear();
+    else
+        room -= headerBytes;
+    if (!answer.body.empty())
+        answer.bodyBytes = answer.body.size();
+    if (answer.body.size() > std::min(ledger.settings.maxAnswerBytes, room)) {
+        answer.bodyDigest = sha256Hex(answer.body);
+        answer.body.clear();
+    }
+    return answer;
+}
+
 static LedgerReply applyTo(Ledger& ledger, const Complete& command)
 {
     if (!isWellFormed(command.answer))
@@ -148,17 +169,7 @@
     CallRecord* record = findOwned(ledger, command.call, command.owner, command.attempt, expected, refusal);
     if (!record)
         return refusal;
-    StoredAnswer answer = command.answer;
-    const size_t room = ledger.settings.maxBytes - std::min(ledger.settings.maxBytes, ledger.bytes - record->request.size());
-    // An outcome is never refused for lack of room: a body that does not fit is kept as its digest.
-    if (answer.body.size() > std::min(ledger.settings.maxAnswerBytes, room)) {
-        answer.bodyBytes = answer.body.size();
-        answer.bodyDigest = sha256Hex(answer.body);
-        answer.body.clear();
-    } else if (!answer.body.empty()) {
-        answer.bodyBytes = answer.body.size();
-    }
-    finishRecord(ledger, *record, CallState::Done, std::move(answer));
+    finishRecord(ledger, *record, CallState::Done, fitAnswer(ledger, *record, command.answer));
     return stateReply(*record);
 }
 
--- a/src/versions/MoveController.h
+++ b/src/versions/MoveController.h
@@ -112,6 +112,7 @@
     std::array<FadingRate, latencyMeasures> oldSlowNow;
     std::array<double, latencyMeasures> frozen {}; ///< Latency of the old version before the shift, ms.
     double rate = 0; ///< Requests/s of both versions, smoothed.
+    double rateWindows = 0; ///< Windows that `rate` comes from.
     double share = 0; ///< In force.
     TimeMs lastStep;
     bool proven = false;
--- a/src/versions/MovePlan.cpp
+++ b/src/versions/MovePlan.cpp
@@ -10,6 +10,9 @@
 
 static constexpr std::array<double, 4> ladder { 0.1, 0.25, 0.5, 1.0 };
 
+// Requests of all routes after which their rates are known well enough to be compared.
+static constexpr uint64_t minSeenForSplit = 300;
+
 TimeMs latestShift(const ActiveMove& move, const MoveSettings& settings)
 {
     const TimeMs whole = move.rule.by - move.directive.started;
@@ -27,7 +30,7 @@
     for (size_t n = 0; n < byRate.size(); ++n) {
         const double even = budget / static_cast<double>(byRate.size() - n);
         RouteTests& route = *byRate[n];
-        route.share = route.rate > 0 ? std::min(cap, even / route.rate) : cap;
+        route.share = route.rate > 0 ? std::min(cap, even / route.rate) : 0;
         budget -= route.share * route.rate;
     }
 }
@@ -51,16 +54,19 @@
     turnBurst(move, settings, move.rule.maxShare / fullLoad, now);
     const double share = move.directive.canary && move.bursting ? fullLoad : 0;
     double total = 0;
-    for (const auto& [name, route] : move.routes)
-        total += route.rate;
+    uint64_t seen = 0;
     std::map<std::string, double> before;
-    for (const auto& [name, route] : move.routes)
+    for (const auto& [name, route] : move.routes) {
+        total += route.rate;
+        seen += route.oldRecent.requests;
         before[name] = route.share;
-    if (total > 0)
-        splitBudget(move.routes, share * total, std::max(share, share > 0 ? settings.routeShareCap : 0));
+    }
+    // The split needs the rates of the routes; until they are known, all send the same part.
+    if (seen >= minSeenForSplit)
+        splitBudget(move.routes, share * total, std::max(share, settings.routeShareCap));
     bool changed = false;
     for (auto& [name, route] : move.routes) {
-        if (total <= 0)
+        if (seen < minSeenForSplit)
             route.share = share;
         changed = changed || std::abs(route.share - before[name]) > 0.1 * std::max(route.share, before[name]);
     }
--- a/src/versions/MoveTests.cpp
+++ b/src/versions/MoveTests.cpp
@@ -9,6 +9,7 @@
 static constexpr TimeMs windowLength { 1000 };
 static constexpr TimeMs fadeInterval { 300000 };
 static constexpr double fadePerWindow = 0.933; // Half in 10 windows.
+static constexpr double ratePerWindow = 0.01; // Weight of one window in the smoothed rate of a route.
 static constexpr size_t testsPerRoute = 1 + latencyMeasures;
 // Above this share of a route, the old version has too little traffic to show an outage that hits both.
 static constexpr double comparableShare = 0.5;
@@ -322,7 +323,9 @@
     const bool pool = isComparable(move);
     for (auto& [name, route] : move.routes) {
         const auto requests = static_cast<double>(route.pendingOld.requests + route.pendingNew.requests);
-        route.rate = route.rate > 0 ? 0.97 * route.rate + 0.03 * requests : requests;
+        ++route.rateWindows;
+        // The mean of all windows at first, then a moving one.
+        route.rate += (requests - route.rate) * std::max(1 / route.rateWindows, ratePerWindow);
         addFading(route.oldErrorsNow, route.pendingOld.failures, route.pendingOld.requests);
         addEvidence(route.oldRecent, route.pendingOld);
         addEvidence(route.newTotal, route.pendingNew);
--- /dev/null
+++ b/tests/control/DecisionLogTest.cpp
@@ -0,0 +1,129 @@
+#include "control/DecisionLog.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace siskinshunt;
+
+static ApplyRules makeApply(const std::string& id, uint64_t expected, const std::string& text, const std::string& who = "asma")
+{
+    return { .requestId = id, .expectedRevision = expected, .text = text, .operatorName = who, .now = TimeMs { 1000 } };
+}
+
+static RecordMove makeMove(uint64_t epoch, uint64_t sequence, MoveStage stage, const std::string& name = "upgrade")
+{
+    MoveDirective directive;
+    directive.move = name;
+    directive.stage = stage;
+    directive.sequence = sequence;
+    return { epoch, directive };
+}
+
+// Guards against two operators that both believe to have won under equal numbers.
+BOOST_AUTO_TEST_CASE(loserIsToldWhoWon)
+{
+    DecisionLog log;
+    applyControl(log, makeApply("r1", 0, "one", "asma"));
+    BOOST_TEST((applyControl(log, makeApply("r2", 1, "two", "bilal")).revision == 2U));
+    const auto lost = applyControl(log, makeApply("r3", 1, "three", "chen"));
+    BOOST_TEST((lost.outcome == ControlOutcome::Conflict && lost.winner == "bilal" && lost.revision == 2U));
+    BOOST_TEST(rulesText(log) == "two");
+    applyControl(log, makeApply("r4", 2, "four", "asma"));
+    // The winner of the race is the one that took the expected revision's place, not the latest operator.
+    const auto later = applyControl(log, makeApply("r5", 1, "five", "chen"));
+    BOOST_TEST((later.winner == "bilal" && later.revision == 2U));
+}
+
+// Guards against a resend after a lost answer that applies again, or gets another answer, after many other changes.
+BOOST_AUTO_TEST_CASE(resendGetsTheSameAnswerAfterHundredsOfApplies)
+{
+    DecisionLog log;
+    const auto first = applyControl(log, makeApply("r1", 0, "one"));
+    const auto refused = applyControl(log, makeApply("bad", 7, "x"));
+    for (uint64_t n = 1; n <= 1000; ++n)
+        BOOST_REQUIRE((applyControl(log, makeApply("n" + std::to_string(n), n, "text")).outcome == ControlOutcome::Accepted));
+    const auto again = applyControl(log, makeApply("r1", 0, "one"));
+    BOOST_TEST((again.outcome == ControlOutcome::Accepted && again.revision == first.revision));
+    const auto refusedAgain = applyControl(log, makeApply("bad", 7, "x"));
+    BOOST_TEST((refusedAgain.outcome == ControlOutcome::Conflict && refusedAgain.revision == refused.revision));
+    BOOST_TEST(log.revision == 1001U);
+    const auto other = applyControl(log, makeApply("r1", 0, "another text"));
+    BOOST_TEST((other.outcome == ControlOutcome::Conflict && other.winner == "asma"));
+}
+
+// Guards against history and request ids that grow without bound, and against lost texts of the last 50 revisions.
+BOOST_AUTO_TEST_CASE(historyKeepsFiftyTexts)
+{
+    DecisionLog log;
+    for (uint64_t n = 0; n < DecisionLog::keptRequests + 100; ++n)
+        applyControl(log, makeApply("n" + std::to_string(n), n, "text" + std::to_string(n + 1)));
+    const uint64_t last = log.revision;
+    BOOST_TEST(findRevision(log, last - 49)->text == "text" + std::to_string(last - 49));
+    BOOST_TEST((findRevision(log, last - 50)->text.empty() && findRevision(log, last - 50)->operatorName == "asma"));
+    BOOST_TEST(log.requests.size() == DecisionLog::keptRequests);
+    BOOST_TEST(log.requestOrder.size() == DecisionLog::keptRequests);
+}
+
+// Guards against a deposed leader whose directive overwrites that of its successor.
+BOOST_AUTO_TEST_CASE(oldEpochsAndSequencesAreRefused)
+{
+    DecisionLog log;
+    applyControl(log, TakeEpoch { NodeId { 1 }, 5, {} });
+    BOOST_TEST((applyControl(log, makeMove(5, 3, MoveStage::Proving)).outcome == ControlOutcome::Accepted));
+    BOOST_TEST((applyControl(log, makeMove(5, 3, MoveStage::Shifting)).outcome == ControlOutcome::Stale));
+    applyControl(log, TakeEpoch { NodeId { 2 }, 6, {} });
+    BOOST_TEST((applyControl(log, makeMove(5, 4, MoveStage::Shifting)).outcome == ControlOutcome::Stale));
+    BOOST_TEST((applyControl(log, TakeEpoch { NodeId { 1 }, 5, {} }).outcome == ControlOutcome::Stale));
+    BOOST_TEST((applyControl(log, TakeEpoch { NodeId { 1 }, 6, {} }).outcome == ControlOutcome::Stale));
+    BOOST_TEST((applyControl(log, TakeEpoch { NodeId { 2 }, 6, {} }).outcome == ControlOutcome::Accepted));
+    BOOST_TEST(log.epoch == 6U);
+}
+
+// Guards against a move that comes back after it was stated as undone.
+BOOST_AUTO_TEST_CASE(finishedMovesNeverChange)
+{
+    DecisionLog log;
+    applyControl(log, makeMove(0, 1, MoveStage::Undone));
+    BOOST_TEST((applyControl(log, makeMove(0, 2, MoveStage::Proving)).outcome == ControlOutcome::Finished));
+    BOOST_TEST((log.moves.at("upgrade").stage == MoveStage::Undone));
+    for (size_t n = 0; n < DecisionLog::keptMoves; ++n)
+        applyControl(log, makeMove(0, 1, MoveStage::Waiting, "m" + std::to_string(n)));
+    BOOST_TEST(log.moves.size() == DecisionLog::keptMoves);
+    BOOST_TEST((applyControl(log, makeMove(0, 1, MoveStage::Waiting, "more")).outcome == ControlOutcome::Full));
+}
+
+// Guards against an instance that is ordered twice because the intent was proposed twice.
+BOOST_AUTO_TEST_CASE(intentsAreIdempotent)
+{
+    DecisionLog log;
+    Intent intent;
+    intent.id = "start-1";
+    intent.kind = IntentKind::Capacity;
+    BOOST_TEST((applyControl(log, OpenIntent { 0, intent }).outcome == ControlOutcome::Accepted));
+    applyControl(log, OpenIntent { 0, intent });
+    BOOST_TEST(openIntents(log).size() == 1U);
+    applyControl(log, CloseIntent { "start-1", IntentState::Confirmed, {} });
+    applyControl(log, OpenIntent { 0, intent });
+    BOOST_TEST(openIntents(log).empty());
+    BOOST_TEST((applyControl(log, CloseIntent { "start-1", IntentState::Failed, {} }).outcome == ControlOutcome::Finished));
+    BOOST_TEST((applyControl(log, CloseIntent { "none", IntentState::Failed, {} }).outcome == ControlOutcome::NotFound));
+}
+
+// Guards against state that a restart loses, and against commands that crash a voter.
+BOOST_AUTO_TEST_CASE(snapshotKeepsEverything)
+{
+    DecisionLog log;
+    const auto machine = controlStateMachine(log);
+    const std::string command = encodeControlCommand(makeApply("r1", 0, "one"));
+    machine.apply(1, command);
+    applyControl(log, TakeEpoch { NodeId { 1 }, 5, {} });
+    applyControl(log, makeMove(5, 1, MoveStage::Undone));
+    applyControl(log, OpenIntent { 5, { .id = "i" } });
+    DecisionLog other;
+    BOOST_REQUIRE(restoreControl(other, machine.snapshot()));
+    BOOST_TEST(snapshotControl(other) == machine.snapshot());
+    BOOST_TEST((applyControl(other, makeApply("r1", 0, "one")).outcome == ControlOutcome::Accepted));
+    BOOST_TEST(other.revision == 1U);
+    for (size_t n = 0; n < command.size(); ++n)
+        BOOST_TEST((decodeControlReply(machine.apply(2, command.substr(0, n)))->outcome == ControlOutcome::Malformed));
+    BOOST_TEST(!restoreControl(other, command));
+}
--- /dev/null
+++ b/tests/ledger/LedgerTest.cpp
@@ -0,0 +1,177 @@
+#include "ledger/Ledger.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace siskinshunt;
+
+static const CallOwner ownerA { NodeId { 1 }, 1 };
+static const CallOwner ownerB { NodeId { 2 }, 1 };
+static const CallOwner leader { NodeId { 9 }, 1 };
+static constexpr TimeMs start { 1000000000 };
+
+static Reserve makeReserve(const std::string& key, uint64_t random, bool dispatchNow = false)
+{
+    return { .account = "punjab", .key = key, .bodyDigest = "d1", .owner = ownerA, .call = makeCallId(random, GroupId { 3 }, 4), .request = "request", .deadline = start + 30_s, .dispatchNow = dispatchNow, .upstream = "desk", .now = start };
+}
+
+static LedgerOutcome outcomeOf(Ledger& ledger, const LedgerCommand& command)
+{
+    return applyLedger(ledger, command).outcome;
+}
+
+static bool allAlive(const CallOwner&) { return true; }
+static bool noneAlive(const CallOwner&) { return false; }
+
+// Guards against a booking that runs twice because a second node takes the same key for a new call.
+BOOST_AUTO_TEST_CASE(sameKeyJoinsAndGetsTheStoredAnswer)
+{
+    Ledger ledger;
+    const auto first = applyLedger(ledger, makeReserve("k", 1, true));
+    BOOST_TEST((first.outcome == LedgerOutcome::Accepted && first.state == CallState::Dispatched && first.attempt == 1));
+    const auto joined = applyLedger(ledger, makeReserve("k", 2, true));
+    BOOST_TEST((joined.outcome == LedgerOutcome::Joined && joined.call == first.call && joined.owner == ownerA));
+    Reserve other = makeReserve("k", 3);
+    other.bodyDigest = "d2";
+    BOOST_TEST((outcomeOf(ledger, other) == LedgerOutcome::KeyReused));
+    const StoredAnswer answer { .status = 201, .body = "booked" };
+    BOOST_TEST((outcomeOf(ledger, Complete { first.call, ownerA, 1, answer, start }) == LedgerOutcome::Stored));
+    const auto stored = applyLedger(ledger, makeReserve("k", 4, true));
+    BOOST_TEST((stored.outcome == LedgerOutcome::Stored && stored.answer->body == "booked" && stored.call == first.call));
+}
+
+// Guards against a second dispatch under the same attempt, as from a proposer that lost its answer and sends again.
+BOOST_AUTO_TEST_CASE(anAttemptIsDispatchedOnce)
+{
+    Ledger ledger;
+    const CallId call = applyLedger(ledger, makeReserve("k", 1)).call;
+    const Dispatch dispatch { call, ownerA, 1, "desk", start };
+    BOOST_TEST((outcomeOf(ledger, dispatch) == LedgerOutcome::Accepted));
+    BOOST_TEST((outcomeOf(ledger, dispatch) == LedgerOutcome::Conflict));
+    BOOST_TEST((outcomeOf(ledger, ReturnToReserved { call, ownerB, 1, start }) == LedgerOutcome::Conflict));
+    BOOST_TEST((applyLedger(ledger, ReturnToReserved { call, ownerA, 1, start }).attempt == 2U));
+    BOOST_TEST((outcomeOf(ledger, dispatch) == LedgerOutcome::Conflict));
+    BOOST_TEST((outcomeOf(ledger, Dispatch { call, ownerA, 2, "desk2", start }) == LedgerOutcome::Accepted));
+}
+
+// Guards against a former owner that comes back after a takeover and dispatches its queued call, too.
+BOOST_AUTO_TEST_CASE(takeoverShutsOutTheFormerOwner)
+{
+    Ledger ledger;
+    const CallId call = applyLedger(ledger, makeReserve("k", 1)).call;
+    BOOST_TEST(dueForTakeover(ledger, start, leader, allAlive).empty());
+    const auto due = dueForTakeover(ledger, start, leader, noneAlive);
+    BOOST_REQUIRE(due.size() == 1U);
+    BOOST_TEST((applyLedger(ledger, due[0]).attempt == 2U));
+    BOOST_TEST((outcomeOf(ledger, due[0]) == LedgerOutcome::Conflict));
+    BOOST_TEST((outcomeOf(ledger, Dispatch { call, ownerA, 1, "desk", start }) == LedgerOutcome::Conflict));
+    BOOST_TEST((outcomeOf(ledger, Dispatch { call, ownerA, 2, "desk", start }) == LedgerOutcome::Conflict));
+    BOOST_TEST((outcomeOf(ledger, Dispatch { call, leader, 2, "desk", start }) == LedgerOutcome::Accepted));
+    BOOST_TEST(dueForTakeover(ledger, start, ownerB, noneAlive).empty());
+}
+
+// Guards against a dispatched call of a dead owner that runs again, or whose late outcome replaces a final state.
+BOOST_AUTO_TEST_CASE(dispatchedCallOfDeadOwnerBecomesUnknownAfterItsDeadline)
+{
+    Ledger ledger;
+    const CallId call = applyLedger(ledger, makeReserve("k", 1, true)).call;
+    BOOST_TEST(dueForUnknown(ledger, start + 30_s, leader, noneAlive).empty());
+    BOOST_TEST((outcomeOf(ledger, MarkUnknown { call, leader, 1, start + 29_s }) == LedgerOutcome::Conflict));
+    const TimeMs late = start + 30001_ms;
+    BOOST_TEST(dueForUnknown(ledger, late, leader, allAlive).empty());
+    const auto due = dueForUnknown(ledger, late, leader, noneAlive);
+    BOOST_REQUIRE(due.size() == 1U);
+    BOOST_TEST((applyLedger(ledger, due[0]).state == CallState::Unknown));
+    const auto outcome = applyLedger(ledger, Complete { call, ownerA, 1, { .status = 200, .body = "late" }, late });
+    BOOST_TEST((outcome.outcome == LedgerOutcome::Stored && outcome.state == CallState::Unknown && !outcome.answer));
+}
+
+// Guards against "not run" for a call whose byte may have left.
+BOOST_AUTO_TEST_CASE(onlyReservedCallsEndAsNotRun)
+{
+    Ledger ledger;
+    const CallId reserved = applyLedger(ledger, makeReserve("queued", 1)).call;
+    const CallId sent = applyLedger(ledger, makeReserve("sent", 2, true)).call;
+    StoredAnswer refusal { .status = 503, .ran = false };
+    BOOST_TEST((outcomeOf(ledger, Complete { sent, ownerA, 1, refusal, start }) == LedgerOutcome::Conflict));
+    applyLedger(ledger, Expire { start + 31_s });
+    BOOST_TEST((findByCall(ledger, reserved)->state == CallState::Done && !findByCall(ledger, reserved)->answer.ran));
+    BOOST_TEST((findByCall(ledger, sent)->state == CallState::Dispatched));
+    applyLedger(ledger, Expire { start + 31_s + ledger.settings.lateOutcome });
+    BOOST_TEST((findByCall(ledger, sent)->state == CallState::Unknown));
+}
+
+// Guards against a key that runs afresh after its record has gone, and against digests that stay forever.
+BOOST_AUTO_TEST_CASE(expiredKeysAreRefused)
+{
+    Ledger ledger;
+    const TimeMs retention = ledger.settings.retention;
+    const std::string uuid = "00003b9a-ca00-7000-8000-000000000001"; // Created at `start`.
+    BOOST_REQUIRE((creationOfKey(uuid) == start));
+    applyLedger(ledger, makeReserve("plain", 1, true));
+    applyLedger(ledger, makeReserve(uuid, 2, true));
+    applyLedger(ledger, Expire { start + retention });
+    BOOST_TEST((ledger.calls.empty() && ledger.bytes == 0U && ledger.byKey.empty()));
+    BOOST_TEST(ledger.expired.size() == 1U);
+    BOOST_TEST((outcomeOf(ledger, makeReserve("plain", 3)) == LedgerOutcome::KeyExpired));
+    BOOST_TEST((outcomeOf(ledger, makeReserve(uuid, 4)) == LedgerOutcome::KeyExpired));
+    applyLedger(ledger, Expire { start + retention + ledger.settings.digestRetention });
+    BOOST_TEST((ledger.expired.empty() && ledger.expiredKeys.empty()));
+    BOOST_TEST((outcomeOf(ledger, makeReserve(uuid, 5)) == LedgerOutcome::KeyExpired));
+}
+
+// Guards against a node with a wrong clock that expires the keys of all others.
+BOOST_AUTO_TEST_CASE(ownersDoNotMoveTheClock)
+{
+    Ledger ledger;
+    applyLedger(ledger, makeReserve("k", 1, true));
+    Reserve ahead = makeReserve("k2", 2, true);
+    ahead.now = start + ledger.settings.retention * 2;
+    const CallId call = applyLedger(ledger, ahead).call;
+    applyLedger(ledger, Complete { call, ownerA, 1, { .status = 200 }, ahead.now });
+    BOOST_TEST((ledger.clock == start));
+    BOOST_TEST(dueForExpire(ledger, start + 10_s));
+}
+
+// Guards against live keys that are dropped to make room, and against memory that grows with large answers.
+BOOST_AUTO_TEST_CASE(fullLedgerRefusesNewKeysOnly)
+{
+    Ledger ledger;
+    ledger.settings.maxCalls = 2;
+    applyLedger(ledger, makeReserve("a", 1, true));
+    applyLedger(ledger, makeReserve("b", 2, true));
+    BOOST_TEST((outcomeOf(ledger, makeReserve("c", 3, true)) == LedgerOutcome::Full));
+    BOOST_TEST((outcomeOf(ledger, makeReserve("a", 4, true)) == LedgerOutcome::Joined));
+    StoredAnswer large { .status = 200, .body = std::string(ledger.settings.maxAnswerBytes + 1, 'x') };
+    const auto stored = applyLedger(ledger, Complete { findByKey(ledger, "punjab", "a")->call, ownerA, 1, large, start });
+    BOOST_REQUIRE(stored.answer);
+    BOOST_TEST((stored.answer->body.empty() && stored.answer->bodyDigest.size() == 64U && stored.answer->bodyBytes == large.body.size()));
+}
+
+// Guards against crashes and memory exhaustion by commands from a faulty peer.
+BOOST_AUTO_TEST_CASE(malformedCommandsAreAnswered)
+{
+    Ledger ledger;
+    const auto machine = ledgerStateMachine(ledger);
+    const std::string good = encodeLedgerCommand(makeReserve("k", 1));
+    for (size_t n = 0; n < good.size(); ++n) {
+        BOOST_TEST((decodeLedgerReply(machine.apply(1, good.substr(0, n)))->outcome == LedgerOutcome::Malformed));
+        std::string flipped = good;
+        flipped[n] = static_cast<char>(0xff);
+        BOOST_TEST(decodeLedgerReply(machine.apply(1, flipped)).has_value());
+    }
+    BOOST_TEST((decodeLedgerReply(machine.apply(1, good + "x"))->outcome == LedgerOutcome::Malformed));
+    BOOST_TEST(!machine.restore("not a snapshot"));
+}
+
+// Guards against replicas that disagree on the group of a key or call.
+BOOST_AUTO_TEST_CASE(callIdTellsTheGroup)
+{
+    for (uint64_t n = 0; n < 1000; ++n) {
+        const GroupId group = groupOfKey("account", "key" + std::to_string(n), 4);
+        BOOST_TEST((group.value >= 2 && group.value < 6));
+        for (const uint64_t random : { uint64_t { 0 }, n * 0x9e3779b97f4a7c15, UINT64_MAX - n }) {
+            const CallId call = makeCallId(random, group, 4);
+            BOOST_TEST((call && groupOfCall(call, 4) == group));
+        }
+    }
+}
--- /dev/null
+++ b/tests/orders/OrdersTest.cpp
@@ -0,0 +1,108 @@
+#include "orders/Orders.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace siskinshunt;
+
+static Order makeOrder(const std::string& id, bool checks, const std::string& subject = {})
+{
+    Order order;
+    order.id = id;
+    order.target = "runner";
+    order.checksFencing = checks;
+    order.subject = subject;
+    return order;
+}
+
+// Guards against orders of two leaders that reach a target which cannot tell them apart.
+BOOST_AUTO_TEST_CASE(targetsThatIgnoreFencingWait)
+{
+    Random random(1);
+    OrderTable table;
+    BOOST_TEST(!addOrder(table, makeOrder("early", true), 0_s));
+    BOOST_REQUIRE(takeEpoch(table, 7, 10_s));
+    addOrder(table, makeOrder("checks", true), 10_s);
+    addOrder(table, makeOrder("ignores", false), 10_s);
+    auto due = dueOrders(table, 10_s, random);
+    BOOST_REQUIRE(due.size() == 1U);
+    BOOST_TEST((due[0].id == "checks" && due[0].fencing.epoch == 7U));
+    // lease 450 ms + order timeout 5 s + clock slack 500 ms
+    BOOST_TEST((fencingWait(table.settings) == 5950_ms));
+    answerOrder(table, "checks", due[0].fencing, OrderAnswer::Done, 11_s, random);
+    BOOST_TEST(dueOrders(table, 10_s + 5949_ms, random).empty());
+    due = dueOrders(table, 10_s + 5950_ms, random);
+    BOOST_REQUIRE(due.size() == 1U);
+    BOOST_TEST(due[0].id == "ignores");
+}
+
+// Guards against a deposed leader that goes on giving orders, or one that starts again under its old epoch.
+BOOST_AUTO_TEST_CASE(epochsOnlyRise)
+{
+    Random random(1);
+    OrderTable table;
+    takeEpoch(table, 7, 0_s);
+    addOrder(table, makeOrder("a", true), 0_s);
+    const auto first = dueOrders(table, 0_s, random);
+    leaveEpoch(table);
+    BOOST_TEST(dueOrders(table, 100_s, random).empty());
+    BOOST_TEST(!takeEpoch(table, 7, 100_s));
+    BOOST_TEST(!takeEpoch(table, 6, 100_s));
+    BOOST_REQUIRE(takeEpoch(table, 9, 100_s));
+    addOrder(table, makeOrder("a", true), 100_s);
+    const auto second = dueOrders(table, 100_s, random);
+    BOOST_REQUIRE(second.size() == 1U);
+    BOOST_TEST((second[0].fencing > first[0].fencing));
+}
+
+// Guards against lost answers that end an order, and against retries without a new number or back-off.
+BOOST_AUTO_TEST_CASE(lostOrdersAreSentAgainWithBackOff)
+{
+    Random random(1);
+    OrderTable table;
+    takeEpoch(table, 1, 0_s);
+    addOrder(table, makeOrder("a", true), 0_s);
+    const auto first = dueOrders(table, 0_s, random);
+    BOOST_TEST(dueOrders(table, 4999_ms, random).empty());
+    BOOST_TEST(dueOrders(table, 5000_ms, random).empty()); // Times out now, and backs off.
+    const auto second = dueOrders(table, 6_s, random);
+    BOOST_REQUIRE(second.size() == 1U);
+    BOOST_TEST((second[0].fencing > first[0].fencing));
+    // A refusal of the first send says nothing about the second one.
+    answerOrder(table, "a", first[0].fencing, OrderAnswer::Refused, 6_s, random);
+    BOOST_TEST((table.orders.at("a").state == OrderState::InFlight));
+    answerOrder(table, "a", second[0].fencing, OrderAnswer::Busy, 6_s, random);
+    BOOST_TEST(dueOrders(table, 6100_ms, random).empty());
+    BOOST_TEST(dueOrders(table, 8_s, random).size() == 1U);
+}
+
+// Guards against orders that are sent forever although their effect is visible, or that contradict a newer one.
+BOOST_AUTO_TEST_CASE(announcementsConfirmAndNewerOrdersSupersede)
+{
+    Random random(1);
+    OrderTable table;
+    takeEpoch(table, 1, 0_s);
+    addOrder(table, makeOrder("v2", true, "version"), 0_s);
+    addOrder(table, makeOrder("v3", true, "version"), 0_s);
+    BOOST_TEST((table.orders.at("v2").state == OrderState::Superseded));
+    auto due = dueOrders(table, 0_s, random);
+    BOOST_REQUIRE(due.size() == 1U);
+    answerOrder(table, "v3", due[0].fencing, OrderAnswer::Accepted, 1_s, random);
+    BOOST_TEST(dueOrders(table, 50_s, random).empty());
+    reconcileOrders(table, [](const Order& order) { return order.id == "v3"; });
+    BOOST_TEST((table.orders.at("v3").state == OrderState::Confirmed));
+    addOrder(table, makeOrder("v3", true, "version"), 60_s);
+    BOOST_TEST(dueOrders(table, 200_s, random).empty());
+}
+
+// Guards against an accepted order that the target forgot in a restart.
+BOOST_AUTO_TEST_CASE(acceptedOrdersWithoutEffectAreSentAgain)
+{
+    Random random(1);
+    OrderTable table;
+    takeEpoch(table, 1, 0_s);
+    addOrder(table, makeOrder("a", true), 0_s);
+    const auto due = dueOrders(table, 0_s, random);
+    answerOrder(table, "a", due[0].fencing, OrderAnswer::Accepted, 1_s, random);
+    dueOrders(table, 61_s, random);
+    BOOST_TEST(dueOrders(table, 62_s, random).size() == 1U);
+}
