--- a/src/base/Ids.h
+++ b/src/base/Ids.h
@@ -14,7 +14,9 @@
 struct Id {
     uint64_t value = 0;
 
-    constexpr auto operator<=>(const Id&) const = default;
+    // Written out: clang-tidy 14 reports a literal 0 (modernize-use-nullptr) in the body of a defaulted comparison.
+    constexpr std::strong_ordering operator<=>(const Id& other) const { return value <=> other.value; }
+    constexpr bool operator==(const Id&) const = default;
     constexpr explicit operator bool() const { return value != 0; }
 
     template <class Archive>
--- a/src/base/TimeMs.h
+++ b/src/base/TimeMs.h
@@ -10,7 +10,9 @@
 struct TimeMs {
     int64_t value = 0;
 
-    constexpr auto operator<=>(const TimeMs&) const = default;
+    // Written out: clang-tidy 14 reports a literal 0 (modernize-use-nullptr) in the body of a defaulted comparison.
+    constexpr std::strong_ordering operator<=>(const TimeMs& other) const { return value <=> other.value; }
+    constexpr bool operator==(const TimeMs&) const = default;
     constexpr TimeMs& operator+=(TimeMs other)
     {
         value += other.value;
--- a/src/bench/MovesBench.cpp
+++ b/src/bench/MovesBench.cpp
@@ -2,6 +2,7 @@
 #include "bench/MovesModel.h"
 
 #include <algorithm>
+#include <cmath>
 #include <vector>
 
 namespace siskinshunt {
@@ -34,7 +35,7 @@
 static double quantileOf(std::vector<T> values, double q)
 {
     std::sort(values.begin(), values.end());
-    return static_cast<double>(values[static_cast<size_t>(q * static_cast<double>(values.size() - 1) + 0.5)]);
+    return static_cast<double>(values[static_cast<size_t>(std::lround(q * static_cast<double>(values.size() - 1)))]);
 }
 
 static double share(uint64_t part, uint64_t whole)
@@ -58,10 +59,13 @@
             continue;
         const FaultSummary bad = runFault(context, it.value, baseline, seeds);
         const std::string name = "." + std::string(it.name);
-        context.report(prefix + "bad_taken_back" + name, share(bad.undone, bad.runs), "share", size);
-        context.report(prefix + "bad_requests_p95" + name, quantileOf(bad.badRequests, 0.95), "requests", size);
+        const auto report = [&](std::string figure, double value, std::string_view unit) {
+            context.report(figure.insert(0, prefix).append(name), value, unit, size);
+        };
+        report("bad_taken_back", share(bad.undone, bad.runs), "share");
+        report("bad_requests_p95", quantileOf(bad.badRequests, 0.95), "requests");
         if (!baseline)
-            context.report(prefix + "taken_back_p95_s" + name, quantileOf(bad.seconds, 0.95), "s", size);
+            report("taken_back_p95_s", quantileOf(bad.seconds, 0.95), "s");
         runs += bad.runs;
         undone += bad.undone;
         badRequests.insert(badRequests.end(), bad.badRequests.begin(), bad.badRequests.end());
--- a/src/ledger/CallRecord.h
+++ b/src/ledger/CallRecord.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -47,7 +48,9 @@
     NodeId node;
     uint64_t incarnation = 0;
 
-    auto operator<=>(const CallOwner&) const = default;
+    // Written out: clang-tidy 14 reports a literal 0 (modernize-use-nullptr) in the body of a defaulted comparison.
+    bool operator==(const CallOwner& other) const { return node == other.node && incarnation == other.incarnation; }
+    bool operator<(const CallOwner& other) const { return std::tie(node, incarnation) < std::tie(other.node, other.incarnation); }
     template <class Archive>
     void serialize(Archive& archive) { archive(node, incarnation); }
 };
--- a/src/ledger/Ledger.h
+++ b/src/ledger/Ledger.h
@@ -29,7 +29,7 @@
     uint64_t high = 0;
     uint64_t low = 0;
 
-    auto operator<=>(const KeyDigest&) const = default;
+    bool operator==(const KeyDigest&) const = default;
     template <class Archive>
     void serialize(Archive& archive) { archive(high, low); }
 };
--- a/src/orders/Orders.h
+++ b/src/orders/Orders.h
@@ -6,6 +6,7 @@
 #include "base/TimeMs.h"
 
 #include <array>
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -19,7 +20,12 @@
     uint64_t epoch = 0; ///< Term in which the leader committed its TakeEpoch.
     uint64_t sequence = 0; ///< Rises by one with each order of the epoch.
 
-    auto operator<=>(const FencingNumber&) const = default;
+    bool operator==(const FencingNumber&) const = default;
+    // Written out: clang-tidy 14 reports a literal 0 (modernize-use-nullptr) in the body of a defaulted comparison.
+    std::strong_ordering operator<=>(const FencingNumber& other) const
+    {
+        return epoch != other.epoch ? epoch <=> other.epoch : sequence <=> other.sequence;
+    }
 };
 
 enum class OrderKind : uint8_t {
--- a/src/versions/LatencySketch.cpp
+++ b/src/versions/LatencySketch.cpp
@@ -13,8 +13,9 @@
 {
     if (!(milliseconds > smallest))
         return 0;
-    const double bucket = std::ceil(std::log(milliseconds / smallest) / std::log(bucketRatio));
-    return static_cast<uint16_t>(std::min<double>(bucket, lastBucket));
+    // The slack keeps the upper bound of a bucket in it despite rounding.
+    const double bucket = std::ceil(std::log(milliseconds / smallest) / std::log(bucketRatio) - 1e-6);
+    return static_cast<uint16_t>(std::clamp<double>(bucket, 0, lastBucket));
 }
 
 static double upperBound(uint16_t bucket)
--- a/src/versions/MovePlan.cpp
+++ b/src/versions/MovePlan.cpp
@@ -24,6 +24,7 @@
 static void splitBudget(std::map<std::string, RouteTests>& routes, double budget, double cap)
 {
     std::vector<RouteTests*> byRate;
+    byRate.reserve(routes.size());
     for (auto& [name, route] : routes)
         byRate.push_back(&route);
     std::sort(byRate.begin(), byRate.end(), [](const auto* a, const auto* b) { return a->rate < b->rate; });
--- a/src/versions/MoveTests.cpp
+++ b/src/versions/MoveTests.cpp
@@ -375,6 +375,7 @@
 std::vector<RouteBaseline> baselinesOf(const ActiveMove& move)
 {
     std::vector<RouteBaseline> out;
+    out.reserve(move.routes.size());
     for (const auto& [name, route] : move.routes)
         out.push_back({ name, route.proven, route.oldRecent.requests, route.oldRecent.failures, route.frozen });
     return out;
