--- a/src/bench/GossipBench.cpp
+++ b/src/bench/GossipBench.cpp
@@ -10,150 +10,187 @@
 
 namespace {
 
-/// Upstreams in proportion to the target size of 870 at 400 nodes; each announces to two nodes of its failure domain.
-struct FakeUpstream {
-    Announcement announced;
-    std::array<size_t, 2> homes {};
-    TimeMs next;
-};
-
-class GossipFleet {
-public:
-    GossipFleet(size_t nodes, uint64_t seed)
-        : network(seed, { .loss = 0.005, .duplicate = 0, .shortestDelay = 1_ms, .longestDelay = 5_ms })
-        , m_random(seed + 1)
-    {
-        const size_t domains = std::min<size_t>(8, std::max<size_t>(3, nodes / 12));
-        network.addKnown(nodes, domains);
-        for (size_t n = 0; n < std::max<size_t>(nodes * 870 / 400, 1); ++n)
-            addUpstream(n, domains, nodes);
-        for (auto& host : network.hosts)
-            teach(*host.node);
-    }
+    /// Upstreams in proportion to the target size of 870 at 400 nodes; each announces to two nodes of its failure domain.
+    struct FakeUpstream {
+        Announcement announced;
+        std::array<size_t, 2> homes {};
+        TimeMs next;
+    };
+
+    class GossipFleet {
+    public:
+        GossipFleet(size_t nodes, uint64_t seed)
+            : network(seed, { .loss = 0.005, .duplicate = 0, .shortestDelay = 1_ms, .longestDelay = 5_ms })
+            , m_random(seed + 1)
+        {
+            const size_t domains = std::min<size_t>(8, std::max<size_t>(3, nodes / 12));
+            network.addKnown(nodes, domains);
+            for (size_t n = 0; n < std::max<size_t>(nodes * 870 / 400, 1); ++n)
+                addUpstream(n, domains, nodes);
+            for (auto& host : network.hosts)
+                teach(*host.node);
+        }
 
-    void run(TimeMs duration)
-    {
-        network.run(duration, [this] { announceDue(); });
-    }
+        void run(TimeMs duration)
+        {
+            network.run(duration, [this] { announceDue(); });
+        }
 
-    /// Announces a reclaim; returns after how long 99% of the nodes know it.
-    TimeMs spreadReclaim(size_t which)
-    {
-        auto& upstream = upstreams[which];
-        upstream.announced.reclaimIn = 30_s;
-        upstream.next = network.now;
-        const auto id = idOfName<UpstreamId>(upstream.announced.name);
-        const TimeMs begin = network.now;
-        const size_t enough = (network.hosts.size() * 99 + 99) / 100;
-        size_t know = 0;
-        while (know < enough && network.now - begin < 30_s) {
-            run(20_ms);
-            know = 0;
-            for (const auto& host : network.hosts) {
-                const Upstream* it = findUpstream(host.node->upstreams, id);
-                know += it && it->reclaimAt ? 1 : 0;
+        /// Announces the reclaim of these at once; returns after how long 99% of the nodes know of all of them.
+        TimeMs spreadReclaim(const std::vector<size_t>& which)
+        {
+            for (const size_t n : which) {
+                upstreams[n].announced.reclaimIn = 30_s;
+                upstreams[n].next = network.now;
             }
+            const TimeMs begin = network.now;
+            const size_t enough = (network.hosts.size() * 99 + 99) / 100;
+            for (size_t know = 0; know < enough && network.now - begin < 30_s;) {
+                run(20_ms);
+                know = static_cast<size_t>(std::count_if(network.hosts.begin(), network.hosts.end(), [&](const auto& host) {
+                    return std::all_of(which.begin(), which.end(), [&](size_t n) {
+                        const Upstream* it = findUpstream(host.node->upstreams, idOfName<UpstreamId>(upstreams[n].announced.name));
+                        return it && it->reclaimAt;
+                    });
+                }));
+            }
+            return network.now - begin;
         }
-        upstream.announced.reclaimIn.reset();
-        return network.now - begin;
-    }
 
-    GossipNetwork network;
-    std::vector<FakeUpstream> upstreams;
+        /// All upstreams of the domain that are not leaving yet.
+        std::vector<size_t> domainUpstreams(const std::string& domain) const
+        {
+            std::vector<size_t> which;
+            for (size_t n = 0; n < upstreams.size(); ++n) {
+                if (upstreams[n].announced.domain == domain && !upstreams[n].announced.reclaimIn)
+                    which.push_back(n);
+            }
+            return which;
+        }
 
-private:
-    void addUpstream(size_t n, size_t domains, size_t nodes)
-    {
-        FakeUpstream upstream;
-        const size_t domain = n % domains;
-        auto& it = upstream.announced;
-        it.name = "runner-" + std::to_string(n);
-        it.address = "10.9." + std::to_string(n / 256) + "." + std::to_string(n % 256) + ":8000";
-        it.domain = "domain" + std::to_string(domain);
-        it.machine = "gpu-large";
-        it.model = "model-" + std::to_string(n % 5);
-        it.version = "v12";
-        it.incarnation = static_cast<uint64_t>(network.utcBase.value) + n;
-        it.sequence = 1;
-        it.load.capacity = 64;
-        const size_t perDomain = (nodes - domain + domains - 1) / domains;
-        upstream.homes = { domain + domains * (n / domains % perDomain), domain + domains * ((n / domains + 1) % perDomain) };
-        upstream.next = network.now + TimeMs { m_random.between(20, 1000) };
-        upstreams.push_back(upstream);
-    }
+        /// Mean number of announcements (one per second) that the nodes' view of loads is behind.
+        double loadAge(bool ownDomain) const
+        {
+            uint64_t behind = 0;
+            uint64_t count = 0;
+            for (const auto& host : network.hosts) {
+                for (const auto& it : upstreams) {
+                    const Upstream* known = findUpstream(host.node->upstreams, idOfName<UpstreamId>(it.announced.name));
+                    if (!known || (it.announced.domain == host.options.identity.domain) != ownDomain)
+                        continue;
+                    behind += it.announced.sequence - known->announced.sequence;
+                    ++count;
+                }
+            }
+            return count ? static_cast<double>(behind) / static_cast<double>(count) : 0;
+        }
 
-    void teach(Membership& node)
-    {
-        for (const auto& it : upstreams) {
-            for (const size_t home : it.homes) {
-                const NodeId id = network.hosts[home].node->self;
-                if (id == node.self)
-                    upsertAnnouncement(node.upstreams, network.now, it.announced);
-                else
-                    upsertRecord(node.upstreams, network.now, { it.announced, 1, {}, { id, 1, true } });
+        GossipNetwork network;
+        std::vector<FakeUpstream> upstreams;
+
+    private:
+        void addUpstream(size_t n, size_t domains, size_t nodes)
+        {
+            FakeUpstream upstream;
+            const size_t domain = n % domains;
+            auto& it = upstream.announced;
+            it.name = "runner-" + std::to_string(n);
+            it.address = "10.9." + std::to_string(n / 256) + "." + std::to_string(n % 256) + ":8000";
+            it.domain = "domain" + std::to_string(domain);
+            it.machine = "gpu-large";
+            it.model = "model-" + std::to_string(n % 5);
+            it.version = "v12";
+            it.incarnation = static_cast<uint64_t>(network.utcBase.value) + n;
+            it.sequence = 1;
+            it.load.capacity = 64;
+            const size_t perDomain = (nodes - domain + domains - 1) / domains;
+            upstream.homes = { domain + domains * (n / domains % perDomain), domain + domains * ((n / domains + 1) % perDomain) };
+            upstream.next = network.now + TimeMs { m_random.between(20, 1000) };
+            upstreams.push_back(upstream);
+        }
+
+        void teach(Membership& node)
+        {
+            for (const auto& it : upstreams) {
+                for (const size_t home : it.homes) {
+                    const NodeId id = network.hosts[home].node->self;
+                    if (id == node.self)
+                        upsertAnnouncement(node.upstreams, network.now, it.announced);
+                    else
+                        upsertRecord(node.upstreams, network.now, { it.announced, 1, {}, { { id, 1, true } } });
+                }
             }
+            node.upstreams.journal.clear();
         }
-        node.upstreams.journal.clear();
-    }
 
-    void announceDue()
-    {
-        for (auto& it : upstreams) {
-            if (network.now < it.next)
-                continue;
-            it.next += 1_s;
-            ++it.announced.sequence;
-            auto& load = it.announced.load;
-            load.running = static_cast<uint32_t>(std::clamp<int64_t>(load.running + m_random.between(-5, 5), 0, 64));
-            load.waiting = static_cast<uint32_t>(m_random.below(4));
-            load.cachedTokens = 100000 + m_random.below(10000);
-            load.tokensPerSecond = 40 + m_random.uniform();
-            load.prefillTokensPerSecond = 5000 + m_random.uniform();
-            for (const size_t home : it.homes) {
-                announce(network.node(home), network.now, it.announced, network.outputs);
-                network.flush(home);
+        void announceDue()
+        {
+            for (auto& it : upstreams) {
+                if (network.now < it.next)
+                    continue;
+                it.next += 1_s;
+                ++it.announced.sequence;
+                auto& load = it.announced.load;
+                load.running = static_cast<uint32_t>(std::clamp<int64_t>(load.running + m_random.between(-5, 5), 0, 64));
+                load.waiting = static_cast<uint32_t>(m_random.below(4));
+                load.cachedTokens = 100000 + m_random.below(10000);
+                load.tokensPerSecond = 40 + m_random.uniform();
+                load.prefillTokensPerSecond = 5000 + m_random.uniform();
+                for (const size_t home : it.homes) {
+                    announce(network.node(home), network.now, it.announced, network.outputs);
+                    network.flush(home);
+                }
             }
         }
-    }
 
-    Random m_random;
-};
+        Random m_random;
+    };
 
-double processorSeconds()
-{
-    return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
-}
+    double processorSeconds()
+    {
+        return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+    }
 
-void benchGossip(const BenchContext& context, size_t nodes)
-{
-    const std::string size = std::to_string(nodes);
-    GossipFleet fleet(nodes, context.seed);
-    fleet.run(context.quick ? 3_s : 15_s);
-    fleet.network.clearTraffic();
-    const TimeMs duration = context.quick ? 6_s : 60_s;
-    const double before = processorSeconds();
-    fleet.run(duration);
-    const double used = processorSeconds() - before;
-    uint64_t bytes = 0;
-    uint64_t worst = 0;
-    for (const auto& host : fleet.network.hosts) {
-        bytes += host.allBytes;
-        worst = std::max(worst, host.worstSecond);
+    void benchGossip(const BenchContext& context, size_t nodes)
+    {
+        const std::string size = std::to_string(nodes);
+        GossipFleet fleet(nodes, context.seed);
+        fleet.run(context.quick ? 2_s : 15_s);
+        fleet.network.clearTraffic();
+        const TimeMs duration = context.quick ? 4_s : 60_s;
+        const double before = processorSeconds();
+        fleet.run(duration);
+        const double used = processorSeconds() - before;
+        uint64_t bytes = 0;
+        uint64_t worst = 0;
+        for (const auto& host : fleet.network.hosts) {
+            bytes += host.allBytes;
+            worst = std::max(worst, host.worstSecond);
+        }
+        const double perNode = duration.seconds() * static_cast<double>(nodes);
+        context.report("gossip.bytes_per_s." + size, static_cast<double>(bytes) / perNode, "B/s", size);
+        context.report("gossip.bytes_per_s_max." + size, static_cast<double>(worst), "B/s", size);
+        context.report("gossip.cpu_percent." + size, used / perNode * 100, "%", size);
+        context.report("gossip.load_age_own_domain_s." + size, fleet.loadAge(true), "s", size);
+        context.report("gossip.load_age_other_domains_s." + size, fleet.loadAge(false), "s", size);
+        Histogram spread;
+        const size_t samples = std::min<size_t>(context.quick ? 2 : 40, fleet.upstreams.size() / 2);
+        for (size_t n = 0; n < samples; ++n)
+            spread.record(static_cast<uint64_t>(fleet.spreadReclaim({ n * 2 }).value));
+        context.report("gossip.reclaim_spread_p99_s." + size, static_cast<double>(spread.quantile(0.99)) / 1000, "s", size);
+        fleet.network.clearTraffic();
+        const TimeMs wave = fleet.spreadReclaim(fleet.domainUpstreams("domain1"));
+        fleet.run(2_s);
+        for (const auto& host : fleet.network.hosts)
+            worst = std::max(worst, host.worstSecond);
+        context.report("gossip.wave_spread_p99_s." + size, wave.seconds(), "s", size);
+        context.report("gossip.wave_bytes_per_s_max." + size, static_cast<double>(worst), "B/s", size);
     }
-    const double perNode = duration.seconds() * static_cast<double>(nodes);
-    context.report("gossip.bytes_per_s." + size, static_cast<double>(bytes) / perNode, "B/s", size);
-    context.report("gossip.bytes_per_s_max." + size, static_cast<double>(worst), "B/s", size);
-    context.report("gossip.cpu_percent." + size, used / perNode * 100, "%", size);
-    Histogram spread;
-    for (size_t n = 0; n < (context.quick ? 3U : 40U); ++n)
-        spread.record(static_cast<uint64_t>(fleet.spreadReclaim(n * 7 % fleet.upstreams.size()).value));
-    context.report("gossip.reclaim_spread_p99_s." + size, static_cast<double>(spread.quantile(0.99)) / 1000, "s", size);
-}
 
-const BenchRegistration registration("gossip", [](const BenchContext& context) {
-    for (const size_t nodes : { 8, 32, 128, 400 })
-        benchGossip(context, nodes);
-});
+    const BenchRegistration registration("gossip", [](const BenchContext& context) {
+        for (const size_t nodes : { 8, 32, 128, 400 })
+            benchGossip(context, nodes);
+    });
 
 }
 
--- a/src/fleet/UpstreamTable.cpp
+++ b/src/fleet/UpstreamTable.cpp
@@ -153,8 +153,9 @@
     upstream.localSequence = local ? record.announced.sequence : 0;
     upstream.lastSeen = now;
     setLeaving(upstream, now, record.announced.leaving, record.announced.reclaimIn, record.leavingFor);
-    mergeVouch(upstream, record.vouch);
-    note(table, { UpstreamChangeKind::Record, id, record.vouch.home, false });
+    for (const auto& vouch : record.vouches)
+        mergeVouch(upstream, vouch);
+    note(table, { UpstreamChangeKind::Record, id, {}, false });
     return Upsert::Added;
 }
 
@@ -200,7 +201,7 @@
         return found;
     const Vouch vouch { table.self, announced.sequence, true };
     if (!known || announced.incarnation > known->announced.incarnation)
-        return takeFirst(table, now, id, { announced, announced.sequence, {}, vouch }, true);
+        return takeFirst(table, now, id, { announced, announced.sequence, {}, { vouch } }, true);
     if (announced.incarnation < known->announced.incarnation || announced.sequence <= known->localSequence)
         return Upsert::Stale;
 
@@ -252,7 +253,8 @@
     const Upsert found = refuseOrFind(table, id, record.announced.name, known);
     if (found == Upsert::Collision || found == Upsert::Full)
         return found;
-    if (!known && (!record.vouch.active || record.vouch.home == table.self))
+    const bool vouchedFor = std::any_of(record.vouches.begin(), record.vouches.end(), [&](const auto& it) { return it.active && it.home != table.self; });
+    if (!known && !vouchedFor)
         return Upsert::Stale;
     if (!known || record.announced.incarnation > known->announced.incarnation)
         return takeFirst(table, now, id, record, false);
@@ -264,23 +266,25 @@
         replaceContent(table, *known, record.announced);
         known->contentSequence = record.contentSequence;
         setLeaving(*known, now, record.announced.leaving, record.announced.reclaimIn, record.leavingFor);
-        note(table, { UpstreamChangeKind::Record, id, record.vouch.home, false });
+        note(table, { UpstreamChangeKind::Record, id, {}, false });
     }
-    const bool vouched = takeVouch(table, *known, now, record.vouch);
+    bool vouched = false;
+    for (const auto& vouch : record.vouches)
+        vouched = takeVouch(table, *known, now, vouch) || vouched;
     return changed || vouched ? Upsert::Changed : Upsert::Stale;
 }
 
 Upsert applyNotice(UpstreamTable& table, TimeMs now, const UpstreamNotice& notice)
 {
     const auto it = table.entries.find(notice.id);
-    if (it == table.entries.end() || it->second.announced.incarnation != notice.incarnation)
+    if (it == table.entries.end() || static_cast<uint32_t>(it->second.announced.incarnation) != notice.incarnation)
         return Upsert::Stale;
     auto& upstream = it->second;
     bool changed = false;
     if (notice.contentSequence > upstream.contentSequence) {
         upstream.contentSequence = notice.contentSequence;
         setLeaving(upstream, now, notice.leaving, notice.reclaimIn, notice.leavingFor);
-        note(table, { UpstreamChangeKind::Record, notice.id, notice.vouch.home, true });
+        note(table, { UpstreamChangeKind::Record, notice.id, {}, true });
         changed = true;
     }
     const bool vouched = takeVouch(table, upstream, now, notice.vouch);
@@ -309,16 +313,10 @@
     return Upsert::LoadOnly;
 }
 
-static Vouch vouchToSend(const Upstream& upstream, NodeId home)
+static Vouch vouchOf(const Upstream& upstream, NodeId home)
 {
-    const Vouch* best = nullptr;
-    for (const auto& it : upstream.vouches) {
-        if (it.home && it.home == home)
-            return it;
-        if (it.home && (!best || std::tuple(it.active, it.sequence) > std::tuple(best->active, best->sequence)))
-            best = &it;
-    }
-    return best ? *best : Vouch {};
+    const auto it = std::find_if(upstream.vouches.begin(), upstream.vouches.end(), [&](const auto& vouch) { return vouch.home == home; });
+    return home && it != upstream.vouches.end() ? *it : Vouch {};
 }
 
 static std::optional<TimeMs> remaining(const Upstream& upstream, TimeMs now)
@@ -328,9 +326,10 @@
     return std::max(0_ms, *upstream.reclaimAt - now);
 }
 
-UpstreamRecord recordOf(const Upstream& upstream, TimeMs now, NodeId home)
+UpstreamRecord recordOf(const Upstream& upstream, TimeMs now)
 {
-    UpstreamRecord record { upstream.announced, upstream.contentSequence, {}, vouchToSend(upstream, home) };
+    UpstreamRecord record { upstream.announced, upstream.contentSequence, {}, {} };
+    std::copy_if(upstream.vouches.begin(), upstream.vouches.end(), std::back_inserter(record.vouches), [](const auto& it) { return it.active; });
     record.announced.reclaimIn = remaining(upstream, now);
     record.leavingFor = upstream.leavingSince ? now - *upstream.leavingSince : 0_ms;
     return record;
@@ -339,12 +338,12 @@
 UpstreamNotice noticeOf(const Upstream& upstream, TimeMs now, NodeId home)
 {
     return { .id = upstream.id,
-        .incarnation = upstream.announced.incarnation,
+        .incarnation = static_cast<uint32_t>(upstream.announced.incarnation),
         .contentSequence = upstream.contentSequence,
         .leaving = upstream.announced.leaving,
         .reclaimIn = remaining(upstream, now),
         .leavingFor = upstream.leavingSince ? now - *upstream.leavingSince : 0_ms,
-        .vouch = vouchToSend(upstream, home) };
+        .vouch = vouchOf(upstream, home) };
 }
 
 template <class To, class From>
--- a/src/fleet/UpstreamTable.h
+++ b/src/fleet/UpstreamTable.h
@@ -72,18 +72,18 @@
     Announcement announced; ///< reclaimIn counts from the arrival.
     uint64_t contentSequence = 0;
     TimeMs leavingFor; ///< Time since the first notice of leaving or reclaim, if there is one.
-    Vouch vouch;
+    std::vector<Vouch> vouches; ///< At most as many as Upstream holds.
 };
 
 /// Change of an upstream that the receiver knows: leaving, reclaim, or a vouch.
 struct UpstreamNotice {
     UpstreamId id;
-    uint64_t incarnation = 0;
+    uint32_t incarnation = 0; ///< Low bits; has to match the record.
     uint64_t contentSequence = 0;
     bool leaving = false;
     std::optional<TimeMs> reclaimIn;
     TimeMs leavingFor;
-    Vouch vouch;
+    Vouch vouch; ///< Without home: none.
 };
 
 /// Load of an upstream that the receiver knows, in few bytes.
@@ -123,7 +123,8 @@
 Upsert applyLoad(UpstreamTable&, const LoadDelta&);
 
 /// Forms to send, with times relative to now.
-UpstreamRecord recordOf(const Upstream&, TimeMs now, NodeId home);
+UpstreamRecord recordOf(const Upstream&, TimeMs now);
+/// With the vouch of `home`, or none if it has no id.
 UpstreamNotice noticeOf(const Upstream&, TimeMs now, NodeId home);
 LoadDelta loadOf(const Upstream&);
 
--- a/src/membership/DeltaQueue.h
+++ b/src/membership/DeltaQueue.h
@@ -37,8 +37,8 @@
 
     /// Adds, or restarts with the new number of sends. When full, the delta that waits at the back is dropped.
     void add(const DeltaKey&, uint8_t remaining, NodeId source);
-    /// A peer sent the same again: it knows, so one send fewer is needed.
-    void seenAgain(const DeltaKey&);
+    /// A peer sent the same again, so it need not get it back. `fewer`: nor is as much sending needed in all.
+    void seenAgain(const DeltaKey&, NodeId peer, bool fewer);
     void remove(const DeltaKey&);
     size_t size() const { return m_index.size(); }
     bool empty() const { return m_index.empty(); }
--- a/src/membership/Gossip.cpp
+++ b/src/membership/Gossip.cpp
@@ -10,253 +10,254 @@
 
 namespace gossip {
 
-using Verdict = DeltaQueue::Verdict;
+    using Verdict = DeltaQueue::Verdict;
 
-/// Room that is left in a message for deltas.
-struct Room {
-    size_t usual = 0;
-    size_t hard = 0; ///< For a first delta that exceeds the usual size.
-    bool used = false;
+    /// Room that is left in a message for deltas.
+    struct Room {
+        size_t usual = 0;
+        size_t hard = 0; ///< For a first delta that exceeds the usual size.
+        bool used = false;
 
-    bool take(size_t size)
+        bool take(size_t size)
+        {
+            if (size > usual && (used || size > hard))
+                return false;
+            usual -= std::min(usual, size);
+            hard -= size;
+            used = true;
+            return true;
+        }
+    };
+
+    template <class T>
+    static Verdict append(std::vector<Passed<T>>& to, Room& room, uint8_t remaining, T value)
     {
-        if (size > usual && (used || size > hard))
-            return false;
-        usual -= std::min(usual, size);
-        hard -= size;
-        used = true;
-        return true;
+        if (to.size() >= 255 || !room.take(wireSize(value) + 1))
+            return Verdict::NoRoom;
+        to.push_back({ static_cast<uint8_t>(remaining - 1), std::move(value) });
+        return Verdict::Sent;
     }
-};
-
-template <class T>
-static Verdict append(std::vector<Passed<T>>& to, Room& room, uint8_t remaining, T value)
-{
-    if (to.size() >= 255 || !room.take(wireSize(value) + 1))
-        return Verdict::NoRoom;
-    to.push_back({ static_cast<uint8_t>(remaining - 1), std::move(value) });
-    return Verdict::Sent;
-}
 
-static Verdict addMember(Membership& m, GossipMessage& message, Room& room, const Delta& delta)
-{
-    const NodeId id { delta.key.id };
-    const Member* member = findMember(m, id);
-    if (!member && id != m.self)
-        return Verdict::Gone;
-    const MemberRecord record = member ? MemberRecord { member->identity, member->status } : ownRecord(m);
-    if (delta.key.full)
-        return append(message.records, room, delta.remaining, record);
-    return append(message.statuses, room, delta.remaining, record.status);
-}
-
-static Verdict addUpstream(Membership& m, TimeMs now, GossipMessage& message, Room& room, const Delta& delta)
-{
-    const Upstream* upstream = findUpstream(m.upstreams, { delta.key.id });
-    if (!upstream)
-        return Verdict::Gone;
-    if (delta.key.full)
-        return append(message.upstreams, room, delta.remaining, recordOf(*upstream, now, { delta.key.home }));
-    return append(message.notices, room, delta.remaining, noticeOf(*upstream, now, { delta.key.home }));
-}
+    static Verdict addMember(Membership& m, GossipMessage& message, Room& room, const Delta& delta)
+    {
+        const NodeId id { delta.key.id };
+        const Member* member = findMember(m, id);
+        if (!member && id != m.self)
+            return Verdict::Gone;
+        const MemberRecord record = member ? MemberRecord { member->identity, member->status } : ownRecord(m);
+        if (delta.key.full)
+            return append(message.records, room, delta.remaining, record);
+        return append(message.statuses, room, delta.remaining, record.status);
+    }
 
-static void fill(Membership& m, TimeMs now, GossipMessage& message, NodeId peer, Room room)
-{
-    const size_t used = m.traffic.lastSecond(now);
-    if (used >= m.options.bytesPerSecond)
-        return;
-    m.memberDeltas.offer(peer, [&](const Delta& it) { return addMember(m, message, room, it); });
-    m.upstreamDeltas.offer(peer, [&](const Delta& it) { return addUpstream(m, now, message, room, it); });
-    m.confirmDeltas.offer(peer, [&](const Delta& it) {
-        const Member* member = findMember(m, { it.key.id });
-        if (!member && NodeId { it.key.id } != m.self)
+    static Verdict addUpstream(Membership& m, TimeMs now, GossipMessage& message, Room& room, const Delta& delta)
+    {
+        const Upstream* upstream = findUpstream(m.upstreams, { delta.key.id });
+        if (!upstream)
             return Verdict::Gone;
-        return append(message.confirms, room, it.remaining, member ? member->status : m.own);
-    });
-    if (used >= m.options.loadBytesPerSecond)
-        return;
-    Room loads { std::min(room.usual, m.options.loadBytesPerDatagram), 0, true };
-    m.loadDeltas.offer(peer, [&](const Delta& it) {
-        const Upstream* upstream = findUpstream(m.upstreams, { it.key.id });
-        return upstream ? append(message.loads, loads, it.remaining, loadOf(*upstream)) : Verdict::Gone;
-    });
-}
+        if (delta.key.full)
+            return append(message.upstreams, room, delta.remaining, recordOf(*upstream, now));
+        return append(message.notices, room, delta.remaining, noticeOf(*upstream, now, { delta.key.home }));
+    }
 
-void sendGossip(Membership& m, TimeMs now, GossipKind kind, GossipMessage message, NodeId peer, const std::string& address, MembershipOutputs& out)
-{
-    if (m.stopped)
-        return;
-    refreshDigests(m, now);
-    message.round = m.round;
-    message.sender = m.own;
-    message.memberDigest = m.memberDigest;
-    message.upstreamDigest = m.upstreamDigest;
-    const Member* member = findMember(m, peer);
-    if (peer && !member)
-        message.flags |= WantsRecord;
-    // A peer that counts as suspect or dead has to hear so in order to refute it.
-    if (member && member->status.state != MemberState::Alive && member->status.state != MemberState::Left)
-        message.statuses.push_back({ 0, member->status });
-    size_t base = envelopeOverhead + 1 + 17 + wireSize(m.own) + 8 + 7;
-    for (const auto& it : message.identities)
-        base += wireSize(it);
-    for (const auto& it : message.statuses)
-        base += 1 + wireSize(it.value);
-    if (kind != GossipKind::PingRequest && base < maxDatagram)
-        fill(m, now, message, peer, { m.options.datagramLimit - std::min(base, m.options.datagramLimit), maxDatagram - base });
-    Envelope envelope { .cluster = m.options.cluster, .sender = m.self, .group = {}, .sentAt = now + m.utcOffset, .sequence = ++m.nextSequence, .kind = static_cast<uint8_t>(kind), .body = encode(message) };
-    std::string bytes = seal(m.options.key, envelope);
-    INVARIANT(bytes.size() <= maxDatagram, "datagram within its limit", "size", bytes.size(), "base", base);
-    m.traffic.add(now, bytes.size() + ipUdpHeaders);
-    out.datagrams.push_back({ address, std::move(bytes) });
-}
+    static void fill(Membership& m, TimeMs now, GossipMessage& message, NodeId peer, Room room)
+    {
+        const size_t used = m.traffic.lastSecond(now);
+        if (used >= m.options.bytesPerSecond)
+            return;
+        m.memberDeltas.offer(peer, [&](const Delta& it) { return addMember(m, message, room, it); });
+        m.upstreamDeltas.offer(peer, [&](const Delta& it) { return addUpstream(m, now, message, room, it); });
+        m.confirmDeltas.offer(peer, [&](const Delta& it) {
+            const Member* member = findMember(m, { it.key.id });
+            if (!member && NodeId { it.key.id } != m.self)
+                return Verdict::Gone;
+            return append(message.confirms, room, it.remaining, member ? member->status : m.own);
+        });
+        if (used >= m.options.loadBytesPerSecond)
+            return;
+        Room loads { std::min(room.usual, m.options.loadBytesPerDatagram), 0, true };
+        m.loadDeltas.offer(peer, [&](const Delta& it) {
+            const Upstream* upstream = findUpstream(m.upstreams, { it.key.id });
+            return upstream ? append(message.loads, loads, it.remaining, loadOf(*upstream)) : Verdict::Gone;
+        });
+    }
 
-uint32_t sendPing(Membership& m, TimeMs now, NodeId target, const std::string& address, Probe probe, MembershipOutputs& out)
-{
-    const uint32_t number = m.nextProbe++;
-    probe.target = target;
-    probe.sentAt = now;
-    m.probes[number] = std::move(probe);
-    GossipMessage message { .probe = number };
-    if (!target) {
-        message.flags |= WantsRecord;
-        message.identities.push_back(ownRecord(m));
+    void sendGossip(Membership& m, TimeMs now, GossipKind kind, GossipMessage message, NodeId peer, const std::string& address, MembershipOutputs& out)
+    {
+        if (m.stopped)
+            return;
+        refreshDigests(m, now);
+        message.round = m.round;
+        message.sender = m.own;
+        message.memberDigest = m.memberDigest;
+        message.upstreamDigest = m.upstreamDigest;
+        const Member* member = findMember(m, peer);
+        if (peer && !member)
+            message.flags |= WantsRecord;
+        // A peer that counts as suspect or dead has to hear so in order to refute it.
+        if (member && member->status.state != MemberState::Alive && member->status.state != MemberState::Left)
+            message.statuses.push_back({ 0, member->status });
+        size_t base = envelopeOverhead + 1 + 17 + wireSize(m.own) + 8 + 7;
+        for (const auto& it : message.identities)
+            base += wireSize(it);
+        for (const auto& it : message.statuses)
+            base += 1 + wireSize(it.value);
+        if (kind != GossipKind::PingRequest && base < maxDatagram)
+            fill(m, now, message, peer, { m.options.datagramLimit - std::min(base, m.options.datagramLimit), maxDatagram - base });
+        Envelope envelope { .cluster = m.options.cluster, .sender = m.self, .group = {}, .sentAt = now + m.utcOffset, .sequence = ++m.nextSequence, .kind = static_cast<uint8_t>(kind), .body = encode(message) };
+        std::string bytes = seal(m.options.key, envelope);
+        INVARIANT(bytes.size() <= maxDatagram, "datagram within its limit", "size", bytes.size(), "base", base);
+        m.traffic.add(now, bytes.size() + ipUdpHeaders);
+        out.datagrams.push_back({ address, std::move(bytes) });
     }
-    sendGossip(m, now, GossipKind::Ping, std::move(message), target, address, out);
-    return number;
-}
 
-/// All nodes derive the same distance on the ring from the round, so each is pinged about once per round: traffic per
-/// node is even, and a change doubles its reach with every round. Most rounds stay in the own failure domain.
-static NodeId partnerOf(Membership& m, uint32_t round)
-{
-    refreshRings(m);
-    const bool near = round % 5 % 2 == 0 && m.domainRing.size() > 2;
-    const auto& ring = near ? m.domainRing : m.ring;
-    if (ring.size() < 2)
-        return {};
-    const auto own = static_cast<size_t>(std::lower_bound(ring.begin(), ring.end(), m.self) - ring.begin());
-    const size_t distance = 1 + combineHash(round, 0x676f7373) % (ring.size() - 1);
-    return ring[(own + distance) % ring.size()];
-}
+    uint32_t sendPing(Membership& m, TimeMs now, NodeId target, const std::string& address, Probe probe, MembershipOutputs& out)
+    {
+        const uint32_t number = m.nextProbe++;
+        probe.target = target;
+        probe.sentAt = now;
+        m.probes[number] = std::move(probe);
+        GossipMessage message { .probe = number };
+        if (!target) {
+            message.flags |= WantsRecord;
+            message.identities.push_back(ownRecord(m));
+        }
+        sendGossip(m, now, GossipKind::Ping, std::move(message), target, address, out);
+        return number;
+    }
 
-static void runRound(Membership& m, TimeMs now, MembershipOutputs& out)
-{
-    if (now < m.nextRound)
-        return;
-    m.nextRound = std::max(m.nextRound + m.options.roundInterval, now);
-    // Never above what was seen plus one step of its own, so that nodes with different phases keep one count.
-    m.round = std::max(m.round + 1, m.seenRound);
-    const NodeId partner = partnerOf(m, m.round);
-    if (const Member* member = findMember(m, partner))
-        sendPing(m, now, partner, member->identity.udpAddress, {}, out);
-}
+    /// All nodes derive the same distance on the ring from the round, so each is pinged about once per round: traffic per
+    /// node is even, and a change doubles its reach with every round. Every fifth round
+    /// stays in the own failure domain, whose loads matter most; more would use changes up before they leave the domain.
+    static NodeId partnerOf(Membership& m, uint32_t round)
+    {
+        refreshRings(m);
+        const bool near = round % 5 == 0 && m.domainRing.size() > 2;
+        const auto& ring = near ? m.domainRing : m.ring;
+        if (ring.size() < 2)
+            return {};
+        const auto own = static_cast<size_t>(std::lower_bound(ring.begin(), ring.end(), m.self) - ring.begin());
+        const size_t distance = 1 + combineHash(round, 0x676f7373) % (ring.size() - 1);
+        return ring[(own + distance) % ring.size()];
+    }
 
-static void askHelpers(Membership& m, TimeMs now, uint32_t number, Probe& probe, MembershipOutputs& out)
-{
-    probe.indirect = true;
-    refreshRings(m);
-    for (size_t n = 0; n < m.options.indirectProbes; ++n) {
-        const NodeId helper = m.ring[m.random.below(m.ring.size())];
-        const Member* member = findMember(m, helper);
-        if (!member || helper == probe.target)
-            continue;
-        GossipMessage message { .probe = number, .flags = ForOther };
-        message.target = probe.target;
-        sendGossip(m, now, GossipKind::PingRequest, std::move(message), helper, member->identity.udpAddress, out);
+    static void runRound(Membership& m, TimeMs now, MembershipOutputs& out)
+    {
+        if (now < m.nextRound)
+            return;
+        m.nextRound = std::max(m.nextRound + m.options.roundInterval, now);
+        // Never above what was seen plus one step of its own, so that nodes with different phases keep one count.
+        m.round = std::max(m.round + 1, m.seenRound);
+        const NodeId partner = partnerOf(m, m.round);
+        if (const Member* member = findMember(m, partner))
+            sendPing(m, now, partner, member->identity.udpAddress, {}, out);
     }
-}
 
-static void checkProbes(Membership& m, TimeMs now, MembershipOutputs& out)
-{
-    for (auto it = m.probes.begin(); it != m.probes.end();) {
-        auto& [number, probe] = *it;
-        const TimeMs waited = now - probe.sentAt;
-        const auto target = m.members.find(probe.target);
-        const bool expired = waited >= m.options.ackTimeout + m.options.indirectTimeout;
-        if (expired || target == m.members.end() || target->second.status.state > MemberState::Suspect || probe.requester) {
-            if (expired && target != m.members.end() && !probe.requester)
-                suspect(m, target->second, now, out);
-            if (expired || (target == m.members.end() && probe.target)) {
-                it = m.probes.erase(it);
+    static void askHelpers(Membership& m, TimeMs now, uint32_t number, Probe& probe, MembershipOutputs& out)
+    {
+        probe.indirect = true;
+        refreshRings(m);
+        for (size_t n = 0; n < m.options.indirectProbes; ++n) {
+            const NodeId helper = m.ring[m.random.below(m.ring.size())];
+            const Member* member = findMember(m, helper);
+            if (!member || helper == probe.target)
                 continue;
+            GossipMessage message { .probe = number, .flags = ForOther };
+            message.target = probe.target;
+            sendGossip(m, now, GossipKind::PingRequest, std::move(message), helper, member->identity.udpAddress, out);
+        }
+    }
+
+    static void checkProbes(Membership& m, TimeMs now, MembershipOutputs& out)
+    {
+        for (auto it = m.probes.begin(); it != m.probes.end();) {
+            auto& [number, probe] = *it;
+            const TimeMs waited = now - probe.sentAt;
+            const auto target = m.members.find(probe.target);
+            const bool expired = waited >= m.options.ackTimeout + m.options.indirectTimeout;
+            if (expired || target == m.members.end() || target->second.status.state > MemberState::Suspect || probe.requester) {
+                if (expired && target != m.members.end() && !probe.requester)
+                    suspect(m, target->second, now, out);
+                if (expired || (target == m.members.end() && probe.target)) {
+                    it = m.probes.erase(it);
+                    continue;
+                }
+            } else if (!probe.indirect && waited >= m.options.ackTimeout) {
+                askHelpers(m, now, number, probe, out);
             }
-        } else if (!probe.indirect && waited >= m.options.ackTimeout) {
-            askHelpers(m, now, number, probe, out);
+            ++it;
         }
-        ++it;
     }
-}
 
-static TimeMs suspicionTimeout(const Membership& m)
-{
-    const double doublings = std::log2(static_cast<double>(m.ring.size() + 1));
-    return m.options.suspicionBase + TimeMs { static_cast<int64_t>(doublings * static_cast<double>(m.options.suspicionPerDoubling.value)) };
-}
+    static TimeMs suspicionTimeout(const Membership& m)
+    {
+        const double doublings = std::log2(static_cast<double>(m.ring.size() + 1));
+        return m.options.suspicionBase + TimeMs { static_cast<int64_t>(doublings * static_cast<double>(m.options.suspicionPerDoubling.value)) };
+    }
 
-static void expireMembers(Membership& m, TimeMs now, MembershipOutputs& out)
-{
-    const TimeMs timeout = suspicionTimeout(m);
-    for (auto it = m.members.begin(); it != m.members.end();) {
-        Member& member = it->second;
-        const TimeMs age = now - member.since;
-        if (member.status.state == MemberState::Suspect && age >= timeout)
-            setState(m, member, MemberState::Dead, now, out);
-        if (member.status.state >= MemberState::Dead && age >= m.options.deadRetention)
-            it = m.members.erase(it);
-        else
-            ++it;
+    static void expireMembers(Membership& m, TimeMs now, MembershipOutputs& out)
+    {
+        const TimeMs timeout = suspicionTimeout(m);
+        for (auto it = m.members.begin(); it != m.members.end();) {
+            Member& member = it->second;
+            const TimeMs age = now - member.since;
+            if (member.status.state == MemberState::Suspect && age >= timeout)
+                setState(m, member, MemberState::Dead, now, out);
+            if (member.status.state >= MemberState::Dead && age >= m.options.deadRetention)
+                it = m.members.erase(it);
+            else
+                ++it;
+        }
     }
-}
 
-static void recontact(Membership& m, TimeMs now, MembershipOutputs& out)
-{
-    if (now < m.nextRecontact)
-        return;
-    m.nextRecontact = now + m.options.recontactInterval;
-    std::vector<const Member*> dead;
-    for (const auto& [id, member] : m.members) {
-        if (member.status.state == MemberState::Dead)
-            dead.push_back(&member);
+    static void recontact(Membership& m, TimeMs now, MembershipOutputs& out)
+    {
+        if (now < m.nextRecontact)
+            return;
+        m.nextRecontact = now + m.options.recontactInterval;
+        std::vector<const Member*> dead;
+        for (const auto& [id, member] : m.members) {
+            if (member.status.state == MemberState::Dead)
+                dead.push_back(&member);
+        }
+        if (dead.empty())
+            return;
+        const Member& member = *dead[m.random.below(dead.size())];
+        sendPing(m, now, member.status.id, member.identity.udpAddress, {}, out);
     }
-    if (dead.empty())
-        return;
-    const Member& member = *dead[m.random.below(dead.size())];
-    sendPing(m, now, member.status.id, member.identity.udpAddress, {}, out);
-}
 
-static void contactSeeds(Membership& m, TimeMs now, MembershipOutputs& out)
-{
-    if (now < m.nextSeed)
-        return;
-    refreshRings(m);
-    const bool alone = m.ring.size() < 2;
-    m.nextSeed = now + (alone ? 1_s : m.options.seedInterval);
-    std::vector<std::string> candidates;
-    for (const auto& seed : m.options.seeds) {
-        const bool known = seed == m.options.identity.udpAddress || std::any_of(m.members.begin(), m.members.end(), [&](const auto& it) {
-            return it.second.identity.udpAddress == seed && it.second.status.state <= MemberState::Suspect;
-        });
-        if (!known)
-            candidates.push_back(seed);
+    static void contactSeeds(Membership& m, TimeMs now, MembershipOutputs& out)
+    {
+        if (now < m.nextSeed)
+            return;
+        refreshRings(m);
+        const bool alone = m.ring.size() < 2;
+        m.nextSeed = now + (alone ? 1_s : m.options.seedInterval);
+        std::vector<std::string> candidates;
+        for (const auto& seed : m.options.seeds) {
+            const bool known = seed == m.options.identity.udpAddress || std::any_of(m.members.begin(), m.members.end(), [&](const auto& it) {
+                return it.second.identity.udpAddress == seed && it.second.status.state <= MemberState::Suspect;
+            });
+            if (!known)
+                candidates.push_back(seed);
+        }
+        if (!candidates.empty())
+            sendPing(m, now, {}, candidates[m.random.below(candidates.size())], {}, out);
     }
-    if (!candidates.empty())
-        sendPing(m, now, {}, candidates[m.random.below(candidates.size())], {}, out);
-}
 
-/// After a pause of this process its own timers are late, so they prove nothing about others.
-static void forgivePause(Membership& m, TimeMs now)
-{
-    const TimeMs gap = now - m.lastTick;
-    m.lastTick = now;
-    if (gap < 1_s)
-        return;
-    m.probes.clear();
-    for (auto& [id, member] : m.members) {
-        if (member.status.state == MemberState::Suspect)
-            member.since += gap;
+    /// After a pause of this process its own timers are late, so they prove nothing about others.
+    static void forgivePause(Membership& m, TimeMs now)
+    {
+        const TimeMs gap = now - m.lastTick;
+        m.lastTick = now;
+        if (gap < 1_s)
+            return;
+        m.probes.clear();
+        for (auto& [id, member] : m.members) {
+            if (member.status.state == MemberState::Suspect)
+                member.since += gap;
+        }
     }
-}
 
 }
 
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -115,49 +115,49 @@
 
 namespace gossip {
 
-static uint8_t doublings(size_t n)
-{
-    uint8_t count = 0;
-    while ((size_t { 1 } << count) < n)
-        ++count;
-    return count;
-}
+    static uint8_t doublings(size_t n)
+    {
+        uint8_t count = 0;
+        while ((size_t { 1 } << count) < n)
+            ++count;
+        return count;
+    }
 
-uint8_t fullSends(const Membership& m) { return static_cast<uint8_t>(doublings(m.members.size() + 1) + 4); }
-uint8_t confirmSends(const Membership& m) { return static_cast<uint8_t>(doublings(m.members.size() + 1) + 1); }
-uint8_t loadSends(const Membership& m) { return std::max<uint8_t>(doublings(m.domainRing.size()), 2); }
+    uint8_t fullSends(const Membership& m) { return static_cast<uint8_t>(doublings(m.members.size() + 1) + 4); }
+    uint8_t confirmSends(const Membership& m) { return static_cast<uint8_t>(doublings(m.members.size() + 1) + 1); }
+    uint8_t loadSends(const Membership& m) { return std::max<uint8_t>(doublings(m.domainRing.size()), 2); }
 
-std::function<bool(NodeId)> aliveTest(const Membership& m)
-{
-    return [&m](NodeId id) { return isAlive(m, id); };
-}
+    std::function<bool(NodeId)> aliveTest(const Membership& m)
+    {
+        return [&m](NodeId id) { return isAlive(m, id); };
+    }
 
-/// Suspects stay in the rings: they have to hear of the suspicion in order to refute it.
-void refreshRings(Membership& m)
-{
-    if (!m.ringsStale)
-        return;
-    m.ringsStale = false;
-    m.ring.assign(1, m.self);
-    m.domainRing.assign(1, m.self);
-    for (const auto& [id, member] : m.members) {
-        if (member.status.state > MemberState::Suspect)
-            continue;
-        m.ring.push_back(id);
-        if (member.identity.domain == m.options.identity.domain)
-            m.domainRing.push_back(id);
+    /// Suspects stay in the rings: they have to hear of the suspicion in order to refute it.
+    void refreshRings(Membership& m)
+    {
+        if (!m.ringsStale)
+            return;
+        m.ringsStale = false;
+        m.ring.assign(1, m.self);
+        m.domainRing.assign(1, m.self);
+        for (const auto& [id, member] : m.members) {
+            if (member.status.state > MemberState::Suspect)
+                continue;
+            m.ring.push_back(id);
+            if (member.identity.domain == m.options.identity.domain)
+                m.domainRing.push_back(id);
+        }
+        std::sort(m.ring.begin(), m.ring.end());
+        std::sort(m.domainRing.begin(), m.domainRing.end());
     }
-    std::sort(m.ring.begin(), m.ring.end());
-    std::sort(m.domainRing.begin(), m.domainRing.end());
-}
 
-void stop(Membership& m, MembershipEventKind kind, std::string detail, MembershipOutputs& out)
-{
-    if (m.stopped)
-        return;
-    m.stopped = true;
-    out.events.push_back({ .kind = kind, .member = m.self, .detail = std::move(detail) });
-}
+    void stop(Membership& m, MembershipEventKind kind, std::string detail, MembershipOutputs& out)
+    {
+        if (m.stopped)
+            return;
+        m.stopped = true;
+        out.events.push_back({ .kind = kind, .member = m.self, .detail = std::move(detail) });
+    }
 
 }
 }
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -54,12 +54,12 @@
     TimeMs syncInterval { 10000 }; ///< Digest comparison while tables agree.
     TimeMs syncIntervalDiffering { 500 }; ///< The same while most exchanges show another digest.
     size_t maxMembers = 1024;
-    size_t datagramLimit = 800; ///< Payload of a usual datagram; never above maxDatagram.
-    size_t bytesPerSecond = 13000; ///< Both ways with IP and UDP headers; above it datagrams carry no deltas.
-    size_t loadBytesPerSecond = 10000; ///< Above it datagrams carry no loads.
+    size_t datagramLimit = 700; ///< Payload of a usual datagram; never above maxDatagram.
+    size_t bytesPerSecond = 12500; ///< Both ways with IP and UDP headers; above it datagrams carry no deltas.
+    size_t loadBytesPerSecond = 9000; ///< Above it datagrams carry no loads.
     size_t loadBytesPerDatagram = 340;
-    size_t syncChunk = 3000; ///< Bytes of one TableRecords frame.
-    size_t syncBytesPerSecond = 14000; ///< A TableRecords frame that would exceed it is not sent; the peer asks again.
+    size_t syncChunk = 4000; ///< Bytes of records or of hashes in one TableRecords frame.
+    size_t syncBytesPerSecond = 12500; ///< Frames take what room this leaves; a peer that got too little asks again.
     UpstreamTableOptions upstreams;
 };
 
--- a/src/membership/Messages.h
+++ b/src/membership/Messages.h
@@ -103,7 +103,8 @@
 template <class Archive>
 void serialize(Archive& archive, UpstreamRecord& it)
 {
-    archive(it.announced, it.vouch);
+    archive(it.announced);
+    compactVector(archive, it.vouches);
     compactNumber(archive, it.contentSequence);
     compactDuration(archive, it.leavingFor);
 }
@@ -111,7 +112,11 @@
 template <class Archive>
 void serialize(Archive& archive, UpstreamNotice& it)
 {
-    archive(it.id, it.incarnation, it.leaving, it.vouch);
+    auto flags = static_cast<uint8_t>((it.leaving ? 1 : 0) | (it.vouch.home ? 2 : 0));
+    archive(it.id, it.incarnation, flags);
+    it.leaving = flags & 1;
+    if (flags & 2)
+        archive(it.vouch);
     compactNumber(archive, it.contentSequence);
     compactDuration(archive, it.reclaimIn);
     compactDuration(archive, it.leavingFor);
@@ -177,28 +182,43 @@
 constexpr size_t memberBuckets = 32;
 constexpr size_t upstreamBuckets = 64;
 
-/// First step of anti-entropy: hashes of the sender's tables by ranges of ids.
+/// First step of anti-entropy: hashes of the sender's tables by ranges of ids; 0 is an empty range.
 struct TableDigest {
     std::array<uint32_t, memberBuckets> members {};
     std::array<uint32_t, upstreamBuckets> upstreams {};
+    uint32_t room = 0; ///< Bytes that the sender can take in return.
 
     template <class Archive>
-    void serialize(Archive& archive) { archive(members, upstreams); }
+    void serialize(Archive& archive) { archive(members, upstreams, room); }
 };
 
-/// Second and third step: records of the ranges that differ, and which ranges the sender wants in return.
+/// Which state of a record the sender holds.
+struct RecordHash {
+    uint64_t id = 0;
+    uint32_t hash = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(id, hash); }
+};
+
+/// Further steps: records that the receiver lacks, hashes of all records of some ranges, and ids of records wanted.
 struct TableRecords {
     std::vector<MemberRecord> members;
     std::vector<UpstreamRecord> upstreams;
-    uint64_t wantMembers = 0; ///< Bit per range.
-    uint64_t wantUpstreams = 0;
+    uint64_t coveredMembers = 0; ///< Bit per range of which memberHashes holds every record.
+    uint64_t coveredUpstreams = 0;
+    std::vector<RecordHash> memberHashes;
+    std::vector<RecordHash> upstreamHashes;
+    std::vector<uint64_t> wantMembers;
+    std::vector<uint64_t> wantUpstreams;
+    uint32_t room = 0; ///< Bytes that the sender can take in return.
 
     template <class Archive>
     void serialize(Archive& archive)
     {
         compactVector(archive, members);
         compactVector(archive, upstreams);
-        archive(wantMembers, wantUpstreams);
+        archive(coveredMembers, coveredUpstreams, memberHashes, upstreamHashes, wantMembers, wantUpstreams, room);
     }
 };
 
@@ -220,7 +240,7 @@
 
 inline size_t wireSize(const UpstreamNotice& it)
 {
-    return 17 + wireSize(it.vouch) + compactSize(it.contentSequence) + wireSize(it.reclaimIn) + wireSize(std::optional(it.leavingFor));
+    return 13 + (it.vouch.home ? wireSize(it.vouch) : 0) + compactSize(it.contentSequence) + wireSize(it.reclaimIn) + wireSize(std::optional(it.leavingFor));
 }
 
 inline size_t wireSize(const UpstreamRecord& it)
@@ -230,7 +250,9 @@
     for (const auto& adapter : a.adapters)
         n += 1 + adapter.size();
     n += 11 + wireSize(a.reclaimIn) + compactSize(a.sequence) + 3 * 4 + 4 * 8;
-    return n + wireSize(it.vouch) + compactSize(it.contentSequence) + wireSize(std::optional(it.leavingFor));
+    for (const auto& vouch : it.vouches)
+        n += wireSize(vouch);
+    return n + 1 + compactSize(it.contentSequence) + wireSize(std::optional(it.leavingFor));
 }
 
 inline size_t wireSize(const LoadDelta&) { return 38; }
--- a/src/membership/Receive.cpp
+++ b/src/membership/Receive.cpp
@@ -8,162 +8,166 @@
 
 namespace gossip {
 
-static void takeUpstreams(Membership& m, TimeMs now, const GossipMessage& message, NodeId sender, MembershipOutputs& out)
-{
-    for (const auto& it : message.upstreams) {
-        if (upsertRecord(m.upstreams, now, it.value) == Upsert::Stale)
-            m.upstreamDeltas.seenAgain({ idOfName<UpstreamId>(it.value.announced.name).value, it.value.vouch.home.value, true });
-        drainJournal(m, now, { it.remaining, sender }, out);
-    }
-    for (const auto& it : message.notices) {
-        if (applyNotice(m.upstreams, now, it.value) == Upsert::Stale)
-            m.upstreamDeltas.seenAgain({ it.value.id.value, it.value.vouch.home.value, false });
-        drainJournal(m, now, { it.remaining, sender }, out);
-    }
-    for (const auto& it : message.loads) {
-        if (applyLoad(m.upstreams, it.value) == Upsert::Stale)
-            m.loadDeltas.seenAgain({ it.value.id.value, 0, false });
-        drainJournal(m, now, { it.remaining, sender }, out);
+    static Origin urgentFrom(uint8_t remaining, NodeId sender) { return { std::max(remaining, leastSends), sender }; }
+
+    static void takeUpstreams(Membership& m, TimeMs now, const GossipMessage& message, NodeId sender, MembershipOutputs& out)
+    {
+        for (const auto& it : message.upstreams) {
+            if (upsertRecord(m.upstreams, now, it.value) == Upsert::Stale)
+                m.upstreamDeltas.seenAgain({ idOfName<UpstreamId>(it.value.announced.name).value, 0, true }, sender, false);
+            drainJournal(m, now, urgentFrom(it.remaining, sender), out);
+        }
+        for (const auto& it : message.notices) {
+            if (applyNotice(m.upstreams, now, it.value) == Upsert::Stale) {
+                m.upstreamDeltas.seenAgain({ it.value.id.value, 0, false }, sender, false);
+                m.upstreamDeltas.seenAgain({ it.value.id.value, it.value.vouch.home.value, false }, sender, false);
+            }
+            drainJournal(m, now, urgentFrom(it.remaining, sender), out);
+        }
+        for (const auto& it : message.loads) {
+            if (applyLoad(m.upstreams, it.value) == Upsert::Stale)
+                m.loadDeltas.seenAgain({ it.value.id.value, 0, false }, sender, true);
+            drainJournal(m, now, { it.remaining, sender }, out);
+        }
     }
-}
 
-static void takeDeltas(Membership& m, TimeMs now, const GossipMessage& message, NodeId sender, MembershipOutputs& out)
-{
-    for (const auto& it : message.records) {
-        if (!mergeRecord(m, now, it.value, { it.remaining, sender }, out))
-            m.memberDeltas.seenAgain({ it.value.status.id.value, 0, true });
-    }
-    for (const auto& it : message.statuses) {
-        if (!mergeStatus(m, now, it.value, { it.remaining, sender }, out))
-            m.memberDeltas.seenAgain({ it.value.id.value, 0, false });
-    }
-    for (const auto& it : message.confirms) {
-        if (!mergeStatus(m, now, it.value, { it.remaining, sender }, out))
-            m.confirmDeltas.seenAgain({ it.value.id.value, 0, false });
+    static void takeDeltas(Membership& m, TimeMs now, const GossipMessage& message, NodeId sender, MembershipOutputs& out)
+    {
+        for (const auto& it : message.records) {
+            if (!mergeRecord(m, now, it.value, urgentFrom(it.remaining, sender), out))
+                m.memberDeltas.seenAgain({ it.value.status.id.value, 0, true }, sender, false);
+        }
+        for (const auto& it : message.statuses) {
+            if (!mergeStatus(m, now, it.value, urgentFrom(it.remaining, sender), out))
+                m.memberDeltas.seenAgain({ it.value.id.value, 0, false }, sender, false);
+        }
+        for (const auto& it : message.confirms) {
+            if (!mergeStatus(m, now, it.value, { it.remaining, sender }, out))
+                m.confirmDeltas.seenAgain({ it.value.id.value, 0, false }, sender, true);
+        }
+        takeUpstreams(m, now, message, sender, out);
     }
-    takeUpstreams(m, now, message, sender, out);
-}
 
-/// Takes the sender's own record or status. Returns false if the sender is to be answered with a refusal or not at all.
-static bool takeSender(Membership& m, TimeMs now, const GossipMessage& message, MembershipOutputs& out)
-{
-    const NodeId sender = message.sender.id;
-    const auto sends = static_cast<uint8_t>(fullSends(m) - 1);
-    for (const auto& record : message.identities) {
-        if (record.status.id != sender)
-            continue;
-        const Member* known = findMember(m, sender);
-        if (known && known->identity.name != record.identity.name) {
-            mergeRecord(m, now, record, {}, out);
-            return false;
+    /// Takes the sender's own record or status. Returns false if the sender is to be answered with a refusal or not at all.
+    static bool takeSender(Membership& m, TimeMs now, const GossipMessage& message, MembershipOutputs& out)
+    {
+        const NodeId sender = message.sender.id;
+        const auto sends = static_cast<uint8_t>(fullSends(m) - 1);
+        for (const auto& record : message.identities) {
+            if (record.status.id != sender)
+                continue;
+            const Member* known = findMember(m, sender);
+            if (known && known->identity.name != record.identity.name) {
+                mergeRecord(m, now, record, {}, out);
+                return false;
+            }
+            mergeRecord(m, now, record, { sends, sender }, out);
         }
-        mergeRecord(m, now, record, { sends, sender }, out);
-    }
-    mergeStatus(m, now, message.sender, { sends, sender }, out);
-    const auto it = m.members.find(sender);
-    if (it == m.members.end())
+        mergeStatus(m, now, message.sender, { sends, sender }, out);
+        const auto it = m.members.find(sender);
+        if (it == m.members.end())
+            return true;
+        it->second.lastHeard = now;
+        if (message.sender.rulesRevision > m.own.rulesRevision)
+            out.events.push_back({ .kind = MembershipEventKind::HigherRevision, .member = sender, .revision = message.sender.rulesRevision });
         return true;
-    it->second.lastHeard = now;
-    if (message.sender.rulesRevision > m.own.rulesRevision)
-        out.events.push_back({ .kind = MembershipEventKind::HigherRevision, .member = sender, .revision = message.sender.rulesRevision });
-    return true;
-}
+    }
 
-/// Whether this node needs the sender's whole record: unknown, or a later process than the one known.
-static bool lacksRecord(const Membership& m, const MemberStatus& sender)
-{
-    const Member* known = findMember(m, sender.id);
-    return !known || processOf(known->status.incarnation) < processOf(sender.incarnation);
-}
+    /// Whether this node needs the sender's whole record: unknown, or a later process than the one known.
+    static bool lacksRecord(const Membership& m, const MemberStatus& sender)
+    {
+        const Member* known = findMember(m, sender.id);
+        return !known || processOf(known->status.incarnation) < processOf(sender.incarnation);
+    }
 
-static void answerPing(Membership& m, TimeMs now, const GossipMessage& ping, const std::string& from, MembershipOutputs& out)
-{
-    GossipMessage ack { .probe = ping.probe };
-    if (lacksRecord(m, ping.sender))
-        ack.flags |= WantsRecord;
-    if (ping.flags & WantsRecord)
-        ack.identities.push_back(ownRecord(m));
-    sendGossip(m, now, GossipKind::Ack, std::move(ack), ping.sender.id, from, out);
-}
+    static void answerPing(Membership& m, TimeMs now, const GossipMessage& ping, const std::string& from, MembershipOutputs& out)
+    {
+        GossipMessage ack { .probe = ping.probe };
+        if (lacksRecord(m, ping.sender))
+            ack.flags |= WantsRecord;
+        if (ping.flags & WantsRecord)
+            ack.identities.push_back(ownRecord(m));
+        sendGossip(m, now, GossipKind::Ack, std::move(ack), ping.sender.id, from, out);
+    }
 
-static void takeAck(Membership& m, TimeMs now, const GossipMessage& ack, const std::string& from, MembershipOutputs& out)
-{
-    if (ack.flags & WantsRecord) {
-        GossipMessage message {};
-        message.identities.push_back(ownRecord(m));
-        sendGossip(m, now, GossipKind::Ack, std::move(message), ack.sender.id, from, out);
+    static void takeAck(Membership& m, TimeMs now, const GossipMessage& ack, const std::string& from, MembershipOutputs& out)
+    {
+        if (ack.flags & WantsRecord) {
+            GossipMessage message {};
+            message.identities.push_back(ownRecord(m));
+            sendGossip(m, now, GossipKind::Ack, std::move(message), ack.sender.id, from, out);
+        }
+        const auto it = m.probes.find(ack.probe);
+        if (it == m.probes.end())
+            return;
+        const Probe probe = it->second;
+        const NodeId answered = ack.flags & ForOther ? ack.target : ack.sender.id;
+        if (probe.target && probe.target != answered)
+            return;
+        m.probes.erase(it);
+        if (!probe.requester)
+            return;
+        GossipMessage relayed { .probe = probe.requesterProbe, .flags = ForOther };
+        relayed.target = probe.target;
+        sendGossip(m, now, GossipKind::Ack, std::move(relayed), probe.requester, probe.requesterAddress, out);
     }
-    const auto it = m.probes.find(ack.probe);
-    if (it == m.probes.end())
-        return;
-    const Probe probe = it->second;
-    const NodeId answered = ack.flags & ForOther ? ack.target : ack.sender.id;
-    if (probe.target && probe.target != answered)
-        return;
-    m.probes.erase(it);
-    if (!probe.requester)
-        return;
-    GossipMessage relayed { .probe = probe.requesterProbe, .flags = ForOther };
-    relayed.target = probe.target;
-    sendGossip(m, now, GossipKind::Ack, std::move(relayed), probe.requester, probe.requesterAddress, out);
-}
 
-static void probeForOther(Membership& m, TimeMs now, const GossipMessage& request, const std::string& from, MembershipOutputs& out)
-{
-    const Member* target = findMember(m, request.target);
-    // Bounds what one requester can make this node send.
-    if (!target || m.probes.size() > 256)
-        return;
-    Probe probe { .requester = request.sender.id, .requesterAddress = from, .requesterProbe = request.probe };
-    sendPing(m, now, request.target, target->identity.udpAddress, std::move(probe), out);
-}
+    static void probeForOther(Membership& m, TimeMs now, const GossipMessage& request, const std::string& from, MembershipOutputs& out)
+    {
+        const Member* target = findMember(m, request.target);
+        // Bounds what one requester can make this node send.
+        if (!target || m.probes.size() > 256)
+            return;
+        Probe probe { .requester = request.sender.id, .requesterAddress = from, .requesterProbe = request.probe };
+        sendPing(m, now, request.target, target->identity.udpAddress, std::move(probe), out);
+    }
 
-static void refuse(Membership& m, TimeMs now, const GossipMessage& message, const std::string& from, MembershipOutputs& out)
-{
-    GossipMessage answer { .probe = message.probe, .flags = Refusal };
-    if (const Member* known = findMember(m, message.sender.id))
-        answer.identities.push_back({ known->identity, known->status });
-    sendGossip(m, now, GossipKind::Ack, std::move(answer), message.sender.id, from, out);
-}
+    static void refuse(Membership& m, TimeMs now, const GossipMessage& message, const std::string& from, MembershipOutputs& out)
+    {
+        GossipMessage answer { .probe = message.probe, .flags = Refusal };
+        if (const Member* known = findMember(m, message.sender.id))
+            answer.identities.push_back({ known->identity, known->status });
+        sendGossip(m, now, GossipKind::Ack, std::move(answer), message.sender.id, from, out);
+    }
 
-/// Tells a process whose name a later one has taken, so that it stops. It answers one authentic datagram by one.
-static bool answerReplacedProcess(Membership& m, TimeMs now, const Envelope& envelope, const std::string& from, MembershipOutputs& out)
-{
-    const auto it = m.members.find(envelope.sender);
-    if (it == m.members.end() || (envelope.sequence >> 20) >= processOf(it->second.status.incarnation))
-        return false;
-    GossipMessage answer {};
-    answer.statuses.push_back({ 0, it->second.status });
-    sendGossip(m, now, GossipKind::Ack, std::move(answer), envelope.sender, from, out);
-    return true;
-}
+    /// Tells a process whose name a later one has taken, so that it stops. It answers one authentic datagram by one.
+    static bool answerReplacedProcess(Membership& m, TimeMs now, const Envelope& envelope, const std::string& from, MembershipOutputs& out)
+    {
+        const auto it = m.members.find(envelope.sender);
+        if (it == m.members.end() || (envelope.sequence >> 20) >= processOf(it->second.status.incarnation))
+            return false;
+        GossipMessage answer {};
+        answer.statuses.push_back({ 0, it->second.status });
+        sendGossip(m, now, GossipKind::Ack, std::move(answer), envelope.sender, from, out);
+        return true;
+    }
 
-static void act(Membership& m, TimeMs now, GossipKind kind, const GossipMessage& message, const std::string& from, MembershipOutputs& out)
-{
-    if (message.flags & Refusal) {
-        for (const auto& record : message.identities) {
-            if (record.status.id == m.self && record.identity.name != m.options.identity.name)
-                stop(m, MembershipEventKind::Collision, "the name " + record.identity.name + " has the same node id", out);
+    static void act(Membership& m, TimeMs now, GossipKind kind, const GossipMessage& message, const std::string& from, MembershipOutputs& out)
+    {
+        if (message.flags & Refusal) {
+            for (const auto& record : message.identities) {
+                if (record.status.id == m.self && record.identity.name != m.options.identity.name)
+                    stop(m, MembershipEventKind::Collision, "the name " + record.identity.name + " has the same node id", out);
+            }
+            return;
         }
-        return;
-    }
-    if (!takeSender(m, now, message, out)) {
-        refuse(m, now, message, from, out);
-        return;
+        if (!takeSender(m, now, message, out)) {
+            refuse(m, now, message, from, out);
+            return;
+        }
+        if (message.round > m.seenRound && message.round - m.seenRound < 1U << 24)
+            m.seenRound = message.round;
+        takeDeltas(m, now, message, message.sender.id, out);
+        refreshDigests(m, now);
+        const bool differs = message.memberDigest != m.memberDigest || message.upstreamDigest != m.upstreamDigest;
+        m.mismatch = m.mismatch * 0.9 + (differs ? 0.1 : 0);
+        if (kind == GossipKind::Ping)
+            answerPing(m, now, message, from, out);
+        else if (kind == GossipKind::Ack)
+            takeAck(m, now, message, from, out);
+        else
+            probeForOther(m, now, message, from, out);
     }
-    if (message.round > m.seenRound && message.round - m.seenRound < 1U << 24)
-        m.seenRound = message.round;
-    takeDeltas(m, now, message, message.sender.id, out);
-    refreshDigests(m, now);
-    const bool differs = message.memberDigest != m.memberDigest || message.upstreamDigest != m.upstreamDigest;
-    m.mismatch = m.mismatch * 0.9 + (differs ? 0.1 : 0);
-    if (kind == GossipKind::Ping)
-        answerPing(m, now, message, from, out);
-    else if (kind == GossipKind::Ack)
-        takeAck(m, now, message, from, out);
-    else
-        probeForOther(m, now, message, from, out);
-}
 
 }
 
--- a/src/membership/Sync.cpp
+++ b/src/membership/Sync.cpp
@@ -1,6 +1,7 @@
 #include "membership/Internal.h"
 
 #include <algorithm>
+#include <unordered_map>
 
 namespace siskinshunt {
 
@@ -8,172 +9,244 @@
 
 namespace gossip {
 
-static size_t bucketOf(uint64_t id, size_t buckets) { return (id >> 32) % buckets; }
+    static size_t bucketOf(uint64_t id, size_t buckets) { return (id >> 32) % buckets; }
 
-static uint32_t hashOf(const MemberStatus& status)
-{
-    return static_cast<uint32_t>(combineHash(combineHash(status.id.value, status.incarnation), combineHash(status.version, static_cast<uint64_t>(status.state))));
-}
+    /// Suspects count like live members, because each node's suspicion ends in its own time.
+    static bool isShared(const MemberStatus& status) { return status.state <= MemberState::Suspect; }
 
-/// Suspects count like live members, because each node's suspicion ends in its own time.
-static bool isShared(const MemberStatus& status) { return status.state <= MemberState::Suspect; }
+    static uint32_t hashOf(const MemberStatus& status)
+    {
+        return static_cast<uint32_t>(combineHash(combineHash(status.id.value, status.incarnation), status.version));
+    }
 
-static uint32_t sharedHash(MemberStatus status)
-{
-    status.state = MemberState::Alive;
-    return hashOf(status);
-}
+    static uint32_t hashOf(const Upstream& upstream) { return static_cast<uint32_t>(digestOf(upstream)); }
 
-static TableDigest digestTables(const Membership& m)
-{
-    TableDigest digest;
-    const auto addMember = [&](const MemberStatus& status) {
-        if (isShared(status))
-            digest.members[bucketOf(status.id.value, memberBuckets)] ^= sharedHash(status);
-    };
-    addMember(m.own);
-    for (const auto& [id, member] : m.members)
-        addMember(member.status);
-    const auto alive = aliveTest(m);
-    for (const auto& [id, upstream] : m.upstreams.entries) {
-        if (isVouched(m.upstreams, upstream, alive))
-            digest.upstreams[bucketOf(id.value, upstreamBuckets)] ^= static_cast<uint32_t>(digestOf(upstream));
+    /// Calls body(status) for each member record, this node's own included, that is compared between nodes.
+    template <class Body>
+    static void forEachMember(const Membership& m, Body&& body)
+    {
+        if (isShared(m.own))
+            body(m.own);
+        for (const auto& [id, member] : m.members) {
+            if (isShared(member.status))
+                body(member.status);
+        }
     }
-    return digest;
-}
 
-void refreshDigests(Membership& m, TimeMs now)
-{
-    if (now - m.digestsAt < 500_ms)
-        return;
-    m.digestsAt = now;
-    const TableDigest digest = digestTables(m);
-    uint64_t members = 1;
-    for (const uint32_t hash : digest.members)
-        members = combineHash(members, hash);
-    uint64_t upstreams = 1;
-    for (const uint32_t hash : digest.upstreams)
-        upstreams = combineHash(upstreams, hash);
-    m.memberDigest = static_cast<uint32_t>(members);
-    m.upstreamDigest = static_cast<uint32_t>(upstreams);
-}
+    template <class Body>
+    static void forEachUpstream(const Membership& m, Body&& body)
+    {
+        const auto alive = aliveTest(m);
+        for (const auto& [id, upstream] : m.upstreams.entries) {
+            if (isVouched(m.upstreams, upstream, alive))
+                body(upstream);
+        }
+    }
 
-static size_t frameBytes(size_t body) { return body + 4 + envelopeOverhead + ipTcpHeaders; }
+    static TableDigest digestTables(const Membership& m)
+    {
+        TableDigest digest;
+        forEachMember(m, [&](const MemberStatus& it) { digest.members[bucketOf(it.id.value, memberBuckets)] ^= hashOf(it); });
+        forEachUpstream(m, [&](const Upstream& it) { digest.upstreams[bucketOf(it.id.value, upstreamBuckets)] ^= hashOf(it); });
+        return digest;
+    }
 
-static void sendFrame(Membership& m, TimeMs now, const Member& to, TableFrameKind kind, std::string body, MembershipOutputs& out)
-{
-    m.traffic.add(now, frameBytes(body.size()));
-    out.frames.push_back({ to.status.id, to.identity.tcpAddress, kind, std::move(body) });
-}
+    void refreshDigests(Membership& m, TimeMs now)
+    {
+        if (now - m.digestsAt < 500_ms)
+            return;
+        m.digestsAt = now;
+        const TableDigest digest = digestTables(m);
+        uint64_t members = 1;
+        for (const uint32_t hash : digest.members)
+            members = combineHash(members, hash);
+        uint64_t upstreams = 1;
+        for (const uint32_t hash : digest.upstreams)
+            upstreams = combineHash(upstreams, hash);
+        m.memberDigest = static_cast<uint32_t>(members);
+        m.upstreamDigest = static_cast<uint32_t>(upstreams);
+    }
 
-void startSync(Membership& m, TimeMs now, MembershipOutputs& out)
-{
-    if (now < m.nextSync)
-        return;
-    const TimeMs interval = m.mismatch > 0.5 ? m.options.syncIntervalDiffering : m.options.syncInterval;
-    m.nextSync = now + interval * m.random.between(80, 120) / 100;
-    refreshRings(m);
-    const Member* peer = findMember(m, m.ring[m.random.below(m.ring.size())]);
-    if (!peer || m.traffic.lastSecond(now) + m.options.syncChunk > m.options.syncBytesPerSecond)
-        return;
-    sendFrame(m, now, *peer, TableFrameKind::TableDigest, encode(digestTables(m)), out);
-}
+    static size_t frameBytes(size_t body) { return body + 4 + envelopeOverhead + ipTcpHeaders; }
 
-template <size_t N>
-static uint64_t differing(const std::array<uint32_t, N>& a, const std::array<uint32_t, N>& b)
-{
-    uint64_t mask = 0;
-    for (size_t n = 0; n < N; ++n) {
-        if (a[n] != b[n])
-            mask |= uint64_t { 1 } << n;
+    static void sendFrame(Membership& m, TimeMs now, const Member& to, TableFrameKind kind, std::string body, MembershipOutputs& out)
+    {
+        m.traffic.add(now, frameBytes(body.size()));
+        out.frames.push_back({ to.status.id, to.identity.tcpAddress, kind, std::move(body) });
     }
-    return mask;
-}
 
-/// Records of the wanted ranges up to the chunk size. Starts at a random range, so that repeated requests for the same
-/// ranges get through all of them; members go before upstreams, which count only with their members.
-static TableRecords collect(Membership& m, TimeMs now, uint64_t wantMembers, uint64_t wantUpstreams)
-{
-    TableRecords records;
-    size_t size = 0;
-    const auto fits = [&](size_t more, size_t count) { return count < 255 && (size += more) <= m.options.syncChunk; };
-    const auto wanted = [](uint64_t mask, uint64_t id, size_t buckets) { return (mask >> bucketOf(id, buckets)) & 1; };
-    if (wanted(wantMembers, m.self.value, memberBuckets) && isShared(m.own) && fits(wireSize(ownRecord(m)), 0))
-        records.members.push_back(ownRecord(m));
-    const size_t firstMember = m.random.below(memberBuckets);
-    std::vector<const Member*> members;
-    for (const auto& [id, member] : m.members) {
-        if (isShared(member.status) && wanted(wantMembers, id.value, memberBuckets))
-            members.push_back(&member);
+    /// Bytes that sync may use now.
+    static size_t roomNow(Membership& m, TimeMs now)
+    {
+        const size_t used = m.traffic.lastSecond(now);
+        return used >= m.options.syncBytesPerSecond ? 0 : std::min(m.options.syncBytesPerSecond - used, m.options.syncChunk);
     }
-    const auto turn = [](uint64_t id, size_t first, size_t buckets) { return (bucketOf(id, buckets) + buckets - first) % buckets; };
-    std::sort(members.begin(), members.end(), [&](const auto* a, const auto* b) {
-        return std::pair(turn(a->status.id.value, firstMember, memberBuckets), a->status.id) < std::pair(turn(b->status.id.value, firstMember, memberBuckets), b->status.id);
-    });
-    for (const auto* member : members) {
-        if (!fits(wireSize(MemberRecord { member->identity, member->status }), records.members.size()))
-            return records;
-        records.members.push_back({ member->identity, member->status });
+
+    void startSync(Membership& m, TimeMs now, MembershipOutputs& out)
+    {
+        if (now < m.nextSync)
+            return;
+        const TimeMs interval = m.mismatch > 0.5 ? m.options.syncIntervalDiffering : m.options.syncInterval;
+        m.nextSync = now + interval * m.random.between(80, 120) / 100;
+        // While gossip still spreads changes the tables differ anyway, and comparing them would take its bandwidth.
+        if (m.memberDeltas.size() + m.upstreamDeltas.size() > 8)
+            return;
+        refreshRings(m);
+        const Member* peer = findMember(m, m.ring[m.random.below(m.ring.size())]);
+        TableDigest digest = digestTables(m);
+        digest.room = static_cast<uint32_t>(roomNow(m, now));
+        if (peer && digest.room >= m.options.syncChunk / 4)
+            sendFrame(m, now, *peer, TableFrameKind::TableDigest, encode(digest), out);
     }
-    const size_t firstUpstream = m.random.below(upstreamBuckets);
-    std::vector<const Upstream*> upstreams;
-    const auto alive = aliveTest(m);
-    for (const auto& [id, upstream] : m.upstreams.entries) {
-        if (wanted(wantUpstreams, id.value, upstreamBuckets) && isVouched(m.upstreams, upstream, alive))
-            upstreams.push_back(&upstream);
+
+    template <size_t N>
+    static uint64_t differing(const std::array<uint32_t, N>& a, const std::array<uint32_t, N>& b)
+    {
+        uint64_t mask = 0;
+        for (size_t n = 0; n < N; ++n) {
+            if (a[n] != b[n])
+                mask |= uint64_t { 1 } << n;
+        }
+        return mask;
     }
-    std::sort(upstreams.begin(), upstreams.end(), [&](const auto* a, const auto* b) {
-        return std::pair(turn(a->id.value, firstUpstream, upstreamBuckets), a->id) < std::pair(turn(b->id.value, firstUpstream, upstreamBuckets), b->id);
-    });
-    for (const auto* upstream : upstreams) {
-        for (const auto& vouch : upstream->vouches) {
-            if (!vouch.active)
-                continue;
-            UpstreamRecord record = recordOf(*upstream, now, vouch.home);
-            if (!fits(wireSize(record), records.upstreams.size()))
-                return records;
+
+    /// Fills one TableRecords frame up to a number of bytes.
+    struct SyncWriter {
+        Membership& m;
+        TimeMs now;
+        size_t room;
+        TableRecords records {};
+
+        bool take(size_t size)
+        {
+            if (size > room)
+                return false;
+            room -= size;
+            return true;
+        }
+        bool addMember(const MemberStatus& status)
+        {
+            const MemberRecord record = status.id == m.self ? ownRecord(m) : MemberRecord { m.members.at(status.id).identity, status };
+            if (records.members.size() >= 255 || !take(wireSize(record)))
+                return false;
+            records.members.push_back(record);
+            return true;
+        }
+        bool addUpstream(const Upstream& upstream)
+        {
+            UpstreamRecord record = recordOf(upstream, now);
+            if (records.upstreams.size() >= 255 || !take(wireSize(record)))
+                return false;
             records.upstreams.push_back(std::move(record));
+            return true;
+        }
+    };
+
+    /// Visits ranges from a random one on, so that repeated requests get through all of them. For each range that differs:
+    /// whole records if the peer has none there, else hashes, from which it tells what it lacks.
+    template <size_t N, class Items, class Add>
+    static void writeRanges(SyncWriter& writer, const std::array<uint32_t, N>& theirs, uint64_t mask, const Items& items, uint64_t& covered,
+        std::vector<RecordHash>& hashes, Add&& add)
+    {
+        const size_t first = writer.m.random.below(N);
+        for (size_t n = 0; n < N; ++n) {
+            const size_t bucket = (first + n) % N;
+            if (!(mask >> bucket & 1))
+                continue;
+            if (theirs[bucket] == 0) {
+                for (const auto& item : items[bucket]) {
+                    if (!add(*item))
+                        return;
+                }
+            } else {
+                if (!writer.take(items[bucket].size() * 12))
+                    return;
+                covered |= uint64_t { 1 } << bucket;
+                for (const auto& item : items[bucket])
+                    hashes.push_back({ item->id.value, hashOf(*item) });
+            }
         }
     }
-    return records;
-}
 
-static void sendRecords(Membership& m, TimeMs now, const Member& to, TableRecords records, MembershipOutputs& out)
-{
-    std::string body = encode(records);
-    if (m.traffic.lastSecond(now) + frameBytes(body.size()) <= m.options.syncBytesPerSecond)
-        sendFrame(m, now, to, TableFrameKind::TableRecords, std::move(body), out);
-}
+    static void sendRecords(Membership& m, TimeMs now, const Member& to, TableRecords records, MembershipOutputs& out)
+    {
+        records.room = static_cast<uint32_t>(roomNow(m, now));
+        sendFrame(m, now, to, TableFrameKind::TableRecords, encode(records), out);
+    }
 
-static void takeDigest(Membership& m, TimeMs now, const Member& from, const TableDigest& theirs, MembershipOutputs& out)
-{
-    const TableDigest own = digestTables(m);
-    const uint64_t members = differing(own.members, theirs.members);
-    const uint64_t upstreams = differing(own.upstreams, theirs.upstreams);
-    if (!members && !upstreams)
-        return;
-    TableRecords records = collect(m, now, members, upstreams);
-    records.wantMembers = members;
-    records.wantUpstreams = upstreams;
-    sendRecords(m, now, from, std::move(records), out);
-}
+    static void takeDigest(Membership& m, TimeMs now, const Member& from, const TableDigest& theirs, MembershipOutputs& out)
+    {
+        const TableDigest own = digestTables(m);
+        const uint64_t members = differing(own.members, theirs.members);
+        const uint64_t upstreams = differing(own.upstreams, theirs.upstreams);
+        SyncWriter writer { m, now, std::min<size_t>(theirs.room, roomNow(m, now)) };
+        if ((!members && !upstreams) || writer.room < m.options.syncChunk / 4)
+            return;
+        std::array<std::vector<const MemberStatus*>, memberBuckets> memberItems;
+        forEachMember(m, [&](const MemberStatus& it) { memberItems[bucketOf(it.id.value, memberBuckets)].push_back(&it); });
+        std::array<std::vector<const Upstream*>, upstreamBuckets> upstreamItems;
+        forEachUpstream(m, [&](const Upstream& it) { upstreamItems[bucketOf(it.id.value, upstreamBuckets)].push_back(&it); });
+        // Members first: upstreams count only with the members that vouch for them.
+        writeRanges(writer, theirs.members, members, memberItems, writer.records.coveredMembers, writer.records.memberHashes,
+            [&](const MemberStatus& it) { return writer.addMember(it); });
+        writeRanges(writer, theirs.upstreams, upstreams, upstreamItems, writer.records.coveredUpstreams, writer.records.upstreamHashes,
+            [&](const Upstream& it) { return writer.addUpstream(it); });
+        sendRecords(m, now, from, std::move(writer.records), out);
+    }
 
-/// What arrives here repairs this node only: others compare their own tables. It is not passed on by gossip.
-static void takeRecords(Membership& m, TimeMs now, NodeId from, const TableRecords& records, MembershipOutputs& out)
-{
-    for (const auto& record : records.members)
-        mergeRecord(m, now, record, { 0, from }, out);
-    for (const auto& record : records.upstreams) {
-        upsertRecord(m.upstreams, now, record);
-        drainJournal(m, now, { 0, from }, out);
+    /// Compares the hashes of the covered ranges: adds own records that the peer lacks or holds otherwise, and asks for its.
+    template <class ForEach, class Add>
+    static void compareHashes(uint64_t covered, size_t buckets, const std::vector<RecordHash>& hashes, std::vector<uint64_t>& want, ForEach&& forEach, Add&& add)
+    {
+        std::unordered_map<uint64_t, uint32_t> theirs;
+        for (const auto& it : hashes)
+            theirs[it.id] = it.hash;
+        forEach([&](const auto& item) {
+            if (!(covered >> bucketOf(item.id.value, buckets) & 1))
+                return;
+            const auto it = theirs.find(item.id.value);
+            if (it == theirs.end() || it->second != hashOf(item))
+                add(item);
+            else
+                theirs.erase(it);
+        });
+        for (const auto& [id, hash] : theirs)
+            want.push_back(id);
+    }
+
+    /// What arrives here repairs this node only: others compare their own tables. It is not passed on by gossip.
+    static void takeRecords(Membership& m, TimeMs now, NodeId from, const TableRecords& records, MembershipOutputs& out)
+    {
+        for (const auto& record : records.members)
+            mergeRecord(m, now, record, { 0, from }, out);
+        for (const auto& record : records.upstreams) {
+            upsertRecord(m.upstreams, now, record);
+            drainJournal(m, now, { 0, from }, out);
+        }
+        const Member* peer = findMember(m, from);
+        if (!peer)
+            return;
+        SyncWriter writer { m, now, std::min<size_t>(records.room, roomNow(m, now)) };
+        for (const uint64_t id : records.wantMembers) {
+            if (NodeId { id } == m.self)
+                writer.addMember(m.own);
+            else if (const Member* member = findMember(m, { id }))
+                writer.addMember(member->status);
+        }
+        for (const uint64_t id : records.wantUpstreams) {
+            if (const Upstream* upstream = findUpstream(m.upstreams, { id }))
+                writer.addUpstream(*upstream);
+        }
+        TableRecords& answer = writer.records;
+        compareHashes(
+            records.coveredMembers, memberBuckets, records.memberHashes, answer.wantMembers,
+            [&](auto&& body) { forEachMember(m, body); }, [&](const MemberStatus& it) { writer.addMember(it); });
+        compareHashes(
+            records.coveredUpstreams, upstreamBuckets, records.upstreamHashes, answer.wantUpstreams,
+            [&](auto&& body) { forEachUpstream(m, body); }, [&](const Upstream& it) { writer.addUpstream(it); });
+        if (!answer.members.empty() || !answer.upstreams.empty() || !answer.wantMembers.empty() || !answer.wantUpstreams.empty())
+            sendRecords(m, now, *peer, std::move(answer), out);
     }
-    const Member* peer = findMember(m, from);
-    if (!peer || (!records.wantMembers && !records.wantUpstreams))
-        return;
-    TableRecords answer = collect(m, now, records.wantMembers, records.wantUpstreams);
-    if (!answer.members.empty() || !answer.upstreams.empty())
-        sendRecords(m, now, *peer, std::move(answer), out);
-}
 
 }
 
@@ -183,7 +256,7 @@
     const Member* member = findMember(m, from);
     if (!member || m.stopped)
         return DropReason::BadSender;
-    const size_t limit = m.options.syncChunk * 2 + 1000;
+    const size_t limit = m.options.syncChunk * 4 + 4000;
     return handle(
         [&]() -> Result<DropReason> {
             if (kind == TableFrameKind::TableDigest) {
