--- a/src/membership/Gossip.cpp
+++ b/src/membership/Gossip.cpp
@@ -56,7 +56,7 @@
         if (!upstream)
             return Verdict::Gone;
         if (delta.key.full)
-            return append(message.upstreams, room, delta.remaining, recordOf(*upstream, now, { delta.key.home }));
+            return append(message.upstreams, room, delta.remaining, recordOf(*upstream, now));
         return append(message.notices, room, delta.remaining, noticeOf(*upstream, now, { delta.key.home }));
     }
 
@@ -127,11 +127,12 @@
     }
 
     /// All nodes derive the same distance on the ring from the round, so each is pinged about once per round: traffic per
-    /// node is even, and a change doubles its reach with every round. Most rounds stay in the own failure domain.
+    /// node is even, and a change doubles its reach with every round. Every fifth round
+    /// stays in the own failure domain, whose loads matter most; more would use changes up before they leave the domain.
     static NodeId partnerOf(Membership& m, uint32_t round)
     {
         refreshRings(m);
-        const bool near = round % 5 % 2 == 0 && m.domainRing.size() > 2;
+        const bool near = round % 5 == 0 && m.domainRing.size() > 2;
         const auto& ring = near ? m.domainRing : m.ring;
         if (ring.size() < 2)
             return {};
--- a/src/membership/Receive.cpp
+++ b/src/membership/Receive.cpp
@@ -8,21 +8,25 @@
 
 namespace gossip {
 
+    static Origin urgentFrom(uint8_t remaining, NodeId sender) { return { std::max(remaining, leastSends), sender }; }
+
     static void takeUpstreams(Membership& m, TimeMs now, const GossipMessage& message, NodeId sender, MembershipOutputs& out)
     {
         for (const auto& it : message.upstreams) {
             if (upsertRecord(m.upstreams, now, it.value) == Upsert::Stale)
-                m.upstreamDeltas.seenAgain({ idOfName<UpstreamId>(it.value.announced.name).value, it.value.vouch.home.value, true });
-            drainJournal(m, now, { it.remaining, sender }, out);
+                m.upstreamDeltas.seenAgain({ idOfName<UpstreamId>(it.value.announced.name).value, 0, true }, sender, false);
+            drainJournal(m, now, urgentFrom(it.remaining, sender), out);
         }
         for (const auto& it : message.notices) {
-            if (applyNotice(m.upstreams, now, it.value) == Upsert::Stale)
-                m.upstreamDeltas.seenAgain({ it.value.id.value, it.value.vouch.home.value, false });
-            drainJournal(m, now, { it.remaining, sender }, out);
+            if (applyNotice(m.upstreams, now, it.value) == Upsert::Stale) {
+                m.upstreamDeltas.seenAgain({ it.value.id.value, 0, false }, sender, false);
+                m.upstreamDeltas.seenAgain({ it.value.id.value, it.value.vouch.home.value, false }, sender, false);
+            }
+            drainJournal(m, now, urgentFrom(it.remaining, sender), out);
         }
         for (const auto& it : message.loads) {
             if (applyLoad(m.upstreams, it.value) == Upsert::Stale)
-                m.loadDeltas.seenAgain({ it.value.id.value, 0, false });
+                m.loadDeltas.seenAgain({ it.value.id.value, 0, false }, sender, true);
             drainJournal(m, now, { it.remaining, sender }, out);
         }
     }
@@ -30,16 +34,16 @@
     static void takeDeltas(Membership& m, TimeMs now, const GossipMessage& message, NodeId sender, MembershipOutputs& out)
     {
         for (const auto& it : message.records) {
-            if (!mergeRecord(m, now, it.value, { it.remaining, sender }, out))
-                m.memberDeltas.seenAgain({ it.value.status.id.value, 0, true });
+            if (!mergeRecord(m, now, it.value, urgentFrom(it.remaining, sender), out))
+                m.memberDeltas.seenAgain({ it.value.status.id.value, 0, true }, sender, false);
         }
         for (const auto& it : message.statuses) {
-            if (!mergeStatus(m, now, it.value, { it.remaining, sender }, out))
-                m.memberDeltas.seenAgain({ it.value.id.value, 0, false });
+            if (!mergeStatus(m, now, it.value, urgentFrom(it.remaining, sender), out))
+                m.memberDeltas.seenAgain({ it.value.id.value, 0, false }, sender, false);
         }
         for (const auto& it : message.confirms) {
             if (!mergeStatus(m, now, it.value, { it.remaining, sender }, out))
-                m.confirmDeltas.seenAgain({ it.value.id.value, 0, false });
+                m.confirmDeltas.seenAgain({ it.value.id.value, 0, false }, sender, true);
         }
         takeUpstreams(m, now, message, sender, out);
     }
@@ -120,10 +124,7 @@
 
     static void refuse(Membership& m, TimeMs now, const GossipMessage& message, const std::string& from, MembershipOutputs& out)
     {
-        GossipMessage answer { .probe = message.probe, .flags = Refusal };
-        if (const Member* known = findMember(m, message.sender.id))
-            answer.identities.push_back({ known->identity, known->status });
-        sendGossip(m, now, GossipKind::Ack, std::move(answer), message.sender.id, from, out);
+        sendGossip(m, now, GossipKind::Ack, { .probe = message.probe, .flags = Refusal }, message.sender.id, from, out);
     }
 
     /// Tells a process whose name a later one has taken, so that it stops. It answers one authentic datagram by one.
@@ -141,10 +142,7 @@
     static void act(Membership& m, TimeMs now, GossipKind kind, const GossipMessage& message, const std::string& from, MembershipOutputs& out)
     {
         if (message.flags & Refusal) {
-            for (const auto& record : message.identities) {
-                if (record.status.id == m.self && record.identity.name != m.options.identity.name)
-                    stop(m, MembershipEventKind::Collision, "the name " + record.identity.name + " has the same node id", out);
-            }
+            stop(m, MembershipEventKind::Collision, "the id of " + m.options.identity.name + " belongs to another name at " + from, out);
             return;
         }
         if (!takeSender(m, now, message, out)) {
