--- a/src/routing/Router.h
+++ b/src/routing/Router.h
@@ -30,7 +30,7 @@
     uint32_t rendezvousCandidates = 2; ///< Candidates by rendezvous hash of the prefix.
     uint32_t randomCandidates = 2;
     uint32_t subsetSize = 64; ///< Upstreams of one pool and version that this node uses.
-    double targetMargin = 0.5; ///< Part of the first-token target that the expected time may take.
+    double targetMargin = 0.3; ///< Part of the first-token target that the expected time may take.
     double crossDomainMs = 2; ///< Added to the expected time of upstreams of other failure domains.
     double loadWeight = 3; ///< Weight of the calls at an upstream against the uncached prefill, per call and step time.
     double priceWeight = 1; ///< Exponent of the price in the cost of a choice.
