Hold back less urgent calls from the last places of an upstream

Cause: in bursts after a lost domain every batch was full and urgent calls waited for a place behind running ones. A node now uses only its part of the places that a report showed free and leaves 4% of them per step of priority.

--- a/src/routing/Choice.cpp
+++ b/src/routing/Choice.cpp
@@ -205,6 +205,18 @@
         return aUnder ? a.cost < b.cost : a.expectedMs() < b.expectedMs();
     }
 
+    /// True if the call would take a place that is kept for more urgent calls. The nodes see the same late report, so each
+    /// uses only its part of the places that were free; else all of them would fill the places at once.
+    bool takesReserved(const Decision& decision, const TargetRow& row)
+    {
+        const auto& options = decision.router.options;
+        const double reserved = options.reservedPerPriority * decision.request.priority + (decision.request.firstTokenTarget ? 0 : options.reservedWithoutTarget);
+        const double limit = std::max<uint32_t>(row.load.capacity, 1) * (1 - std::min(reserved, 0.9));
+        const double room = std::max(0.0, limit - row.load.running - row.load.waiting);
+        const double part = room / std::max<uint32_t>(options.nodes, 1) + decision.router.random.uniform();
+        return row.othersCalls + row.ownCalls + 1 > limit || row.ownSinceReport + 1 > part;
+    }
+
     Choice compare(const Decision& decision, const Candidates& candidates)
     {
         const double limit = decision.request.firstTokenTarget
@@ -232,6 +244,8 @@
             bestUnder = under;
             bestSlot = candidates.slots[n];
         }
+        if (decision.request.mayWait && takesReserved(decision, decision.router.rows[bestSlot]))
+            return { .reason = ChoiceReason::HeldBack, .expectedMs = best.expectedMs(), .candidates = candidates.count };
         out.reason = bestUnder ? ChoiceReason::CheapestUnderTarget : ChoiceReason::LowestExpectedTime;
         fill(out, decision.router, bestSlot, best);
         return out;
--- a/src/routing/Router.cpp
+++ b/src/routing/Router.cpp
@@ -135,7 +135,9 @@
     row.measuredAt = measuredAt;
     uint64_t ownTokens = 0;
     uint32_t ownCalls = 0;
+    row.ownSinceReport = 0;
     for (const auto& call : row.recent) {
+        row.ownSinceReport += call.sentAt > measuredAt ? 1 : 0;
         ownTokens += call.sentAt <= measuredAt && measuredAt < call.prefilledAt ? call.tokens : 0;
         ownCalls += call.sentAt <= measuredAt && measuredAt < call.endedAt ? 1 : 0;
     }
@@ -170,6 +172,7 @@
     if (!added)
         return;
     ++row.ownCalls;
+    ++row.ownSinceReport;
     row.ownTokens[sent.priority] += tokens;
     if (row.recent.size() >= maxRecent)
         row.recent.erase(row.recent.begin());
--- a/src/routing/Router.h
+++ b/src/routing/Router.h
@@ -31,6 +31,10 @@
     uint32_t randomCandidates = 2;
     uint32_t subsetSize = 64; ///< Upstreams of one pool and version that this node uses.
     double targetMargin = 0.3; ///< Part of the first-token target that the expected time may take.
+    /// Part of an upstream's places that each step of priority leaves free for more urgent calls that may come.
+    double reservedPerPriority = 0.04;
+    uint32_t nodes = 1; ///< Nodes that share the places an upstream reported free; membership gives their number.
+    double reservedWithoutTarget = 0.2; ///< Further part that calls without a target leave free.
     double crossDomainMs = 2; ///< Added to the expected time of upstreams of other failure domains.
     double loadWeight = 3; ///< Weight of the calls at an upstream against the uncached prefill, per call and step time.
     double priceWeight = 1; ///< Exponent of the price in the cost of a choice.
@@ -61,6 +65,7 @@
     FullLoadRunner, ///< Bound by the version split.
     RecoveryProbe, ///< An ejected upstream is tried again.
     LeastLoaded, ///< A plain service.
+    HeldBack, ///< No upstream: the places left are kept for more urgent calls. Queue the call and ask again.
 };
 
 template <>
@@ -71,6 +76,7 @@
     { ChoiceReason::FullLoadRunner, "full_load_runner" },
     { ChoiceReason::RecoveryProbe, "recovery_probe" },
     { ChoiceReason::LeastLoaded, "least_loaded" },
+    { ChoiceReason::HeldBack, "held_back" },
 });
 
 struct RouteRequest {
@@ -81,6 +87,7 @@
     uint32_t outputTokens = 0; ///< Expected.
     int priority = 5; ///< 0 is served first, 9 last.
     std::optional<TimeMs> firstTokenTarget;
+    bool mayWait = false; ///< The caller can queue the call, so the choice may be `HeldBack`.
     bool repeatable = true; ///< Calls that may not be repeated are never used as probes.
     std::span<const UpstreamId> avoid; ///< Upstreams that were tried before.
 };
@@ -145,6 +152,7 @@
     uint64_t othersTokens = 0; ///< Reported prefill backlog that is not this node's.
     uint32_t othersCalls = 0; ///< Reported calls that are not this node's.
     uint32_t ownCalls = 0; ///< In flight.
+    uint32_t ownSinceReport = 0; ///< Sent after the load report was true.
     uint64_t ownTokens[priorityCount] {}; ///< Prefill backlog of own calls by priority.
     double hintTrust = 1; ///< Smoothed part of the expected prefix cache hits that replies confirmed.
     std::vector<RecentCall> recent;
