--- a/src/bench/PolicyBench.cpp
+++ b/src/bench/PolicyBench.cpp
@@ -77,6 +77,8 @@
     struct PolicyCost {
         double cost = 0;
         double runners = 0;
+        uint64_t failed = 0; ///< Calls without a complete answer.
+        Histogram withoutTargetMs;
         uint64_t unmet = 0; ///< Seeds for which not even the largest fleet meets the target.
     };
 
@@ -88,6 +90,8 @@
             out.cost += costPerMillion(found.result) / static_cast<double>(seeds);
             out.runners += found.runners / static_cast<double>(seeds);
             out.unmet += found.met ? 0 : 1;
+            out.failed += found.result.failed;
+            out.withoutTargetMs.merge(found.result.withoutTargetMs);
         }
         return out;
     }
@@ -98,10 +102,11 @@
         const TimeMs duration = context.quick ? 70_s : (mix.wave ? 180_s : 120_s);
         for (const auto& policy : enumNames<PolicyKind>) {
             const auto cost = measurePolicy(mix, policy.value, context, seeds, duration);
-            char size[160];
-            std::snprintf(size, sizeof(size), "%llu seed(s) of %lld s%s, mean fleet %.1f runners, target unmet for %llu seed(s)",
+            char size[240];
+            std::snprintf(size, sizeof(size), "%llu seed(s) of %lld s%s, mean fleet %.1f runners, target unmet for %llu seed(s), %llu calls incomplete, p95 without target %.1f s",
                 static_cast<unsigned long long>(seeds), static_cast<long long>(duration.value / 1000), context.quick ? " (quick)" : "",
-                cost.runners, static_cast<unsigned long long>(cost.unmet));
+                cost.runners, static_cast<unsigned long long>(cost.unmet), static_cast<unsigned long long>(cost.failed),
+                static_cast<double>(cost.withoutTargetMs.quantile(0.95)) / 1000);
             std::string name = "policy.cost_at_target." + std::string(mix.name);
             if (policy.value != PolicyKind::Siskinshunt)
                 name += "." + std::string(policy.name);
--- a/src/bench/PolicySim.cpp
+++ b/src/bench/PolicySim.cpp
@@ -301,8 +301,12 @@
             return;
         call.answered = true;
         const TimeMs target = sim.mix.classes[call.classIndex].firstTokenTarget;
-        if (call.arrival < warmUp || target == 0_ms)
+        if (call.arrival < warmUp)
             return;
+        if (target == 0_ms) {
+            sim.result.withoutTargetMs.record(static_cast<uint64_t>((event.at - call.arrival).value));
+            return;
+        }
         const uint64_t inTime = event.at - call.arrival <= target ? 1 : 0;
         sim.result.inTime += inTime;
         sim.result.inTimeOf[call.classIndex] += inTime;
--- a/src/bench/PolicySim.h
+++ b/src/bench/PolicySim.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/Histogram.h"
 #include "base/TimeMs.h"
 #include "routing/Router.h"
 
@@ -62,6 +63,7 @@
     double instancePrice = 0; ///< Of the time for which instances were kept.
     uint64_t withTargetOf[8] {}; ///< By class.
     uint64_t inTimeOf[8] {};
+    Histogram withoutTargetMs; ///< Time to the first token of measured calls without a target.
     uint64_t failed = 0; ///< Calls without a complete answer.
 
     double partInTime() const { return withTarget ? static_cast<double>(inTime) / static_cast<double>(withTarget) : 1; }
--- a/src/routing/Router.cpp
+++ b/src/routing/Router.cpp
@@ -136,8 +136,10 @@
     uint64_t ownTokens = 0;
     uint32_t ownCalls = 0;
     row.ownSinceReport = 0;
+    row.ownEndedSinceReport = 0;
     for (const auto& call : row.recent) {
         row.ownSinceReport += call.sentAt > measuredAt ? 1 : 0;
+        row.ownEndedSinceReport += call.sentAt <= measuredAt && call.endedAt > measuredAt && call.endedAt != farFuture ? 1 : 0;
         ownTokens += call.sentAt <= measuredAt && measuredAt < call.prefilledAt ? call.tokens : 0;
         ownCalls += call.sentAt <= measuredAt && measuredAt < call.endedAt ? 1 : 0;
     }
@@ -211,6 +213,7 @@
     if (auto* recent = findRecent(row, key)) {
         recent->prefilledAt = std::min(recent->prefilledAt, now);
         recent->endedAt = now;
+        row.ownEndedSinceReport += recent->sentAt <= row.measuredAt ? 1 : 0;
     }
     if (end == CallEnd::Done)
         noteDuration(poolOf(router, row), now - call.sentAt);
--- a/src/routing/Router.h
+++ b/src/routing/Router.h
@@ -34,7 +34,7 @@
     /// Part of an upstream's places that each step of priority leaves free for more urgent calls that may come.
     double reservedPerPriority = 0.04;
     uint32_t nodes = 1; ///< Nodes that share the places an upstream reported free; membership gives their number.
-    double reservedWithoutTarget = 0.2; ///< Further part that calls without a target leave free.
+    double reservedWithoutTarget = 0.65; ///< Further part that calls without a target leave free.
     double crossDomainMs = 2; ///< Added to the expected time of upstreams of other failure domains.
     double loadWeight = 3; ///< Weight of the calls at an upstream against the uncached prefill, per call and step time.
     double priceWeight = 1; ///< Exponent of the price in the cost of a choice.
@@ -153,6 +153,7 @@
     uint32_t othersCalls = 0; ///< Reported calls that are not this node's.
     uint32_t ownCalls = 0; ///< In flight.
     uint32_t ownSinceReport = 0; ///< Sent after the load report was true.
+    uint32_t ownEndedSinceReport = 0; ///< Of the own calls in the report, those that have ended.
     uint64_t ownTokens[priorityCount] {}; ///< Prefill backlog of own calls by priority.
     double hintTrust = 1; ///< Smoothed part of the expected prefix cache hits that replies confirmed.
     std::vector<RecentCall> recent;
