--- a/src/limits/ClassQueue.cpp
+++ b/src/limits/ClassQueue.cpp
@@ -65,7 +65,9 @@
     /// Time to come back: what lies ahead has to drain, spread by a quarter so that the refused do not return together.
     TimeMs retryAfter(CallQueue& queue, int priority, double cost)
     {
-        const TimeMs wait = std::max<TimeMs>({ 100 }, expectedWait(queue, priority, cost));
+        // Without a known rate an early return would only meet the same queue.
+        const TimeMs least = queue.costPerSecond > 0 ? 100_ms : 1_s;
+        const TimeMs wait = std::max(least, expectedWait(queue, priority, cost));
         return { wait.value + static_cast<int64_t>(queue.random.below(static_cast<uint64_t>(wait.value) / 4 + 1)) };
     }
 
