--- a/src/node/AdminFlow.cpp
+++ b/src/node/AdminFlow.cpp
@@ -216,13 +216,13 @@
     const auto root = json::parse(arrived.request.body, ec);
     const auto* object = ec ? nullptr : root.if_object();
     const auto* action = object ? object->if_contains("action") : nullptr;
-    const auto* names = object ? object->if_contains("nodes") : nullptr;
+    const auto* names = object ? object->if_contains("voters") : nullptr;
     if (!action || !action->is_string() || action->get_string() != "bootstrap" || !names || !names->is_array())
-        return refuseRequest(node, arrived.exchange, RefusalCode::MalformedRequest, R"(expected {"action":"bootstrap","nodes":["NAME",...]})");
+        return refuseRequest(node, arrived.exchange, RefusalCode::MalformedRequest, R"(expected {"action":"bootstrap","voters":["NODE",...]}; lost voters are replaced without an order)");
     std::vector<std::string> nodes;
     for (const auto& name : names->get_array()) {
         if (!name.is_string())
-            return refuseRequest(node, arrived.exchange, RefusalCode::MalformedRequest, "\"nodes\": expected a list of node names");
+            return refuseRequest(node, arrived.exchange, RefusalCode::MalformedRequest, "\"voters\": expected a list of node names");
         nodes.emplace_back(std::string_view(name.get_string()));
     }
     std::string problem;
--- a/src/node/CallFlow.cpp
+++ b/src/node/CallFlow.cpp
@@ -4,6 +4,7 @@
 #include "node/Answers.h"
 #include "node/MovesFlow.h"
 #include "node/OnceFlow.h"
+#include "routing/Pools.h"
 #include "rules/RuleMatch.h"
 
 #include <algorithm>
@@ -351,11 +352,12 @@
 
 // Calls that the pool's upstreams can take beyond those they have. An engine batches a few calls beyond its capacity; more
 // would wait there out of reach of the class order.
-bool poolHasRoom(const Node& node, const std::string& pool)
+bool poolHasRoom(Node& node, const std::string& pool)
 {
     const auto it = node.router.pools.find(pool);
     if (it == node.router.pools.end())
         return false;
+    refreshPool(node.router, it->second);
     for (const auto& group : it->second.groups) {
         for (const auto& entry : group.subset) {
             const auto& row = node.router.rows[entry.slot];
@@ -379,17 +381,18 @@
         NodeCall* call = findCall(node, entry->call);
         if (!call)
             continue;
+        // The places left are kept for more urgent calls, so none of the calls behind it would get one either.
+        if (!tryDispatch(node, *call, true)) {
+            enqueue(it->second, *entry, node.now, refused);
+            break;
+        }
         node.queuedBytes -= call->queuedBytes;
         call->queuedBytes = 0;
-        if (!tryDispatch(node, *call)) {
-            call->stage = CallStage::Waiting;
-            call->retryAt = node.now + TimeMs { 50 };
-        }
     }
     refuseQueued(node, refused);
 }
 
-bool chooseUpstream(Node& node, NodeCall& call)
+bool chooseUpstream(Node& node, NodeCall& call, bool mayWait)
 {
     const RouteRequest request {
         .pool = call.pool,
@@ -399,11 +402,12 @@
         .outputTokens = call.model.maxTokens,
         .priority = call.priority,
         .firstTokenTarget = call.firstTokenTarget,
+        .mayWait = mayWait,
         .repeatable = call.repeat == Repeat::Yes,
         .avoid = call.avoid,
     };
     auto choice = choose(node.router, request, node.now);
-    if (!choice.upstream && !call.avoid.empty()) {
+    if (choice.reason == ChoiceReason::NoUpstream && !call.avoid.empty()) {
         // Every upstream has failed this call once; the first may work again.
         call.avoid.clear();
         choice = choose(node.router, request, node.now);
@@ -419,9 +423,9 @@
     return true;
 }
 
-bool tryDispatch(Node& node, NodeCall& call)
+bool tryDispatch(Node& node, NodeCall& call, bool mayWait)
 {
-    if (!chooseUpstream(node, call))
+    if (!chooseUpstream(node, call, mayWait))
         return false;
     if (call.repeat == Repeat::Once)
         commitDispatch(node, call);
@@ -524,7 +528,7 @@
         NodeCall* call = findCall(node, id);
         if (!call || atDeadline(node, *call))
             continue;
-        if (call->stage == CallStage::Waiting && node.now >= call->retryAt && !tryDispatch(node, *call))
+        if (call->stage == CallStage::Waiting && node.now >= call->retryAt && !tryDispatch(node, *call, false))
             call->retryAt = node.now + TimeMs { 50 };
         else if (call->stage == CallStage::Joining || call->stage == CallStage::Recording)
             tickOnceCall(node, *call);
--- a/src/node/CallFlow.h
+++ b/src/node/CallFlow.h
@@ -22,12 +22,13 @@
 
 /// Queues the call or dispatches it if an upstream has room.
 void enqueueCall(Node&, NodeCall&);
-/// Chooses an upstream for the call and notes it there; false if there is none.
-bool chooseUpstream(Node&, NodeCall&);
+/// Chooses an upstream for the call and notes it there; false if there is none. A call that may wait in the queue is also
+/// held back from the places that are kept for more urgent ones.
+bool chooseUpstream(Node&, NodeCall&, bool mayWait);
 /// Whether an upstream of the pool can take another call now.
-bool poolHasRoom(const Node&, const std::string& pool);
+bool poolHasRoom(Node&, const std::string& pool);
 /// Dispatches the call to an upstream that the router chooses; false if there is none with room.
-bool tryDispatch(Node&, NodeCall&);
+bool tryDispatch(Node&, NodeCall&, bool mayWait);
 /// Sends the request of a call whose upstream has been chosen.
 void sendDispatch(Node&, NodeCall&);
 /// Gives the caller its refusal and ends the call.
--- a/src/node/LeaderFlow.cpp
+++ b/src/node/LeaderFlow.cpp
@@ -274,6 +274,7 @@
         return;
     node.nextLeases = node.now + leaseInterval;
     node.limiter.nodes = static_cast<uint32_t>(liveMembers(node.membership).size());
+    node.router.options.nodes = node.limiter.nodes;
     const auto requests = leaseRequests(node.limiter, node.self, node.now);
     if (requests.empty())
         return;
--- a/src/node/OnceFlow.cpp
+++ b/src/node/OnceFlow.cpp
@@ -190,7 +190,7 @@
     // One commit when an upstream can be chosen at once; a call that has to queue can be taken over until it is dispatched.
     const auto queue = node.queues.find(call.pool);
     const bool queueEmpty = queue == node.queues.end() || std::all_of(queue->second.classes.begin(), queue->second.classes.end(), [](const auto& it) { return !it.second.requests; });
-    if (queueEmpty && poolHasRoom(node, call.pool) && chooseUpstream(node, call)) {
+    if (queueEmpty && poolHasRoom(node, call.pool) && chooseUpstream(node, call, true)) {
         call.reservedDispatched = true;
         reserve.dispatchNow = true;
         reserve.upstream = call.upstreamName;
--- /dev/null
+++ b/tools/lib/fleet.sh
@@ -0,0 +1,81 @@
+# Functions for scripts that run a fleet of daemons and the stand-ins on this machine. Every process is started by the
+# script and ended by its process id.
+
+fleet_pids=()
+declare -A fleet_node_pid
+
+# fleet_prepare NAME FOLDER: copies the example fleet NAME into FOLDER, with data folders below it.
+fleet_prepare() {
+    fleet_name=$1 fleet_folder=$2
+    mkdir -p "$fleet_folder"
+    for file in examples/"$fleet_name"/entry-*.json; do
+        local node
+        node=$(basename "$file" .json)
+        sed "s|\"/var/lib/siskinshunt\"|\"$fleet_folder/data-$node\"|" "$file" >"$fleet_folder/$node.json"
+    done
+    cp examples/"$fleet_name"/peer.key "$fleet_folder/"
+    fleet_nodes=$(cd "$fleet_folder" && ls entry-*.json | sed 's/\.json//')
+    fleet_address=$(sed -n 's/.*"http": "\([^"]*\)".*/\1/p' "$fleet_folder/entry-1.json")
+    fleet_addresses=$(sed -n 's/.*"http": "\([^"]*\)".*/\1/p' "$fleet_folder"/entry-*.json)
+    export SISKINSHUNT_TOKEN=operator-token-of-the-example
+}
+
+# fleet_start_node NODE
+fleet_start_node() {
+    build/bin/siskinshunt --config "$fleet_folder/$1.json" >>"$fleet_folder/$1.log" 2>&1 &
+    fleet_node_pid[$1]=$!
+    fleet_pids+=($!)
+}
+
+# fleet_start_fakes
+fleet_start_fakes() {
+    build/bin/siskinshuntctl fakes --config "examples/$fleet_name/fakes.json" >"$fleet_folder/fakes.log" 2>&1 &
+    fleet_pids+=($!)
+    fleet_control=$(sed -n 's/.*"control": "\([^"]*\)".*/\1/p' "examples/$fleet_name/fakes.json")
+}
+
+# fleet_wait SECONDS COMMAND...: waits until the command succeeds.
+fleet_wait() {
+    local end=$((SECONDS + $1))
+    shift
+    until "$@" >/dev/null 2>&1; do
+        [ $SECONDS -ge $end ] && { echo "gave up waiting for: $*" >&2; return 1; }
+        sleep 0.1
+    done
+}
+
+fleet_members_alive() {
+    [ "$(curl -s "http://$fleet_address/metrics" | sed -n 's/^siskinshunt_members_alive //p')" = "$1" ]
+}
+
+fleet_upstreams_known() {
+    [ "$(curl -s "http://$1/metrics" | sed -n 's/^siskinshunt_upstreams //p')" -ge "$2" ]
+}
+
+fleet_in_force() {
+    build/bin/siskinshuntctl rules show --json --address "$fleet_address" | grep -q '"in_force_everywhere": *true'
+}
+
+# fleet_start: stand-ins, all nodes, first voters, rules.
+fleet_start() {
+    fleet_start_fakes
+    for node in $fleet_nodes; do
+        fleet_start_node "$node"
+    done
+    fleet_wait 20 fleet_members_alive "$(echo "$fleet_nodes" | wc -w)"
+    build/bin/siskinshuntctl voters bootstrap --address "$fleet_address" --voter entry-1 entry-2 entry-3 >/dev/null
+    fleet_wait 20 build/bin/siskinshuntctl rules apply "examples/$fleet_name/$fleet_name.rules" --expected 0 --request-id first-rules --address "$fleet_address"
+    fleet_wait 20 fleet_in_force
+    for address in $fleet_addresses; do
+        fleet_wait 20 fleet_upstreams_known "$address" 10
+    done
+}
+
+# fleet_stop: ends every process that was started.
+fleet_stop() {
+    for pid in "${fleet_pids[@]}"; do
+        kill -CONT "$pid" 2>/dev/null || true
+        kill -INT "$pid" 2>/dev/null || true
+    done
+    wait 2>/dev/null || true
+}
