Extend checks that see too few failures, and let a new leader resume a watched move

A new leader took every route for one with little traffic and moved it without proof; it now looks for 60 s first.

--- a/src/bench/MovesModel.cpp
+++ b/src/bench/MovesModel.cpp
@@ -452,7 +452,7 @@
     if (options.baseline)
         setAllShares(model, 0.05, { 1 });
     // Past the watch by the longest check and its confirmations.
-    const TimeMs end = startAt + options.duration + options.watch + 240_s;
+    const TimeMs end = startAt + options.duration + options.watch + 600_s;
     for (; model.now < end; model.now += 1_s) {
         startRunners(model);
         injectFaults(model);
--- a/src/versions/MoveController.cpp
+++ b/src/versions/MoveController.cpp
@@ -149,6 +149,7 @@
     move.directive.oldRunners = countRunners(in, move.rule.model, move.rule.from);
     move.directive.canary = chooseCanary(move, in);
     move.warmUntil = in.now + settings.warmUp;
+    move.observedSince = in.now;
     move.nextBurst = in.now;
     setHorizon(move, in.now);
     planProving(move, settings, in.now);
@@ -377,12 +378,13 @@
         move.announce = true;
         addRoutes(move, rules);
         move.warmUntil = now;
+        move.observedSince = now;
         move.nextBurst = now;
         setHorizon(move, now);
         for (auto& [name, route] : move.routes)
             route.lastStep = now;
         for (const auto& it : directive.shares)
-            move.routes[it.route].share = it.share;
+            move.routes[it.route].share = directive.stage == MoveStage::Done ? 1 : it.share; // A check does not outlive its leader.
         for (const auto& it : directive.baselines)
             restoreBaseline(move.routes[it.route], it);
     }
--- a/src/versions/MoveController.h
+++ b/src/versions/MoveController.h
@@ -28,7 +28,8 @@
     TimeMs minStep { 20000 }; ///< Shortest time between two steps of a route.
     TimeMs maxStep { 180000 }; ///< Longest time between two steps of a route that is proven.
     TimeMs burst { 30000 }; ///< Length of one full-load burst of the canary.
-    TimeMs check { 90000 }; ///< Longest comparison with half of a route's traffic back on the old version.
+    TimeMs check { 90000 }; ///< Comparison with half of a route's traffic back on the old version.
+    uint64_t checkEvents = 10; ///< Failures or slow requests without which a check is extended, up to 4 times.
     TimeMs warmUp { 15000 }; ///< Latency of new runners does not count for this long: their caches are empty.
 };
 
@@ -93,6 +94,8 @@
 /// traffic on the old version, the test cannot tell a bad version from an outage that would hit both.
 struct RouteCheck {
     TimeMs until; ///< 0: no check is running.
+    TimeMs latest; ///< Extensions end here.
+    uint64_t events = 0; ///< Failures or slow requests of both versions.
     size_t measure = 0; ///< 0 for errors, 1 and up for the latency measures.
     double shareBefore = 1;
     SequentialTest test; ///< Of the share of the new version in all failures or slow requests.
@@ -134,6 +137,7 @@
     bool sharesChanged = false; ///< A check has begun or ended; the nodes have to know.
     TimeMs nextWindow;
     TimeMs fadeAt;
+    TimeMs observedSince; ///< Since when this leader has evidence.
     TimeMs warmUntil; ///< Latency of the new version counts from here on.
     TimeMs nextBurst; ///< Change between burst and pause of the canary.
     bool bursting = false;
--- a/src/versions/MovePlan.cpp
+++ b/src/versions/MovePlan.cpp
@@ -13,6 +13,9 @@
 // Requests of all routes after which their rates are known well enough to be compared.
 static constexpr uint64_t minSeenForSplit = 300;
 
+// A new leader has seen little of any route; only after this time does little evidence mean little traffic.
+static constexpr TimeMs minObserved { 60000 };
+
 TimeMs latestShift(const ActiveMove& move, const MoveSettings& settings)
 {
     const TimeMs whole = move.rule.by - move.directive.started;
@@ -109,7 +112,7 @@
     const double to = nextShare(route.share);
     if (route.share >= 1 || isSuspect(move, route, settings) || (to > shareOfRunners(move) && move.newRunners < move.directive.oldRunners))
         return false;
-    if (isThin(route, settings) && !mayFollow(move, settings))
+    if (isThin(route, settings) && (!mayFollow(move, settings) || now < move.observedSince + minObserved))
         return false;
     if (!route.proven && now < latestShift(move, settings))
         return false;
--- a/src/versions/MoveTests.cpp
+++ b/src/versions/MoveTests.cpp
@@ -152,6 +152,7 @@
             const LatencySketch& window = sketchOf(route.pendingOld, measure);
             const uint64_t oldOver = window.countOver(quantile);
             const auto both = static_cast<double>(sample.count() + window.count());
+            route.check.events += over + oldOver;
             if (both > 0)
                 addWindow(route.check.test, over + oldOver, over, std::clamp(static_cast<double>(sample.count()) / both, 0.01, 0.99));
         }
@@ -166,6 +167,7 @@
     const VersionEvidence& old = route.pendingOld;
     const double weighted = checkedOdds * static_cast<double>(now.requests);
     const double both = weighted + static_cast<double>(old.requests);
+    route.check.events += now.failures + old.failures;
     if (both > 0)
         addWindow(route.check.test, now.failures + old.failures, now.failures, std::clamp(weighted / both, 0.01, 0.99));
 }
@@ -235,7 +237,7 @@
 
 static void startCheck(ActiveMove& move, RouteTests& route, size_t measure, const MoveSettings& settings, TimeMs now)
 {
-    route.check = { .until = now + settings.check, .measure = measure, .shareBefore = route.share, .test = {} };
+    route.check = { .until = now + settings.check, .latest = now + settings.check * 4, .measure = measure, .shareBefore = route.share };
     route.check.test.horizon = settings.check.seconds();
     route.share = comparableShare;
     ++move.checks;
@@ -256,7 +258,11 @@
     const double level = falseAlarmOfLeader(settings.falseAlarm, move.directive.leaders) * std::pow(0.5, move.checks);
     if (rejects(route.check.test, level))
         return condemn(move, describe(name, route, route.check.measure) + ", and worse than the old version at the same time");
-    if (now >= route.check.until)
+    if (now < route.check.until)
+        return;
+    if (route.check.events < settings.checkEvents && now < route.check.latest)
+        route.check.until = std::min(route.check.latest, now + settings.check);
+    else
         endCheck(move, route);
 }
 
