--- a/src/fleet/UpstreamTable.cpp
+++ b/src/fleet/UpstreamTable.cpp
@@ -233,8 +233,16 @@
 static bool takeVouch(UpstreamTable& table, Upstream& upstream, TimeMs now, const Vouch& vouch)
 {
     // Only this node knows whether it vouches: a claim that outlived its restart is withdrawn.
-    if (vouch.home == table.self)
-        return !upstream.local && vouch.active && withdrawOwnVouch(table, upstream, vouch.sequence);
+    if (vouch.home == table.self) {
+        if (upstream.local || !vouch.active)
+            return false;
+        // Said again even if it was withdrawn before: whoever sent the claim has missed that.
+        if (!withdrawOwnVouch(table, upstream, vouch.sequence))
+            note(table, { UpstreamChangeKind::Vouch, upstream.id, table.self, true });
+        if (!hasActiveVouch(upstream))
+            upstream.lastSeen = std::min(upstream.lastSeen, now - table.options.noNewWorkAfter - 1_ms);
+        return true;
+    }
     const bool changed = mergeVouch(upstream, vouch);
     if (!changed)
         return false;
@@ -253,11 +261,17 @@
     const Upsert found = refuseOrFind(table, id, record.announced.name, known);
     if (found == Upsert::Collision || found == Upsert::Full)
         return found;
-    const bool vouchedFor = std::any_of(record.vouches.begin(), record.vouches.end(), [&](const auto& it) { return it.active && it.home != table.self; });
+    const bool vouchedFor = std::any_of(record.vouches.begin(), record.vouches.end(), [](const auto& it) { return it.active; });
     if (!known && !vouchedFor)
         return Upsert::Stale;
-    if (!known || record.announced.incarnation > known->announced.incarnation)
-        return takeFirst(table, now, id, record, false);
+    if (!known || record.announced.incarnation > known->announced.incarnation) {
+        UpstreamRecord content = record;
+        content.vouches.clear();
+        takeFirst(table, now, id, content, false);
+        for (const auto& vouch : record.vouches)
+            takeVouch(table, table.entries[id], now, vouch);
+        return Upsert::Added;
+    }
     if (record.announced.incarnation < known->announced.incarnation)
         return Upsert::Stale;
     bool changed = false;
--- a/src/soak/MembershipSoak.cpp
+++ b/src/soak/MembershipSoak.cpp
@@ -12,6 +12,9 @@
             , m_network(seed, { .loss = m_random.uniform() * 0.1, .duplicate = m_random.uniform() * 0.1, .shortestDelay = 1_ms, .longestDelay = { m_random.between(5, 250) } })
         {
             m_network.addKnown(3 + m_random.below(22), 1 + m_random.below(5));
+            m_upstreams.resize(1 + m_random.below(12));
+            for (size_t n = 0; n < m_upstreams.size(); ++n)
+                startUpstream(n);
         }
 
         SoakResult run()
@@ -19,7 +22,7 @@
             const int64_t steps = m_random.between(5, 25);
             for (int64_t n = 0; n < steps && m_result.violation.empty(); ++n) {
                 injectFault();
-                m_network.run({ m_random.between(100, 8000) });
+                advance({ m_random.between(100, 8000) });
                 checkRevisions();
             }
             calm();
@@ -27,11 +30,92 @@
         }
 
     private:
+        struct FakeUpstream {
+            Announcement announced;
+            bool up = false;
+            std::array<size_t, 2> homes {};
+            TimeMs next;
+        };
+
+        void startUpstream(size_t n)
+        {
+            auto& it = m_upstreams[n];
+            it.announced.name = "runner" + std::to_string(n);
+            it.announced.model = "crew";
+            it.announced.version = "v" + std::to_string(m_random.below(3));
+            it.announced.reclaimIn.reset();
+            ++it.announced.incarnation;
+            it.announced.sequence = 0;
+            it.up = true;
+            it.next = m_network.now;
+            for (auto& home : it.homes)
+                home = m_random.below(m_network.hosts.size());
+        }
+
+        /// An upstream that gets no answer from a node goes to another one.
+        void announceDue()
+        {
+            for (auto& it : m_upstreams) {
+                if (!it.up || m_network.now < it.next)
+                    continue;
+                it.next = m_network.now + 1_s;
+                ++it.announced.sequence;
+                it.announced.load.running = static_cast<uint32_t>(m_random.below(50));
+                for (auto& home : it.homes) {
+                    const auto& host = m_network.hosts[home];
+                    if (!host.node || host.paused) {
+                        home = m_random.below(m_network.hosts.size());
+                        continue;
+                    }
+                    announce(m_network.node(home), m_network.now, it.announced, m_network.outputs);
+                    m_network.flush(home);
+                }
+            }
+        }
+
+        void advance(TimeMs duration)
+        {
+            m_network.run(duration, [this] { announceDue(); });
+        }
+
+        void changeUpstream()
+        {
+            const size_t n = m_random.below(m_upstreams.size());
+            auto& it = m_upstreams[n];
+            if (!it.up) {
+                ++m_result.faults["upstream_restart"];
+                startUpstream(n);
+            } else if (m_random.chance(0.5)) {
+                ++m_result.faults["upstream_dies"];
+                it.up = false;
+            } else {
+                ++m_result.faults["reclaim_notice"];
+                it.announced.reclaimIn = 600_s;
+            }
+        }
+
+        /// All live nodes give new work to the same upstreams: those that announce themselves and do not leave.
+        void checkUpstreams(size_t n)
+        {
+            const auto& node = m_network.node(n);
+            size_t up = 0;
+            for (const auto& it : m_upstreams) {
+                const Upstream* seen = findUpstream(node.upstreams, idOfName<UpstreamId>(it.announced.name));
+                const bool works = seen && mayTakeNewWork(*seen, m_network.now, 3_s);
+                const bool current = seen && seen->announced.incarnation == it.announced.incarnation && seen->announced.version == it.announced.version;
+                up += it.up ? 1 : 0;
+                if (works != (it.up && !it.announced.reclaimIn) || (it.up && !current))
+                    m_result.violation = it.announced.name + " is seen wrongly at " + m_network.hosts[n].options.identity.name;
+            }
+            if (node.upstreams.entries.size() != up)
+                m_result.violation = "records of dead upstreams stay at " + m_network.hosts[n].options.identity.name;
+        }
+
         void injectFault()
         {
             const size_t n = m_random.below(m_network.hosts.size());
             auto& host = m_network.hosts[n];
-            switch (m_random.below(6)) {
+            switch (m_random.below(8)) {
             case 0:
                 ++m_result.faults[host.node ? "crash" : "restart"];
                 host.node ? m_network.crash(n) : m_network.start(n);
@@ -54,6 +138,10 @@
                 ++m_result.faults["restart_at_once"];
                 m_network.start(n);
                 break;
+            case 5:
+            case 6:
+                changeUpstream();
+                break;
             default:
                 raiseRevision(host);
             }
@@ -95,11 +183,13 @@
                     live.push_back(n);
             }
             m_network.clearTraffic();
-            m_network.run(90_s);
+            advance(90_s);
             checkRevisions();
             if (m_result.violation.empty())
                 m_result.violation = m_network.disagreement(live);
             for (const size_t n : live) {
+                if (m_result.violation.empty())
+                    checkUpstreams(n);
                 for (const size_t k : live) {
                     const Member* seen = findMember(m_network.node(n), m_network.node(k).self);
                     if (n != k && m_result.violation.empty() && (!seen || seen->status != m_network.node(k).own))
@@ -113,6 +203,7 @@
         Random m_random;
         GossipNetwork m_network;
         SoakResult m_result;
+        std::vector<FakeUpstream> m_upstreams;
         std::map<std::tuple<size_t, uint64_t, NodeId, uint64_t, TimeMs>, uint64_t> m_seen;
     };
 
