--- a/src/routing/Choice.cpp
+++ b/src/routing/Choice.cpp
@@ -157,7 +157,7 @@
     {
         const double stepMs = row.load.tokensPerSecond > 0 ? 1000 / row.load.tokensPerSecond : 10;
         const double calls = row.othersCalls + row.ownCalls;
-        const double workMs = it.prefillMs + it.queueMs + decision.router.options.loadWeight * calls * stepMs;
+        const double workMs = decision.router.options.prefillWeight * it.prefillMs + it.queueMs + decision.router.options.loadWeight * calls * stepMs;
         const double risk = row.target.reclaimRisk * decision.pool.callMs / 3.6e6;
         return workMs * std::pow(row.target.pricePerHour, decision.router.options.priceWeight) * (1 + risk);
     }
--- a/src/routing/Router.h
+++ b/src/routing/Router.h
@@ -37,6 +37,7 @@
     double reservedWithoutTarget = 0.65; ///< Further part that calls without a target leave free.
     double crossDomainMs = 2; ///< Added to the expected time of upstreams of other failure domains.
     double loadWeight = 3; ///< Weight of the calls at an upstream against the uncached prefill, per call and step time.
+    double prefillWeight = 1.5; ///< Weight of uncached prefill; above 1 it counts the cached blocks that it evicts.
     double priceWeight = 1; ///< Exponent of the price in the cost of a choice.
     uint32_t affinityBlocks = 4; ///< The rendezvous key of a prompt covers at most this many blocks.
     uint32_t indexCapacity = 1 << 16; ///< Blocks of the prefix index.
