--- a/src/bench/StorageBench.cpp
+++ b/src/bench/StorageBench.cpp
@@ -91,8 +91,10 @@
     BOOST_LEAF_ASSIGN(voter->disk, FileDisk::open(folder));
     BOOST_LEAF_ASSIGN(voter->storage, Storage::open(*voter->disk, { .cluster = 1 }));
     auto recovered = voter->storage->takeRecovered();
+    // No snapshot is taken, so the restart has to read and apply every command.
+    const ReplicaOptions options { .cluster = 1, .group = { 1 }, .self = { 7 }, .snapshotEntries = 1 << 20, .snapshotBytes = 1 << 30 };
     BOOST_LEAF_ASSIGN(voter->replica,
-        openReplica({ .cluster = 1, .group = { 1 }, .self = { 7 } }, keepingMachine(voter->state), std::move(recovered[GroupId { 1 }]), now));
+        openReplica(options, keepingMachine(voter->state), std::move(recovered[GroupId { 1 }]), now));
     return voter;
 }
 
@@ -144,7 +146,7 @@
             return fail(ErrorCode::Corrupt, Step::Recover, "bench", "the state after the restart is not complete");
         return taken;
     });
-    context.report("restart.after_1000_applies_s", seconds, "s", "1000 commands of 4096 B");
+    context.report("restart.after_1000_applies_s", seconds, "s", "1000 commands of 4096 B, no snapshot, files cached");
 }
 
 static void benchCommits(const BenchContext& context)
