--- a/src/versions/MoveController.cpp
+++ b/src/versions/MoveController.cpp
@@ -126,6 +126,9 @@
 // 2 good moves in 600 were taken back while the canary had 1.6 times its mean load for 4 s.
 static constexpr double latencyGainLimit = 1.0;
 
+// Windows of all checks of one route together.
+static constexpr double checkHorizon = 600;
+
 /// Spreads the weight of later faults over the rest of the move and its watch.
 static void setHorizon(ActiveMove& move, TimeMs now)
 {
@@ -138,8 +141,13 @@
         }
     };
     set(move.pooled);
-    for (auto& [name, route] : move.routes)
+    for (auto& [name, route] : move.routes) {
         set(route);
+        for (size_t n = 0; n < route.checkTests.size(); ++n) {
+            route.checkTests[n].horizon = checkHorizon;
+            route.checkTests[n].gainLimit = n ? latencyGainLimit : route.checkTests[n].gainLimit;
+        }
+    }
 }
 
 static void startProving(ActiveMove& move, const MoveSettings& settings, const MoveInputs& in, MoveOutputs& out)
--- a/src/versions/MoveController.h
+++ b/src/versions/MoveController.h
@@ -98,7 +98,6 @@
     uint64_t events = 0; ///< Failures or slow requests of both versions.
     size_t measure = 0; ///< 0 for errors, 1 and up for the latency measures.
     double shareBefore = 1;
-    SequentialTest test; ///< Of the share of the new version in all failures or slow requests.
 };
 
 /// Tests of one route. Each takes one window of evidence a second.
@@ -120,6 +119,9 @@
     TimeMs lastStep;
     bool proven = false;
     RouteCheck check;
+    /// Of the share of the new version in all failures or slow requests, by RouteCheck::measure. They outlive a check, so
+    /// that evidence adds up over several.
+    std::array<SequentialTest, 1 + latencyMeasures> checkTests;
 };
 
 /// Tests of all routes together, while none has moved by more than half. They see a fault that all routes share sooner.
@@ -133,7 +135,6 @@
     MoveRule rule; ///< As last seen in the rules in force.
     std::map<std::string, RouteTests> routes;
     PooledTests pooled;
-    uint32_t checks = 0; ///< Checks that have begun; each gets a part of the false-alarm rate.
     bool sharesChanged = false; ///< A check has begun or ended; the nodes have to know.
     TimeMs nextWindow;
     TimeMs fadeAt;
--- a/src/versions/MoveTests.cpp
+++ b/src/versions/MoveTests.cpp
@@ -154,7 +154,7 @@
             const auto both = static_cast<double>(sample.count() + window.count());
             route.check.events += over + oldOver;
             if (both > 0)
-                addWindow(route.check.test, over + oldOver, over, std::clamp(static_cast<double>(sample.count()) / both, 0.01, 0.99));
+                addWindow(route.checkTests[n + 1], over + oldOver, over, std::clamp(static_cast<double>(sample.count()) / both, 0.01, 0.99));
         }
     }
 }
@@ -169,7 +169,7 @@
     const double both = weighted + static_cast<double>(old.requests);
     route.check.events += now.failures + old.failures;
     if (both > 0)
-        addWindow(route.check.test, now.failures + old.failures, now.failures, std::clamp(weighted / both, 0.01, 0.99));
+        addWindow(route.checkTests[0], now.failures + old.failures, now.failures, std::clamp(weighted / both, 0.01, 0.99));
 }
 
 static std::string percent(uint64_t part, uint64_t whole)
@@ -202,10 +202,11 @@
     move.badReason = std::move(reason);
 }
 
-/// The false-alarm rate of one test: all tests of all routes and of the pool share that of the leader.
+/// The false-alarm rate of one test: all tests of all routes and of the pool share half of that of the leader. The tests of
+/// checks share the other half.
 static double testLevel(const ActiveMove& move, const MoveSettings& settings)
 {
-    return falseAlarmOfLeader(settings.falseAlarm, move.directive.leaders) / static_cast<double>(move.routes.size() + 1)
+    return 0.5 * falseAlarmOfLeader(settings.falseAlarm, move.directive.leaders) / static_cast<double>(move.routes.size() + 1)
         / static_cast<double>(testsPerRoute);
 }
 
@@ -238,9 +239,7 @@
 static void startCheck(ActiveMove& move, RouteTests& route, size_t measure, const MoveSettings& settings, TimeMs now)
 {
     route.check = { .until = now + settings.check, .latest = now + settings.check * 4, .measure = measure, .shareBefore = route.share };
-    route.check.test.horizon = settings.check.seconds();
     route.share = comparableShare;
-    ++move.checks;
     move.sharesChanged = true;
 }
 
@@ -254,9 +253,7 @@
 
 static void judgeCheck(ActiveMove& move, const std::string& name, RouteTests& route, const MoveSettings& settings, TimeMs now)
 {
-    // The n-th check gets half of what the one before it got, so that any number of checks keeps to the leader's rate.
-    const double level = falseAlarmOfLeader(settings.falseAlarm, move.directive.leaders) * std::pow(0.5, move.checks);
-    if (rejects(route.check.test, level))
+    if (rejects(route.checkTests[route.check.measure], testLevel(move, settings)))
         return condemn(move, describe(name, route, route.check.measure) + ", and worse than the old version at the same time");
     if (now < route.check.until)
         return;
--- a/tests/versions/MoveControllerTest.cpp
+++ b/tests/versions/MoveControllerTest.cpp
@@ -62,7 +62,7 @@
             for (; sent[name] >= 1; sent[name] -= 1)
                 add(route.newVersion, newLatency, failEvery && ++newRequests % failEvery == 0);
             for (double n = rate * (1 - shareOf(name)); n >= 1; n -= 1)
-                add(route.oldVersion, 200, ++oldRequests % 200 == 0);
+                add(route.oldVersion, 200, ++oldRequests % oldFailEvery == 0);
             evidence.routes.push_back(route);
         }
         if (confirms && controller.moves.contains("upgrade"))
@@ -110,6 +110,7 @@
     bool confirms = true;
     bool tripped = false;
     uint64_t failEvery = 200;
+    uint64_t oldFailEvery = 200;
     double newLatency = 200;
     uint64_t newRequests = 0;
     uint64_t oldRequests = 0;
@@ -176,6 +177,31 @@
     BOOST_TEST((restored != orders.end()));
 }
 
+// Guards against an outage that hits both versions and takes back a good one, because the old one has no traffic to show it.
+BOOST_FIXTURE_TEST_CASE(outageAfterDoneIsCheckedAgainstTheOldVersion, Fixture)
+{
+    addNewRunners(10);
+    BOOST_REQUIRE(runUntil(MoveStage::Done, 1190));
+    failEvery = oldFailEvery = 8;
+    BOOST_TEST(!runUntil(MoveStage::Undoing, 120));
+    BOOST_TEST(std::count_if(directives.begin(), directives.end(), [](const auto& it) { return it.code == "move_check"; }) > 0);
+    failEvery = oldFailEvery = 200;
+    BOOST_TEST(runUntil(MoveStage::Closed, 600));
+}
+
+// Guards against a check that a change of leader cut short and that leaves the route at half forever.
+BOOST_FIXTURE_TEST_CASE(newLeaderEndsTheCheckOfTheFormerOne, Fixture)
+{
+    addNewRunners(10);
+    BOOST_REQUIRE(runUntil(MoveStage::Done, 1190));
+    MoveDirective checking = directive();
+    for (auto& it : checking.shares)
+        it.share = 0.5;
+    restoreMoves(controller, { &checking, 1 }, rules, now);
+    BOOST_TEST(runUntil(MoveStage::Closed, 400));
+    BOOST_TEST((shareOf("crew") == 1 && shareOf("plans") == 1));
+}
+
 // Guards against a version that is slow only, which no error rate shows.
 BOOST_FIXTURE_TEST_CASE(slowVersionIsTakenBackWhileProving, Fixture)
 {
