Hold calls back only from busy upstreams and only for a part of their deadline

Cause: the reserve for more urgent calls left 0.9 of 8 places to calls without a target, so that they waited even for idle engines. Ruled out: the queue order and the load reports.

--- a/src/entry/Daemon.cpp
+++ b/src/entry/Daemon.cpp
@@ -58,7 +58,7 @@
         void apply(Inputs);
         void carry(Outputs&);
         void writeDisk(std::vector<DiskRequest>);
-        void diskWritten(std::vector<DiskCompletion>);
+        void diskWritten(Inputs);
         void tick();
         void waitForSignal();
 
@@ -174,24 +174,23 @@
     m_waitingDisk.clear();
     m_diskThread.post([this, batch] {
         std::string problem;
+        Inputs inputs;
         const bool ok = handle(
             [&]() -> Result<bool> {
-                BOOST_LEAF_CHECK(m_folder.storage->write(*batch));
+                BOOST_LEAF_AUTO(report, m_folder.storage->write(*batch));
+                inputs.pinning = std::move(report.pinning);
                 return true;
             },
             [&](const Error& error) { problem = toString(error); return false; });
-        std::vector<DiskCompletion> completions;
         for (const auto& request : *batch)
-            completions.push_back({ request.group, request.id, ok, problem });
-        asio::post(m_context, [this, completions = std::move(completions)]() mutable { diskWritten(std::move(completions)); });
+            inputs.completions.push_back({ request.group, request.id, ok, problem });
+        asio::post(m_context, [this, inputs = std::move(inputs)]() mutable { diskWritten(std::move(inputs)); });
     });
 }
 
-void Daemon::diskWritten(std::vector<DiskCompletion> completions)
+void Daemon::diskWritten(Inputs inputs)
 {
     m_writing = false;
-    Inputs inputs;
-    inputs.completions = std::move(completions);
     apply(std::move(inputs));
     writeDisk({});
 }
--- a/src/node/CallFlow.cpp
+++ b/src/node/CallFlow.cpp
@@ -392,6 +392,15 @@
     refuseQueued(node, refused);
 }
 
+// A call is held back from the places kept for more urgent ones only for a part of its deadline.
+static bool mayBeHeldBack(const Node& node, const NodeCall& call)
+{
+    static constexpr int64_t deadlineParts = 10;
+    static constexpr TimeMs longestHold { 20000 };
+    const TimeMs hold = std::min(longestHold, (call.deadline - call.arrived) / deadlineParts);
+    return call.isModel && call.priority > 0 && node.now < call.arrived + hold;
+}
+
 bool chooseUpstream(Node& node, NodeCall& call, bool mayWait)
 {
     const RouteRequest request {
@@ -402,7 +411,7 @@
         .outputTokens = call.model.maxTokens,
         .priority = call.priority,
         .firstTokenTarget = call.firstTokenTarget,
-        .mayWait = mayWait,
+        .mayWait = mayWait && mayBeHeldBack(node, call),
         .repeatable = call.repeat == Repeat::Yes,
         .avoid = call.avoid,
     };
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -116,6 +116,10 @@
     }
     for (const auto& completion : inputs.completions)
         takeCompletion(node, completion);
+    for (const GroupId id : inputs.pinning) {
+        if (const auto it = node.groups.find(id); it != node.groups.end())
+            takeSnapshot(*it->second.replica);
+    }
     for (const auto& datagram : inputs.datagrams)
         receiveDatagram(node, datagram.from, datagram.bytes);
     for (const auto& frame : inputs.frames)
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -33,6 +33,7 @@
     std::vector<PeerDatagram> datagrams;
     std::vector<std::string> frames; ///< Sealed, without their length.
     std::vector<DiskCompletion> completions;
+    std::vector<GroupId> pinning; ///< Groups that hold back old log segments and should take a snapshot.
     bool drain = false; ///< Leave gracefully: first the address list, then the process.
 };
 
--- a/src/routing/Choice.cpp
+++ b/src/routing/Choice.cpp
@@ -210,6 +210,9 @@
     bool takesReserved(const Decision& decision, const TargetRow& row)
     {
         const auto& options = decision.router.options;
+        // On an idle upstream even the last class delays nobody.
+        if (row.othersCalls + row.ownCalls == 0)
+            return false;
         const double reserved = options.reservedPerPriority * decision.request.priority + (decision.request.firstTokenTarget ? 0 : options.reservedWithoutTarget);
         const double limit = std::max<uint32_t>(row.load.capacity, 1) * (1 - std::min(reserved, 0.9));
         const double room = std::max(0.0, limit - row.load.running - row.load.waiting);
