--- a/src/bench/MovesModel.cpp
+++ b/src/bench/MovesModel.cpp
@@ -451,8 +451,8 @@
     model.load[0] = options.rate / oldRunnerCount;
     if (options.baseline)
         setAllShares(model, 0.05, { 1 });
-    // Past the watch by the longest check and its confirmations.
-    const TimeMs end = startAt + options.duration + options.watch + 600_s;
+    // The controller may end past the watch by the longest check and its confirmations.
+    const TimeMs end = startAt + options.duration + options.watch + (options.baseline ? 0_s : 600_s);
     for (; model.now < end; model.now += 1_s) {
         startRunners(model);
         injectFaults(model);
