Let a refused once call be tried again under its key

Cause: a caller that was told "not run" got the stored refusal for its next request with the same key, so that a booking refused for lack of a quorum could only be made under a new key. And a reservation that was committed after its refusal stayed dispatched until its deadline, because only reserved calls could be ended as not run; going back to reserved first would have opened it to a takeover after the caller had been told "not run".

The owner may now end a dispatched call of which it knows that no byte has left, in one entry, and a key whose call never ran can be reserved again.

--- a/src/ledger/Ledger.cpp
+++ b/src/ledger/Ledger.cpp
@@ -60,7 +60,11 @@
         const CallRecord& record = ledger.calls.at(it->second);
         if (record.bodyDigest != command.bodyDigest)
             return replyOf(LedgerOutcome::KeyReused, record);
-        return stateReply(record);
+        // A call that was refused without being run may be tried again under its key, as its caller was told "not run".
+        const bool neverRan = record.state == CallState::Done && !record.answer.ran && record.call != command.call;
+        if (!neverRan)
+            return stateReply(record);
+        eraseRecord(ledger, record.call);
     }
     if (ledger.expiredKeys.contains(digest) || keyIsTooOld(ledger, command.key))
         return { .outcome = LedgerOutcome::KeyExpired };
@@ -165,7 +169,9 @@
     if (!isWellFormed(command.answer))
         return { .outcome = LedgerOutcome::Malformed };
     LedgerReply refusal;
-    const CallState expected = command.answer.ran ? CallState::Dispatched : CallState::Reserved;
+    // The owner may refuse a dispatched call of which it knows that no byte has left.
+    const CallRecord* seen = findByCall(ledger, command.call);
+    const CallState expected = command.answer.ran || !seen ? CallState::Dispatched : seen->state;
     CallRecord* record = findOwned(ledger, command.call, command.owner, command.attempt, expected, refusal);
     if (!record)
         return refusal;
--- a/src/ledger/LedgerCommand.h
+++ b/src/ledger/LedgerCommand.h
@@ -50,7 +50,8 @@
     void serialize(Archive& archive) { archive(call, owner, attempt, now); }
 };
 
-/// Dispatched to Done with the upstream's answer (`answer.ran`), or Reserved to Done with a refusal (`!answer.ran`).
+/// Dispatched to Done with the upstream's answer (`answer.ran`), or to Done with a refusal (`!answer.ran`): from Reserved,
+/// or from Dispatched when the owner knows that no byte has left. A refused key may be reserved again.
 struct Complete {
     CallId call;
     CallOwner owner;
--- a/src/ledger/LedgerTable.cpp
+++ b/src/ledger/LedgerTable.cpp
@@ -98,6 +98,16 @@
     ++ledger.expiredKeys[digest];
 }
 
+void eraseRecord(Ledger& ledger, CallId call)
+{
+    const auto it = ledger.calls.find(call);
+    INVARIANT(it != ledger.calls.end() && isFinal(it->second.state), "only final records are removed", "call", call.value);
+    ledger.bytes -= bytesOf(it->second);
+    ledger.byKey.erase(digestOfKey(it->second.account, it->second.key));
+    ledger.byCreation.erase({ it->second.created, call });
+    ledger.calls.erase(it);
+}
+
 void expireKeys(Ledger& ledger)
 {
     while (!ledger.byCreation.empty()) {
@@ -109,10 +119,7 @@
         if (!isFinal(it->second.state))
             return;
         leaveDigest(ledger, it->second);
-        ledger.bytes -= bytesOf(it->second);
-        ledger.byKey.erase(digestOfKey(it->second.account, it->second.key));
-        ledger.calls.erase(it);
-        ledger.byCreation.erase(ledger.byCreation.begin());
+        eraseRecord(ledger, call);
     }
 }
 
--- a/src/ledger/LedgerTable.h
+++ b/src/ledger/LedgerTable.h
@@ -11,6 +11,8 @@
 /// True if the record fits into all bounds.
 bool hasRoom(const Ledger&, const CallRecord&);
 const CallRecord& insertRecord(Ledger&, CallRecord&&);
+/// Removes a record and its key; leaves no digest.
+void eraseRecord(Ledger&, CallId);
 /// Moves an open record to a final state.
 void finishRecord(Ledger&, CallRecord&, CallState, StoredAnswer&&);
 
--- a/src/soak/LedgerSoak.cpp
+++ b/src/soak/LedgerSoak.cpp
@@ -156,7 +156,8 @@
             afterDispatch(schedule, call, reply);
         break;
     case 1: {
-        StoredAnswer answer { .status = 200, .ran = random.chance(0.8), .body = "answer" + std::to_string(random.next()) };
+        // An owner refuses a call only while it knows that no byte has left.
+        StoredAnswer answer { .status = 200, .ran = call.byteMayHaveLeft || random.chance(0.8), .body = "answer" + std::to_string(random.next()) };
         if (random.chance(0.1))
             answer.body.resize(70000, 'x');
         reply = propose(schedule, Complete { .call = seen.call, .owner = owner, .attempt = attempt, .answer = answer, .now = schedule.now });
