Explain decisions, replace voters on order, refuse calls of empty pools at once

Causes, found by running the documented examples: explain had no handler and no records; a joined call was answered under an id that the ledger does not hold, and asking for it said "not run" of a call that had run; a slow upstream counted as silent at the deadline; a pool without upstreams held its calls until they were late; the runners that a move wants were ordered only once, before any had announced itself.

Every node keeps its last decisions and gathers those of all nodes for GET /admin/explain. An unknown call id now says unknown.

--- a/src/node/AdminFlow.cpp
+++ b/src/node/AdminFlow.cpp
@@ -2,9 +2,11 @@
 
 #include "node/Answers.h"
 #include "node/ControlFlow.h"
+#include "node/ExplainFlow.h"
 #include "node/FleetFlow.h"
 #include "node/Groups.h"
 #include "node/LeaderFlow.h"
+#include "node/VoterRepair.h"
 #include "rules/RuleMatch.h"
 #include "rules/RuleParser.h"
 
@@ -210,15 +212,43 @@
     answerJson(node, arrived.exchange, 200, json::serialize(json::object { { "moves", list } }));
 }
 
+// A voter by the name of its node, or by the 16 hex digits that `voters show` lists when no live node holds it.
+static VoterId voterNamed(const Node& node, const json::object& object, const char* key)
+{
+    const auto* value = object.if_contains(key);
+    if (!value || !value->is_string())
+        return {};
+    const std::string name(std::string_view(value->get_string()));
+    if (name == node.options.settings.node)
+        return node.options.voter;
+    if (const Member* member = findMember(node.membership, idOfName<NodeId>(name)))
+        return member->status.voter;
+    const auto id = parseCallId(name);
+    return id ? VoterId { id->value } : VoterId {};
+}
+
+static void orderReplacement(Node& node, const RequestArrived& arrived, const json::object& object)
+{
+    const VoterId remove = voterNamed(node, object, "remove");
+    const VoterId add = voterNamed(node, object, "add");
+    if (!remove || !add || remove == add || !nodeOfVoter(node, add))
+        return refuseRequest(node, arrived.exchange, RefusalCode::MalformedRequest, "\"remove\": expected a voter, by node name or id; \"add\": expected a live node with a data folder");
+    replaceVoter(node, remove, add);
+    explain(node, DecisionCode::Order, { { SubjectKind::Node, nodeName(node, nodeOfVoter(node, add)) } }, {}, "operator " + operatorOf(node, arrived.request) + " ordered the replacement of a voter");
+    answerJson(node, arrived.exchange, 200, json::serialize(json::object { { "ordered", true }, { "see", "voters show" } }));
+}
+
 static void changeVoters(Node& node, const RequestArrived& arrived)
 {
     json::error_code ec;
     const auto root = json::parse(arrived.request.body, ec);
     const auto* object = ec ? nullptr : root.if_object();
+    if (object && object->if_contains("action") && object->at("action") == "replace")
+        return orderReplacement(node, arrived, *object);
     const auto* action = object ? object->if_contains("action") : nullptr;
     const auto* names = object ? object->if_contains("voters") : nullptr;
     if (!action || !action->is_string() || action->get_string() != "bootstrap" || !names || !names->is_array())
-        return refuseRequest(node, arrived.exchange, RefusalCode::MalformedRequest, R"(expected {"action":"bootstrap","voters":["NODE",...]}; lost voters are replaced without an order)");
+        return refuseRequest(node, arrived.exchange, RefusalCode::MalformedRequest, R"(expected {"action":"bootstrap","voters":["NODE",...]} or {"action":"replace","remove":"VOTER","add":"NODE"})");
     std::vector<std::string> nodes;
     for (const auto& name : names->get_array()) {
         if (!name.is_string())
@@ -282,6 +312,8 @@
         return answerJson(node, arrived.exchange, 200, json::serialize(json::object { { "groups", groupsJson(node) } }));
     if (path == "/admin/upstreams")
         return showUpstreams(node, arrived);
+    if (path == "/admin/explain")
+        return answerExplain(node, arrived);
     if (path == "/admin/moves")
         return showMoves(node, arrived);
     refuseRequest(node, arrived.exchange, RefusalCode::UnknownRoute, "no such operator request");
--- a/src/node/CallEvents.cpp
+++ b/src/node/CallEvents.cpp
@@ -1,6 +1,7 @@
 #include "api/ModelRequest.h"
 #include "node/Answers.h"
 #include "node/CallFlow.h"
+#include "node/ExplainFlow.h"
 #include "node/MovesFlow.h"
 #include "node/OnceFlow.h"
 #include "rules/RuleMatch.h"
@@ -63,6 +64,7 @@
             return refuseCall(node, call, RefusalCode::UpstreamFailed, reason + " (" + std::string(nameOf(decision.verdict)) + ")", retryAfterOf(node, call));
         delay = decision.delay;
     }
+    explainCall(node, call.stream.offset ? DecisionCode::Resume : DecisionCode::Retry, call, reason + ", after " + std::to_string(call.stream.offset) + " tokens");
     node.counters.add(free ? "retries_after_reclaim" : "retries");
     if (call.repeat == Repeat::Once)
         return returnToReserved(node, call);
@@ -114,7 +116,8 @@
     if (!call.streaming || call.headForwarded || !call.exchange)
         return;
     call.headForwarded = true;
-    HttpHeaders headers { { std::string(headers::contentType), "text/event-stream" }, { "Cache-Control", "no-store" }, { std::string(headers::call), hexOf(call.id) } };
+    HttpHeaders headers { { std::string(headers::contentType), "text/event-stream" }, { "Cache-Control", "no-store" },
+        { std::string(headers::call), hexOf(call.id) }, { std::string(headers::run), std::string(nameOf(RunWord::Ran)) } };
     node.out.answers.push_back({ call.exchange, AnswerPart::Head, 200, std::move(headers), {} });
 }
 
--- a/src/node/CallFlow.cpp
+++ b/src/node/CallFlow.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Hash.h"
 #include "node/Answers.h"
+#include "node/ExplainFlow.h"
 #include "node/MovesFlow.h"
 #include "node/OnceFlow.h"
 #include "routing/Pools.h"
@@ -23,6 +24,11 @@
     return it == node.calls.end() ? nullptr : it->second.get();
 }
 
+CallId shownId(const NodeCall& call)
+{
+    return call.joined ? call.joined : call.id;
+}
+
 NodeCall& addCall(Node& node, CallId id)
 {
     auto& slot = node.calls[id];
@@ -101,7 +107,9 @@
 {
     if (call.reservedInLedger)
         return recordRefusal(node, call, code, std::move(message), retryAfter);
-    const Refusal refusal { code, runWordOf(call.dispatchState), std::move(message), hexOf(call.id), retryAfter };
+    const Refusal refusal { code, runWordOf(call.dispatchState), std::move(message), hexOf(shownId(call)), retryAfter };
+    explainCall(node, code == RefusalCode::OutcomeUnknown ? DecisionCode::OutcomeUnknown : DecisionCode::Refuse, call,
+        std::string(nameOf(code)) + ", " + std::string(nameOf(refusal.run)) + ": " + refusal.message);
     giveRefusal(node, call, refusal);
     endCall(node, call, nameOf(code));
 }
@@ -115,7 +123,7 @@
         if (equalHeaderNames(name, headers::contentType) || equalHeaderNames(name, "Location") || equalHeaderNames(name, "ETag"))
             out.emplace_back(name, value);
     }
-    out.emplace_back(headers::call, hexOf(call.id));
+    out.emplace_back(headers::call, hexOf(shownId(call)));
     out.emplace_back(headers::run, std::string(nameOf(RunWord::Ran)));
     if (stored)
         out.emplace_back("Siskinshunt-Stored", "true");
@@ -322,8 +330,33 @@
     return call.isModel ? TimeMs { 200 + static_cast<int64_t>(call.model.maxTokens) * tokenMs } : TimeMs { 50 };
 }
 
+// How long a pool has had no upstream that takes work.
+static TimeMs emptyFor(Node& node, const std::string& pool)
+{
+    const auto it = node.router.pools.find(pool);
+    if (it != node.router.pools.end()) {
+        refreshPool(node.router, it->second);
+        if (it->second.members) {
+            node.poolEmptySince.erase(pool);
+            return {};
+        }
+    }
+    return node.now - node.poolEmptySince.try_emplace(pool, node.now).first->second;
+}
+
+// A pool that is empty for longer than a restart or a replaced announcement takes is not waited for.
+static constexpr TimeMs emptyPoolPatience { 3000 };
+static constexpr TimeMs emptyPoolRetryAfter { 2000 };
+
+static void refuseForEmptyPool(Node& node, NodeCall& call)
+{
+    refuseCall(node, call, RefusalCode::NoUpstream, "no upstream of '" + call.pool + "' takes work at the moment", emptyPoolRetryAfter);
+}
+
 void enqueueCall(Node& node, NodeCall& call)
 {
+    if (emptyFor(node, call.pool) >= emptyPoolPatience)
+        return refuseForEmptyPool(node, call);
     auto& queue = node.queues[call.pool];
     const auto& classRule = findClass(*node.rules, call.className);
     setQueueBounds(queue, call.className, call.priority, { classRule.queueRequests, classRule.queueBytes });
@@ -429,6 +462,7 @@
     call.upstreamName = upstream->announced.name;
     call.address = upstream->announced.address;
     call.version = upstream->announced.version;
+    explainCall(node, DecisionCode::Route, call, std::string(nameOf(choice.reason)) + ", expected first token in " + std::to_string(static_cast<int64_t>(choice.expectedMs)) + " ms, " + std::to_string(choice.cachedTokens) + " tokens cached, " + std::to_string(choice.candidates) + " candidates");
     return true;
 }
 
@@ -466,7 +500,8 @@
 // at the end, so its whole duration is allowed, three times over.
 static TimeMs firstByteTimeout(const Node& node, const NodeCall& call)
 {
-    const TimeMs left = std::max(TimeMs { 100 }, call.deadline - node.now);
+    // Beyond the deadline, so that a slow upstream is not taken for a silent one: the deadline ends the call itself.
+    const TimeMs left = std::max(TimeMs { 0 }, call.deadline - node.now) + TimeMs { 1000 };
     if (call.repeat == Repeat::Once)
         return left + TimeMs { 60000 };
     const TimeMs progress = node.options.settings.timings.progressTimeout;
@@ -510,11 +545,11 @@
         return false;
     if (call.repeat == Repeat::Once && call.dispatchState == DispatchState::MayHaveLeft) {
         // The outcome may still come and is recorded then; the caller learns now that it is unknown and where to ask.
-        giveRefusal(node, call, { RefusalCode::DeadlineExceeded, RunWord::Unknown, "no outcome before the deadline; ask GET /v1/calls/" + hexOf(call.id), hexOf(call.id), drainRetryAfter });
+        giveRefusal(node, call, { RefusalCode::DeadlineExceeded, RunWord::Unknown, "no outcome before the deadline; ask GET /v1/calls/" + hexOf(shownId(call)), hexOf(shownId(call)), drainRetryAfter });
         return false;
     }
     if (call.stage == CallStage::Joining)
-        giveRefusal(node, call, { RefusalCode::DeadlineExceeded, RunWord::Unknown, "the first call with this key has no outcome yet; ask GET /v1/calls/" + hexOf(call.id), hexOf(call.id), drainRetryAfter });
+        giveRefusal(node, call, { RefusalCode::DeadlineExceeded, RunWord::Unknown, "the first call with this key has no outcome yet; ask GET /v1/calls/" + hexOf(shownId(call)), hexOf(shownId(call)), drainRetryAfter });
     refuseCall(node, call, RefusalCode::DeadlineExceeded, "the deadline of the class has passed", retryAfterOf(node, call));
     return true;
 }
@@ -528,7 +563,7 @@
     }
     std::vector<CallId> ids;
     for (const auto& [id, call] : node.calls) {
-        if (node.now >= call->deadline || call->stage == CallStage::Waiting || call->stage == CallStage::Joining || call->stage == CallStage::Recording)
+        if (node.now >= call->deadline || call->stage == CallStage::Waiting || call->stage == CallStage::Queued || call->stage == CallStage::Joining || call->stage == CallStage::Recording)
             ids.push_back(id);
     }
     // In a fixed order, so that a seed repeats a run.
@@ -537,6 +572,11 @@
         NodeCall* call = findCall(node, id);
         if (!call || atDeadline(node, *call))
             continue;
+        const bool waits = call->stage == CallStage::Waiting || call->stage == CallStage::Queued;
+        if (waits && emptyFor(node, call->pool) >= emptyPoolPatience) {
+            refuseForEmptyPool(node, *call);
+            continue;
+        }
         if (call->stage == CallStage::Waiting && node.now >= call->retryAt && !tryDispatch(node, *call, false))
             call->retryAt = node.now + TimeMs { 50 };
         else if (call->stage == CallStage::Joining || call->stage == CallStage::Recording)
@@ -544,6 +584,7 @@
     }
     for (auto& [pool, queue] : node.queues)
         pumpQueue(node, pool);
+    std::erase_if(node.poolEmptySince, [&](const auto& it) { return !node.queues.contains(it.first); });
 }
 
 }
--- a/src/node/ControlFlow.cpp
+++ b/src/node/ControlFlow.cpp
@@ -1,6 +1,7 @@
 #include "node/ControlFlow.h"
 
 #include "base/Invariant.h"
+#include "node/ExplainFlow.h"
 #include "node/FleetFlow.h"
 #include "node/Groups.h"
 #include "node/MovesFlow.h"
@@ -57,6 +58,7 @@
     parsed.rules.revision = revision.revision;
     node.rules = std::make_shared<const RuleSet>(std::move(parsed.rules));
     setLimits(node.limiter, node.rules->limits, node.now);
+    explain(node, DecisionCode::ApplyRules, { { SubjectKind::Rules, std::to_string(revision.revision) } }, {}, "applied by " + revision.operatorName + " under request " + revision.requestId);
     addLog(node, LogLevel::Info, "rules_in_force", Step::ReadRules, revision.operatorName, "rules revision " + std::to_string(revision.revision) + " is in force",
         { { "revision", std::to_string(revision.revision) } });
 }
--- a/src/node/LeaderFlow.cpp
+++ b/src/node/LeaderFlow.cpp
@@ -1,5 +1,6 @@
 #include "node/LeaderFlow.h"
 
+#include "node/ExplainFlow.h"
 #include "node/Groups.h"
 #include "node/MovesFlow.h"
 #include "node/Peers.h"
@@ -172,6 +173,7 @@
         leader.orderDispatches[dispatch.dispatch] = { order.id, order.fencing };
         addLog(node, LogLevel::Info, "order_sent", Step::Order, order.target, std::string(nameOf(order.kind)) + " " + order.model + " " + order.version,
             { { "order", order.id }, { "epoch", std::to_string(order.fencing.epoch) }, { "sequence", std::to_string(order.fencing.sequence) } });
+        explain(node, DecisionCode::Order, { { SubjectKind::Upstream, order.target }, { SubjectKind::Instance, order.id } }, {}, std::string(nameOf(order.kind)) + " " + order.model + " " + order.version);
         node.out.dispatches.push_back(std::move(dispatch));
     }
     reconcileOrders(leader.orders, [&node](const Order& order) {
@@ -204,10 +206,16 @@
 
 void takeMoveOrder(Node& node, const MoveOrder& order)
 {
-    // Runners of the model that may change over, those of other versions than the wanted one. A retire order names the
-    // version that shrinks, so its runners above the level are given the move's new version by the warm order.
+    // A retire order names the version that shrinks; its runners are given the other version by that one's level.
     if (order.kind == MoveOrderKind::RetireVersion)
-        return;
+        node.leader.levels.erase({ order.model, order.version });
+    else
+        node.leader.levels[{ order.model, order.version }] = order;
+}
+
+static void reachLevel(Node& node, const MoveOrder& order)
+{
+    // Runners of the model that may change over are those of other versions than the wanted one.
     uint32_t present = 0;
     std::vector<const Upstream*> others;
     for (const auto& [id, upstream] : node.membership.upstreams.entries) {
@@ -229,6 +237,19 @@
     }
 }
 
+static bool moveIsOpen(const Node& node, const std::string& model)
+{
+    return std::any_of(node.decisionLog.moves.begin(), node.decisionLog.moves.end(), [&](const auto& it) { return it.second.model == model && !isFinal(it.second.stage) && it.second.stage != MoveStage::Undoing; });
+}
+
+void reachLevels(Node& node)
+{
+    // Levels outlast a single order, because upstreams may announce themselves later.
+    std::erase_if(node.leader.levels, [&](const auto& it) { return !moveIsOpen(node, it.first.first); });
+    for (const auto& [key, order] : node.leader.levels)
+        reachLevel(node, order);
+}
+
 void tickLeader(Node& node)
 {
     const auto it = node.groups.find(decisionGroup);
--- a/src/node/LeaderFlow.h
+++ b/src/node/LeaderFlow.h
@@ -14,8 +14,10 @@
 /// Asks for shares of the limits that are in use here.
 void tickLeases(Node&);
 
-/// Turns a level of the move controller into orders to upstreams.
+/// Keeps a level that the move controller wants reached.
 void takeMoveOrder(Node&, const MoveOrder&);
+/// Orders what the levels lack from the upstreams that announce themselves now.
+void reachLevels(Node&);
 /// Takes the end of an order's request; false if the dispatch is not an order.
 bool takeOrderEvent(Node&, const UpstreamEvent&);
 
--- a/src/node/MovesFlow.cpp
+++ b/src/node/MovesFlow.cpp
@@ -1,5 +1,6 @@
 #include "node/MovesFlow.h"
 
+#include "node/ExplainFlow.h"
 #include "node/Groups.h"
 #include "node/LeaderFlow.h"
 #include "node/Peers.h"
@@ -107,6 +108,8 @@
         return;
     addLog(node, LogLevel::Warning, "local_trip", Step::Route, call.upstreamName, "stopped traffic to version " + directive->to + ": " + follower.trip.reason(),
         { { "move", directive->move }, { "rule_line", std::to_string(directive->line) }, { "asked_by", directive->person } });
+    explain(node, DecisionCode::Trip, { { SubjectKind::Move, directive->move }, { SubjectKind::Upstream, call.upstreamName } }, { directive->line, directive->person, directive->ruleText },
+        "stopped traffic to version " + directive->to + ": " + follower.trip.reason());
     node.nextEvidence = node.now;
     followMoves(node);
 }
@@ -166,6 +169,7 @@
 static void recordDirective(Node& node, MoveDirective directive)
 {
     const std::string move = directive.move;
+    explain(node, DecisionCode::MoveStep, { { SubjectKind::Move, move } }, { directive.line, directive.person, directive.ruleText }, std::string(nameOf(directive.stage)) + ": " + directive.reason);
     node.leader.recording.insert(move);
     addLog(node, LogLevel::Info, directive.code.empty() ? "move_step" : directive.code, Step::Propose, directive.move, directive.reason,
         { { "stage", std::string(nameOf(directive.stage)) }, { "sequence", std::to_string(directive.sequence) }, { "rule_line", std::to_string(directive.line) }, { "asked_by", directive.person } });
@@ -206,6 +210,7 @@
         recordDirective(node, std::move(directive));
     for (const auto& order : outputs.orders)
         takeMoveOrder(node, order);
+    reachLevels(node);
 }
 
 }
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -3,6 +3,7 @@
 #include "base/Invariant.h"
 #include "node/CallFlow.h"
 #include "node/ControlFlow.h"
+#include "node/ExplainFlow.h"
 #include "node/FleetFlow.h"
 #include "node/Groups.h"
 #include "node/LeaderFlow.h"
@@ -56,6 +57,7 @@
     , now(options.startedAtUtc)
     , random(options.seed + 2)
     , frameSequence(firstSequence(options.startedAtUtc))
+    , decisions(self)
     , membership(makeMembership(membershipOptions(options, cluster, key), now))
     , router(routerOptions(options))
 {
@@ -161,6 +163,7 @@
     tickCalls(node);
     tickEvidence(node);
     tickLeases(node);
+    tickExplain(node);
     tickDrain(node);
 }
 
--- a/src/node/NodeCall.h
+++ b/src/node/NodeCall.h
@@ -105,7 +105,7 @@
     bool reservedInLedger = false; ///< A takeover could still run it: "not run" needs a committed refusal.
     bool reservedDispatched = false; ///< Reservation and dispatch are committed in one entry.
     bool refusalPending = false;
-    CallId joined; ///< Joining: the call whose outcome is awaited.
+    CallId joined; ///< The earlier call with the same key, whose outcome this caller gets; the ledger knows it by this id.
     TimeMs recordUntil; ///< The answer is given by then even if its record is not committed.
 };
 
--- a/src/node/NodeState.h
+++ b/src/node/NodeState.h
@@ -4,6 +4,7 @@
 #include "base/Histogram.h"
 #include "base/Random.h"
 #include "control/DecisionLog.h"
+#include "explain/Explain.h"
 #include "fleet/UpstreamTable.h"
 #include "ledger/Ledger.h"
 #include "limits/ClassQueue.h"
@@ -85,6 +86,21 @@
     bool tripReported = false;
 };
 
+/// An operator's question that waits for the answers of other nodes.
+struct ExplainQuery {
+    ExchangeId exchange = 0;
+    std::string id;
+    TimeMs until;
+    std::set<NodeId> waiting;
+    std::vector<std::vector<DecisionRecord>> records;
+};
+
+/// An operator's order to replace a voter that may still be alive.
+struct VoterReplacement {
+    VoterId add;
+    TimeMs until;
+};
+
 /// State of the decision leader; reset when the lead changes.
 struct LeaderState {
     uint64_t epoch = 0; ///< In force for this leadership; 0 until TakeEpoch is applied.
@@ -96,6 +112,7 @@
     OrderTable orders;
     std::unordered_map<DispatchId, std::pair<std::string, FencingNumber>> orderDispatches;
     LeaseGrantor grantor;
+    std::map<std::pair<std::string, std::string>, MoveOrder> levels; ///< Runners that moves want, by model and version.
     std::set<std::string> recording; ///< Moves with a directive that is being committed.
 };
 
@@ -139,6 +156,11 @@
     ReplayWindow frameReplays;
     std::map<std::string, uint64_t> dropped; ///< Peer messages by reason.
 
+    // Decisions for auditors.
+    ExplainRing decisions;
+    std::map<uint64_t, ExplainQuery> explainQueries;
+    std::map<VoterId, VoterReplacement> replacements; ///< By the voter to remove.
+
     // Fleet.
     Membership membership;
     MembershipOutputs membershipOutputs;
@@ -150,6 +172,7 @@
     std::unordered_map<DispatchId, CallId> byDispatch;
     std::map<std::string, CallQueue> queues; ///< By pool.
     uint64_t queuedBytes = 0;
+    std::map<std::string, TimeMs> poolEmptySince; ///< Pools without an upstream that takes work.
     DispatchId lastDispatch = 0;
     Router router;
     Limiter limiter;
--- a/src/node/OnceFlow.cpp
+++ b/src/node/OnceFlow.cpp
@@ -3,6 +3,7 @@
 #include "base/Hash.h"
 #include "node/Answers.h"
 #include "node/CallFlow.h"
+#include "node/ExplainFlow.h"
 #include "node/Groups.h"
 #include "rules/RuleMatch.h"
 #include "wire/Codec.h"
@@ -60,6 +61,7 @@
 
 static void giveStored(Node& node, NodeCall& call, const LedgerReply& reply)
 {
+    call.joined = reply.call;
     if (reply.state == CallState::Unknown) {
         call.dispatchState = DispatchState::MayHaveLeft;
         return refuseCall(node, call, RefusalCode::OutcomeUnknown, "the call with this key was sent to an upstream and its outcome is not known; it is not run again");
@@ -348,6 +350,7 @@
     call.reservedInLedger = true;
     addLog(node, LogLevel::Warning, "call_taken_over", Step::Route, record.account, "the owner of an accepted once call is dead; this node runs it",
         { { "call", hexOf(record.call) }, { "attempt", std::to_string(record.attempt) } });
+    explainCall(node, DecisionCode::Takeover, call, "taken over from a dead owner under attempt " + std::to_string(record.attempt));
     node.counters.add("calls_taken_over");
     enqueueCall(node, call);
 }
@@ -358,7 +361,7 @@
         return refuseRequest(node, exchange, RefusalCode::LedgerUnavailable, "the ledger has no quorum at the moment", ledgerRetryAfter);
     const auto reply = decodeLedgerReply(bytes);
     if (!reply || reply->outcome == LedgerOutcome::NotFound)
-        return refuseRequest(node, exchange, RefusalCode::UnknownCall, "no call with this id is kept; only once calls are");
+        return answerRefusal(node, exchange, { RefusalCode::UnknownCall, RunWord::Unknown, "no call with this id is kept; only once calls are, for their retention", {}, {} });
     const auto state = reply->state;
     auto run = RunWord::Unknown;
     boost::json::object body { { "call", hexOf(id) }, { "state", nameOf(state) } };
--- a/src/node/Peers.cpp
+++ b/src/node/Peers.cpp
@@ -1,10 +1,12 @@
 #include "node/Peers.h"
 
 #include "node/ControlFlow.h"
+#include "node/ExplainFlow.h"
 #include "node/FleetFlow.h"
 #include "node/Groups.h"
 #include "node/LeaderFlow.h"
 #include "node/MovesFlow.h"
+#include "node/VoterRepair.h"
 #include "wire/Codec.h"
 #include "wire/FrameReader.h"
 
@@ -69,8 +71,11 @@
         return;
     }
     case FrameKind::Explain:
+        return receiveExplain(node, envelope.sender, envelope.body);
     case FrameKind::ExplainReply:
-        break;
+        return receiveExplainReply(node, envelope.sender, envelope.body);
+    case FrameKind::ReplaceVoter:
+        return receiveReplaceVoter(node, envelope.body);
     }
     countDrop(node, DropReason::BadKind);
 }
--- a/src/node/VoterRepair.cpp
+++ b/src/node/VoterRepair.cpp
@@ -2,6 +2,8 @@
 
 #include "node/Groups.h"
 #include "node/OnceFlow.h"
+#include "node/Peers.h"
+#include "wire/Codec.h"
 
 #include <algorithm>
 
@@ -22,8 +24,12 @@
     }
 }
 
-static VoterId lostVoter(const Node& node, const Group& group)
+static VoterId lostVoter(const Node& node, const Group& group, const std::vector<VoterId>& voters)
 {
+    for (const auto& [voter, replacement] : node.replacements) {
+        if (replacement.until > node.now && std::find(voters.begin(), voters.end(), voter) != voters.end())
+            return voter;
+    }
     for (const auto& [voter, since] : group.missingSince) {
         if (node.now - since >= missingBeforeRepair)
             return voter;
@@ -67,7 +73,7 @@
     group.nextRepair = node.now + repairInterval;
     const auto state = status(*group.replica);
     noteMissing(node, group, state.voters);
-    const VoterId lost = lostVoter(node, group);
+    const VoterId lost = lostVoter(node, group, state.voters);
     if (!state.learners.empty()) {
         const VoterId learner = state.learners.front();
         if (!nodeOfVoter(node, learner)) {
@@ -80,18 +86,58 @@
     if (!lost)
         return;
     // The group has grown by the spare, so that the lost voter can go.
-    const bool grown = std::count_if(state.voters.begin(), state.voters.end(), [&](VoterId it) { return nodeOfVoter(node, it).value != 0; }) >= static_cast<int64_t>(state.voters.size()) - 1 && state.voters.size() % 2 == 0;
+    const auto order = node.replacements.find(lost);
+    const bool grown = order != node.replacements.end()
+        ? std::find(state.voters.begin(), state.voters.end(), order->second.add) != state.voters.end()
+        : state.voters.size() % 2 == 0;
     if (grown) {
         logChange(node, group, "voter_removed", lost, "the voter was lost and has been replaced");
         changeMembers(*group.replica, MemberChange::Remove, lost);
         return;
     }
-    if (const VoterId spare = spareVoter(node, state)) {
+    const VoterId spare = order != node.replacements.end() ? order->second.add : spareVoter(node, state);
+    if (spare) {
         logChange(node, group, "voter_replacement_started", spare, "a voter has been missing; adding a spare as learner");
         changeMembers(*group.replica, MemberChange::AddLearner, spare);
     }
 }
 
+namespace {
+
+    struct ReplaceVoterFrame {
+        VoterId remove;
+        VoterId add;
+
+        template <class Archive>
+        void serialize(Archive& archive) { archive(remove, add); }
+    };
+
+}
+
+static void keepReplacement(Node& node, VoterId remove, VoterId add)
+{
+    // Long enough for a catch-up by snapshot; the order can be repeated.
+    static constexpr TimeMs orderValidity { 600000 };
+    node.replacements[remove] = { add, node.now + orderValidity };
+}
+
+void replaceVoter(Node& node, VoterId remove, VoterId add)
+{
+    keepReplacement(node, remove, add);
+    for (const auto& [id, member] : node.membership.members) {
+        if (member.status.voter && isAlive(node.membership, id))
+            sendFrame(node, id, FrameKind::ReplaceVoter, {}, encode(ReplaceVoterFrame { remove, add }));
+    }
+}
+
+void receiveReplaceVoter(Node& node, std::string_view body)
+{
+    const auto frame = handle([&]() -> Result<ReplaceVoterFrame> { return decode<ReplaceVoterFrame>(body, 64); }, [](const Error&) { return ReplaceVoterFrame {}; });
+    if (!frame.remove || !frame.add)
+        return countDrop(node, DropReason::BadBody);
+    keepReplacement(node, frame.remove, frame.add);
+}
+
 void resumeTakenOver(Node& node, const Ledger& ledger, CallId call)
 {
     if (const CallRecord* record = findByCall(ledger, call))
