Repeat lasting suspicions by gossip instead of pinging the suspect

Pings now repeat suspicions, and a node that knows the refutation answers. A sync reservation ends after 900 ms.

--- a/src/membership/DeltaQueue.h
+++ b/src/membership/DeltaQueue.h
@@ -40,6 +40,7 @@
     /// A peer sent the same again, so it need not get it back. `fewer`: nor is as much sending needed in all.
     void seenAgain(const DeltaKey&, NodeId peer, bool fewer);
     void remove(const DeltaKey&);
+    bool contains(const DeltaKey& key) const { return m_index.count(key) != 0; }
     size_t size() const { return m_index.size(); }
     bool empty() const { return m_index.empty(); }
 
--- a/src/membership/Gossip.cpp
+++ b/src/membership/Gossip.cpp
@@ -73,7 +73,9 @@
                 return Verdict::Gone;
             return append(message.confirms, room, it.remaining, member ? member->status : m.own);
         });
-        if (used >= m.options.loadBytesPerSecond)
+        // While tables differ, half of the loads' share is left to their comparison.
+        const bool differing = m.mismatch > 0.5 && m.memberDeltas.empty() && m.upstreamDeltas.empty();
+        if (used >= m.options.loadBytesPerSecond / (differing ? 2 : 1))
             return;
         Room loads { std::min(room.usual, m.options.loadBytesPerDatagram), 0, true };
         m.loadDeltas.offer(peer, [&](const Delta& it) {
@@ -82,6 +84,17 @@
         });
     }
 
+    /// Repeats suspicions that last already, so that whoever knows of a refutation that was lost on the way here answers.
+    static void addSuspects(const Membership& m, TimeMs now, GossipMessage& message)
+    {
+        for (const auto& [id, member] : m.members) {
+            if (message.statuses.size() >= 4)
+                return;
+            if (member.status.state == MemberState::Suspect && now - member.since >= m.options.suspicionBase / 2)
+                message.statuses.push_back({ 0, member.status });
+        }
+    }
+
     void sendGossip(Membership& m, TimeMs now, GossipKind kind, GossipMessage message, NodeId peer, const std::string& address, MembershipOutputs& out)
     {
         if (m.stopped)
@@ -97,6 +110,8 @@
         // A peer that counts as suspect or dead has to hear so in order to refute it.
         if (member && member->status.state != MemberState::Alive && member->status.state != MemberState::Left)
             message.statuses.push_back({ 0, member->status });
+        if (kind == GossipKind::Ping)
+            addSuspects(m, now, message);
         size_t base = envelopeOverhead + 1 + 17 + wireSize(m.own) + 8 + 7;
         for (const auto& it : message.identities)
             base += wireSize(it);
@@ -195,21 +210,14 @@
         return m.options.suspicionBase + TimeMs { static_cast<int64_t>(doublings * static_cast<double>(m.options.suspicionPerDoubling.value)) };
     }
 
-    /// Before the end of a suspicion the suspect is asked directly, in case that its refutation was lost on the way here.
-    /// Not earlier: a live suspect would be asked by every node, most of which learn of the refutation in time.
-    constexpr TimeMs lastCheck { 750 };
-
     static void expireMembers(Membership& m, TimeMs now, MembershipOutputs& out)
     {
         const TimeMs timeout = suspicionTimeout(m);
-        int checks = 2;
         for (auto it = m.members.begin(); it != m.members.end();) {
             Member& member = it->second;
             const TimeMs age = now - member.since;
             if (member.status.state == MemberState::Suspect && age >= timeout)
                 setState(m, member, MemberState::Dead, now, out);
-            else if (member.status.state == MemberState::Suspect && age + lastCheck >= timeout && checks-- > 0)
-                sendPing(m, now, member.status.id, member.identity.udpAddress, {}, out);
             if (member.status.state >= MemberState::Dead && age >= m.options.deadRetention)
                 it = m.members.erase(it);
             else
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -170,7 +170,8 @@
     TimeMs nextSeed;
     TimeMs nextSync;
     TimeMs nextExpiry;
-    size_t syncReserved = 0; ///< Bytes of frames that peers were told they may send; already counted as traffic.
+    size_t syncReserved = 0; ///< Bytes that the last peer asked may send; already counted as traffic of syncReservedAt.
+    TimeMs syncReservedAt;
     TimeMs digestsAt { -1000000 };
     uint32_t memberDigest = 0;
     uint32_t upstreamDigest = 0;
--- a/src/membership/Receive.cpp
+++ b/src/membership/Receive.cpp
@@ -31,6 +31,19 @@
         }
     }
 
+    /// A repeated suspicion that this node knows to be refuted is answered once.
+    static void answerOutdated(Membership& m, const MemberStatus& in, NodeId sender)
+    {
+        const DeltaKey key { in.id.value, 0, false };
+        const Member* known = findMember(m, in.id);
+        if (known && in.state == MemberState::Suspect && in.incarnation < known->status.incarnation) {
+            if (!m.memberDeltas.contains(key))
+                m.memberDeltas.add(key, 1, {});
+            return;
+        }
+        m.memberDeltas.seenAgain(key, sender, false);
+    }
+
     static void takeDeltas(Membership& m, TimeMs now, const GossipMessage& message, NodeId sender, MembershipOutputs& out)
     {
         for (const auto& it : message.records) {
@@ -39,7 +52,7 @@
         }
         for (const auto& it : message.statuses) {
             if (!mergeStatus(m, now, it.value, urgentFrom(it.remaining, sender), out))
-                m.memberDeltas.seenAgain({ it.value.id.value, 0, false }, sender, false);
+                answerOutdated(m, it.value, sender);
         }
         for (const auto& it : message.confirms) {
             if (!mergeStatus(m, now, it.value, { it.remaining, sender }, out))
--- a/src/membership/Sync.cpp
+++ b/src/membership/Sync.cpp
@@ -87,7 +87,8 @@
     static uint32_t grantRoom(Membership& m, TimeMs now)
     {
         const size_t room = roomNow(m, now);
-        m.syncReserved += room;
+        m.syncReserved = room;
+        m.syncReservedAt = now;
         m.traffic.add(now, room);
         return static_cast<uint32_t>(room);
     }
@@ -105,8 +106,6 @@
         const Member* peer = findMember(m, m.ring[m.random.below(m.ring.size())]);
         if (!peer || roomNow(m, now) < m.options.syncChunk / 4)
             return;
-        // Answers to earlier requests that have not come by now will not come.
-        m.syncReserved = 0;
         TableDigest digest = digestTables(m);
         digest.room = grantRoom(m, now);
         sendFrame(m, now, *peer, TableFrameKind::TableDigest, encode(digest), out);
@@ -266,6 +265,9 @@
 
 DropReason receiveTableFrame(Membership& m, TimeMs now, NodeId from, TableFrameKind kind, std::string_view body, MembershipOutputs& out)
 {
+    // After a second the reservation has left the meter, so what comes then counts again.
+    if (now - m.syncReservedAt >= 900_ms || kind != TableFrameKind::TableRecords)
+        m.syncReserved = 0;
     const size_t expected = std::min(m.syncReserved, frameBytes(body.size()));
     m.syncReserved -= expected;
     m.traffic.add(now, frameBytes(body.size()) - expected);
