--- a/src/entry/Daemon.cpp
+++ b/src/entry/Daemon.cpp
@@ -121,7 +121,7 @@
         apply(std::move(inputs));
     })
     , m_transport(m_context, { .listen = settings.peer }, {
-                                                              .datagram = [this](std::string bytes, Endpoint from) {
+                                                              .datagram = [this](std::string bytes, const Endpoint& from) {
                   Inputs inputs;
                   inputs.datagrams.push_back({ toString(from), std::move(bytes) });
                   apply(std::move(inputs)); },
--- a/src/entry/PeerTransport.h
+++ b/src/entry/PeerTransport.h
@@ -22,7 +22,7 @@
 
 /// What the transport delivers, on the event loop. The bytes are still sealed.
 struct PeerTransportHandlers {
-    std::function<void(std::string bytes, Endpoint from)> datagram;
+    std::function<void(std::string bytes, const Endpoint& from)> datagram;
     std::function<void(std::string bytes)> frame;
     std::function<void(LogRecord)> log;
 };
--- a/src/node/AdminFlow.cpp
+++ b/src/node/AdminFlow.cpp
@@ -19,6 +19,8 @@
 
 static constexpr TimeMs applyTimeout { 5000 };
 static constexpr TimeMs applyRetryAfter { 1000 };
+// The revision is committed; only its being in force on this node is waited for.
+static constexpr TimeMs inForceTimeout { 2000 };
 static constexpr size_t maxRequestIdBytes = 128;
 
 static std::string nodeName(const Node& node, NodeId id)
@@ -111,13 +113,25 @@
     answerJson(node, exchange, 400, json::serialize(json::object { { "error", error } }));
 }
 
+void tickApplies(Node& node)
+{
+    std::erase_if(node.applies, [&](const PendingApply& it) {
+        if (node.view.rules.revision < it.revision && node.now < it.until)
+            return false;
+        answerJson(node, it.exchange, 200, json::serialize(json::object { { "applied", true }, { "revision", it.revision } }));
+        return true;
+    });
+}
+
 static void answerApplied(Node& node, ExchangeId exchange, bool applied, const std::string& bytes)
 {
     const auto reply = applied ? decodeControlReply(bytes) : std::nullopt;
     if (!reply)
         return answerRefusal(node, exchange, { RefusalCode::Unavailable, RunWord::Unknown, "no quorum answered in time; send the same request id again", {}, applyRetryAfter });
-    if (reply->outcome == ControlOutcome::Accepted)
-        return answerJson(node, exchange, 200, json::serialize(json::object { { "applied", true }, { "revision", reply->revision } }));
+    if (reply->outcome == ControlOutcome::Accepted) {
+        node.applies.push_back({ exchange, reply->revision, node.now + inForceTimeout });
+        return tickApplies(node);
+    }
     if (reply->outcome != ControlOutcome::Conflict)
         return refuseRequest(node, exchange, RefusalCode::InvalidRules, reply->detail.empty() ? std::string(nameOf(reply->outcome)) : reply->detail);
     const std::string message = "revision " + std::to_string(reply->revision) + " by " + reply->winner + " is in force" + (reply->detail.empty() ? "" : "; " + reply->detail);
--- a/src/node/CallFlow.cpp
+++ b/src/node/CallFlow.cpp
@@ -143,10 +143,10 @@
 {
     static constexpr std::array<std::string_view, 5> passed { "Content-Type", "Accept", "Accept-Language", "Idempotency-Key", "User-Agent" };
     HttpHeaders out;
-    for (const auto& [name, value] : headers) {
-        const bool keep = std::any_of(passed.begin(), passed.end(), [&](std::string_view it) { return equalHeaderNames(it, name); });
+    for (const auto& header : headers) {
+        const bool keep = std::any_of(passed.begin(), passed.end(), [&](std::string_view it) { return equalHeaderNames(it, header.first); });
         if (keep)
-            out.emplace_back(name, value);
+            out.push_back(header);
     }
     return out;
 }
--- a/src/node/LeaderFlow.cpp
+++ b/src/node/LeaderFlow.cpp
@@ -308,6 +308,7 @@
         return;
     }
     std::vector<LeaseRequestItem> items;
+    items.reserve(requests.size());
     for (const auto& request : requests)
         items.push_back({ request.key, request.sequence, request.demand, request.share });
     if (const NodeId leader = decisionLeader(node))
--- a/src/node/Metrics.cpp
+++ b/src/node/Metrics.cpp
@@ -45,13 +45,17 @@
     for (const auto& [reason, n] : node.dropped)
         appendValue(out, "peer_messages_dropped_total", "reason=\"" + reason + "\"", static_cast<double>(n));
     for (const auto& [key, histograms] : node.histograms) {
-        const std::string labels = "account=\"" + key.first + "\",class=\"" + key.second + "\"";
+        std::string labels = "account=\"";
+        labels.append(key.first).append("\",class=\"").append(key.second).append("\"");
         appendHistogram(out, "first_token_seconds", labels, histograms.firstToken);
         appendHistogram(out, "between_tokens_seconds", labels, histograms.betweenTokens);
         appendHistogram(out, "call_seconds", labels, histograms.whole);
         appendHistogram(out, "queue_seconds", labels, histograms.queued);
-        for (const auto& [outcome, n] : histograms.outcomes)
-            appendValue(out, "calls_total", labels + ",outcome=\"" + outcome + "\"", static_cast<double>(n));
+        for (const auto& [outcome, n] : histograms.outcomes) {
+            std::string outcomeLabels = labels;
+            outcomeLabels.append(",outcome=\"").append(outcome).append("\"");
+            appendValue(out, "calls_total", outcomeLabels, static_cast<double>(n));
+        }
     }
     appendGroups(out, node);
     appendValue(out, "rules_revision", {}, static_cast<double>(node.view.rules.revision));
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -1,6 +1,7 @@
 #include "node/Node.h"
 
 #include "base/Invariant.h"
+#include "node/AdminFlow.h"
 #include "node/CallFlow.h"
 #include "node/ControlFlow.h"
 #include "node/ExplainFlow.h"
@@ -164,6 +165,7 @@
     tickEvidence(node);
     tickLeases(node);
     tickExplain(node);
+    tickApplies(node);
     tickDrain(node);
 }
 
--- a/src/node/NodeState.h
+++ b/src/node/NodeState.h
@@ -95,6 +95,13 @@
     std::vector<std::vector<DecisionRecord>> records;
 };
 
+/// An operator who gets the answer once the accepted revision is in force on this node, or at `until`.
+struct PendingApply {
+    ExchangeId exchange = 0;
+    uint64_t revision = 0;
+    TimeMs until;
+};
+
 /// An operator's order to replace a voter that may still be alive.
 struct VoterReplacement {
     VoterId add;
@@ -159,6 +166,7 @@
     // Decisions for auditors.
     ExplainRing decisions;
     std::map<uint64_t, ExplainQuery> explainQueries;
+    std::vector<PendingApply> applies; ///< Accepted rules that are not in force on this node yet.
     std::map<VoterId, VoterReplacement> replacements; ///< By the voter to remove.
 
     // Fleet.
--- a/src/node/Peers.cpp
+++ b/src/node/Peers.cpp
@@ -100,14 +100,14 @@
     case MembershipEventKind::UpstreamRemoved:
         return upstreamRemoved(node, event.upstream);
     case MembershipEventKind::HigherRevision:
-        return viewSeen(node, event.member);
     case MembershipEventKind::MemberUp:
     case MembershipEventKind::MemberChanged:
         return viewSeen(node, event.member);
     case MembershipEventKind::Replaced:
     case MembershipEventKind::Collision:
-        addLog(node, LogLevel::Error, std::string(nameOf(event.kind)), Step::Receive, event.detail, "this node stops: another process runs under its name or id");
-        node.out.stop = true;
+        node.out.stop = node.out.stop || node.membership.stopped;
+        addLog(node, LogLevel::Error, std::string(nameOf(event.kind)), Step::Receive, event.detail,
+            node.membership.stopped ? "this node stops: another process runs under its name or id" : "two other members have one id");
         return;
     case MembershipEventKind::MemberDown:
     case MembershipEventKind::MemberLeft:
