--- a/src/node/FleetFlow.cpp
+++ b/src/node/FleetFlow.cpp
@@ -1,6 +1,7 @@
 #include "node/FleetFlow.h"
 
 #include "api/AnnouncementJson.h"
+#include "base/Hash.h"
 #include "node/Answers.h"
 #include "node/CallFlow.h"
 #include "node/MovesFlow.h"
@@ -13,7 +14,6 @@
 namespace siskinshunt {
 
 static constexpr TimeMs refreshInterval { 200 };
-static constexpr int announceNodes = 2;
 static constexpr TimeMs announceInterval { 1000 };
 // Load reports are this old on average when they arrive, by the lag that the platform states.
 static constexpr TimeMs loadReportLag { 500 };
@@ -91,6 +91,25 @@
         moveCall(node, id);
 }
 
+// The other node that an upstream announces itself to: of its failure domain if possible, and spread over the nodes by
+// rendezvous hash, so that each node hears from few upstreams.
+static std::string secondAnnounceNode(const Node& node, const Announcement& announced)
+{
+    const uint64_t upstream = hash64(announced.name);
+    const Member* best = nullptr;
+    std::pair<bool, uint64_t> bestRank;
+    for (const auto& [id, member] : node.membership.members) {
+        if (!isAlive(node.membership, id) || member.status.draining)
+            continue;
+        const std::pair<bool, uint64_t> rank { member.identity.domain != announced.domain, combineHash(upstream, id.value) };
+        if (best && bestRank <= rank)
+            continue;
+        best = &member;
+        bestRank = rank;
+    }
+    return best ? best->identity.httpAddress : std::string {};
+}
+
 void answerAnnounce(Node& node, const RequestArrived& arrived)
 {
     if (arrived.request.method != "POST")
@@ -114,16 +133,8 @@
     // Two nodes that keep serving; this one first, so that an upstream stays where it is known.
     if (!node.draining)
         nodes.emplace_back(toString(node.options.settings.http));
-    std::vector<std::pair<bool, std::string>> others;
-    for (const auto& [id, member] : node.membership.members) {
-        if (isAlive(node.membership, id) && !member.status.draining)
-            others.emplace_back(member.identity.domain != announced.domain, member.identity.httpAddress);
-    }
-    std::sort(others.begin(), others.end());
-    for (const auto& [foreign, address] : others) {
-        if (nodes.size() < announceNodes)
-            nodes.emplace_back(address);
-    }
+    if (const std::string second = secondAnnounceNode(node, announced); !second.empty())
+        nodes.emplace_back(second);
     answerJson(node, arrived.exchange, 200, boost::json::serialize(boost::json::object { { "nodes", nodes }, { "interval_ms", announceInterval.value } }));
 }
 
--- a/src/replica/Replica.h
+++ b/src/replica/Replica.h
@@ -22,7 +22,7 @@
     TimeMs electionMin = 500_ms;
     TimeMs electionMax = 1000_ms;
     TimeMs lease = 450_ms; ///< electionMin less the drift allowance of 10%.
-    uint64_t snapshotEntries = 1000; ///< A snapshot is taken after this many applied entries,
+    uint64_t snapshotEntries = 1000; ///< A snapshot is taken after this many applied entries, if they hold half of its size,
     uint64_t snapshotBytes = 4 << 20; ///< or after this many bytes of them (at least the size of the last snapshot).
     uint64_t trailingEntries = 500; ///< Entries kept in memory below a snapshot for members that lag slightly.
     size_t maxPending = 1024; ///< Proposals without an outcome; further ones are refused as not applied.
--- a/src/rules/RuleChecks.cpp
+++ b/src/rules/RuleChecks.cpp
@@ -2,36 +2,30 @@
 
 #include <algorithm>
 #include <map>
+#include <string_view>
+#include <tuple>
 
 namespace siskinshunt {
 
 namespace {
 
     struct Checker {
-        const RuleSet& rules;
-        std::vector<RuleProblem>& problems;
+        ParsedRules& parsed;
+        const RuleSet& rules = parsed.rules;
 
-        void report(const RuleOrigin& origin, const std::string& message) { problems.push_back({ origin.line, 1, message }); }
+        void report(const RuleOrigin& origin, const std::string& message) { parsed.problems.push_back({ origin.line, 1, message }); }
 
-        bool hasClass(const std::string& name) const
-        {
-            return std::any_of(rules.classes.begin(), rules.classes.end(), [&](const auto& it) { return it.name == name; });
-        }
-
-        bool hasAccount(const std::string& name) const
-        {
-            return std::any_of(rules.accounts.begin(), rules.accounts.end(), [&](const auto& it) { return it.name == name; });
-        }
+        bool hasRule(const char* kind, const std::string& name) const { return parsed.lineOfRule.contains(std::string(kind) + " " + name); }
 
         void checkClass(const RuleOrigin& origin, const std::string& name)
         {
-            if (!name.empty() && name != "*" && !hasClass(name))
+            if (!name.empty() && name != "*" && !hasRule("class", name))
                 report(origin, "class '" + name + "' is not defined; expected the name of a class rule");
         }
 
         void checkAccount(const RuleOrigin& origin, const std::string& name)
         {
-            if (name != "*" && !hasAccount(name))
+            if (name != "*" && !hasRule("account", name))
                 report(origin, "account '" + name + "' is not defined; expected the name of an account rule or *");
         }
     };
@@ -44,22 +38,19 @@
         checker.checkClass(target.origin, target.className);
 }
 
-static bool sameConditions(const RouteRule& a, const RouteRule& b)
-{
-    return a.account == b.account && a.className == b.className && a.model == b.model && a.service == b.service && a.path == b.path && a.method == b.method;
-}
-
 static void checkRoutes(Checker& checker)
 {
+    using Conditions = std::tuple<std::string_view, std::string_view, std::string_view, std::string_view, std::string_view, std::string_view>;
+    std::map<Conditions, const RouteRule*> seen;
     const auto& routes = checker.rules.routes;
     for (auto it = routes.begin(); it != routes.end(); ++it) {
         checker.checkClass(it->origin, it->className);
         checker.checkAccount(it->origin, it->account);
         if (it->model.empty() == it->service.empty())
             checker.report(it->origin, "route '" + it->name + "' needs either model= or service=");
-        const auto hidden = std::find_if(routes.begin(), it, [&](const RouteRule& earlier) { return sameConditions(earlier, *it); });
-        if (hidden != it)
-            checker.report(it->origin, "route '" + it->name + "' never matches; route '" + hidden->name + "' on line " + std::to_string(hidden->origin.line) + " has the same conditions");
+        const auto [first, fresh] = seen.try_emplace({ it->account, it->className, it->model, it->service, it->path, it->method }, &*it);
+        if (!fresh)
+            checker.report(it->origin, "route '" + it->name + "' never matches; route '" + first->second->name + "' on line " + std::to_string(first->second->origin.line) + " has the same conditions");
     }
 }
 
@@ -77,9 +68,8 @@
 
 static void checkRetries(Checker& checker)
 {
-    const auto& routes = checker.rules.routes;
     for (const auto& retry : checker.rules.retries) {
-        const bool known = retry.route == "*" || std::any_of(routes.begin(), routes.end(), [&](const auto& it) { return it.name == retry.route; });
+        const bool known = retry.route == "*" || checker.hasRule("route", retry.route);
         if (!known)
             checker.report(retry.origin, "route '" + retry.route + "' is not defined; expected the name of a route rule or *");
         if (retry.base > retry.cap)
@@ -123,7 +113,7 @@
 
 void checkReferences(ParsedRules& parsed)
 {
-    Checker checker { parsed.rules, parsed.problems };
+    Checker checker { parsed };
     checkTargets(checker);
     checkRoutes(checker);
     checkLimits(checker);
@@ -132,5 +122,4 @@
     checkMoves(checker);
     checkInstances(checker);
 }
-
 }
--- a/src/rules/RuleKinds.cpp
+++ b/src/rules/RuleKinds.cpp
@@ -141,7 +141,8 @@
                                                                                                 { "attempts", false, "a whole number from 1 to 10", [](RetryRule& rule, std::string_view v) { return assign<int, uint64_t>(rule.attempts, parseCount(v), 1, 10); } },
                                                                                                 { "base", false, "a duration from 1ms to 1m", [](RetryRule& rule, std::string_view v) { return assignDuration(rule.base, v, 1_ms, 1_min); } },
                                                                                                 { "cap", false, "a duration from 1ms to 10m", [](RetryRule& rule, std::string_view v) { return assignDuration(rule.cap, v, 1_ms, 10_min); } },
-                                                                                                { "hedge", false, "yes or no", [](RetryRule& rule, std::string_view v) { rule.hedge = v == "yes"; return v == "yes" || v == "no"; } },
+                                                                                                // Hedging is decided in limits/Retry but not yet done by the node, so a rule that asks for it is refused.
+                                                                                                { "hedge", false, "no (hedged requests are not available yet)", [](RetryRule& rule, std::string_view v) { rule.hedge = false; return v == "no"; } },
                                                                                             } };
     return s_spec;
 }
@@ -236,12 +237,11 @@
         if (known.required && !given)
             out.problems.push_back({ line, input.nameColumn, input.kind + " '" + input.name + "' lacks " + std::string(known.key) + "=; expected " + std::string(known.expected) });
     }
-    auto& rows = out.rules.*spec.rows;
-    const auto twin = std::find_if(rows.begin(), rows.end(), [&](const Rule& row) { return row.*spec.name == input.name; });
-    if (twin != rows.end())
-        out.problems.push_back({ line, input.nameColumn, input.kind + " '" + input.name + "' is already defined on line " + std::to_string(twin->origin.line) });
+    const auto [twin, fresh] = out.lineOfRule.try_emplace(input.kind + " " + input.name, line);
+    if (!fresh)
+        out.problems.push_back({ line, input.nameColumn, input.kind + " '" + input.name + "' is already defined on line " + std::to_string(twin->second) });
     else {
-        rows.push_back(std::move(rule));
+        (out.rules.*spec.rows).push_back(std::move(rule));
         out.rules.lines.push_back({ input.kind, input.name, input.origin });
     }
     return true;
--- a/src/rules/RuleParser.h
+++ b/src/rules/RuleParser.h
@@ -3,6 +3,7 @@
 #include "base/Error.h"
 #include "rules/RuleSet.h"
 
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,6 +20,7 @@
 struct ParsedRules {
     RuleSet rules; ///< Complete only when there are no problems.
     std::vector<RuleProblem> problems; ///< In file order.
+    std::map<std::string, int> lineOfRule; ///< By kind and name, to find duplicates.
 };
 
 /// Parses and checks a rules file: the grammar of every line, then the references between rules.
