--- a/src/experiment/AdminCommands.cpp
+++ b/src/experiment/AdminCommands.cpp
@@ -3,6 +3,8 @@
 #include "experiment/CommandOptions.h"
 #include "experiment/Commands.h"
 #include "experiment/TextTable.h"
+#include "rules/RuleKinds.h"
+#include "rules/RuleParser.h"
 
 #include <algorithm>
 #include <chrono>
@@ -97,8 +99,9 @@
     {
         std::ifstream in(path, std::ios::binary);
         std::ostringstream text;
+        // A folder opens like a file; only reading from it fails, which marks the output stream.
         text << in.rdbuf();
-        if (in)
+        if (in && !text.bad())
             return text.str();
         std::cerr << path << ": the file cannot be read\n";
         return std::nullopt;
@@ -184,6 +187,54 @@
         return diff.empty() ? exits::ok : exits::no;
     }
 
+    Json countsByKind(const RuleSet& rules)
+    {
+        auto counts = Json::object();
+        for (const auto kind : ruleKindNames()) {
+            const auto n = std::count_if(rules.lines.begin(), rules.lines.end(), [&](const RuleLine& it) { return it.kind == kind; });
+            if (n)
+                counts.set(std::string(kind), static_cast<int64_t>(n));
+        }
+        return counts;
+    }
+
+    void printCheck(const std::string& file, const ParsedRules& parsed)
+    {
+        for (const auto& it : parsed.problems)
+            std::cout << toString(it, file) << '\n';
+        if (!parsed.problems.empty())
+            return;
+        std::cout << file << ": valid; rules: " << parsed.rules.lines.size();
+        for (const auto& [kind, n] : countsByKind(parsed.rules).members)
+            std::cout << ", " << kind << ' ' << toPlainText(n);
+        std::cout << '\n';
+    }
+
+    int checkRules(const std::vector<std::string>& arguments)
+    {
+        CommandOptions options("siskinshuntctl rules check FILE [--json]",
+            "Checks a rules file without asking a node. Exits with 1 when it has problems, with 2 when it cannot be read.");
+        options.addPositional("file", 1);
+        options.addFlag("json", "print the result as JSON");
+        if (const auto code = options.parse(arguments))
+            return *code;
+        if (!options.require({ "file" }))
+            return exits::usage;
+        const auto file = options.many("file")[0];
+        const auto text = readFile(file);
+        if (!text)
+            return exits::usage;
+        const auto parsed = parseRules(*text);
+        if (options.flag("json")) {
+            auto problems = Json::array();
+            for (const auto& it : parsed.problems)
+                problems.push(Json::object({ { "line", it.line }, { "column", it.column }, { "message", it.message } }));
+            std::cout << toText(Json::object({ { "file", file }, { "valid", parsed.problems.empty() }, { "rules", countsByKind(parsed.rules) }, { "problems", problems } })) << '\n';
+        } else
+            printCheck(file, parsed);
+        return parsed.problems.empty() ? exits::ok : exits::no;
+    }
+
     int bootstrapVoters(const std::vector<std::string>& arguments)
     {
         AdminOptions options("voters bootstrap --voter NODE...", "Names the first voters; works once, on a system without voters.");
@@ -239,7 +290,7 @@
 
 int runRulesCommand(const std::vector<std::string>& arguments)
 {
-    return runWord("rules", { { "apply", applyRules }, { "show", showRules }, { "diff", diffRules }, { "history", rulesHistory } }, arguments);
+    return runWord("rules", { { "check", checkRules }, { "apply", applyRules }, { "show", showRules }, { "diff", diffRules }, { "history", rulesHistory } }, arguments);
 }
 
 int runVotersCommand(const std::vector<std::string>& arguments)
--- a/tests/experiment/AdminTest.cpp
+++ b/tests/experiment/AdminTest.cpp
@@ -4,8 +4,40 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
 using namespace siskinshunt;
 
+namespace {
+
+struct Printed {
+    int code = 0;
+    std::string out;
+};
+
+}
+
+// Runs `rules check` on a file of its own with this text; the name of the file is replaced by FILE.
+static Printed checkText(const std::string& text, std::vector<std::string> more = {})
+{
+    const auto path = std::filesystem::temp_directory_path() / "siskinshunt-admin-test.rules";
+    std::ofstream(path) << text;
+    std::ostringstream out;
+    auto* const before = std::cout.rdbuf(out.rdbuf());
+    std::vector<std::string> arguments { "check", path.string() };
+    arguments.insert(arguments.end(), more.begin(), more.end());
+    Printed printed { .code = runRulesCommand(arguments) };
+    std::cout.rdbuf(before);
+    std::filesystem::remove(path);
+    printed.out = out.str();
+    for (size_t at; (at = printed.out.find(path.string())) != std::string::npos;)
+        printed.out.replace(at, path.string().size(), "FILE");
+    return printed;
+}
+
 // Guards against exit codes that tell a script "ok" when a request was refused or nobody answered.
 BOOST_AUTO_TEST_CASE(exitCodesFollowTheAnswer)
 {
@@ -43,3 +75,42 @@
     BOOST_TEST(diffLines("a\nb\nc\n", "a\nx\nc\nd\n") == "- b\n+ x\n+ d\n");
     BOOST_TEST(diffLines("", "a\n") == "+ a\n");
 }
+
+static constexpr const char* goodRules = "class chat priority=1 deadline=60s # Ann: people wait\n"
+                                         "route chat model=m class=chat repeat=yes # Ann: all chats\n"
+                                         "route other model=n repeat=yes # Ann: the rest\n";
+
+// Guards against a check that passes a file which an apply would refuse, or that stops at the first problem.
+BOOST_AUTO_TEST_CASE(checkPrintsEveryProblemOfARulesFile)
+{
+    const auto printed = checkText("class chat priority=12 deadline=60s # Ann: people wait\nroute chat model=m repeat=yes\n");
+    BOOST_TEST(printed.code == exits::no);
+    BOOST_TEST(printed.out == "FILE:1:21: priority='12': expected a whole number from 0 (first) to 9 (last)\n"
+                              "FILE:2:30: expected a comment '# PERSON: reason' that says who asked for the rule\n");
+}
+
+// Guards against counts that do not belong to the file.
+BOOST_AUTO_TEST_CASE(checkCountsTheRulesOfAValidFile)
+{
+    const auto printed = checkText(goodRules);
+    BOOST_TEST(printed.code == exits::ok);
+    BOOST_TEST(printed.out == "FILE: valid; rules: 3, class 1, route 2\n");
+}
+
+// Guards against a JSON form that says something else than the text.
+BOOST_AUTO_TEST_CASE(checkAnswersInJson)
+{
+    const auto good = checkText(goodRules, { "--json" });
+    BOOST_TEST(good.code == exits::ok);
+    BOOST_TEST(good.out == "{\"file\":\"FILE\",\"valid\":true,\"rules\":{\"class\":1,\"route\":2},\"problems\":[]}\n");
+    const auto bad = checkText("drain d # Ann: reason\n", { "--json" });
+    BOOST_TEST(bad.code == exits::no);
+    BOOST_TEST(bad.out.find("\"problems\":[{\"line\":1,\"column\":7,\"message\":\"drain 'd' lacks within=") != std::string::npos);
+}
+
+// Guards against a missing file or a folder that is reported as a valid file without rules.
+BOOST_AUTO_TEST_CASE(checkRefusesWhatCannotBeRead)
+{
+    BOOST_TEST(runRulesCommand({ "check", "/nonexistent.rules" }) == exits::usage);
+    BOOST_TEST(runRulesCommand({ "check", std::filesystem::temp_directory_path().string() }) == exits::usage);
+}
