--- a/src/experiment/AdminCommands.cpp
+++ b/src/experiment/AdminCommands.cpp
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <random>
@@ -99,9 +100,9 @@
     {
         std::ifstream in(path, std::ios::binary);
         std::ostringstream text;
-        // A folder opens like a file; only reading from it fails, which marks the output stream.
         text << in.rdbuf();
-        if (in && !text.bad())
+        // A folder opens like a file and reads like an empty one.
+        if (in && !std::filesystem::is_directory(path))
             return text.str();
         std::cerr << path << ": the file cannot be read\n";
         return std::nullopt;
