--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -3,6 +3,7 @@
 #include "base/Invariant.h"
 #include "node/CallFlow.h"
 #include "node/ControlFlow.h"
+#include "node/ExplainFlow.h"
 #include "node/FleetFlow.h"
 #include "node/Groups.h"
 #include "node/LeaderFlow.h"
@@ -56,6 +57,7 @@
     , now(options.startedAtUtc)
     , random(options.seed + 2)
     , frameSequence(firstSequence(options.startedAtUtc))
+    , decisions(self)
     , membership(makeMembership(membershipOptions(options, cluster, key), now))
     , router(routerOptions(options))
 {
@@ -116,6 +118,10 @@
     }
     for (const auto& completion : inputs.completions)
         takeCompletion(node, completion);
+    for (const GroupId id : inputs.pinning) {
+        if (const auto it = node.groups.find(id); it != node.groups.end())
+            takeSnapshot(*it->second.replica);
+    }
     for (const auto& datagram : inputs.datagrams)
         receiveDatagram(node, datagram.from, datagram.bytes);
     for (const auto& frame : inputs.frames)
@@ -157,6 +163,7 @@
     tickCalls(node);
     tickEvidence(node);
     tickLeases(node);
+    tickExplain(node);
     tickDrain(node);
 }
 
