Keep the level of a move that has just been planned

Cause: the level was dropped in the step that gave it, because its directive was not in the decision log yet, so that a move that waits for its first runner was never given one (seen by running the documented example). Levels now go by the move rules.

--- a/src/node/LeaderFlow.cpp
+++ b/src/node/LeaderFlow.cpp
@@ -237,9 +237,14 @@
     }
 }
 
+// By the rules, because the directive that goes with a level is committed only after the level has been given.
 static bool moveIsOpen(const Node& node, const std::string& model)
 {
-    return std::any_of(node.decisionLog.moves.begin(), node.decisionLog.moves.end(), [&](const auto& it) { return it.second.model == model && !isFinal(it.second.stage) && it.second.stage != MoveStage::Undoing; });
+    return std::any_of(node.rules->moves.begin(), node.rules->moves.end(), [&](const MoveRule& rule) {
+        const auto it = node.decisionLog.moves.find(rule.name);
+        const bool ended = it != node.decisionLog.moves.end() && (isFinal(it->second.stage) || it->second.stage == MoveStage::Undoing);
+        return rule.model == model && !ended;
+    });
 }
 
 void reachLevels(Node& node)
