--- /dev/null
+++ b/src/soak/NodeFleet.cpp
@@ -0,0 +1,372 @@
+#include "soak/NodeFleet.h"
+
+#include "api/AnnouncementJson.h"
+#include "base/Hash.h"
+#include "node/NodeState.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+namespace siskinshunt {
+
+namespace json = boost::json;
+
+static constexpr uint16_t firstPeerPort = 7000;
+static const std::string announceToken = "announce-token";
+static const char* const domains[] = { "lhr-depot", "lhr-gulberg", "lhr-shahdara" };
+
+std::string NodeFleet::rulesText(const std::string& note)
+{
+    return "account office token-sha256=" + sha256Hex("office") + " # Asma Butt: " + note + "\n"
+        "class booking priority=1 deadline=10s queue=50 # Omar Khan: bookings\n"
+        "class crew priority=0 deadline=20s queue=50 # Hina Raza: crews\n"
+        "route bookings service=hire-desk class=booking method=POST repeat=once # Omar Khan: never twice\n"
+        "route status service=hire-desk class=booking method=GET repeat=yes # Omar Khan: may repeat\n"
+        "route crew model=sound-plan class=crew repeat=yes # Hina Raza: crew desk\n"
+        "retry default route=* budget=100% attempts=4 base=10ms cap=100ms # Sana Iqbal: retries\n"
+        "version sound-plan-v1 model=sound-plan version=v1 # Sana Iqbal: in service\n";
+}
+
+NodeFleet::NodeFleet(NodeFleetOptions given)
+    : options(given)
+    , random(given.seed)
+    , nodes(static_cast<size_t>(given.nodes))
+    , cuts(nodes.size(), std::vector<bool>(nodes.size()))
+{
+    for (size_t n = 0; n < nodes.size(); ++n) {
+        auto& settings = nodes[n].settings;
+        settings.node = "entry-" + std::to_string(n);
+        settings.cluster = "lahore";
+        settings.failureDomain = domains[n % 3];
+        settings.http = { "127.0.0.1", static_cast<uint16_t>(8000 + n) };
+        settings.peer = { "127.0.0.1", static_cast<uint16_t>(firstPeerPort + n) };
+        settings.peerKey = std::string(32, 'k');
+        for (uint16_t seed = 0; seed < 3; ++seed)
+            settings.seeds.push_back({ "127.0.0.1", static_cast<uint16_t>(firstPeerPort + seed) });
+        settings.operators = { { "omar", sha256Hex("omar") }, { "sana", sha256Hex("sana") } };
+        settings.announceTokenSha256 = sha256Hex(announceToken);
+        settings.timings.tick = options.tick;
+        settings.timings.entryValid = options.entryValid;
+        if (n < static_cast<size_t>(options.disks)) {
+            settings.dataFolder = "data";
+            nodes[n].disk = std::make_unique<FakeDisk>();
+            nodes[n].voter = VoterId { 1000 + n };
+        }
+    }
+}
+
+bool NodeFleet::begin()
+{
+    for (size_t n = 0; n < nodes.size(); ++n)
+        start(n);
+    announceAll();
+    runFor(3_s);
+    json::array names;
+    for (int n = 0; n < options.voters; ++n)
+        names.emplace_back("entry-" + std::to_string(n));
+    HttpRequest found { "POST", "/admin/voters", { { "Authorization", "Bearer omar" } }, json::serialize(json::object { { "action", "bootstrap" }, { "voters", names } }) };
+    const auto founded = post(0, found);
+    runFor(3_s);
+    if (caller(founded).status != 200)
+        return false;
+    const auto applied = apply(0, "first", 0, rulesText("first"), "omar");
+    return runUntil([&] { return caller(applied).done && agreeOnRevision(1); }, 20_s) && caller(applied).status == 200;
+}
+
+void NodeFleet::after(TimeMs delay, std::function<void()> run)
+{
+    m_events.emplace(std::make_pair(now + delay, ++m_lastEvent), std::move(run));
+}
+
+void NodeFleet::runFor(TimeMs duration)
+{
+    runUntil([] { return false; }, duration);
+}
+
+bool NodeFleet::runUntil(const std::function<bool()>& reached, TimeMs limit)
+{
+    const TimeMs end = now + limit;
+    while (!reached()) {
+        if (m_events.empty() || m_events.begin()->first.first > end) {
+            now = end;
+            return reached();
+        }
+        auto event = m_events.extract(m_events.begin());
+        now = event.key().first;
+        event.mapped()();
+    }
+    return true;
+}
+
+void NodeFleet::start(size_t n)
+{
+    auto& it = nodes[n];
+    NodeOptions made { .settings = it.settings, .startedAtUtc = now, .seed = random.next(), .voter = it.voter, .recovered = {} };
+    if (it.disk) {
+        it.storage = handle([&] { return Storage::open(*it.disk, { .cluster = hash64(it.settings.cluster) }); },
+            [&](const Error& error) { violations.push_back(toString(error)); return std::unique_ptr<Storage>(); });
+        if (!it.storage)
+            return;
+        made.recovered = it.storage->takeRecovered();
+    }
+    it.node = handle([&] { return makeNode(std::move(made), now); }, [&](const Error& error) { violations.push_back(toString(error)); return NodePtr(); });
+    it.stopped = false;
+    if (it.disk && it.node && it.node->view.rules.revision < it.revision)
+        violations.push_back(it.settings.node + " restarted with revision " + std::to_string(it.node->view.rules.revision) + " after " + std::to_string(it.revision));
+    if (!it.disk)
+        it.revision = 0;
+    tickNode(n, it.generation);
+}
+
+void NodeFleet::kill(size_t n, bool powerLoss)
+{
+    auto& it = nodes[n];
+    ++it.generation;
+    it.node.reset();
+    it.storage.reset();
+    it.waitingDisk.clear();
+    it.writing = false;
+    it.frozen = false;
+    it.held = {};
+    if (powerLoss && it.disk)
+        it.disk->crash(random);
+    for (auto& [number, caller] : callers)
+        caller.lost = caller.lost || (!caller.done && caller.node == n && caller.generation < it.generation);
+    std::erase_if(m_open, [&](const DispatchKey& key) { return std::get<0>(key) == n; });
+}
+
+void NodeFleet::freeze(size_t n)
+{
+    nodes[n].frozen = true;
+}
+
+void NodeFleet::thaw(size_t n)
+{
+    auto& it = nodes[n];
+    it.frozen = false;
+    Inputs held;
+    std::swap(held, it.held);
+    if (it.node)
+        deliver(n, it.generation, std::move(held));
+}
+
+void NodeFleet::cut(size_t from, size_t to, bool isCut)
+{
+    cuts[from][to] = isCut;
+}
+
+void NodeFleet::isolate(size_t node, bool isCut)
+{
+    for (size_t n = 0; n < nodes.size(); ++n) {
+        cut(node, n, isCut);
+        cut(n, node, isCut);
+    }
+}
+
+void NodeFleet::tickNode(size_t n, uint64_t generation)
+{
+    if (nodes[n].generation != generation || !nodes[n].node)
+        return;
+    if (!nodes[n].frozen)
+        deliver(n, generation, {});
+    after(options.tick, [this, n, generation] { tickNode(n, generation); });
+}
+
+template <class T>
+static void appendTo(std::vector<T>& to, std::vector<T>& from)
+{
+    std::move(from.begin(), from.end(), std::back_inserter(to));
+}
+
+void NodeFleet::deliver(size_t n, uint64_t generation, Inputs inputs)
+{
+    auto& it = nodes[n];
+    if (it.generation != generation || !it.node)
+        return;
+    if (it.frozen) {
+        appendTo(it.held.requests, inputs.requests);
+        appendTo(it.held.gone, inputs.gone);
+        appendTo(it.held.events, inputs.events);
+        appendTo(it.held.datagrams, inputs.datagrams);
+        appendTo(it.held.frames, inputs.frames);
+        appendTo(it.held.completions, inputs.completions);
+        return;
+    }
+    Outputs out;
+    step(*it.node, now, std::move(inputs), out);
+    const uint64_t revision = it.node->view.rules.revision;
+    if (revision < it.revision)
+        violations.push_back(it.settings.node + " went back from revision " + std::to_string(it.revision) + " to " + std::to_string(revision));
+    it.revision = std::max(it.revision, revision);
+    carry(n, out);
+}
+
+void NodeFleet::carry(size_t n, Outputs& out)
+{
+    auto& it = nodes[n];
+    for (const auto& answer : out.answers)
+        take(n, answer);
+    for (const auto& address : out.replacedPools)
+        replacedPools.push_back(address);
+    for (auto& request : out.dispatches)
+        dispatch(n, std::move(request));
+    for (const DispatchId id : out.cancels)
+        m_open.erase({ n, it.generation, id });
+    for (auto& datagram : out.datagrams)
+        send(n, datagram.peer, std::move(datagram.bytes), true);
+    for (auto& frame : out.frames)
+        send(n, frame.peer, std::move(frame.bytes), false);
+    appendTo(it.waitingDisk, out.disk);
+    writeDisk(n);
+    if (out.stop) {
+        kill(n, false);
+        it.stopped = true;
+    }
+}
+
+void NodeFleet::send(size_t from, const Endpoint& peer, std::string bytes, bool datagram)
+{
+    const size_t to = peer.port - firstPeerPort;
+    if (peer.port < firstPeerPort || to >= nodes.size() || cuts[from][to] || (datagram && random.chance(loss)))
+        return;
+    Inputs inputs;
+    if (datagram)
+        inputs.datagrams.push_back({ toString(nodes[from].settings.peer), std::move(bytes) });
+    else
+        inputs.frames.push_back(std::move(bytes));
+    after(TimeMs { random.between(1, 4) }, [this, to, generation = nodes[to].generation, inputs = std::move(inputs)]() mutable { deliver(to, generation, std::move(inputs)); });
+}
+
+// As the disk thread of the daemon does: one write at a time, the requests that gather meanwhile go into the next one.
+void NodeFleet::writeDisk(size_t n)
+{
+    auto& it = nodes[n];
+    if (it.writing || it.waitingDisk.empty())
+        return;
+    it.writing = true;
+    auto batch = std::make_shared<std::vector<DiskRequest>>(std::move(it.waitingDisk));
+    it.waitingDisk.clear();
+    after(it.diskDelay, [this, n, generation = it.generation, batch] {
+        auto& it = nodes[n];
+        if (it.generation != generation)
+            return;
+        Inputs inputs;
+        std::string problem;
+        const bool ok = handle(
+            [&]() -> Result<bool> {
+                BOOST_LEAF_AUTO(written, it.storage->write(*batch));
+                inputs.pinning = std::move(written.pinning);
+                return true;
+            },
+            [&](const Error& error) { problem = toString(error); return false; });
+        for (const auto& request : *batch)
+            inputs.completions.push_back({ request.group, request.id, ok, problem });
+        after(TimeMs { random.between(0, 3) }, [this, n, generation, inputs = std::move(inputs)]() mutable {
+            if (nodes[n].generation != generation)
+                return;
+            nodes[n].writing = false;
+            deliver(n, generation, std::move(inputs));
+            if (nodes[n].generation == generation)
+                writeDisk(n);
+        });
+    });
+}
+
+uint64_t NodeFleet::post(size_t n, HttpRequest request)
+{
+    const uint64_t number = ++m_lastCaller;
+    auto& it = callers[number];
+    it.node = n;
+    it.generation = nodes[n].generation;
+    it.request = request;
+    it.postedAt = now;
+    it.lost = !nodes[n].node;
+    Inputs inputs;
+    inputs.requests.push_back({ number, std::move(request), "127.0.0.1:9" });
+    after(1_ms, [this, n, generation = it.generation, inputs = std::move(inputs)]() mutable { deliver(n, generation, std::move(inputs)); });
+    return number;
+}
+
+void NodeFleet::leave(uint64_t number)
+{
+    auto& it = caller(number);
+    it.lost = true;
+    Inputs inputs;
+    inputs.gone.push_back(number);
+    deliver(it.node, it.generation, std::move(inputs));
+}
+
+void NodeFleet::take(size_t n, const Answer& answer)
+{
+    const auto found = callers.find(answer.exchange);
+    if (found == callers.end())
+        return;
+    auto& it = found->second;
+    if (it.done || it.node != n)
+        violations.push_back("an answer part for caller " + std::to_string(answer.exchange) + " after its end or at another node");
+    if (answer.part == AnswerPart::Whole || answer.part == AnswerPart::Head) {
+        it.status = answer.status;
+        it.headers = answer.headers;
+    }
+    it.body += answer.body;
+    it.aborted = answer.part == AnswerPart::Abort;
+    it.done = answer.part == AnswerPart::Whole || answer.part == AnswerPart::End || it.aborted;
+    it.answeredAt = now;
+}
+
+uint64_t NodeFleet::book(size_t n, const std::string& key, const std::string& body)
+{
+    return post(n, { "POST", "/services/hire-desk/bookings", { { "Authorization", "Bearer office" }, { "Idempotency-Key", key } }, body });
+}
+
+uint64_t NodeFleet::ask(size_t n, bool stream, int tokens)
+{
+    const json::object body { { "model", "sound-plan" }, { "stream", stream }, { "max_tokens", tokens }, { "prompt", "question " + std::to_string(m_lastCaller + 1) } };
+    return post(n, { "POST", "/v1/completions", { { "Authorization", "Bearer office" } }, json::serialize(body) });
+}
+
+uint64_t NodeFleet::apply(size_t n, const std::string& requestId, uint64_t expected, const std::string& text, const std::string& operatorName)
+{
+    const json::object body { { "request_id", requestId }, { "expected_revision", expected }, { "text", text } };
+    return post(n, { "POST", "/admin/rules", { { "Authorization", "Bearer " + operatorName } }, json::serialize(body) });
+}
+
+std::string NodeFleet::member(const Caller& caller, const std::string& name)
+{
+    json::error_code ec;
+    auto root = json::parse(caller.body, ec);
+    if (ec || !root.is_object())
+        return {};
+    const auto* error = root.get_object().if_contains("error");
+    const auto* value = (error ? error->get_object() : root.get_object()).if_contains(name);
+    return !value ? std::string {} : value->is_string() ? std::string(value->get_string()) : json::serialize(*value);
+}
+
+std::string NodeFleet::adminGet(size_t n, const std::string& target)
+{
+    const auto number = post(n, { "GET", target, { { "Authorization", "Bearer omar" } }, {} });
+    runUntil([&] { return caller(number).done; }, 1_s);
+    return caller(number).body;
+}
+
+bool NodeFleet::agreeOnRevision(uint64_t revision)
+{
+    return std::all_of(nodes.begin(), nodes.end(), [&](const Process& it) { return !it.node || (it.node->rules && it.node->view.rules.revision == revision); });
+}
+
+size_t NodeFleet::decisionLeader()
+{
+    for (size_t n = 0; n < nodes.size(); ++n) {
+        if (nodes[n].node && nodes[n].node->leadsDecisions)
+            return n;
+    }
+    return nodes.size();
+}
+
+int NodeFleet::runsOf(const std::string& key) const
+{
+    const auto it = runs.find(key);
+    return it == runs.end() ? 0 : it->second.count;
+}
+
+}
--- /dev/null
+++ b/src/soak/NodeFleetUpstreams.cpp
@@ -0,0 +1,170 @@
+#include "api/AnnouncementJson.h"
+#include "api/ModelRequest.h"
+#include "soak/NodeFleet.h"
+
+#include <boost/json.hpp>
+
+namespace siskinshunt {
+
+namespace json = boost::json;
+
+static constexpr TimeMs tokenInterval { 20 };
+
+void NodeFleet::addUpstream(const std::string& name, UpstreamKind kind, const std::string& pool, const std::string& domain)
+{
+    const std::string address = "127.0.0.1:" + std::to_string(9000 + upstreams.size());
+    auto& it = upstreams[address];
+    it.announced = { .name = name, .address = address, .domain = domain, .machine = "gpu-small", .kind = kind, .model = pool, .version = kind == UpstreamKind::Engine ? "v1" : "", .incarnation = 1 };
+    it.announced.load.capacity = 8;
+    it.announced.load.tokensPerSecond = 50;
+    it.announced.load.prefillTokensPerSecond = 5000;
+}
+
+NodeFleet::Upstream& NodeFleet::upstream(const std::string& name)
+{
+    for (auto& [address, it] : upstreams) {
+        if (it.announced.name == name)
+            return it;
+    }
+    throw std::out_of_range("no upstream " + name);
+}
+
+void NodeFleet::reclaim(const std::string& name, TimeMs notice)
+{
+    upstream(name).reclaimAt = now + notice;
+    after(notice, [this, name] { upstream(name).up = false; });
+}
+
+void NodeFleet::announceAll()
+{
+    for (auto& [address, it] : upstreams) {
+        if (!it.up)
+            continue;
+        ++it.announced.sequence;
+        it.announced.reclaimIn = it.reclaimAt ? std::optional(*it.reclaimAt - now) : std::nullopt;
+        const size_t first = std::stoul(address.substr(address.find(':') + 1)) % nodes.size();
+        int told = 0;
+        for (size_t n = 0; n < nodes.size() && told < 2; ++n) {
+            const size_t to = (first + n) % nodes.size();
+            if (!nodes[to].node || nodes[to].frozen)
+                continue;
+            ++told;
+            // Exchanges without a caller: the answers are not kept.
+            Inputs inputs;
+            inputs.requests.push_back({ (uint64_t { 1 } << 62) + ++m_lastEvent, { "POST", "/v1/announce", { { "Authorization", "Bearer announce-token" } }, toJson(it.announced) }, "127.0.0.1:9" });
+            after(TimeMs { random.between(1, 4) }, [this, to, generation = nodes[to].generation, inputs = std::move(inputs)]() mutable { deliver(to, generation, std::move(inputs)); });
+        }
+    }
+    after(1_s, [this] { announceAll(); });
+}
+
+void NodeFleet::report(const DispatchKey& key, TimeMs delay, UpstreamEvent event)
+{
+    event.dispatch = std::get<2>(key);
+    after(delay, [this, key, event = std::move(event)]() mutable {
+        if (!m_open.contains(key))
+            return;
+        if (event.kind == UpstreamEventKind::End || event.kind == UpstreamEventKind::Failed)
+            m_open.erase(key);
+        Inputs inputs;
+        inputs.events.push_back(std::move(event));
+        deliver(std::get<0>(key), std::get<1>(key), std::move(inputs));
+    });
+}
+
+void NodeFleet::fail(const DispatchKey& key, TimeMs delay, UpstreamFailure failure)
+{
+    report(key, delay, { .kind = UpstreamEventKind::Failed, .failure = failure });
+}
+
+void NodeFleet::dispatch(size_t n, UpstreamDispatch request)
+{
+    const DispatchKey key { n, nodes[n].generation, request.dispatch };
+    m_open.insert(key);
+    const auto found = upstreams.find(request.address);
+    const auto wanted = fault ? fault(request) : DispatchFault::None;
+    if (found == upstreams.end() || !found->second.up || wanted == DispatchFault::Refuse)
+        return fail(key, 1_ms, UpstreamFailure::ConnectFailed);
+    found->second.dispatches.emplace_back(now, findHeader(request.request.headers, headers::call));
+    report(key, 1_ms, { .kind = UpstreamEventKind::Sending });
+    after(2_ms, [this, key, request = std::move(request), wanted] { runDispatch(key, request, wanted); });
+}
+
+// The request has arrived at the upstream. A cancel or the death of the node before that time keeps it from arriving.
+void NodeFleet::runDispatch(const DispatchKey& key, const UpstreamDispatch& request, DispatchFault wanted)
+{
+    auto& it = upstreams.at(request.address);
+    if (!m_open.contains(key))
+        return;
+    if (!it.up || wanted == DispatchFault::CloseUnread)
+        return fail(key, 1_ms, UpstreamFailure::Closed);
+    HttpHeaders echo;
+    for (const auto name : { headers::call, headers::attempt })
+        echo.emplace_back(name, std::string(findHeader(request.request.headers, name)));
+    if (wanted == DispatchFault::Crossed)
+        echo = { { std::string(headers::call), "00000000000000ff" }, { std::string(headers::attempt), "1" } };
+    if (it.announced.kind == UpstreamKind::Engine)
+        return answerModel(key, request, wanted, std::move(echo));
+    const std::string idempotencyKey(findHeader(request.request.headers, headers::idempotencyKey));
+    if (!idempotencyKey.empty()) {
+        ++runs[idempotencyKey].count;
+        runs[idempotencyKey].at = now;
+    }
+    if (wanted == DispatchFault::CloseAfterRun)
+        return fail(key, 1_ms, UpstreamFailure::Closed);
+    if (wanted == DispatchFault::Silent)
+        return fail(key, request.firstByteTimeout, UpstreamFailure::Silent);
+    report(key, it.latency, { .kind = UpstreamEventKind::Head, .status = 200, .headers = echo });
+    report(key, it.latency, { .kind = UpstreamEventKind::Body, .bytes = "booked " + idempotencyKey });
+    report(key, it.latency, { .kind = UpstreamEventKind::End });
+}
+
+static std::string tokenOf(const std::string& prompt, int n)
+{
+    return "[" + prompt + "/" + std::to_string(n) + "]";
+}
+
+std::string NodeFleet::expectedText(const std::string& prompt, int tokens)
+{
+    std::string out;
+    for (int n = 1; n <= tokens; ++n)
+        out += tokenOf(prompt, n);
+    return out;
+}
+
+void NodeFleet::answerModel(const DispatchKey& key, const UpstreamDispatch& request, DispatchFault wanted, HttpHeaders headers)
+{
+    const auto body = json::parse(request.request.body).as_object();
+    const std::string prompt(body.at("prompt").as_string());
+    const int tokens = static_cast<int>(body.at("max_tokens").as_int64());
+    const auto offsetText = std::string(findHeader(request.request.headers, headers::offset));
+    const int offset = offsetText.empty() ? 0 : std::stoi(offsetText);
+    if (const auto* resume = body.if_contains("resume"); resume && resume->at("text").as_string() != expectedText(prompt, offset))
+        violations.push_back("a stream is resumed with another text than was generated up to its offset");
+    if (wanted == DispatchFault::CloseAfterRun)
+        return fail(key, 1_ms, UpstreamFailure::Closed);
+    if (wanted == DispatchFault::Silent)
+        return fail(key, request.firstByteTimeout, UpstreamFailure::Silent);
+    if (!body.at("stream").as_bool()) {
+        const json::object answer { { "text", expectedText(prompt, tokens) } };
+        report(key, tokenInterval * tokens, { .kind = UpstreamEventKind::Head, .status = 200, .headers = headers });
+        report(key, tokenInterval * tokens, { .kind = UpstreamEventKind::Body, .bytes = json::serialize(answer) });
+        return report(key, tokenInterval * tokens, { .kind = UpstreamEventKind::End });
+    }
+    headers.emplace_back(headers::contentType, "text/event-stream");
+    report(key, tokenInterval, { .kind = UpstreamEventKind::Head, .status = 200, .headers = headers });
+    TimeMs at = tokenInterval;
+    for (int n = offset + 1; n <= tokens; ++n, at += tokenInterval) {
+        const bool ends = n - offset > breakAfter;
+        if (ends && wanted == DispatchFault::BreakStream)
+            return fail(key, at, UpstreamFailure::Closed);
+        if (ends && wanted == DispatchFault::SilentStream)
+            return fail(key, at + request.progressTimeout, UpstreamFailure::Silent);
+        const json::object data { { "choices", json::array { json::object { { "text", tokenOf(prompt, n) } } } } };
+        report(key, at, { .kind = UpstreamEventKind::Body, .bytes = "id: " + std::to_string(n) + "\ndata: " + json::serialize(data) + "\n\n" });
+    }
+    report(key, at, { .kind = UpstreamEventKind::Body, .bytes = "data: [DONE]\n\n" });
+    report(key, at, { .kind = UpstreamEventKind::End });
+}
+
+}
--- /dev/null
+++ b/tests/node/OnceCallTest.cpp
@@ -0,0 +1,190 @@
+#include "FleetFixture.h"
+
+namespace siskinshunt {
+
+BOOST_AUTO_TEST_SUITE(OnceCall)
+
+// Guards against a booking that is lost although it was accepted and nothing was sent.
+BOOST_AUTO_TEST_CASE(QueuedCallOfDeadNodeIsTakenOverAndRunsOnce)
+{
+    const auto fleet = makeFleet();
+    for (auto name : { "desk-0", "desk-1" })
+        fleet->upstream(name).announced.load.capacity = 0;
+    fleet->runFor(2_s);
+    // Fills the places beyond the capacity of both services.
+    for (auto name : { "desk-0", "desk-1" })
+        fleet->upstream(name).latency = 1500_ms;
+    for (int n = 0; n < 4; ++n)
+        fleet->book(3, "filler-" + std::to_string(n));
+    fleet->runFor(100_ms);
+    const auto caller = fleet->book(3, "queued");
+    fleet->runFor(200_ms);
+    BOOST_REQUIRE(!fleet->caller(caller).done);
+    BOOST_REQUIRE_EQUAL(fleet->runsOf("queued"), 0);
+    fleet->kill(3, false);
+    fleet->runFor(10_s);
+    BOOST_CHECK_EQUAL(fleet->runsOf("queued"), 1);
+    const auto again = fleet->book(1, "queued");
+    BOOST_REQUIRE(waitFor(*fleet, again, 5_s));
+    BOOST_CHECK_EQUAL(fleet->caller(again).status, 200);
+    BOOST_CHECK_EQUAL(fleet->caller(again).body, "booked queued");
+    checkFleet(*fleet);
+}
+
+// Guards against a second run of a call whose node died after it was sent.
+BOOST_AUTO_TEST_CASE(DispatchedCallOfDeadNodeBecomesUnknown)
+{
+    const auto fleet = makeFleet();
+    fleet->upstream("desk-0").latency = fleet->upstream("desk-1").latency = 3_s;
+    const auto caller = fleet->book(3, "sent");
+    BOOST_REQUIRE(fleet->runUntil([&] { return fleet->runsOf("sent") == 1; }, 2_s));
+    BOOST_REQUIRE(!fleet->caller(caller).done);
+    fleet->kill(3, false);
+    fleet->runFor(20_s);
+    const auto again = fleet->book(1, "sent");
+    BOOST_REQUIRE(waitFor(*fleet, again, 5_s));
+    BOOST_CHECK_EQUAL(NodeFleet::member(fleet->caller(again), "code"), "outcome_unknown");
+    BOOST_CHECK_EQUAL(runWordOf(fleet->caller(again)), "unknown");
+    fleet->runFor(20_s);
+    BOOST_CHECK_EQUAL(fleet->runsOf("sent"), 1);
+    checkFleet(*fleet);
+}
+
+// Guards against a doubled booking when a caller asks two nodes at the same time.
+BOOST_AUTO_TEST_CASE(SameKeyAtTwoNodesRunsOnce)
+{
+    const auto fleet = makeFleet();
+    const auto first = fleet->book(0, "same");
+    const auto second = fleet->book(3, "same");
+    BOOST_REQUIRE(waitFor(*fleet, first, 5_s) && waitFor(*fleet, second, 5_s));
+    for (const auto it : { first, second }) {
+        BOOST_CHECK_EQUAL(fleet->caller(it).status, 200);
+        BOOST_CHECK_EQUAL(fleet->caller(it).body, "booked same");
+    }
+    BOOST_CHECK_EQUAL(fleet->runsOf("same"), 1);
+    checkFleet(*fleet);
+}
+
+// Guards against an answer for another body under the same key.
+BOOST_AUTO_TEST_CASE(SameKeyWithAnotherBodyIsRefused)
+{
+    const auto fleet = makeFleet();
+    const auto first = fleet->book(0, "reused", "two trucks");
+    BOOST_REQUIRE(waitFor(*fleet, first, 5_s));
+    const auto second = fleet->book(1, "reused", "three trucks");
+    BOOST_REQUIRE(waitFor(*fleet, second, 5_s));
+    BOOST_CHECK_EQUAL(fleet->caller(second).status, 409);
+    BOOST_CHECK_EQUAL(NodeFleet::member(fleet->caller(second), "code"), "key_reused");
+    BOOST_CHECK_EQUAL(runWordOf(fleet->caller(second)), "not-run");
+    BOOST_CHECK_EQUAL(fleet->runsOf("reused"), 1);
+    checkFleet(*fleet);
+}
+
+// Guards against giving up a booking when nothing has been sent yet.
+BOOST_AUTO_TEST_CASE(RefusedConnectionIsRetriedElsewhere)
+{
+    const auto fleet = makeFleet();
+    std::string refused;
+    fleet->fault = [&](const UpstreamDispatch& it) {
+        if (refused.empty())
+            refused = it.address;
+        return it.address == refused ? DispatchFault::Refuse : DispatchFault::None;
+    };
+    const auto caller = fleet->book(3, "retried");
+    BOOST_REQUIRE(waitFor(*fleet, caller, 5_s));
+    BOOST_CHECK_EQUAL(fleet->caller(caller).status, 200);
+    BOOST_CHECK_EQUAL(fleet->runsOf("retried"), 1);
+    checkFleet(*fleet);
+}
+
+// Guards against a refusal "not-run" whose key is kept as if its outcome were unknown.
+BOOST_AUTO_TEST_CASE(RefusedEverywhereIsNotRunAndCanBeTriedAgain)
+{
+    const auto fleet = makeFleet();
+    fleet->fault = [](const UpstreamDispatch&) { return DispatchFault::Refuse; };
+    const auto caller = fleet->book(3, "nowhere");
+    BOOST_REQUIRE(waitFor(*fleet, caller, 9_s));
+    BOOST_CHECK_EQUAL(runWordOf(fleet->caller(caller)), "not-run");
+    fleet->fault = nullptr;
+    fleet->runFor(20_s);
+    BOOST_CHECK_EQUAL(fleet->runsOf("nowhere"), 0);
+    const auto again = fleet->book(1, "nowhere");
+    BOOST_REQUIRE(waitFor(*fleet, again, 5_s));
+    BOOST_CHECK_EQUAL(fleet->caller(again).status, 200);
+    BOOST_CHECK_EQUAL(fleet->runsOf("nowhere"), 1);
+    checkFleet(*fleet);
+}
+
+// Guards against a second dispatch once a byte may have left.
+BOOST_AUTO_TEST_CASE(ConnectionLostAfterSendingIsUnknown)
+{
+    for (const auto fault : { DispatchFault::CloseUnread, DispatchFault::CloseAfterRun, DispatchFault::Crossed }) {
+        const auto fleet = makeFleet();
+        int dispatches = 0;
+        fleet->fault = [&](const UpstreamDispatch&) { ++dispatches; return fault; };
+        const auto caller = fleet->book(3, "lost");
+        BOOST_REQUIRE(waitFor(*fleet, caller, 5_s));
+        BOOST_CHECK_EQUAL(runWordOf(fleet->caller(caller)), "unknown");
+        fleet->runFor(20_s);
+        BOOST_CHECK_EQUAL(dispatches, 1);
+        checkFleet(*fleet);
+    }
+}
+
+// Guards against a call that runs after it was refused as not run: the quorum returns, or the node dies.
+BOOST_AUTO_TEST_CASE(WithoutQuorumNotRunStaysTrue)
+{
+    for (const bool dies : { false, true }) {
+        const auto fleet = makeFleet();
+        fleet->kill(1, false);
+        fleet->kill(2, false);
+        const auto caller = fleet->book(3, "refused");
+        BOOST_REQUIRE(waitFor(*fleet, caller, 5_s));
+        BOOST_CHECK_EQUAL(NodeFleet::member(fleet->caller(caller), "code"), "ledger_unavailable");
+        BOOST_CHECK_EQUAL(runWordOf(fleet->caller(caller)), "not-run");
+        BOOST_CHECK(!NodeFleet::member(fleet->caller(caller), "retry_after_ms").empty());
+        if (dies)
+            fleet->kill(3, false);
+        fleet->start(1);
+        fleet->start(2);
+        fleet->runFor(30_s);
+        BOOST_CHECK_EQUAL(fleet->runsOf("refused"), 0);
+        checkFleet(*fleet);
+    }
+}
+
+// Guards against a booking that ends with its caller's connection.
+BOOST_AUTO_TEST_CASE(CallerGoneDoesNotEndTheCall)
+{
+    const auto fleet = makeFleet();
+    fleet->upstream("desk-0").latency = fleet->upstream("desk-1").latency = 1_s;
+    const auto caller = fleet->book(3, "gone");
+    fleet->runFor(20_ms);
+    fleet->leave(caller);
+    fleet->runFor(5_s);
+    BOOST_CHECK_EQUAL(fleet->runsOf("gone"), 1);
+    const auto again = fleet->book(1, "gone");
+    BOOST_REQUIRE(waitFor(*fleet, again, 5_s));
+    BOOST_CHECK_EQUAL(fleet->caller(again).body, "booked gone");
+    checkFleet(*fleet);
+}
+
+// Guards against holding a call that no upstream can take until near its deadline.
+BOOST_AUTO_TEST_CASE(CallWithoutUpstreamIsRefusedAtOnce)
+{
+    const auto fleet = makeFleet();
+    for (auto name : { "desk-0", "desk-1", "runner-0", "runner-1", "runner-2" })
+        fleet->upstream(name).up = false;
+    fleet->runFor(15_s);
+    for (const auto caller : { fleet->book(3, "nobody"), fleet->ask(3, false, 5) }) {
+        BOOST_REQUIRE(waitFor(*fleet, caller, 2_s));
+        BOOST_CHECK_EQUAL(fleet->caller(caller).status, 503);
+        BOOST_CHECK_EQUAL(runWordOf(fleet->caller(caller)), "not-run");
+        BOOST_CHECK(!NodeFleet::member(fleet->caller(caller), "retry_after_ms").empty());
+    }
+    checkFleet(*fleet);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
--- /dev/null
+++ b/tests/node/StreamTest.cpp
@@ -0,0 +1,188 @@
+#include "FleetFixture.h"
+
+#include "api/ModelRequest.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+namespace siskinshunt {
+
+namespace json = boost::json;
+
+// Text of a streamed or whole answer; each event number has to follow the one before it.
+static std::string textOf(const NodeFleet::Caller& caller)
+{
+    if (!findHeader(caller.headers, headers::contentType).starts_with("text/event-stream"))
+        return NodeFleet::member(caller, "text");
+    EventReader reader;
+    reader.feed(caller.body);
+    std::string out;
+    bool ended = false;
+    uint64_t last = 0;
+    while (const auto event = reader.next()) {
+        if (event->data == "[DONE]") {
+            ended = true;
+            continue;
+        }
+        BOOST_REQUIRE(!ended && event->id);
+        BOOST_CHECK_EQUAL(*event->id, ++last);
+        out += textOfEvent(event->data);
+    }
+    BOOST_CHECK_MESSAGE(ended, "the stream has no end mark");
+    return out;
+}
+
+static void checkAnswer(NodeFleet& fleet, uint64_t number, int tokens)
+{
+    const auto& caller = fleet.caller(number);
+    BOOST_REQUIRE(caller.done);
+    BOOST_CHECK_EQUAL(caller.status, 200);
+    BOOST_CHECK_EQUAL(textOf(caller), NodeFleet::expectedText("question " + std::to_string(number), tokens));
+}
+
+BOOST_AUTO_TEST_SUITE(Stream)
+
+// Guards against a gap or a duplicate where a stream is resumed.
+BOOST_AUTO_TEST_CASE(BrokenAtAnyTokenIsResumedWhole)
+{
+    const auto fleet = makeFleet();
+    for (int at = 0; at < 8; ++at) {
+        int dispatches = 0;
+        fleet->breakAfter = at;
+        fleet->fault = [&](const UpstreamDispatch&) { return ++dispatches == 1 ? DispatchFault::BreakStream : DispatchFault::None; };
+        const auto caller = fleet->ask(3, true, 8);
+        BOOST_REQUIRE(waitFor(*fleet, caller, 10_s));
+        checkAnswer(*fleet, caller, 8);
+        BOOST_CHECK_EQUAL(dispatches, 2);
+    }
+    checkFleet(*fleet);
+}
+
+// Guards against waiting on a silent connection, and against its pooled neighbours.
+BOOST_AUTO_TEST_CASE(SilentStreamReplacesThePool)
+{
+    const auto fleet = makeFleet();
+    std::vector<UpstreamDispatch> sent;
+    fleet->fault = [&](const UpstreamDispatch& it) { sent.push_back(it); return sent.size() == 1 ? DispatchFault::SilentStream : DispatchFault::None; };
+    const auto caller = fleet->ask(3, true, 6);
+    BOOST_REQUIRE(waitFor(*fleet, caller, 10_s));
+    checkAnswer(*fleet, caller, 6);
+    BOOST_REQUIRE_EQUAL(sent.size(), 2U);
+    BOOST_REQUIRE_EQUAL(fleet->replacedPools.size(), 1U);
+    BOOST_CHECK_EQUAL(fleet->replacedPools.front(), sent[0].address);
+    if (sent[1].address == sent[0].address)
+        BOOST_CHECK(sent[1].freshConnection);
+    checkFleet(*fleet);
+}
+
+// Guards against the answer of another call, or of an earlier attempt, at a caller.
+BOOST_AUTO_TEST_CASE(CrossedAnswerNeverReachesACaller)
+{
+    const auto fleet = makeFleet();
+    for (const bool stream : { false, true }) {
+        int dispatches = 0;
+        fleet->fault = [&](const UpstreamDispatch&) { return ++dispatches == 1 ? DispatchFault::Crossed : DispatchFault::None; };
+        const auto caller = fleet->ask(3, stream, 5);
+        BOOST_REQUIRE(waitFor(*fleet, caller, 10_s));
+        checkAnswer(*fleet, caller, 5);
+        BOOST_CHECK_EQUAL(dispatches, 2);
+    }
+    checkFleet(*fleet);
+}
+
+// Guards against an event of a dispatch that has been given up: the adapter may have queued it before the cancel.
+BOOST_AUTO_TEST_CASE(LateEventOfAnEarlierDispatchIsDropped)
+{
+    const auto fleet = makeFleet();
+    int dispatches = 0;
+    DispatchId first = 0;
+    fleet->fault = [&](const UpstreamDispatch& it) {
+        first = first ? first : it.dispatch;
+        return ++dispatches == 1 ? DispatchFault::BreakStream : DispatchFault::None;
+    };
+    const auto caller = fleet->ask(3, true, 6);
+    BOOST_REQUIRE(fleet->runUntil([&] { return dispatches == 2; }, 5_s));
+    Inputs late;
+    late.events.push_back({ .dispatch = first, .kind = UpstreamEventKind::Body, .bytes = "id: 3\ndata: {\"choices\":[{\"text\":\"late\"}]}\n\n" });
+    late.events.push_back({ .dispatch = first, .kind = UpstreamEventKind::End });
+    Outputs out;
+    step(*fleet->nodes[3].node, fleet->now, std::move(late), out);
+    BOOST_CHECK(out.answers.empty());
+    BOOST_REQUIRE(waitFor(*fleet, caller, 10_s));
+    checkAnswer(*fleet, caller, 6);
+    checkFleet(*fleet);
+}
+
+// Guards against upstreams that go on generating for a caller that has left.
+BOOST_AUTO_TEST_CASE(CallerGoneCancelsARepeatableCall)
+{
+    const auto fleet = makeFleet();
+    const auto caller = fleet->ask(3, true, 50);
+    fleet->runFor(200_ms);
+    BOOST_REQUIRE_EQUAL(fleet->nodes[3].node->calls.size(), 1U);
+    fleet->leave(caller);
+    BOOST_CHECK(fleet->nodes[3].node->calls.empty());
+    BOOST_CHECK(fleet->nodes[3].node->byDispatch.empty());
+    checkFleet(*fleet);
+}
+
+// Guards against new work on an upstream that is about to go (promise 6), and calls cut by an announced reclaim (promise 1).
+BOOST_AUTO_TEST_CASE(ReclaimNoticeStopsNewWorkAndMovesCalls)
+{
+    const auto fleet = makeFleet();
+    std::vector<uint64_t> callers;
+    for (int n = 0; n < 6; ++n)
+        callers.push_back(fleet->ask(static_cast<size_t>(n) % 4, true, 400));
+    fleet->runFor(500_ms);
+    const TimeMs noticed = fleet->now;
+    for (auto name : { "runner-0", "runner-1" })
+        fleet->reclaim(name, 4_s);
+    for (int n = 0; n < 30; ++n) {
+        fleet->runFor(200_ms);
+        callers.push_back(fleet->ask(static_cast<size_t>(n) % 4, n % 2 == 0, 20));
+    }
+    for (const auto it : callers) {
+        BOOST_REQUIRE(waitFor(*fleet, it, 30_s));
+        checkAnswer(*fleet, it, it <= callers[5] ? 400 : 20);
+    }
+    // Announced within a second, then known everywhere by gossip within the limit of the rules.
+    for (auto name : { "runner-0", "runner-1" }) {
+        for (const auto& [at, call] : fleet->upstream(name).dispatches)
+            BOOST_CHECK_MESSAGE(at <= noticed + 3_s, name << " got call " << call << " " << (at - noticed).value << " ms after the notice");
+    }
+    checkFleet(*fleet);
+}
+
+// Guards against calls lost when everything in a failure domain goes, returns and goes again.
+BOOST_AUTO_TEST_CASE(DomainReclaimedTwice)
+{
+    const auto fleet = makeFleet();
+    std::vector<uint64_t> callers;
+    for (int wave = 0; wave < 2; ++wave) {
+        for (auto name : { "desk-0", "runner-0" })
+            fleet->reclaim(name, 2_s);
+        for (int n = 0; n < 30; ++n) {
+            fleet->runFor(200_ms);
+            callers.push_back(fleet->ask(static_cast<size_t>(n) % 4, true, 30));
+            callers.push_back(fleet->book(static_cast<size_t>(n) % 4, std::to_string(wave) + "-" + std::to_string(n)));
+        }
+        for (auto name : { "desk-0", "runner-0" }) {
+            auto& it = fleet->upstream(name);
+            it.up = true;
+            it.reclaimAt.reset();
+            ++it.announced.incarnation;
+            it.announced.sequence = 0;
+        }
+        fleet->runFor(3_s);
+    }
+    for (const auto it : callers) {
+        BOOST_REQUIRE(waitFor(*fleet, it, 30_s));
+        BOOST_CHECK_EQUAL(fleet->caller(it).status, 200);
+    }
+    BOOST_CHECK_EQUAL(fleet->runs.size(), 60U);
+    checkFleet(*fleet);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
