--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -1,8 +1,10 @@
 #include "node/Node.h"
 
 #include "base/Invariant.h"
+#include "node/AdminFlow.h"
 #include "node/CallFlow.h"
 #include "node/ControlFlow.h"
+#include "node/ExplainFlow.h"
 #include "node/FleetFlow.h"
 #include "node/Groups.h"
 #include "node/LeaderFlow.h"
@@ -56,6 +58,7 @@
     , now(options.startedAtUtc)
     , random(options.seed + 2)
     , frameSequence(firstSequence(options.startedAtUtc))
+    , decisions(self)
     , membership(makeMembership(membershipOptions(options, cluster, key), now))
     , router(routerOptions(options))
 {
@@ -161,6 +164,8 @@
     tickCalls(node);
     tickEvidence(node);
     tickLeases(node);
+    tickExplain(node);
+    tickApplies(node);
     tickDrain(node);
 }
 
--- a/src/node/Peers.cpp
+++ b/src/node/Peers.cpp
@@ -1,10 +1,12 @@
 #include "node/Peers.h"
 
 #include "node/ControlFlow.h"
+#include "node/ExplainFlow.h"
 #include "node/FleetFlow.h"
 #include "node/Groups.h"
 #include "node/LeaderFlow.h"
 #include "node/MovesFlow.h"
+#include "node/VoterRepair.h"
 #include "wire/Codec.h"
 #include "wire/FrameReader.h"
 
@@ -69,8 +71,11 @@
         return;
     }
     case FrameKind::Explain:
+        return receiveExplain(node, envelope.sender, envelope.body);
     case FrameKind::ExplainReply:
-        break;
+        return receiveExplainReply(node, envelope.sender, envelope.body);
+    case FrameKind::ReplaceVoter:
+        return receiveReplaceVoter(node, envelope.body);
     }
     countDrop(node, DropReason::BadKind);
 }
@@ -95,14 +100,14 @@
     case MembershipEventKind::UpstreamRemoved:
         return upstreamRemoved(node, event.upstream);
     case MembershipEventKind::HigherRevision:
-        return viewSeen(node, event.member);
     case MembershipEventKind::MemberUp:
     case MembershipEventKind::MemberChanged:
         return viewSeen(node, event.member);
     case MembershipEventKind::Replaced:
     case MembershipEventKind::Collision:
-        addLog(node, LogLevel::Error, std::string(nameOf(event.kind)), Step::Receive, event.detail, "this node stops: another process runs under its name or id");
-        node.out.stop = true;
+        node.out.stop = node.out.stop || node.membership.stopped;
+        addLog(node, LogLevel::Error, std::string(nameOf(event.kind)), Step::Receive, event.detail,
+            node.membership.stopped ? "this node stops: another process runs under its name or id" : "two other members have one id");
         return;
     case MembershipEventKind::MemberDown:
     case MembershipEventKind::MemberLeft:
