Correct the expected revision of the crash test

An apply that its node did not answer may be lost, so the revision after a round is the one before it plus one only if the apply was answered; the test counted rounds instead. Still fails if an answered apply is lost or applied twice.

--- a/tests/node/ControlTest.cpp
+++ b/tests/node/ControlTest.cpp
@@ -65,9 +65,10 @@
         for (size_t n = 0; n < fleet->nodes.size(); ++n)
             fleet->start(n);
         fleet->runFor(8_s);
+        const uint64_t before = revision;
         revision = fleet->nodes[0].node->view.rules.revision;
         BOOST_CHECK(fleet->agreeOnRevision(revision));
-        BOOST_CHECK(fleet->caller(applied).status != 200 || revision == static_cast<uint64_t>(round) + 2 || round % 2 == 0);
+        BOOST_CHECK(fleet->caller(applied).status != 200 || revision == before + 1);
     }
     BOOST_CHECK_GE(revision, 5U);
     checkFleet(*fleet);
