Record the refusal of a once call that was committed as dispatched but never sent

Cause: when no connection took a byte and the retries were used up, the caller was told "not-run" but the ledger kept the call as dispatched, so a retry under the same key waited for an outcome and then got "unknown". Before: OnceCall/RefusedEverywhereIsNotRunAndCanBeTriedAgain failed (the retry got no answer within 5 s). After: passes; the retry runs once. A dispatch that is still connecting is cancelled before the refusal is recorded. "not-run" stays true without the record, because a dispatched call is never taken over.

--- a/src/node/CallFlow.cpp
+++ b/src/node/CallFlow.cpp
@@ -65,16 +65,22 @@
         histograms->firstToken.record(static_cast<uint64_t>((call.firstTokenAt - call.arrived).value) * 1000);
 }
 
+void stopDispatch(Node& node, NodeCall& call)
+{
+    if (!call.dispatch)
+        return;
+    recordEnd(node.router, call.id, call.attempts, CallEnd::Cancelled, node.now);
+    node.out.cancels.push_back(call.dispatch);
+    node.byDispatch.erase(call.dispatch);
+    call.dispatch = 0;
+}
+
 void endCall(Node& node, NodeCall& call, std::string_view outcome)
 {
     recordOutcome(node, call, outcome);
     if (call.admitted)
         finishCall(node.limiter, call.account, call.className, static_cast<uint32_t>(call.usage.completionTokens), node.now);
-    if (call.dispatch) {
-        recordEnd(node.router, call.id, call.attempts, CallEnd::Cancelled, node.now);
-        node.out.cancels.push_back(call.dispatch);
-        node.byDispatch.erase(call.dispatch);
-    }
+    stopDispatch(node, call);
     if (call.queuedBytes) {
         node.queuedBytes -= call.queuedBytes;
         if (const auto it = node.queues.find(call.pool); it != node.queues.end())
@@ -105,7 +111,7 @@
 
 void refuseCall(Node& node, NodeCall& call, RefusalCode code, std::string message, TimeMs retryAfter)
 {
-    if (call.reservedInLedger)
+    if (call.reservedInLedger || (call.dispatchedInLedger && call.dispatchState == DispatchState::NothingSent))
         return recordRefusal(node, call, code, std::move(message), retryAfter);
     const Refusal refusal { code, runWordOf(call.dispatchState), std::move(message), hexOf(shownId(call)), retryAfter };
     explainCall(node, code == RefusalCode::OutcomeUnknown ? DecisionCode::OutcomeUnknown : DecisionCode::Refuse, call,
--- a/src/node/CallFlow.h
+++ b/src/node/CallFlow.h
@@ -35,6 +35,8 @@
 void refuseCall(Node&, NodeCall&, RefusalCode, std::string message, TimeMs retryAfter = {});
 /// Gives the caller the whole answer.
 void answerWhole(Node&, NodeCall&, uint16_t status, const HttpHeaders&, std::string body, bool stored = false);
+/// Cancels the dispatch under way, if there is one.
+void stopDispatch(Node&, NodeCall&);
 /// Ends the call: limits, router, histograms. The call is freed.
 void endCall(Node&, NodeCall&, std::string_view outcome);
 /// Dispatches again after a back-off, or ends the call with the refusal that is true for it.
--- a/src/node/NodeCall.h
+++ b/src/node/NodeCall.h
@@ -103,6 +103,7 @@
     CallOwner owner;
     uint32_t ledgerAttempt = 0;
     bool reservedInLedger = false; ///< A takeover could still run it: "not run" needs a committed refusal.
+    bool dispatchedInLedger = false; ///< If nothing is sent after all, a refusal is recorded, so that its key can be used again.
     bool reservedDispatched = false; ///< Reservation and dispatch are committed in one entry.
     bool refusalPending = false;
     CallId joined; ///< The earlier call with the same key, whose outcome this caller gets; the ledger knows it by this id.
--- a/src/node/OnceFlow.cpp
+++ b/src/node/OnceFlow.cpp
@@ -128,8 +128,10 @@
 static void goOnReserved(Node& node, NodeCall& call, const LedgerReply& reply)
 {
     call.ledgerAttempt = reply.attempt;
-    if (reply.state == CallState::Dispatched)
+    if (reply.state == CallState::Dispatched) {
+        call.dispatchedInLedger = true;
         return sendDispatch(node, call);
+    }
     call.reservedInLedger = true;
     enqueueCall(node, call);
 }
@@ -219,6 +221,7 @@
     proposeForCall(node, call, dispatch, reserveTimeout, [](Node& node, NodeCall& call, const std::optional<LedgerReply>& reply) {
         if (reply && (reply->outcome == LedgerOutcome::Accepted || isOwnEffect(call, *reply, CallState::Dispatched, call.ledgerAttempt))) {
             call.reservedInLedger = false;
+            call.dispatchedInLedger = true;
             return sendDispatch(node, call);
         }
         if (reply)
@@ -241,6 +244,7 @@
             return joinCallItself(node, call);
         call.ledgerAttempt = reply->attempt;
         call.reservedInLedger = true;
+        call.dispatchedInLedger = false;
         call.dispatchState = DispatchState::NothingSent;
         call.stage = CallStage::Waiting;
         call.retryAt = node.now + backoffDelay(findRetry(*node.rules, call.route), static_cast<int>(call.attempts), node.random);
@@ -282,14 +286,18 @@
         return;
     call.refusalPending = true;
     call.stage = CallStage::Recording;
+    stopDispatch(node, call);
+    // A dispatched call is never taken over, so "not run" holds for it even if the record cannot be committed.
+    const bool canBeTakenOver = call.reservedInLedger;
     call.recordUntil = farFuture;
     Complete complete { .call = call.id, .owner = call.owner, .attempt = call.ledgerAttempt, .answer = {}, .now = node.now };
     complete.answer.ran = false;
     complete.answer.status = statusOf(code);
-    proposeForCall(node, call, complete, recordPatience, [code, message = std::move(message), retryAfter](Node& node, NodeCall& call, const std::optional<LedgerReply>& reply) {
+    proposeForCall(node, call, complete, recordPatience, [code, message = std::move(message), retryAfter, canBeTakenOver](Node& node, NodeCall& call, const std::optional<LedgerReply>& reply) {
         const bool recorded = reply && (reply->outcome == LedgerOutcome::Accepted || (reply->outcome == LedgerOutcome::Stored && reply->answer && !reply->answer->ran));
         call.reservedInLedger = false;
-        if (!recorded)
+        call.dispatchedInLedger = false;
+        if (!recorded && canBeTakenOver)
             call.dispatchState = DispatchState::MayHaveLeft;
         refuseCall(node, call, code, message, retryAfter);
     });
