Refuse the first call of a pool that has long been empty at once

Cause: the time that a pool has had no upstream was counted from the first call that asked for it, so that this call, and each one after a quiet time, was held for 3 s. Before: OnceCall/CallWithoutUpstreamIsRefusedAtOnce failed (no answer within 2 s after 15 s without upstreams). After: passes. Pools that this node has never seen still get the 3 s.

--- a/src/node/CallFlow.cpp
+++ b/src/node/CallFlow.cpp
@@ -590,7 +590,10 @@
     }
     for (auto& [pool, queue] : node.queues)
         pumpQueue(node, pool);
-    std::erase_if(node.poolEmptySince, [&](const auto& it) { return !node.queues.contains(it.first); });
+    // Noted for every known pool, so that the first call of a pool that has long been empty does not wait either.
+    for (const auto& [pool, unused] : node.router.pools)
+        emptyFor(node, pool);
+    std::erase_if(node.poolEmptySince, [&](const auto& it) { return !node.queues.contains(it.first) && !node.router.pools.contains(it.first); });
 }
 
 }
