--- a/src/node/Groups.cpp
+++ b/src/node/Groups.cpp
@@ -27,6 +27,9 @@
         if (!restore(bytes))
             return false;
         node.directives.clear();
+        // The index of the restored state is not known until the next command: a view that combined the old index with the
+        // new rules would make rules revisions go down at the nodes that follow it.
+        node.decisionIndex = 0;
         return true;
     };
     return machine;
