Wait for the outcome of a call that was taken over before its reservation was answered

Cause, found by reading and not reproduced: a reply that names the call itself but another owner or attempt was ignored, so that the call stayed in the stage Reserving for good and its caller got no answer.

--- a/src/node/OnceFlow.cpp
+++ b/src/node/OnceFlow.cpp
@@ -81,11 +81,24 @@
     endCall(node, call, "ok");
 }
 
+// The caller, if it is still there, waits for the outcome that another node or an earlier command gives the call.
+static void joinCallItself(Node& node, NodeCall& call)
+{
+    if (!call.exchange)
+        return endCall(node, call, "taken_over");
+    call.stage = CallStage::Joining;
+    call.joined = call.id;
+    call.dispatchState = DispatchState::MayHaveLeft;
+    call.reservedInLedger = false;
+    call.nextPoll = node.now;
+}
+
 // The caller's call becomes a waiter for the outcome of the first one with its key.
 static void joinCall(Node& node, NodeCall& call, CallId first)
 {
+    // The reservation was committed, but a takeover has changed it before its reply came.
     if (first == call.id)
-        return;
+        return joinCallItself(node, call);
     const ExchangeId exchange = call.exchange;
     NodeCall waiter = call;
     if (call.admitted)
@@ -202,18 +215,6 @@
     proposeForCall(node, call, reserve, std::min(reserveTimeout, std::max(TimeMs { 200 }, call.deadline - node.now)), takeReserveReply);
 }
 
-// The caller, if it is still there, waits for the outcome that another node or an earlier command gives the call.
-static void joinCallItself(Node& node, NodeCall& call)
-{
-    if (!call.exchange)
-        return endCall(node, call, "taken_over");
-    call.stage = CallStage::Joining;
-    call.joined = call.id;
-    call.dispatchState = DispatchState::MayHaveLeft;
-    call.reservedInLedger = false;
-    call.nextPoll = node.now;
-}
-
 void commitDispatch(Node& node, NodeCall& call)
 {
     call.stage = CallStage::Committing;
