--- a/src/soak/NodeSoak.cpp
+++ b/src/soak/NodeSoak.cpp
@@ -126,6 +126,8 @@
             m_fleet.leave(number);
         }
     }
+    if (m_random.chance(0.03))
+        m_fleet.post(n, { "POST", "/admin/snapshot", { { "Authorization", "Bearer omar" } }, {} });
     if (m_random.chance(0.1)) {
         ++m_result.faults["apply"];
         const auto revision = m_fleet.nodes[n].revision;
@@ -154,7 +156,11 @@
         else if (m_fleet.nodes[n].frozen)
             m_fleet.thaw(n);
     }
-    m_fleet.runFor(40_s);
+    const auto settled = [this] {
+        return std::all_of(m_fleet.callers.begin(), m_fleet.callers.end(), [](const auto& it) { return it.second.done || it.second.lost; });
+    };
+    m_fleet.runUntil(settled, 40_s);
+    m_fleet.runFor(12_s);
 }
 
 bool NodeSchedule::isNotRun(const NodeFleet::Caller& caller) const
@@ -204,8 +210,11 @@
         if (run.count > 1)
             violate(key + " ran " + std::to_string(run.count) + " times");
     }
-    for (const auto& [number, caller] : m_fleet.callers)
+    for (const auto& [number, caller] : m_fleet.callers) {
         checkCaller(number, caller);
+        if (caller.done)
+            ++m_result.faults["answers " + std::to_string(caller.status) + " " + NodeFleet::member(caller, "run")];
+    }
     uint64_t highest = 0;
     for (const auto& node : m_fleet.nodes)
         highest = std::max(highest, node.revision);
