--- /dev/null
+++ b/tests/fuzz/EventStream.cpp
@@ -0,0 +1,45 @@
+#include "Fuzz.h"
+#include "calls/EventReader.h"
+#include "calls/StreamState.h"
+
+#include <vector>
+
+using namespace siskinshunt;
+
+static std::vector<ServerEvent> readAll(std::string_view bytes, size_t piece)
+{
+    EventReader reader;
+    std::vector<ServerEvent> out;
+    for (size_t at = 0; at < bytes.size(); at += piece) {
+        if (!reader.feed(bytes.substr(at, piece)))
+            return out;
+        while (auto event = reader.next())
+            out.push_back(std::move(*event));
+    }
+    return out;
+}
+
+static void follow(const std::vector<ServerEvent>& events)
+{
+    StreamState state;
+    for (const auto& it : events) {
+        const auto before = state.offset;
+        const bool wasDone = state.done;
+        const auto verdict = acceptEvent(state, it);
+        INVARIANT(state.offset >= before && state.offset <= before + 1, "a stream advances by at most one token", "from", before, "to", state.offset);
+        INVARIANT(!wasDone || verdict == EventVerdict::Late, "nothing follows the end mark");
+    }
+}
+
+// Guards against streams that crash a node, whose events depend on how the bytes are split, or that skip tokens.
+void fuzzOne(std::string_view input)
+{
+    const auto whole = readAll(input, std::max<size_t>(1, input.size()));
+    for (const size_t piece : { size_t(1), size_t(3), size_t(7) }) {
+        const auto pieces = readAll(input, piece);
+        INVARIANT(pieces.size() == whole.size(), "the split does not change the events", "whole", whole.size(), "pieces", pieces.size());
+        for (size_t n = 0; n < whole.size(); ++n)
+            INVARIANT(pieces[n].id == whole[n].id && pieces[n].data == whole[n].data, "the split does not change an event", "n", n);
+    }
+    follow(whole);
+}
--- /dev/null
+++ b/tools/lib/faults.sh
@@ -0,0 +1,201 @@
+# Functions that carry out the steps of a fault plan on the fleet of tools/lib/fleet.sh.
+
+# fault_prepare: names of the parts of the fleet that a plan counts, and the rules that the operators race with.
+fault_prepare() {
+    local fakes="examples/$fleet_name/fakes.json"
+    mapfile -t fault_nodes <<<"$fleet_nodes"
+    mapfile -t fault_addresses <<<"$fleet_addresses"
+    mapfile -t fault_engines < <(sed -n '/"engines"/,/\]/s/.*"name": "\([^"]*\)".*/\1/p' "$fakes")
+    mapfile -t fault_services < <(sed -n '/"services"/,/\]/s/.*"name": "\([^"]*\)".*/\1/p' "$fakes")
+    mapfile -t fault_domains < <(sed -n 's/.*"failure_domain": "\([^"]*\)".*/\1/p' "$fleet_folder"/entry-*.json | awk '!seen[$0]++')
+    fault_model=$(sed -n 's/^version [^ ]* model=\([^ ]*\).*/\1/p' "examples/$fleet_name/$fleet_name.rules" | head -1)
+    fault_rules="$fleet_folder/moving.rules"
+    cp "examples/$fleet_name/$fleet_name.rules" "$fault_rules"
+    echo "move to-v2 model=$fault_model from=v1 to=v2 by=$(date -u -d '+10 minutes' +%Y-%m-%dT%H:%MZ) max-share=10% # Fault run: bad versions need a move" >>"$fault_rules"
+    fault_races=0 fault_racers=()
+    mkdir -p "$fleet_folder/races"
+}
+
+fault_control() {
+    curl -s --max-time 5 -X POST "http://$fleet_control/control/$1" -d "$2"
+    echo
+}
+
+# fault_word KEY ARGUMENTS...: value of KEY=VALUE, or nothing.
+fault_word() {
+    local key=$1 word
+    shift
+    for word in "$@"; do
+        [ "${word%%=*}" = "$key" ] && echo "${word#*=}"
+    done
+    return 0
+}
+
+fault_version() {
+    local json="\"version\":\"v2\",\"mode\":\"$(fault_word mode "$@")\"" key value
+    for key in after_ms under_load factor; do
+        value=$(fault_word $key "$@")
+        [ -z "$value" ] || json+=",\"$key\":$value"
+    done
+    value=$(fault_word path "$@")
+    [ -z "$value" ] || json+=",\"path\":\"$value\""
+    fault_control version "{$json}"
+}
+
+fault_revision() {
+    local address
+    for address in $fleet_addresses; do
+        curl -s --max-time 1 "http://$address/metrics" | sed -n 's/^siskinshunt_rules_revision //p'
+    done | sort -n | tail -1
+}
+
+# fault_apply ID EXPECTED FILE ADDRESS...: sends one request and keeps the answer; an answer that is lost is asked for
+# again under the same request id.
+fault_apply() {
+    local id=$1 expected=$2 file=$3 code=0
+    shift 3
+    build/bin/siskinshuntctl rules apply "$file" --expected "$expected" --request-id "$id" --timeout 2000 --json --address "$@" >"$fleet_folder/races/$id.out" 2>&1 || code=$?
+    echo "$id $expected $code $(sed -n 's/.*"revision": *\([0-9]*\).*/\1/p' "$fleet_folder/races/$id.out" | head -1)" >>"$fleet_folder/races/answers"
+}
+
+# fault_lose_answer ID EXPECTED FILE ADDRESS: sends the request and goes away without waiting for the answer.
+fault_lose_answer() {
+    local body="$fleet_folder/races/$1.json"
+    sed 's/\\/\\\\/g; s/"/\\"/g; s/$/\\n/' "$3" | tr -d '\n' | sed "s/^/{\"request_id\":\"$1\",\"expected_revision\":$2,\"text\":\"/; s/\$/\"}/" >"$body"
+    curl -s --max-time 0.03 -X POST -H "Authorization: Bearer $SISKINSHUNT_TOKEN" --data-binary "@$body" "http://$4/admin/rules" >/dev/null || true
+}
+
+# fault_race LOSE_ANSWER: two operators apply different texts under the same expected revision at once.
+fault_race() {
+    local expected operator backwards
+    expected=$(fault_revision)
+    [ -n "$expected" ] || { echo "no node told its revision"; return; }
+    fault_races=$((fault_races + 1))
+    backwards=$(echo "$fleet_addresses" | tac)
+    for operator in a b; do
+        { cat "$fault_rules"; echo "# Race $fault_races of operator $operator."; } >"$fleet_folder/races/race-$fault_races-$operator.rules"
+    done
+    (
+        [ "$1" = no ] || fault_lose_answer "race-$fault_races-a" "$expected" "$fleet_folder/races/race-$fault_races-a.rules" "${fault_addresses[0]}"
+        fault_apply "race-$fault_races-a" "$expected" "$fleet_folder/races/race-$fault_races-a.rules" $fleet_addresses
+    ) &
+    fault_racers+=($!)
+    fault_apply "race-$fault_races-b" "$expected" "$fleet_folder/races/race-$fault_races-b.rules" $backwards &
+    fault_racers+=($!)
+}
+
+fault_wipe() {
+    fleet_kill_node "$1"
+    rm -rf "$fleet_folder/data-$1"
+    fleet_start_node "$1"
+}
+
+# fault_step ACTION TARGET ARGUMENTS...: one step of the plan.
+fault_step() {
+    local action=$1 target=$2 number=${2##*-} name=
+    shift 2
+    case $target in
+    daemon-*) name=${fault_nodes[number - 1]} ;;
+    engine-*) name=${fault_engines[number - 1]} ;;
+    service-*) name=${fault_services[number - 1]} ;;
+    domain-*) name=${fault_domains[number - 1]} ;;
+    esac
+    case $action in
+    kill) fleet_kill_node "$name" ;;
+    stop) kill -STOP "${fleet_node_pid[$name]}" ;;
+    continue) kill -CONT "${fleet_node_pid[$name]}" ;;
+    restart) fleet_start_node "$name" ;;
+    wipe) fault_wipe "$name" ;;
+    reclaim-engine) fault_control reclaim "{\"name\":\"$name\",\"notice_ms\":$(fault_word notice_ms "$@")}" ;;
+    restart-engine) fault_control restart "{\"name\":\"$name\"}" ;;
+    reclaim-domain) fault_control reclaim "{\"domain\":\"$name\",\"notice_ms\":$(fault_word notice_ms "$@")}" ;;
+    restart-domain) fault_control restart "{\"domain\":\"$name\"}" ;;
+    refuse-starts) fault_control refuse-starts "{\"domain\":\"$name\",\"refuse\":true}" ;;
+    allow-starts) fault_control refuse-starts "{\"domain\":\"$name\",\"refuse\":false}" ;;
+    bad-version) fault_version "$@" ;;
+    good-version) fault_version mode=good ;;
+    racing-operators) fault_race "$(fault_word lose_answer "$@")" ;;
+    freeze-connections) fault_control freeze "{\"name\":\"$name\"}" ;;
+    drop-answers) fault_control drop-answers "{\"name\":\"$name\",\"count\":$(fault_word count "$@")}" ;;
+    *) echo "unknown action $action" >&2; return 1 ;;
+    esac
+}
+
+# fault_run PLAN: carries out the lines of the plan file, each at its time from now.
+fault_run() {
+    local start at line now
+    start=$(date +%s%3N)
+    while read -r at line; do
+        now=$(($(date +%s%3N) - start))
+        [ "$now" -ge "$at" ] || sleep "$(printf '%d.%03d' $(((at - now) / 1000)) $(((at - now) % 1000)))"
+        echo "$(($(date +%s%3N) - start)) $line"
+        # shellcheck disable=SC2086
+        fault_step $line
+    done <"$1"
+}
+
+# fault_sample FILE: appends `PID NODE REVISION` of every node that answers, without end. A sample during which the
+# process was replaced counts for neither process.
+fault_sample() {
+    local n revision pid file
+    while :; do
+        for n in "${!fault_nodes[@]}"; do
+            file="$fleet_folder/${fault_nodes[n]}.pid"
+            pid=$(<"$file")
+            revision=$(curl -s --max-time 0.3 "http://${fault_addresses[n]}/metrics" | sed -n 's/^siskinshunt_rules_revision //p')
+            [ -n "$revision" ] && [ "$pid" = "$(<"$file")" ] && echo "$pid ${fault_nodes[n]} $revision" >>"$1"
+        done
+        sleep 0.2
+    done
+}
+
+# fault_ask_again: waits for the racing operators, then asks for the outcome of every request under its id, so that each
+# request has a definite answer.
+fault_ask_again() {
+    local id expected rest
+    [ ${#fault_racers[@]} -eq 0 ] || wait "${fault_racers[@]}"
+    cut -d' ' -f1,2 "$fleet_folder/races/answers" | sort -u >"$fleet_folder/races/requests"
+    while read -r id expected rest; do
+        fault_apply "$id" "$expected" "$fleet_folder/races/$id.rules" $fleet_addresses
+    done <"$fleet_folder/races/requests"
+}
+
+# fault_highest: highest accepted revision.
+fault_highest() { awk '$3 == 0 && $4 > high { high = $4 } END { print high + 0 }' "$fleet_folder/races/answers"; }
+
+# fault_race_errors: requests that got two different outcomes or none, and expected revisions without exactly one winner.
+fault_race_errors() {
+    awk '{ expected[$1] = $2; revisions[$2] }
+        $3 > 1 { next }
+        $1 in outcome && outcome[$1] != $3 " " ($3 ? "" : $4) { print $1 " was answered both " outcome[$1] " and " $3 " " $4; differs = 1 }
+        { outcome[$1] = $3 " " ($3 ? "" : $4) }
+        END {
+            for (id in expected) {
+                if (!(id in outcome)) { print id " has no definite answer"; continue }
+                wins[expected[id]] += outcome[id] ~ /^0/
+            }
+            for (n in revisions) if (wins[n] != 1) print wins[n] + 0 " requests won over revision " n
+        }' "$fleet_folder/races/answers"
+}
+
+# fault_reverted FILE: samples whose revision is below an earlier one of the same process.
+fault_reverted() { awk '$3 < high[$1] { print $2 " went from " high[$1] " to " $3 } $3 > high[$1] { high[$1] = $3 }' "$1"; }
+
+# fault_behind REVISION: nodes whose revision is another one.
+fault_behind() {
+    local n
+    for n in "${!fault_nodes[@]}"; do
+        [ "$(curl -s --max-time 2 "http://${fault_addresses[n]}/metrics" | sed -n 's/^siskinshunt_rules_revision //p')" = "$1" ] || echo "${fault_nodes[n]}"
+    done
+}
+
+fault_none_behind() { [ -z "$(fault_behind "$1")" ]; }
+
+# fault_ended: nodes whose process ended by itself, or broke an invariant.
+fault_ended() {
+    local node
+    for node in $fleet_nodes; do
+        kill -0 "${fleet_node_pid[$node]:-0}" 2>/dev/null || echo "$node ended"
+        grep -l 'invariant failed' "$fleet_folder/$node.log" || true
+    done
+}
--- a/tools/lib/fleet.sh
+++ b/tools/lib/fleet.sh
@@ -22,11 +22,29 @@
 
 # fleet_start_node NODE
 fleet_start_node() {
-    build/bin/siskinshunt --config "$fleet_folder/$1.json" >>"$fleet_folder/$1.log" 2>&1 &
+    "${fleet_program:-build/bin/siskinshunt}" --config "$fleet_folder/$1.json" >>"$fleet_folder/$1.log" 2>&1 &
     fleet_node_pid[$1]=$!
+    echo $! >"$fleet_folder/$1.pid"
     fleet_pids+=($!)
 }
 
+# fleet_kill PID: ends one process at once and forgets its id, which may then belong to another process.
+fleet_kill() {
+    kill -KILL "$1"
+    wait "$1" 2>/dev/null || true
+    local kept=() pid
+    for pid in "${fleet_pids[@]}"; do
+        [ "$pid" = "$1" ] || kept+=("$pid")
+    done
+    fleet_pids=("${kept[@]}")
+}
+
+# fleet_kill_node NODE
+fleet_kill_node() {
+    fleet_kill "${fleet_node_pid[$1]}"
+    unset "fleet_node_pid[$1]"
+}
+
 # fleet_start_fakes
 fleet_start_fakes() {
     build/bin/siskinshuntctl fakes --config "examples/$fleet_name/fakes.json" >"$fleet_folder/fakes.log" 2>&1 &
