--- a/tools/lib/faults.sh
+++ b/tools/lib/faults.sh
@@ -84,8 +84,14 @@
     fault_racers+=($!)
 }
 
-fault_wipe() {
+# fault_kill NODE
+fault_kill() {
+    kill -0 "${fleet_node_pid[$1]}" 2>/dev/null || echo "$1 had ended before it was killed" >>"$fleet_folder/ended"
     fleet_kill_node "$1"
+}
+
+fault_wipe() {
+    fault_kill "$1"
     rm -rf "$fleet_folder/data-$1"
     fleet_start_node "$1"
 }
@@ -101,7 +107,7 @@
     domain-*) name=${fault_domains[number - 1]} ;;
     esac
     case $action in
-    kill) fleet_kill_node "$name" ;;
+    kill) fault_kill "$name" ;;
     stop) kill -STOP "${fleet_node_pid[$name]}" ;;
     continue) kill -CONT "${fleet_node_pid[$name]}" ;;
     restart) fleet_start_node "$name" ;;
@@ -130,7 +136,7 @@
         [ "$now" -ge "$at" ] || sleep "$(printf '%d.%03d' $(((at - now) / 1000)) $(((at - now) % 1000)))"
         echo "$(($(date +%s%3N) - start)) $line"
         # shellcheck disable=SC2086
-        fault_step $line
+        fault_step $line || echo "the step failed"
     done <"$1"
 }
 
@@ -195,7 +201,7 @@
 fault_ended() {
     local node
     for node in $fleet_nodes; do
-        kill -0 "${fleet_node_pid[$node]:-0}" 2>/dev/null || echo "$node ended"
-        grep -l 'invariant failed' "$fleet_folder/$node.log" || true
+        [ -n "${fleet_node_pid[$node]:-}" ] && kill -0 "${fleet_node_pid[$node]}" 2>/dev/null || echo "$node has ended"
+        grep -o -m 1 'invariant failed.*' "$fleet_folder/$node.log" | sed "s/^/$node: /" || true
     done
 }
--- a/tools/lib/fleet.sh
+++ b/tools/lib/fleet.sh
@@ -1,7 +1,6 @@
 # Functions for scripts that run a fleet of daemons and the stand-ins on this machine. Every process is started by the
 # script and ended by its process id.
 
-fleet_pids=()
 declare -A fleet_node_pid
 
 # fleet_prepare NAME FOLDER: copies the example fleet NAME into FOLDER, with data folders below it.
@@ -25,30 +24,18 @@
     "${fleet_program:-build/bin/siskinshunt}" --config "$fleet_folder/$1.json" >>"$fleet_folder/$1.log" 2>&1 &
     fleet_node_pid[$1]=$!
     echo $! >"$fleet_folder/$1.pid"
-    fleet_pids+=($!)
-}
-
-# fleet_kill PID: ends one process at once and forgets its id, which may then belong to another process.
-fleet_kill() {
-    kill -KILL "$1"
-    wait "$1" 2>/dev/null || true
-    local kept=() pid
-    for pid in "${fleet_pids[@]}"; do
-        [ "$pid" = "$1" ] || kept+=("$pid")
-    done
-    fleet_pids=("${kept[@]}")
 }
 
 # fleet_kill_node NODE
 fleet_kill_node() {
-    fleet_kill "${fleet_node_pid[$1]}"
+    kill -KILL "${fleet_node_pid[$1]}"
+    wait "${fleet_node_pid[$1]}" 2>/dev/null || true
     unset "fleet_node_pid[$1]"
 }
 
 # fleet_start_fakes
 fleet_start_fakes() {
     build/bin/siskinshuntctl fakes --config "examples/$fleet_name/fakes.json" >"$fleet_folder/fakes.log" 2>&1 &
-    fleet_pids+=($!)
     fleet_control=$(sed -n 's/.*"control": "\([^"]*\)".*/\1/p' "examples/$fleet_name/fakes.json")
 }
 
@@ -89,9 +76,11 @@
     done
 }
 
-# fleet_stop: ends every process that was started.
+# fleet_stop: ends every process that was started and still runs. The shell lists only its own children, so an id that
+# another process got since is never among them.
 fleet_stop() {
-    for pid in "${fleet_pids[@]}"; do
+    local pid
+    for pid in $(jobs -pr); do
         kill -CONT "$pid" 2>/dev/null || true
         kill -INT "$pid" 2>/dev/null || true
     done
