--- a/tools/lib/faults.sh
+++ b/tools/lib/faults.sh
@@ -140,18 +140,14 @@
     done <"$1"
 }
 
-# fault_sample FILE: appends `PID NODE REVISION` of every node that answers, without end. A sample during which the
-# process was replaced counts for neither process.
+# fault_sample N FILE: appends `PID NODE REVISION` of the node with number N, from 0, without end. A sample during which
+# the process was replaced counts for neither process.
 fault_sample() {
-    local n revision pid file
-    while :; do
-        for n in "${!fault_nodes[@]}"; do
-            file="$fleet_folder/${fault_nodes[n]}.pid"
-            pid=$(<"$file")
-            revision=$(curl -s --max-time 0.3 "http://${fault_addresses[n]}/metrics" | sed -n 's/^siskinshunt_rules_revision //p')
-            [ -n "$revision" ] && [ "$pid" = "$(<"$file")" ] && echo "$pid ${fault_nodes[n]} $revision" >>"$1"
-        done
-        sleep 0.2
+    local node=${fault_nodes[$1]} revision pid
+    while sleep 0.3; do
+        pid=$(<"$fleet_folder/$node.pid")
+        revision=$(curl -s --max-time 1 "http://${fault_addresses[$1]}/metrics" | sed -n 's/^siskinshunt_rules_revision //p') || true
+        [ -n "$revision" ] && [ "$pid" = "$(<"$fleet_folder/$node.pid")" ] && echo "$pid $node $revision" >>"$2"
     done
 }
 
