--- a/src/experiment/FakeEngine.cpp
+++ b/src/experiment/FakeEngine.cpp
@@ -30,6 +30,8 @@
 UpstreamLoad FakeEngine::load()
 {
     startModel();
+    // The model samples its load as it advances, which an idle engine does not do by itself.
+    tick();
     const auto now = siskinshunt::load(*m_engine, loop().now());
     return {
         .running = now.running,
