--- a/tests/emulator/EngineTest.cpp
+++ b/tests/emulator/EngineTest.cpp
@@ -207,3 +207,15 @@
     }
     BOOST_TEST(ends[1].value > ends[0].value * 5 / 2);
 }
+
+// Guards against idle engines that report their last running call for ever (tools/faults --seed 2): low classes were then
+// held back on every one of them.
+BOOST_AUTO_TEST_CASE(idleEngineReportsThatItIsIdle)
+{
+    Engine engine({ .loadInterval = 5_s });
+    submit(engine, request(1, 256, 5), 0_ms);
+    advance(engine, 2_s);
+    BOOST_TEST(load(engine, 3_s).running == 1U);
+    advance(engine, 10_s);
+    BOOST_TEST(load(engine, 10_s + engine.options.loadLag).running == 0U);
+}
