--- a/tools/lib/fleet.sh
+++ b/tools/lib/fleet.sh
@@ -57,6 +57,14 @@
     [ "$(curl -s "http://$1/metrics" | sed -n 's/^siskinshunt_upstreams //p')" -ge "$2" ]
 }
 
+# fleet_voters_known: whether the first node knows the voter id of every other node with a data folder. A node can be alive
+# in the members of another before that.
+fleet_voters_known() {
+    local folders
+    folders=$(grep -l '"data_folder"' "$fleet_folder"/entry-*.json | wc -l)
+    [ "$(build/bin/siskinshuntctl status --json --address "$fleet_address" | grep -o '"voter": *true' | wc -l)" -ge $((folders - 1)) ]
+}
+
 fleet_in_force() {
     build/bin/siskinshuntctl rules show --json --address "$fleet_address" | grep -q '"in_force_everywhere": *true'
 }
@@ -68,6 +76,7 @@
         fleet_start_node "$node"
     done
     fleet_wait 20 fleet_members_alive "$(echo "$fleet_nodes" | wc -w)"
+    fleet_wait 20 fleet_voters_known
     build/bin/siskinshuntctl voters bootstrap --address "$fleet_address" --voter entry-1 entry-2 entry-3 >/dev/null
     fleet_wait 20 build/bin/siskinshuntctl rules apply "examples/$fleet_name/$fleet_name.rules" --expected 0 --request-id first-rules --address "$fleet_address"
     fleet_wait 20 fleet_in_force
