--- a/tools/lib/fleet.sh
+++ b/tools/lib/fleet.sh
@@ -1,7 +1,6 @@
 # Functions for scripts that run a fleet of daemons and the stand-ins on this machine. Every process is started by the
 # script and ended by its process id.
 
-fleet_pids=()
 declare -A fleet_node_pid
 
 # fleet_prepare NAME FOLDER: copies the example fleet NAME into FOLDER, with data folders below it.
@@ -22,15 +21,21 @@
 
 # fleet_start_node NODE
 fleet_start_node() {
-    build/bin/siskinshunt --config "$fleet_folder/$1.json" >>"$fleet_folder/$1.log" 2>&1 &
+    "${fleet_program:-build/bin/siskinshunt}" --config "$fleet_folder/$1.json" >>"$fleet_folder/$1.log" 2>&1 &
     fleet_node_pid[$1]=$!
-    fleet_pids+=($!)
+    echo $! >"$fleet_folder/$1.pid"
+}
+
+# fleet_kill_node NODE
+fleet_kill_node() {
+    kill -KILL "${fleet_node_pid[$1]}"
+    wait "${fleet_node_pid[$1]}" 2>/dev/null || true
+    unset "fleet_node_pid[$1]"
 }
 
 # fleet_start_fakes
 fleet_start_fakes() {
     build/bin/siskinshuntctl fakes --config "examples/$fleet_name/fakes.json" >"$fleet_folder/fakes.log" 2>&1 &
-    fleet_pids+=($!)
     fleet_control=$(sed -n 's/.*"control": "\([^"]*\)".*/\1/p' "examples/$fleet_name/fakes.json")
 }
 
@@ -52,6 +57,14 @@
     [ "$(curl -s "http://$1/metrics" | sed -n 's/^siskinshunt_upstreams //p')" -ge "$2" ]
 }
 
+# fleet_voters_known: whether the first node knows the voter id of every other node with a data folder. A node can be alive
+# in the members of another before that.
+fleet_voters_known() {
+    local folders
+    folders=$(grep -l '"data_folder"' "$fleet_folder"/entry-*.json | wc -l)
+    [ "$(build/bin/siskinshuntctl status --json --address "$fleet_address" | grep -o '"voter": *true' | wc -l)" -ge $((folders - 1)) ]
+}
+
 fleet_in_force() {
     build/bin/siskinshuntctl rules show --json --address "$fleet_address" | grep -q '"in_force_everywhere": *true'
 }
@@ -63,6 +76,7 @@
         fleet_start_node "$node"
     done
     fleet_wait 20 fleet_members_alive "$(echo "$fleet_nodes" | wc -w)"
+    fleet_wait 20 fleet_voters_known
     build/bin/siskinshuntctl voters bootstrap --address "$fleet_address" --voter entry-1 entry-2 entry-3 >/dev/null
     fleet_wait 20 build/bin/siskinshuntctl rules apply "examples/$fleet_name/$fleet_name.rules" --expected 0 --request-id first-rules --address "$fleet_address"
     fleet_wait 20 fleet_in_force
@@ -71,9 +85,11 @@
     done
 }
 
-# fleet_stop: ends every process that was started.
+# fleet_stop: ends every process that was started and still runs. The shell lists only its own children, so an id that
+# another process got since is never among them.
 fleet_stop() {
-    for pid in "${fleet_pids[@]}"; do
+    local pid
+    for pid in $(jobs -pr); do
         kill -CONT "$pid" 2>/dev/null || true
         kill -INT "$pid" 2>/dev/null || true
     done
