--- /dev/null
+++ b/src/bench/AllocationCount.cpp
@@ -0,0 +1,45 @@
+#include "bench/AllocationCount.h"
+
+#include <cstdlib>
+#include <malloc.h>
+#include <new>
+
+namespace {
+
+thread_local int64_t t_allocated = 0;
+
+// The heap keeps a size word beside each block.
+constexpr int64_t blockOverhead = 8;
+
+}
+
+namespace siskinshunt {
+
+int64_t allocatedBytes()
+{
+    return t_allocated;
+}
+
+}
+
+// The program's own operator new and delete, so that benchmarks can tell the memory of a table.
+void* operator new(size_t size)
+{
+    void* block = std::malloc(size ? size : 1);
+    if (!block)
+        throw std::bad_alloc();
+    t_allocated += static_cast<int64_t>(::malloc_usable_size(block)) + blockOverhead;
+    return block;
+}
+
+void operator delete(void* block) noexcept
+{
+    if (block)
+        t_allocated -= static_cast<int64_t>(::malloc_usable_size(block)) + blockOverhead;
+    std::free(block);
+}
+
+void operator delete(void* block, size_t) noexcept
+{
+    operator delete(block);
+}
--- a/src/bench/Bench.h
+++ b/src/bench/Bench.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace siskinshunt {
 
@@ -11,6 +12,9 @@
 struct BenchContext {
     bool quick = false; ///< Keep the whole run of the program under 45 s.
     uint64_t seed = 1;
+    std::string proxy; ///< "IP:port" of a daemon that tools/bench has started; empty: none.
+    std::vector<std::string> services; ///< "IP:port" of the services behind it.
+    std::vector<std::string> engines; ///< "IP:port" of the engines behind it.
     /// Prints one JSON line {"name","value","unit","seed","size"} on standard output.
     std::function<void(std::string_view name, double value, std::string_view unit, std::string_view size)> report;
 };
--- /dev/null
+++ b/src/bench/LoneVoter.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "replica/Replica.h"
+#include "storage/FileDisk.h"
+#include "storage/Storage.h"
+
+#include <memory>
+#include <string>
+
+namespace siskinshunt {
+
+/// One voter of one group on its own, whose writes are run at once.
+struct LoneVoter {
+    std::unique_ptr<FileDisk> disk;
+    std::unique_ptr<Storage> storage;
+    ReplicaPtr replica;
+};
+
+/// Opens the folder as it stands.
+Result<std::unique_ptr<LoneVoter>> openLoneVoter(const std::string& folder, StateMachine, const ReplicaOptions&);
+
+/// Founds the group and lets the voter win the election.
+Result<void> foundGroup(LoneVoter&);
+
+/// Runs all writes that wait; returns how many proposals were applied.
+Result<size_t> runWrites(LoneVoter&);
+
+}
--- a/src/bench/Main.cpp
+++ b/src/bench/Main.cpp
@@ -1,5 +1,6 @@
 #include "bench/Bench.h"
 
+#include <algorithm>
 #include <boost/program_options.hpp>
 #include <cstdio>
 #include <iostream>
@@ -31,27 +32,34 @@
     std::fflush(stdout);
 }
 
+static std::vector<std::string> listOf(const boost::program_options::variables_map& values, const char* name)
+{
+    return values.count(name) ? values[name].as<std::vector<std::string>>() : std::vector<std::string> {};
+}
+
 static int runBenches(int argc, char** argv)
 {
     namespace po = boost::program_options;
     po::options_description options("siskinshunt-bench");
     options.add_options()("help", "print this help")("quick", "short runs, under 45 s in all")("list", "list the benchmarks")(
         "seed", po::value<uint64_t>()->default_value(1), "seed of the first run")(
-        "only", po::value<std::vector<std::string>>()->multitoken(), "run only the named benchmarks");
+        "only", po::value<std::vector<std::string>>()->multitoken(), "run only the named benchmarks")("proxy", po::value<std::string>()->default_value(""), "IP:PORT of a running daemon, for the benchmark proxy")(
+        "services", po::value<std::vector<std::string>>()->multitoken(), "IP:PORT of the services behind it")(
+        "engines", po::value<std::vector<std::string>>()->multitoken(), "IP:PORT of the engines behind it");
     po::variables_map values;
     po::store(po::parse_command_line(argc, argv, options), values);
     if (values.count("help")) {
         std::cout << options;
         return 0;
     }
-    BenchContext context { .quick = values.count("quick") != 0, .seed = values["seed"].as<uint64_t>(), .report = {} };
+    BenchContext context { .quick = values.count("quick") != 0, .seed = values["seed"].as<uint64_t>(), .proxy = values["proxy"].as<std::string>(), .services = listOf(values, "services"), .engines = listOf(values, "engines"), .report = {} };
     context.report = [&](auto name, auto value, auto unit, auto size) { printLine(context.seed, name, value, unit, size); };
     for (const auto& bench : registeredBenches()) {
         if (values.count("list")) {
             std::cout << bench.name << '\n';
             continue;
         }
-        const auto only = values.count("only") ? values["only"].as<std::vector<std::string>>() : std::vector<std::string> {};
+        const auto only = listOf(values, "only");
         if (only.empty() || std::find(only.begin(), only.end(), bench.name) != only.end())
             bench.run(context);
     }
--- a/src/bench/ReplicaBench.cpp
+++ b/src/bench/ReplicaBench.cpp
@@ -44,12 +44,18 @@
     std::string error;
 };
 
+struct OpenProposal {
+    size_t caller = 0;
+    Clock::time_point start;
+};
+
 struct BenchGroup {
+    const ReplicaBenchOptions& options;
     std::array<BenchVoter, 3> voters;
     Wake wake;
     std::deque<Message> network;
     Clock::time_point begin = Clock::now();
-    std::map<std::pair<size_t, uint64_t>, Clock::time_point> open; ///< By group and proposal.
+    std::map<std::pair<size_t, uint64_t>, OpenProposal> open; ///< By group and proposal.
     uint64_t commits = 0;
     Histogram latencyUs;
 };
@@ -89,8 +95,9 @@
     };
 }
 
-static Result<void> openVoters(BenchGroup& bench, const ReplicaBenchOptions& options)
+static Result<void> openVoters(BenchGroup& bench)
 {
+    const auto& options = bench.options;
     for (size_t n = 0; n < bench.voters.size(); ++n) {
         auto& voter = bench.voters[n];
         voter.id = { n + 1 };
@@ -106,7 +113,7 @@
                 .electionMin = n ? 1500_ms : 500_ms,
                 .electionMax = n ? 2500_ms : 600_ms,
             };
-            BOOST_LEAF_AUTO(replica, openReplica(replicaOptions, countingMachine(), {}, 0_ms));
+            BOOST_LEAF_AUTO(replica, openReplica(replicaOptions, options.machine ? options.machine(n, group) : countingMachine(), {}, 0_ms));
             BOOST_LEAF_CHECK(bootstrap(*replica, { { 1 }, { 2 }, { 3 } }));
             voter.replicas.push_back(std::move(replica));
         }
@@ -114,13 +121,15 @@
     return {};
 }
 
-static void proposeOne(BenchGroup& bench, size_t group, size_t bytes)
+static void proposeNext(BenchGroup& bench, size_t caller, const std::string& reply)
 {
-    const uint64_t id = propose(*bench.voters[0].replicas[group], std::string(bytes, 'c'));
-    bench.open.emplace(std::pair(group, id), Clock::now());
+    const auto& options = bench.options;
+    ReplicaBenchProposal next = options.next ? options.next(caller, reply) : ReplicaBenchProposal { caller % options.groups, std::string(options.commandBytes, 'c') };
+    const uint64_t id = propose(*bench.voters[0].replicas[next.group], std::move(next.command));
+    bench.open.emplace(std::pair(next.group, id), OpenProposal { caller, Clock::now() });
 }
 
-static void takeOutcome(BenchGroup& bench, size_t group, const ProposalOutcome& outcome, size_t bytes)
+static void takeOutcome(BenchGroup& bench, size_t group, const ProposalOutcome& outcome)
 {
     auto it = bench.open.find({ group, outcome.proposal });
     if (it == bench.open.end())
@@ -128,13 +137,14 @@
     if (outcome.status != ProposalStatus::Applied)
         throw std::runtime_error("proposal ended as " + std::string(nameOf(outcome.status)) + ": " + outcome.reply);
     ++bench.commits;
-    bench.latencyUs.record(static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - it->second).count()));
+    bench.latencyUs.record(static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - it->second.start).count()));
+    const size_t caller = it->second.caller;
     bench.open.erase(it);
-    proposeOne(bench, group, bytes);
+    proposeNext(bench, caller, outcome.reply);
 }
 
 /// Collects the outputs of all groups of one voter; returns whether there were any.
-static bool collect(BenchGroup& bench, BenchVoter& voter, size_t bytes)
+static bool collect(BenchGroup& bench, BenchVoter& voter)
 {
     bool busy = false;
     for (size_t group = 0; group < voter.replicas.size(); ++group) {
@@ -143,7 +153,7 @@
         std::move(out.messages.begin(), out.messages.end(), std::back_inserter(bench.network));
         submit(voter.queue, std::move(out.disk));
         for (const auto& outcome : out.outcomes)
-            takeOutcome(bench, group, outcome, bytes);
+            takeOutcome(bench, group, outcome);
     }
     return busy;
 }
@@ -179,7 +189,7 @@
 }
 
 /// Everything that can be done now, then waits for a write to end.
-static void step(BenchGroup& bench, size_t bytes)
+static void step(BenchGroup& bench)
 {
     for (auto& voter : bench.voters) {
         endWrite(voter);
@@ -190,7 +200,7 @@
         deliver(bench);
         busy = false;
         for (auto& voter : bench.voters)
-            busy = collect(bench, voter, bytes) || busy;
+            busy = collect(bench, voter) || busy;
     }
     for (auto& voter : bench.voters)
         startWrite(voter);
@@ -208,21 +218,22 @@
     return true;
 }
 
-static ReplicaBenchResult measure(BenchGroup& bench, const ReplicaBenchOptions& options)
+static ReplicaBenchResult measure(BenchGroup& bench)
 {
+    const auto& options = bench.options;
     while (!leadsAll(bench)) {
         if (clockOf(bench) > 10_s)
             throw std::runtime_error("the first voter leads not all groups after 10 s");
-        step(bench, options.commandBytes);
+        step(bench);
     }
     for (size_t n = 0; n < options.callers; ++n)
-        proposeOne(bench, n % options.groups, options.commandBytes);
+        proposeNext(bench, n, {});
     for (auto& voter : bench.voters)
         voter.syncs = 0;
     const auto start = Clock::now();
     double seconds = 0;
     while (seconds < options.seconds) {
-        step(bench, options.commandBytes);
+        step(bench);
         seconds = std::chrono::duration<double>(Clock::now() - start).count();
     }
     uint64_t syncs = 1;
@@ -249,10 +260,10 @@
 
 ReplicaBenchResult runReplicaBench(const ReplicaBenchOptions& options)
 {
-    BenchGroup bench;
+    BenchGroup bench { .options = options };
     const std::string error = handle(
         [&]() -> Result<std::string> {
-            BOOST_LEAF_CHECK(openVoters(bench, options));
+            BOOST_LEAF_CHECK(openVoters(bench));
             return std::string();
         },
         [](const Error& it) { return toString(it); });
@@ -261,7 +272,7 @@
     for (auto& voter : bench.voters)
         voter.thread = std::thread([&bench, &voter] { runDiskThread(voter, bench.wake); });
     try {
-        const ReplicaBenchResult result = measure(bench, options);
+        const ReplicaBenchResult result = measure(bench);
         stopThreads(bench);
         return result;
     } catch (...) {
--- a/src/bench/ReplicaBench.h
+++ b/src/bench/ReplicaBench.h
@@ -1,10 +1,19 @@
 #pragma once
 
+#include "replica/StateMachine.h"
+
 #include <cstdint>
+#include <functional>
 #include <string>
 
 namespace siskinshunt {
 
+/// What a caller proposes next.
+struct ReplicaBenchProposal {
+    size_t group = 0; ///< From 0.
+    std::string command;
+};
+
 struct ReplicaBenchOptions {
     std::string folder; ///< Gets one data folder per voter.
     double seconds = 10;
@@ -12,6 +21,10 @@
     size_t commandBytes = 512;
     size_t groups = 4; ///< Callers are spread evenly over the groups.
     uint64_t seed = 1;
+    /// The state machine of a voter in a group; without it one that only counts.
+    std::function<StateMachine(size_t voter, size_t group)> machine;
+    /// The next proposal of a caller; `reply` is the one to its last, empty at first. Without it `commandBytes` bytes.
+    std::function<ReplicaBenchProposal(size_t caller, const std::string& reply)> next;
 };
 
 struct ReplicaBenchResult {
