--- a/src/bench/AllocationCount.cpp
+++ b/src/bench/AllocationCount.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-thread_local int64_t t_allocated = 0;
+thread_local int64_t s_allocated = 0;
 
 // The heap keeps a size word beside each block.
 constexpr int64_t blockOverhead = 8;
@@ -17,7 +17,7 @@
 
 int64_t allocatedBytes()
 {
-    return t_allocated;
+    return s_allocated;
 }
 
 }
@@ -28,14 +28,14 @@
     void* block = std::malloc(size ? size : 1);
     if (!block)
         throw std::bad_alloc();
-    t_allocated += static_cast<int64_t>(::malloc_usable_size(block)) + blockOverhead;
+    s_allocated += static_cast<int64_t>(::malloc_usable_size(block)) + blockOverhead;
     return block;
 }
 
 void operator delete(void* block) noexcept
 {
     if (block)
-        t_allocated -= static_cast<int64_t>(::malloc_usable_size(block)) + blockOverhead;
+        s_allocated -= static_cast<int64_t>(::malloc_usable_size(block)) + blockOverhead;
     std::free(block);
 }
 
--- a/src/bench/NodeFleet.cpp
+++ b/src/bench/NodeFleet.cpp
@@ -296,6 +296,14 @@
     return std::all_of(nodes.begin(), nodes.end(), [&](const auto& node) { return node->rules && node->rules->revision >= revision; });
 }
 
+size_t NodeFleet::openCalls() const
+{
+    size_t n = 0;
+    for (const auto& node : nodes)
+        n += node->calls.size();
+    return n;
+}
+
 void NodeFleet::clearUse()
 {
     std::fill(use.begin(), use.end(), NodeUse {});
@@ -306,13 +314,13 @@
     std::string out = "account district token-sha256=" + sha256Hex("caller") + " # Ayesha: the caller of the measurement, variant " + std::to_string(variant) + "\n"
         + "class crew priority=1 deadline=30s # Ayesha: crews wait for the answer\n";
     for (size_t n = 0; n < limits; ++n)
-        out += "limit limit-" + std::to_string(n) + " account=district class=crew rate=" + std::to_string(100000 + n) + "/s burst=100000 # Ayesha: measured limit\n";
+        out.append("limit limit-").append(std::to_string(n)).append(" account=district class=crew rate=").append(std::to_string(100000 + n)).append("/s burst=100000 # Ayesha: measured limit\n");
     for (size_t n = 0; n < padding; ++n)
-        out += "route padding-" + std::to_string(n) + " account=district model=unused-" + std::to_string(n) + " class=crew repeat=yes # Bilal: one of many routes, as a large file has them\n";
+        out.append("route padding-").append(std::to_string(n)).append(" account=district model=unused-").append(std::to_string(n)).append(" class=crew repeat=yes # Bilal: one of many routes, as a large file has them\n");
     for (size_t n = 0; n < 5; ++n) {
         const std::string it = std::to_string(n);
-        out += "route model-" + it + " model=model-" + it + " class=crew repeat=yes # Bilal: everything else\n";
-        out += "version now-" + it + " model=model-" + it + " version=v1 # Bilal: in service\n";
+        out.append("route model-").append(it).append(" model=model-").append(it).append(" class=crew repeat=yes # Bilal: everything else\n");
+        out.append("version now-").append(it).append(" model=model-").append(it).append(" version=v1 # Bilal: in service\n");
     }
     return out;
 }
--- a/src/bench/NodeFleet.h
+++ b/src/bench/NodeFleet.h
@@ -53,6 +53,7 @@
     void call(size_t node, const std::string& model);
     bool everyNodeHas(uint64_t revision) const;
     size_t leader() const; ///< Index of the decision leader; throws std::runtime_error if there is none.
+    size_t openCalls() const; ///< At all nodes, queued or sent.
     void clearUse();
 
     TimeMs now { INT64_C(1760000000000) };
--- a/src/bench/ScaleBench.cpp
+++ b/src/bench/ScaleBench.cpp
@@ -164,8 +164,8 @@
         for (const uint64_t bytes : use.frameBytesOut)
             all += bytes;
         char size[300];
-        std::snprintf(size, sizeof(size), "%zu nodes, 1 open move, 4 limits, %zu calls/s per node (%llu answered, %llu refused); evidence %.0f, lease requests %.0f, grants %.0f B/s", nodes, callsPerNode,
-            static_cast<unsigned long long>(fleet.answered - answered), static_cast<unsigned long long>(fleet.refused - refused), evidence, requests, grants);
+        std::snprintf(size, sizeof(size), "%zu nodes, 1 open move, 4 limits, %zu calls/s per node (%llu answered, %llu refused, %zu open at the end); evidence %.0f, lease requests %.0f, grants %.0f B/s", nodes, callsPerNode,
+            static_cast<unsigned long long>(fleet.answered - answered), static_cast<unsigned long long>(fleet.refused - refused), fleet.openCalls(), evidence, requests, grants);
         context.report("leader.bytes_per_s" + suffixOf(nodes), evidence + requests + grants, "B/s", size);
         context.report("leader.all_bytes_per_s" + suffixOf(nodes), static_cast<double>(all) / duration.seconds(), "B/s", std::string(size) + "; with gossip, consensus and views");
         context.report("leader.cpu_percent" + suffixOf(nodes), use.stepSeconds / duration.seconds() * 100, "%", size);
@@ -188,6 +188,9 @@
             if (!context.quick || n <= 100)
                 benchIdle(context, n);
         }
+    });
+
+    const BenchRegistration leaderRegistration("leader", [](const BenchContext& context) {
         for (const size_t n : { 8, 32, 100, 400 }) {
             if (!context.quick || n <= 8)
                 benchLeader(context, n);
