--- a/src/experiment/AdminCommands.cpp
+++ b/src/experiment/AdminCommands.cpp
@@ -322,7 +322,9 @@
         return *code;
     if (!options.require({ "id" }))
         return exits::usage;
-    return printAnswer(callAdmin(options.access, "GET", "/admin/explain?id=" + encodeQuery(options.many("id")[0])), options.flag("json"));
+    const auto answer = callAdmin(options.access, "GET", "/admin/explain?id=" + encodeQuery(options.many("id")[0]));
+    const int code = printAnswer(answer, options.flag("json"));
+    return code == exits::ok && answer.body["records"].items.empty() ? exits::no : code;
 }
 
 int runDrainCommand(const std::vector<std::string>& arguments)
