Use one prefix hash for requests, router and stand-ins

The api package had its own copy of the chained block hashes and a second constant of the same name. The bound of queued bodies is now 24 MiB, because 64 MiB alone was the whole memory budget of a node (docs/CAPACITY.md).

--- a/src/api/ModelRequest.cpp
+++ b/src/api/ModelRequest.cpp
@@ -1,6 +1,6 @@
 #include "api/ModelRequest.h"
 
-#include "base/Hash.h"
+#include "base/PrefixHash.h"
 
 #include <algorithm>
 #include <boost/json.hpp>
@@ -9,7 +9,6 @@
 
 namespace json = boost::json;
 
-static constexpr uint64_t bytesPerToken = 4;
 static constexpr int64_t maxMaxTokens = 1 << 20;
 
 static json::value parseJson(std::string_view body, uint32_t depth, json::error_code& ec)
@@ -106,23 +105,10 @@
             return malformed("\"prompt\" is missing or not a string");
         out.prompt = std::string_view(prompt->get_string());
     }
-    out.promptTokens = (out.prompt.size() + bytesPerToken - 1) / bytesPerToken;
+    out.promptTokens = estimateTokens(out.prompt);
     return out;
 }
 
-std::vector<uint64_t> prefixBlocks(std::string_view prompt)
-{
-    static constexpr size_t blockBytes = prefixBlockTokens * bytesPerToken;
-    std::vector<uint64_t> blocks;
-    blocks.reserve(prompt.size() / blockBytes);
-    uint64_t hash = 0;
-    for (; prompt.size() >= blockBytes; prompt.remove_prefix(blockBytes)) {
-        hash = hash64(prompt.substr(0, blockBytes), hash);
-        blocks.push_back(hash);
-    }
-    return blocks;
-}
-
 std::string withResume(std::string_view body, uint64_t offset, std::string_view text)
 {
     json::error_code ec;
--- a/src/api/ModelRequest.h
+++ b/src/api/ModelRequest.h
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace siskinshunt {
 
@@ -15,19 +14,13 @@
     bool stream = false;
     uint32_t maxTokens = 256; ///< "max_tokens" or "max_completion_tokens".
     std::string prompt; ///< The message contents joined by newlines, or the prompt; for prefix hashes.
-    uint64_t promptTokens = 0; ///< Estimate: one token for 4 bytes of prompt.
+    uint64_t promptTokens = 0; ///< Estimate from the length of the prompt.
 };
 
 /// Parses the body of POST /v1/chat/completions or /v1/completions. `depth` bounds the nesting of the JSON text.
 /// Fails with Invalid (step accept) and a sentence for the caller.
 Result<ModelRequest> parseModelRequest(std::string_view path, std::string_view body, uint32_t depth);
 
-constexpr uint64_t prefixBlockTokens = 256;
-
-/// Chained xxh64 over the whole blocks of 256 tokens (1,024 bytes) of a prompt; the hash of a block is seeded with that
-/// of the block before it, the first one with 0.
-std::vector<uint64_t> prefixBlocks(std::string_view prompt);
-
 /// The body with a member "resume": {"offset": N, "text": "..."}, which tells another engine what has been generated so
 /// far. The body must have been accepted by parseModelRequest.
 std::string withResume(std::string_view body, uint64_t offset, std::string_view text);
--- a/src/node/CallFlow.cpp
+++ b/src/node/CallFlow.cpp
@@ -1,6 +1,7 @@
 #include "node/CallFlow.h"
 
 #include "base/Hash.h"
+#include "base/PrefixHash.h"
 #include "node/Answers.h"
 #include "node/ExplainFlow.h"
 #include "node/MovesFlow.h"
@@ -259,7 +260,7 @@
         call.firstTokenTarget = target->firstToken;
     call.model = std::move(checked.model);
     if (call.isModel) {
-        call.blocks = prefixBlocks(call.model.prompt);
+        call.blocks = prefixHashes(call.model.prompt);
         call.model.prompt.clear();
         call.model.prompt.shrink_to_fit();
     }
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -81,7 +81,7 @@
     InputLimits limits;
     Timings timings;
     uint32_t ledgerGroups = 4; ///< Used once, at bootstrap.
-    uint32_t queueBytes = 64 << 20; ///< Bodies of queued calls of this node.
+    uint32_t queueBytes = 24 << 20; ///< Bodies of queued calls of this node; leaves 40 of 64 MB for its tables and connections.
     LogLevel logLevel = LogLevel::Info;
 };
 
--- a/tests/fuzz/ModelRequest.cpp
+++ b/tests/fuzz/ModelRequest.cpp
@@ -1,4 +1,5 @@
 #include "api/ModelRequest.h"
+#include "base/PrefixHash.h"
 #include "Fuzz.h"
 
 using namespace siskinshunt;
@@ -10,7 +11,7 @@
     return handle(
         [&]() -> Result<bool> {
             BOOST_LEAF_AUTO(request, parseModelRequest(path, body, depth));
-            INVARIANT(prefixBlocks(request.prompt).size() == request.prompt.size() / 1024, "one hash for each whole block", "bytes", request.prompt.size());
+            INVARIANT(prefixHashes(request.prompt).size() == request.prompt.size() / 1024, "one hash for each whole block", "bytes", request.prompt.size());
             return true;
         },
         [](const Error&) { return false; });
