--- a/src/soak/NodeFleet.cpp
+++ b/src/soak/NodeFleet.cpp
@@ -18,13 +18,13 @@
 std::string NodeFleet::rulesText(const std::string& note)
 {
     return "account office token-sha256=" + sha256Hex("office") + " # Asma Butt: " + note + "\n"
-        "class booking priority=1 deadline=10s queue=50 # Omar Khan: bookings\n"
-        "class crew priority=0 deadline=20s queue=50 # Hina Raza: crews\n"
-        "route bookings service=hire-desk class=booking method=POST repeat=once # Omar Khan: never twice\n"
-        "route status service=hire-desk class=booking method=GET repeat=yes # Omar Khan: may repeat\n"
-        "route crew model=sound-plan class=crew repeat=yes # Hina Raza: crew desk\n"
-        "retry default route=* budget=100% attempts=4 base=10ms cap=100ms # Sana Iqbal: retries\n"
-        "version sound-plan-v1 model=sound-plan version=v1 # Sana Iqbal: in service\n";
+                                                                                            "class booking priority=1 deadline=10s queue=50 # Omar Khan: bookings\n"
+                                                                                            "class crew priority=0 deadline=20s queue=50 # Hina Raza: crews\n"
+                                                                                            "route bookings service=hire-desk class=booking method=POST repeat=once # Omar Khan: never twice\n"
+                                                                                            "route status service=hire-desk class=booking method=GET repeat=yes # Omar Khan: may repeat\n"
+                                                                                            "route crew model=sound-plan class=crew repeat=yes # Hina Raza: crew desk\n"
+                                                                                            "retry default route=* budget=100% attempts=4 base=10ms cap=100ms # Sana Iqbal: retries\n"
+                                                                                            "version sound-plan-v1 model=sound-plan version=v1 # Sana Iqbal: in service\n";
 }
 
 NodeFleet::NodeFleet(NodeFleetOptions given)
@@ -339,7 +339,8 @@
         return {};
     const auto* error = root.get_object().if_contains("error");
     const auto* value = (error ? error->get_object() : root.get_object()).if_contains(name);
-    return !value ? std::string {} : value->is_string() ? std::string(value->get_string()) : json::serialize(*value);
+    return !value ? std::string {} : value->is_string() ? std::string(value->get_string())
+                                                        : json::serialize(*value);
 }
 
 std::string NodeFleet::adminGet(size_t n, const std::string& target)
