--- a/tests/node/StreamTest.cpp
+++ b/tests/node/StreamTest.cpp
@@ -131,6 +131,7 @@
 {
     const auto fleet = makeFleet();
     std::vector<uint64_t> callers;
+    callers.reserve(36);
     for (int n = 0; n < 6; ++n)
         callers.push_back(fleet->ask(static_cast<size_t>(n) % 4, true, 400));
     fleet->runFor(500_ms);
