--- a/tests/node/ControlTest.cpp
+++ b/tests/node/ControlTest.cpp
@@ -115,6 +115,40 @@
     checkFleet(*fleet);
 }
 
+// Guards against a voter that gets its state by a snapshot and then offers the new rules under an old index, or none at all.
+BOOST_AUTO_TEST_CASE(VoterThatInstallsASnapshotFollows)
+{
+    const auto fleet = makeFleet();
+    const size_t behind = fleet->decisionLeader() == 2 ? 1 : 2;
+    const size_t other = 3 - behind;
+    fleet->isolate(behind, true);
+    for (uint64_t revision = 1; revision < 4; ++revision) {
+        const auto applied = fleet->apply(other, "apply-" + std::to_string(revision), revision, NodeFleet::rulesText("behind"), "omar");
+        BOOST_REQUIRE(waitFor(*fleet, applied, 6_s));
+        BOOST_REQUIRE_EQUAL(fleet->caller(applied).status, 200);
+    }
+    const uint64_t before = fleet->nodes[behind].node->decisionIndex;
+    BOOST_REQUIRE_GT(before, 0U);
+    for (const size_t n : { size_t { 0 }, other })
+        fleet->post(n, { "POST", "/admin/snapshot", { { "Authorization", "Bearer omar" } }, {} });
+    fleet->runFor(1_s);
+    // A restart drops the entries that are kept in memory below a snapshot.
+    for (const size_t n : { size_t { 0 }, other }) {
+        fleet->kill(n, false);
+        fleet->start(n);
+    }
+    fleet->runFor(3_s);
+    fleet->isolate(behind, false);
+    BOOST_REQUIRE(fleet->runUntil([&] { return fleet->nodes[behind].node->decisionIndex != before; }, 12_s));
+    BOOST_CHECK_EQUAL(fleet->nodes[behind].node->decisionIndex, 0U);
+    BOOST_CHECK(fleet->runUntil([&] { return fleet->agreeOnRevision(4); }, 12_s));
+    const auto next = fleet->apply(behind, "next", 4, NodeFleet::rulesText("next"), "sana");
+    BOOST_REQUIRE(waitFor(*fleet, next, 6_s));
+    BOOST_CHECK_EQUAL(fleet->caller(next).status, 200);
+    BOOST_CHECK(fleet->runUntil([&] { return fleet->agreeOnRevision(5); }, 6_s));
+    checkFleet(*fleet);
+}
+
 // Guards against a group that stays short of a voter after a repair, so that the next loss ends its quorum.
 BOOST_AUTO_TEST_CASE(SecondVoterLostRightAfterARepair)
 {
