--- a/src/bench/ReplicaBench.h
+++ b/src/bench/ReplicaBench.h
@@ -35,7 +35,8 @@
 };
 
 /// Three voters with real files in one process. One thread runs all replicas and each voter has its own disk thread, as
-/// on three instances. One voter leads all groups. Throws std::runtime_error when a write fails.
+/// on three instances. The first voter
+/// leads all groups unless a write delays its elections. Throws std::runtime_error when a write fails.
 ReplicaBenchResult runReplicaBench(const ReplicaBenchOptions&);
 
 }
