--- a/src/capacity/Capacity.h
+++ b/src/capacity/Capacity.h
@@ -55,6 +55,7 @@
     InstanceKind kind = InstanceKind::Reclaimable;
     InstancePhase phase = InstancePhase::Starting;
     bool leaving = false; ///< Reclaim notice, or shutting down.
+    bool mayStop = true; ///< False: not the platform's, or outside the rules; it counts as present but is never stopped.
 };
 
 /// Instances that are alike for planning.
@@ -71,20 +72,20 @@
     }
 };
 
-enum class IntentKind : uint8_t {
+enum class InstanceAction : uint8_t {
     Start,
     Stop,
 };
 
 template <>
-inline constexpr auto enumNames<IntentKind> = std::to_array<EnumName<IntentKind>>({
-    { IntentKind::Start, "start" },
-    { IntentKind::Stop, "stop" },
+inline constexpr auto enumNames<InstanceAction> = std::to_array<EnumName<InstanceAction>>({
+    { InstanceAction::Start, "start" },
+    { InstanceAction::Stop, "stop" },
 });
 
 /// An order to the platform. Repeating it under the same id has no further effect.
 struct InstanceIntent {
-    IntentKind kind = IntentKind::Start;
+    InstanceAction kind = InstanceAction::Start;
     std::string id; ///< Of the instance: a stop names the same id as the start.
     PoolKey pool;
     std::string reason; ///< One line, for explain and the order record.
@@ -106,6 +107,7 @@
     double keepBonus = 0.1; ///< A running pool counts as this much cheaper, against flapping on price changes.
     double stopMargin = 0.1; ///< Demand counts as this much higher when a stop is considered.
     TimeMs stopAfter { 300000 }; ///< Surplus has to last this long before anything is stopped.
+    TimeMs cheaperAfter; ///< While the present instances suffice, a start that only saves money waits for this long.
     TimeMs backoffBase { 30000 }; ///< After the first refused start of a pool's domain, machine and kind.
     TimeMs backoffCap { 900000 };
     double lateFactor = 2; ///< A start is late after this many start times.
@@ -170,6 +172,7 @@
     std::map<std::string, OpenStart> starts; ///< By id.
     std::map<std::string, TimeMs> stops; ///< Id to when it was last ordered.
     std::map<std::string, TimeMs> surplusSince; ///< By model.
+    std::map<std::string, TimeMs> cheaperSince; ///< By model: since when starts would only save money.
     uint64_t nextNumber = 1;
 };
 
--- a/src/capacity/Planner.cpp
+++ b/src/capacity/Planner.cpp
@@ -62,10 +62,10 @@
     private:
         void note(std::string code, std::string instance, std::string text) { m_out.notes.push_back({ std::move(code), std::move(instance), std::move(text) }); }
 
-        void order(IntentKind kind, const std::string& id, const PoolKey& pool, std::string reason, const RuleOrigin& rule = {})
+        void order(InstanceAction kind, const std::string& id, const PoolKey& pool, std::string reason, const RuleOrigin& rule = {})
         {
             m_out.intents.push_back({ kind, id, pool, std::move(reason), rule });
-            if (kind == IntentKind::Stop)
+            if (kind == InstanceAction::Stop)
                 m_planner.stops[id] = m_now;
         }
 
@@ -104,13 +104,13 @@
                 const auto [code, text] = startFailure(start);
                 if (!code.empty()) {
                     note(code, id, describe(start.pool) + ": " + text);
-                    order(IntentKind::Stop, id, start.pool, text, start.rule);
+                    order(InstanceAction::Stop, id, start.pool, text, start.rule);
                     it = m_planner.starts.erase(it);
                     continue;
                 }
                 if (!start.accepted && m_now - start.sentAt >= m_planner.options.repeatOrder) {
                     start.sentAt = m_now;
-                    order(IntentKind::Start, id, start.pool, "repeated, no answer yet", start.rule);
+                    order(InstanceAction::Start, id, start.pool, "repeated, no answer yet", start.rule);
                 }
                 ++it;
             }
@@ -126,7 +126,7 @@
                     continue;
                 }
                 if (due)
-                    order(IntentKind::Stop, it->first, poolOf(*view->second), "repeated, still listed");
+                    order(InstanceAction::Stop, it->first, poolOf(*view->second), "repeated, still listed");
                 ++it;
             }
         }
@@ -209,10 +209,45 @@
             const PoolPlan plan = solvePools(need, state.pools, m_inputs.rules);
             if (plan.shortfall > 1e-9 && (need.allTokens > 0 || need.allRequests > 0))
                 note("shortfall", {}, model + ": " + std::to_string(static_cast<int>(std::ceil(plan.shortfall * 100))) + "% of a requirement has no allowed instance");
-            const uint32_t missing = startMissing(model, state, plan);
+            const uint32_t missing = savesOnly(model, need, state, plan) ? missingOf(state, plan) : startMissing(model, state, plan);
             stopSurplus(model, need, state, plan, missing);
         }
 
+        static uint32_t missingOf(const ModelState& state, const PoolPlan& plan)
+        {
+            uint32_t missing = 0;
+            for (size_t n = 0; n < plan.counts.size(); ++n)
+                missing += plan.counts[n] - std::min(plan.counts[n], state.pools[n].running);
+            return missing;
+        }
+
+        /// Whether the present instances meet the demand and the minimum of every rule.
+        bool suffices(const ModelNeed& need, const ModelState& state) const
+        {
+            std::vector<PoolChoice> present = state.pools;
+            std::map<size_t, uint32_t> byRule;
+            for (auto& pool : present) {
+                pool.limit = pool.running;
+                byRule[pool.rule] += pool.running;
+            }
+            for (const auto& [rule, count] : byRule) {
+                if (count < m_inputs.rules[rule].min)
+                    return false;
+            }
+            return solvePools(need, present, m_inputs.rules).shortfall < 1e-9;
+        }
+
+        /// Whether the plan's starts only replace dearer instances and have not been worth it for long enough.
+        bool savesOnly(const std::string& model, const ModelNeed& need, const ModelState& state, const PoolPlan& plan)
+        {
+            if (m_planner.options.cheaperAfter == TimeMs {} || missingOf(state, plan) == 0 || !suffices(need, state)) {
+                m_planner.cheaperSince.erase(model);
+                return false;
+            }
+            const TimeMs since = m_planner.cheaperSince.try_emplace(model, m_now).first->second;
+            return m_now - since < m_planner.options.cheaperAfter;
+        }
+
         /// Returns how many instances the plan has beyond those present.
         uint32_t startMissing(const std::string& model, const ModelState& state, const PoolPlan& plan)
         {
@@ -230,7 +265,7 @@
                     const std::string id = m_planner.options.idPrefix + "-" + std::to_string(m_planner.nextNumber++);
                     const RuleOrigin& rule = m_inputs.rules[pool.rule].origin;
                     m_planner.starts[id] = { .pool = pool.key, .orderedAt = m_now, .sentAt = m_now, .lastListed = m_now, .rule = rule };
-                    order(IntentKind::Start, id, pool.key, "plan needs " + std::to_string(plan.counts[n]) + ", " + std::to_string(pool.running) + " present", rule);
+                    order(InstanceAction::Start, id, pool.key, "plan needs " + std::to_string(plan.counts[n]) + ", " + std::to_string(pool.running) + " present", rule);
                 }
             }
             if (waiting)
@@ -271,9 +306,9 @@
             for (const auto& [id, view] : m_views) {
                 if (count == 0)
                     return;
-                if (poolOf(*view) != key || view->leaving || m_planner.stops.count(id))
+                if (poolOf(*view) != key || view->leaving || !view->mayStop || m_planner.stops.count(id))
                     continue;
-                order(IntentKind::Stop, id, key, "surplus for " + std::to_string(m_planner.options.stopAfter.value / 1000) + " s");
+                order(InstanceAction::Stop, id, key, "surplus for " + std::to_string(m_planner.options.stopAfter.value / 1000) + " s");
                 --count;
             }
         }
--- a/src/node/FleetFlow.cpp
+++ b/src/node/FleetFlow.cpp
@@ -5,6 +5,7 @@
 #include "node/CallFlow.h"
 #include "node/MovesFlow.h"
 #include "node/Peers.h"
+#include "node/PlatformPoll.h"
 #include "rules/RuleMatch.h"
 
 #include <algorithm>
@@ -31,6 +32,8 @@
     if (!node.rules)
         return 1;
     const auto kind = announced.reclaimable ? InstanceKind::Reclaimable : InstanceKind::OnDemand;
+    if (const auto stated = platformPrice(node, announced.domain, announced.machine, kind))
+        return *stated;
     const auto& prices = node.rules->prices;
     const auto it = std::find_if(prices.begin(), prices.end(), [&](const PriceRule& rule) { return rule.domain == announced.domain && rule.machine == announced.machine && rule.kind == kind; });
     return it == prices.end() ? 1 : it->perHour;
--- a/src/node/LeaderFlow.cpp
+++ b/src/node/LeaderFlow.cpp
@@ -1,5 +1,6 @@
 #include "node/LeaderFlow.h"
 
+#include "node/CapacityFlow.h"
 #include "node/Groups.h"
 #include "node/MovesFlow.h"
 #include "node/Peers.h"
@@ -70,6 +71,7 @@
     node.leader.epoch = 0;
     node.leader.movesRestored = false;
     node.leader.evidence.clear();
+    node.leader.capacity = {};
 }
 
 static void tickDecisionLead(Node& node, Group& group)
@@ -91,6 +93,7 @@
         return;
     node.leader.nextStep = node.now + controllerInterval;
     runMoveController(node);
+    tickCapacity(node);
     node.leader.grantor.nodes = static_cast<uint32_t>(liveMembers(node.membership).size());
     expireGrants(node.leader.grantor, node.now);
 }
@@ -154,19 +157,30 @@
     return boost::json::serialize(body);
 }
 
+static std::optional<UpstreamDispatch> dispatchOf(const Node& node, const Order& order)
+{
+    if (order.target.empty())
+        return platformDispatch(node, order);
+    const Upstream* upstream = findUpstream(node.membership.upstreams, idOfName<UpstreamId>(order.target));
+    if (!upstream)
+        return std::nullopt;
+    UpstreamDispatch dispatch;
+    dispatch.address = upstream->announced.address;
+    dispatch.request = { "POST", "/orders", { { "Content-Type", "application/json" } }, orderBody(order) };
+    return dispatch;
+}
+
 static void sendOrders(Node& node)
 {
     auto& leader = node.leader;
     for (const auto& order : dueOrders(leader.orders, node.now, node.random)) {
-        const Upstream* upstream = findUpstream(node.membership.upstreams, idOfName<UpstreamId>(order.target));
-        if (!upstream) {
+        auto made = dispatchOf(node, order);
+        if (!made) {
             answerOrder(leader.orders, order.id, order.fencing, OrderAnswer::Lost, node.now, node.random);
             continue;
         }
-        UpstreamDispatch dispatch;
+        UpstreamDispatch& dispatch = *made;
         dispatch.dispatch = ++node.lastDispatch;
-        dispatch.address = upstream->announced.address;
-        dispatch.request = { "POST", "/orders", { { "Content-Type", "application/json" } }, orderBody(order) };
         dispatch.freshConnection = true;
         dispatch.firstByteTimeout = leader.orders.settings.orderTimeout;
         leader.orderDispatches[dispatch.dispatch] = { order.id, order.fencing };
@@ -175,6 +189,8 @@
         node.out.dispatches.push_back(std::move(dispatch));
     }
     reconcileOrders(leader.orders, [&node](const Order& order) {
+        if (order.target.empty())
+            return isStarted(node, order);
         const Upstream* upstream = findUpstream(node.membership.upstreams, idOfName<UpstreamId>(order.target));
         return upstream && upstream->announced.model == order.model && upstream->announced.version == order.version;
     });
@@ -189,7 +205,10 @@
     const auto [id, fencing] = it->second;
     auto answer = OrderAnswer::Lost;
     if (event.kind == UpstreamEventKind::Head) {
-        if (event.status == 409)
+        const auto order = leader.orders.orders.find(id);
+        if (order != leader.orders.orders.end() && order->second.order.target.empty())
+            answer = platformAnswer(order->second.order, event.status);
+        else if (event.status == 409)
             answer = OrderAnswer::OldFencing;
         else if (event.status == 503 || event.status == 429)
             answer = OrderAnswer::Busy;
@@ -199,6 +218,7 @@
         return true;
     leader.orderDispatches.erase(it);
     answerOrder(leader.orders, id, fencing, answer, node.now, node.random);
+    takePlatformAnswer(node, id, answer);
     return true;
 }
 
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -9,6 +9,7 @@
 #include "node/MovesFlow.h"
 #include "node/NodeState.h"
 #include "node/Peers.h"
+#include "node/PlatformPoll.h"
 #include "node/RequestFlow.h"
 #include "wire/Envelope.h"
 
@@ -104,7 +105,7 @@
 
 static void takeUpstreamEvent(Node& node, UpstreamEvent&& event)
 {
-    if (!takeOrderEvent(node, event))
+    if (!takeOrderEvent(node, event) && !takePlatformEvent(node, event))
         takeCallEvent(node, std::move(event));
 }
 
@@ -160,6 +161,7 @@
     tickReclaims(node);
     tickCalls(node);
     tickEvidence(node);
+    tickDemand(node);
     tickLeases(node);
     tickDrain(node);
 }
--- a/src/node/NodeState.h
+++ b/src/node/NodeState.h
@@ -11,6 +11,7 @@
 #include "limits/Limiter.h"
 #include "limits/Retry.h"
 #include "membership/Membership.h"
+#include "node/CapacityState.h"
 #include "node/Node.h"
 #include "node/NodeCall.h"
 #include "node/PeerMessages.h"
@@ -96,6 +97,7 @@
     OrderTable orders;
     std::unordered_map<DispatchId, std::pair<std::string, FencingNumber>> orderDispatches;
     LeaseGrantor grantor;
+    CapacityState capacity;
     std::set<std::string> recording; ///< Moves with a directive that is being committed.
 };
 
@@ -157,6 +159,7 @@
     std::map<std::string, MoveFollower> followers; ///< By move.
     TimeMs nextEvidence;
     TimeMs nextLeases;
+    DemandMeter demand;
     std::map<std::pair<std::string, std::string>, ClassHistograms> histograms; ///< By account and class; bounded.
 
     // Shutdown.
--- a/src/node/PeerMessages.h
+++ b/src/node/PeerMessages.h
@@ -30,6 +30,7 @@
     ExplainReply,
     TableDigest,
     TableRecords,
+    Demand, ///< A DemandFrame.
 };
 
 template <>
@@ -48,6 +49,7 @@
     { FrameKind::ExplainReply, "explain_reply" },
     { FrameKind::TableDigest, "table_digest" },
     { FrameKind::TableRecords, "table_records" },
+    { FrameKind::Demand, "demand" },
 });
 
 /// Asks a voter to propose a command; repeated with the same request number until answered.
--- a/src/node/Peers.cpp
+++ b/src/node/Peers.cpp
@@ -60,6 +60,8 @@
         return receiveLeaseRequests(node, envelope.sender, envelope.body);
     case FrameKind::LeaseGrants:
         return receiveLeaseGrants(node, envelope.body);
+    case FrameKind::Demand:
+        return receiveDemand(node, envelope.sender, envelope.body);
     case FrameKind::TableDigest:
     case FrameKind::TableRecords: {
         const auto kind = static_cast<FrameKind>(envelope.kind) == FrameKind::TableDigest ? TableFrameKind::TableDigest : TableFrameKind::TableRecords;
--- a/tests/capacity/CapacityTest.cpp
+++ b/tests/capacity/CapacityTest.cpp
@@ -41,7 +41,7 @@
 
     void answer(const InstanceIntent& intent)
     {
-        if (intent.kind == IntentKind::Stop) {
+        if (intent.kind == InstanceAction::Stop) {
             ++stops;
             std::erase_if(inputs.instances, [&](const auto& it) { return it.id == intent.id; });
             return;
