--- a/src/node/CapacityFlow.cpp
+++ b/src/node/CapacityFlow.cpp
@@ -1,6 +1,7 @@
 #include "node/CapacityFlow.h"
 
 #include "node/CapacityView.h"
+#include "node/ExplainFlow.h"
 #include "node/Groups.h"
 #include "node/PlatformPoll.h"
 
@@ -36,9 +37,22 @@
     return {};
 }
 
-static void explain(Node& node, LogLevel level, const std::string& code, const std::string& instance, const PoolKey& pool, const std::string& text)
+namespace {
+
+    /// A decision about an instance, for the log and for explain.
+    struct InstanceDecision {
+        LogLevel level = LogLevel::Info;
+        DecisionCode code = DecisionCode::StartInstance;
+        std::string logCode;
+    };
+
+}
+
+static void record(Node& node, const InstanceDecision& decision, const std::string& instance, const PoolKey& pool, const std::string& text)
 {
+    const auto& [level, decisionCode, code] = decision;
     const auto rule = ruleOf(node, pool);
+    explain(node, decisionCode, { { SubjectKind::Instance, instance } }, referenceTo(rule), code + ": " + text);
     addLog(node, level, code, Step::Order, instance, text,
         { { "model", pool.model }, { "domain", pool.domain }, { "machine", pool.machine }, { "kind", std::string(nameOf(pool.kind)) },
             { "epoch", std::to_string(node.leader.epoch) }, { "rule_line", std::to_string(rule.line) }, { "asked_by", rule.person } });
@@ -104,15 +118,16 @@
     intent.epoch = node.leader.epoch;
     const OpenIntent command { .epoch = node.leader.epoch, .intent = intent };
     propose(node, intent.id, command, [intent](Node& node) {
-        explain(node, LogLevel::Info, isStart(intent) ? "instance_start_ordered" : "instance_stop_ordered", intent.target, poolOf(intent), intent.detail);
+        const bool start = isStart(intent);
+        record(node, { LogLevel::Info, start ? DecisionCode::StartInstance : DecisionCode::StopInstance, start ? "instance_start_ordered" : "instance_stop_ordered" }, intent.target, poolOf(intent), intent.detail);
     });
 }
 
-static void closeIntent(Node& node, const Intent& intent, IntentState state, const std::string& code, const std::string& detail)
+static void closeIntent(Node& node, const Intent& intent, const InstanceDecision& decision, const std::string& detail)
 {
-    const auto level = state == IntentState::Confirmed ? LogLevel::Info : LogLevel::Warning;
-    propose(node, intent.id, CloseIntent { .id = intent.id, .state = state, .detail = detail }, [intent, level, code, detail](Node& node) {
-        explain(node, level, code, intent.target, poolOf(intent), detail);
+    const auto state = decision.level == LogLevel::Info ? IntentState::Confirmed : IntentState::Failed;
+    propose(node, intent.id, CloseIntent { .id = intent.id, .state = state, .detail = detail }, [intent, decision, detail](Node& node) {
+        record(node, decision, intent.target, poolOf(intent), detail);
     });
 }
 
@@ -138,22 +153,22 @@
 {
     const auto* order = findOrder(node, intent.id);
     if (givenUp)
-        return closeIntent(node, intent, IntentState::Failed, "instance_start_given_up", "a stop of the instance is recorded");
+        return closeIntent(node, intent, { LogLevel::Warning, DecisionCode::StartInstance, "instance_start_given_up" }, "a stop of the instance is recorded");
     if (findUpstream(node.membership.upstreams, idOfName<UpstreamId>(intent.target))) {
         noteStartTime(node, intent.machine, intent.model, node.now - intent.created);
-        return closeIntent(node, intent, IntentState::Confirmed, "instance_started", "announces itself");
+        return closeIntent(node, intent, { LogLevel::Info, DecisionCode::StartInstance, "instance_started" }, "announces itself");
     }
     if (order && order->state == OrderState::Refused)
-        closeIntent(node, intent, IntentState::Failed, "instance_start_refused", "the platform refused the start");
+        closeIntent(node, intent, { LogLevel::Warning, DecisionCode::StartRefused, "instance_start_refused" }, "the platform refused the start");
 }
 
 static void closeStop(Node& node, const Intent& intent)
 {
     const auto* order = findOrder(node, intent.id);
     if (isStopped(node, intent))
-        return closeIntent(node, intent, IntentState::Confirmed, "instance_stopped", "no longer listed by the platform");
+        return closeIntent(node, intent, { LogLevel::Info, DecisionCode::StopInstance, "instance_stopped" }, "no longer listed by the platform");
     if (order && order->state == OrderState::Refused)
-        closeIntent(node, intent, IntentState::Failed, "instance_stop_refused", "the platform refused the stop");
+        closeIntent(node, intent, { LogLevel::Warning, DecisionCode::StopInstance, "instance_stop_refused" }, "the platform refused the stop");
 }
 
 static std::set<std::string> stopTargets(const Node& node, bool onlyOpen)
@@ -229,8 +244,10 @@
     std::set<std::string> seen;
     for (const auto& note : outputs.notes) {
         const std::string key = note.code + "/" + note.instance + "/" + note.text;
-        if (!node.leader.capacity.repeatedNotes.contains(key))
+        if (!node.leader.capacity.repeatedNotes.contains(key)) {
+            explain(node, note.code == "shortfall" ? DecisionCode::Shortfall : DecisionCode::StartInstance, { { SubjectKind::Instance, note.instance } }, {}, note.text);
             addLog(node, LogLevel::Warning, "instance_" + note.code, Step::Order, note.instance, note.text, { { "epoch", std::to_string(node.leader.epoch) } });
+        }
         seen.insert(key);
     }
     node.leader.capacity.repeatedNotes = std::move(seen);
@@ -333,7 +350,7 @@
     CapacityOutputs outputs;
     startRefused(capacity.planner, node.now, id, outputs);
     for (const auto& note : outputs.notes)
-        explain(node, LogLevel::Warning, "instance_backed_off", id, poolOf(order->order), note.text);
+        record(node, { LogLevel::Warning, DecisionCode::StartRefused, "instance_backed_off" }, id, poolOf(order->order), note.text);
     capacity.nextPlan = node.now;
 }
 
--- a/src/node/PeerMessages.h
+++ b/src/node/PeerMessages.h
@@ -30,6 +30,7 @@
     ExplainReply,
     TableDigest,
     TableRecords,
+    ReplaceVoter,
     Demand, ///< A DemandFrame.
 };
 
@@ -49,6 +50,7 @@
     { FrameKind::ExplainReply, "explain_reply" },
     { FrameKind::TableDigest, "table_digest" },
     { FrameKind::TableRecords, "table_records" },
+    { FrameKind::ReplaceVoter, "replace_voter" },
     { FrameKind::Demand, "demand" },
 });
 
