--- a/src/capacity/Planner.cpp
+++ b/src/capacity/Planner.cpp
@@ -26,6 +26,7 @@
         std::vector<PoolChoice> pools;
         std::map<PoolKey, uint32_t> present; ///< Serving or starting, without leaving and stopped ones.
         uint32_t starting = 0;
+        bool hasFixed = false; ///< Some that are present may not be stopped.
     };
 
     class Planning {
@@ -138,6 +139,7 @@
                     continue;
                 auto& state = m_models[it.model];
                 ++state.present[poolOf(it)];
+                state.hasFixed = state.hasFixed || !it.mayStop;
                 state.starting += it.phase == InstancePhase::Starting ? 1 : 0;
                 m_starting += it.phase == InstancePhase::Starting ? 1 : 0;
             }
@@ -240,10 +242,13 @@
         /// Whether the plan's starts only replace dearer instances and have not been worth it for long enough.
         bool savesOnly(const std::string& model, const ModelNeed& need, const ModelState& state, const PoolPlan& plan)
         {
-            if (m_planner.options.cheaperAfter == TimeMs {} || missingOf(state, plan) == 0 || !suffices(need, state)) {
+            if (missingOf(state, plan) == 0 || !suffices(need, state)) {
                 m_planner.cheaperSince.erase(model);
                 return false;
             }
+            // Cheaper instances beside dearer ones that have to stay save nothing.
+            if (state.hasFixed)
+                return true;
             const TimeMs since = m_planner.cheaperSince.try_emplace(model, m_now).first->second;
             return m_now - since < m_planner.options.cheaperAfter;
         }
--- a/src/node/CapacityView.cpp
+++ b/src/node/CapacityView.cpp
@@ -71,9 +71,7 @@
         return false;
     }
     const auto [it, first] = capacity.silentSince.try_emplace(listed.id, node.now);
-    if (node.now - it->second < silentAfter)
-        return false;
-    return true;
+    return node.now - it->second >= silentAfter;
 }
 
 static void addListed(Node& node, const PlatformInstance& listed, std::vector<InstanceView>& out)
--- a/tests/capacity/CapacityTest.cpp
+++ b/tests/capacity/CapacityTest.cpp
@@ -127,6 +127,27 @@
     BOOST_TEST(platform.coversLossOfAnyDomain());
 }
 
+// Guards against a new leader that at once replaces the dearer instances of a sufficient fleet, and against orders for
+// money's sake beside instances that may not be stopped.
+BOOST_AUTO_TEST_CASE(sufficientFleetIsNotReplacedInHaste)
+{
+    for (const bool mayStop : { true, false }) {
+        Platform platform;
+        platform.planner.options.cheaperAfter = 300_s;
+        for (size_t n = 0; n < 8; ++n) {
+            const std::string id = "old-" + std::to_string(n);
+            platform.inputs.instances.push_back({ id, domains[n % 3], "gpu", "dossier", InstanceKind::OnDemand, InstancePhase::Running, false, mayStop });
+            platform.startedAt[id] = platform.now - 60_s;
+        }
+        platform.run(295_s);
+        BOOST_TEST(platform.starts + platform.stops == 0U);
+        platform.run(1800_s);
+        BOOST_TEST((platform.starts > 0) == mayStop);
+        BOOST_TEST((platform.stops > 0) == mayStop);
+        BOOST_TEST(platform.coversLossOfAnyDomain());
+    }
+}
+
 // Guards against a wave that takes a whole domain twice, the second time while the first is being replaced.
 BOOST_AUTO_TEST_CASE(domainReclaimedTwiceIsReplaced)
 {
--- a/tests/node/CapacityFlowTest.cpp
+++ b/tests/node/CapacityFlowTest.cpp
@@ -1,10 +1,12 @@
 #include "control/DecisionLog.h"
 #include "node/Groups.h"
 #include "node/NodeState.h"
+#include "wire/Codec.h"
 
 #include <algorithm>
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
+#include <limits>
 
 using namespace siskinshunt;
 
@@ -407,6 +409,28 @@
     BOOST_TEST(fleet.ordersOf("DELETE") == 0U);
 }
 
+// Guards against demand of other nodes that is lost on the way to the plan, and against values that break it.
+BOOST_AUTO_TEST_CASE(demandOfOtherNodesIsCovered)
+{
+    Fleet fleet;
+    fleet.applyRules(1);
+    fleet.run(2_min);
+    BOOST_REQUIRE_EQUAL(fleet.platform.created, 3);
+    const auto report = [&](double tokens) {
+        receiveDemand(*fleet.node, NodeId { 9 }, encode(DemandFrame { { { "m", "crew", 10, tokens, 1000 } } }));
+    };
+    for (int n = 0; n < 180; ++n) {
+        report(2000);
+        report(std::numeric_limits<double>::quiet_NaN());
+        report(-1);
+        fleet.run(1_s);
+    }
+    // 8 slots at 100 tokens/s give 800: with any domain gone 2000 / 0.8 / 800 needs 4, so 2 in each domain.
+    for (const auto& domain : domains)
+        BOOST_TEST(fleet.serving(domain) == 2);
+    BOOST_TEST(fleet.platform.created == 6);
+}
+
 // Guards against needless orders for a fleet that satisfies the rules, and against stops of what the platform does not
 // list: ten minutes are longer than the time that a surplus has to last.
 BOOST_AUTO_TEST_CASE(aSatisfiedFleetIsLeftAlone)
