--- a/tests/node/CapacityFlowTest.cpp
+++ b/tests/node/CapacityFlowTest.cpp
@@ -250,7 +250,7 @@
     {
         std::string text = "version m-v1 model=m version=v1 # Omar: in service\n";
         for (const auto& domain : domains)
-            text += "instances " + domain + " domain=" + domain + " machine=gpu model=m min=" + std::to_string(min) + " max=6 # Sana: agreed ceiling\n";
+            text.append("instances ").append(domain).append(" domain=").append(domain).append(" machine=gpu model=m min=").append(std::to_string(min)).append(" max=6 # Sana: agreed ceiling\n");
         BOOST_REQUIRE(runUntil(10_s, [&] { return node->leadsDecisions && node->leader.epoch; }));
         proposeCommand(*node, decisionGroup, encodeControlCommand(ApplyRules { .requestId = "first", .expectedRevision = 0, .text = text, .operatorName = "oncall", .now = now }), 5_s, [](Node&, bool, const std::string&) {});
         BOOST_REQUIRE(runUntil(10_s, [&] { return node->rules != nullptr; }));
@@ -438,7 +438,7 @@
     Fleet fleet;
     for (const auto& domain : domains) {
         for (const char* name : { "a", "b", "c" })
-            fleet.runners.push_back(domain + name + " " + domain);
+            fleet.runners.push_back(std::string(domain).append(name).append(" ").append(domain));
     }
     fleet.run(3_s);
     fleet.applyRules(2);
