--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -11,6 +11,7 @@
 #include "node/MovesFlow.h"
 #include "node/NodeState.h"
 #include "node/Peers.h"
+#include "node/PlatformPoll.h"
 #include "node/RequestFlow.h"
 #include "wire/Envelope.h"
 
@@ -107,7 +108,7 @@
 
 static void takeUpstreamEvent(Node& node, UpstreamEvent&& event)
 {
-    if (!takeOrderEvent(node, event))
+    if (!takeOrderEvent(node, event) && !takePlatformEvent(node, event))
         takeCallEvent(node, std::move(event));
 }
 
@@ -163,6 +164,7 @@
     tickReclaims(node);
     tickCalls(node);
     tickEvidence(node);
+    tickDemand(node);
     tickLeases(node);
     tickExplain(node);
     tickApplies(node);
--- a/src/node/NodeState.h
+++ b/src/node/NodeState.h
@@ -12,6 +12,7 @@
 #include "limits/Limiter.h"
 #include "limits/Retry.h"
 #include "membership/Membership.h"
+#include "node/CapacityState.h"
 #include "node/Node.h"
 #include "node/NodeCall.h"
 #include "node/PeerMessages.h"
@@ -119,6 +120,7 @@
     OrderTable orders;
     std::unordered_map<DispatchId, std::pair<std::string, FencingNumber>> orderDispatches;
     LeaseGrantor grantor;
+    CapacityState capacity;
     std::map<std::pair<std::string, std::string>, MoveOrder> levels; ///< Runners that moves want, by model and version.
     std::set<std::string> recording; ///< Moves with a directive that is being committed.
 };
@@ -188,6 +190,7 @@
     std::map<std::string, MoveFollower> followers; ///< By move.
     TimeMs nextEvidence;
     TimeMs nextLeases;
+    DemandMeter demand;
     std::map<std::pair<std::string, std::string>, ClassHistograms> histograms; ///< By account and class; bounded.
 
     // Shutdown.
--- a/src/node/PeerMessages.h
+++ b/src/node/PeerMessages.h
@@ -31,6 +31,7 @@
     TableDigest,
     TableRecords,
     ReplaceVoter,
+    Demand, ///< A DemandFrame.
 };
 
 template <>
@@ -50,6 +51,7 @@
     { FrameKind::TableDigest, "table_digest" },
     { FrameKind::TableRecords, "table_records" },
     { FrameKind::ReplaceVoter, "replace_voter" },
+    { FrameKind::Demand, "demand" },
 });
 
 /// Asks a voter to propose a command; repeated with the same request number until answered.
