--- a/tests/fuzz/ModelRequest.cpp
+++ b/tests/fuzz/ModelRequest.cpp
@@ -1,6 +1,6 @@
 #include "api/ModelRequest.h"
-#include "base/PrefixHash.h"
 #include "Fuzz.h"
+#include "base/PrefixHash.h"
 
 using namespace siskinshunt;
 
