--- a/src/base/Serialize.h
+++ b/src/base/Serialize.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cereal/cereal.hpp>
 #include <cstdint>
 #include <string>
@@ -7,7 +8,8 @@
 
 namespace siskinshunt {
 
-/// Serializes a byte string of at most `limit` bytes; throws cereal::Exception above it, before memory is allocated.
+/// Serializes a byte string of at most `limit` bytes; throws cereal::Exception above it. Memory grows with the bytes that
+/// are there, never with the length field alone.
 template <class Archive>
 void serializeBytes(Archive& archive, std::string& bytes, size_t limit)
 {
@@ -15,8 +17,17 @@
     archive(n);
     if (n > limit)
         throw cereal::Exception("byte string of " + std::to_string(n) + " bytes exceeds " + std::to_string(limit));
-    bytes.resize(n);
-    archive(cereal::binary_data(bytes.data(), bytes.size()));
+    if constexpr (Archive::is_saving::value) {
+        archive(cereal::binary_data(bytes.data(), bytes.size()));
+    } else {
+        constexpr size_t piece = 64 << 10;
+        bytes.clear();
+        while (bytes.size() < n) {
+            const size_t at = bytes.size();
+            bytes.resize(std::min<size_t>(n, at + piece));
+            archive(cereal::binary_data(bytes.data() + at, bytes.size() - at));
+        }
+    }
 }
 
 /// Serializes a list of at most `limit` items; throws cereal::Exception above it, before memory is allocated.
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -94,6 +94,8 @@
     node->now = now;
     BOOST_LEAF_CHECK(openGroups(*node));
     BOOST_LEAF_CHECK(restoreView(*node));
+    // Before the first datagram, so that no member takes this node for one without a data folder.
+    publishStatus(*node);
     return node;
 }
 
--- a/src/node/OnceFlow.cpp
+++ b/src/node/OnceFlow.cpp
@@ -21,6 +21,7 @@
 static constexpr TimeMs pollInterval { 150 };
 static constexpr TimeMs pollTimeout { 1000 };
 static constexpr TimeMs ledgerRetryAfter { 2000 };
+static constexpr TimeMs refusedKeyRetryAfter { 500 };
 
 bool isUsableKey(std::string_view key)
 {
@@ -69,7 +70,7 @@
     const auto& answer = *reply.answer;
     if (!answer.ran) {
         call.dispatchState = DispatchState::NothingSent;
-        return refuseCall(node, call, RefusalCode::KeyExpired, "the call with this key was refused and never run; use a new key");
+        return refuseCall(node, call, RefusalCode::Unavailable, "the first call with this key was refused and never run; send it again", refusedKeyRetryAfter);
     }
     call.dispatchState = DispatchState::Answered;
     if (!answer.bodyDigest.empty()) {
--- a/src/node/Peers.cpp
+++ b/src/node/Peers.cpp
@@ -140,13 +140,18 @@
     }
 }
 
-void tickMembership(Node& node)
+void publishStatus(Node& node)
 {
     NodeId leader;
     const auto it = node.groups.find(decisionGroup);
     if (it != node.groups.end())
         leader = nodeOfVoter(node, status(*it->second.replica).leader);
     setOwnStatus(node.membership, node.now, { .rulesRevision = node.view.rules.revision, .directive = node.view.index, .voter = node.options.voter, .draining = node.draining, .leader = leader });
+}
+
+void tickMembership(Node& node)
+{
+    publishStatus(node);
     tick(node.membership, node.now, node.membershipOutputs);
 }
 
--- a/src/node/Peers.h
+++ b/src/node/Peers.h
@@ -12,6 +12,8 @@
 void receiveDatagram(Node&, const std::string& from, std::string_view bytes);
 void receiveFrame(Node&, std::string_view bytes);
 
+/// Puts the voter id, revision and leader of this node into its member record.
+void publishStatus(Node&);
 /// Ticks gossip and carries its outputs.
 void tickMembership(Node&);
 /// Sends what gossip wants sent and acts on its events.
--- a/src/routing/Choice.cpp
+++ b/src/routing/Choice.cpp
@@ -216,7 +216,9 @@
         const double reserved = options.reservedPerPriority * decision.request.priority + (decision.request.firstTokenTarget ? 0 : options.reservedWithoutTarget);
         const double limit = std::max<uint32_t>(row.load.capacity, 1) * (1 - std::min(reserved, 0.9));
         const double room = std::max(0.0, limit - row.load.running - row.load.waiting);
-        const double part = room / std::max<uint32_t>(options.nodes, 1) + row.ownEndedSinceReport + decision.router.random.uniform();
+        // Nodes that use the same upstream: all of them, unless the pool is larger than a node's subset.
+        const double sharing = std::min(1.0, static_cast<double>(options.subsetSize) / std::max<uint32_t>(decision.pool.members, 1));
+        const double part = room / std::max(1.0, options.nodes * sharing) + row.ownEndedSinceReport + decision.router.random.uniform();
         return row.othersCalls + row.ownCalls + 1 > limit || row.ownSinceReport + 1 > part;
     }
 
--- a/src/storage/SnapshotFile.cpp
+++ b/src/storage/SnapshotFile.cpp
@@ -60,7 +60,7 @@
             return damaged();
         file.snapshot.bytes = std::make_shared<const std::string>(std::move(content));
         return file;
-    } catch (const cereal::Exception&) {
+    } catch (const std::exception&) {
         return damaged();
     }
 }
--- a/tests/node/ControlTest.cpp
+++ b/tests/node/ControlTest.cpp
@@ -1,4 +1,5 @@
 #include "FleetFixture.h"
+#include "node/NodeState.h"
 
 #include <algorithm>
 
@@ -209,6 +210,21 @@
     checkFleet(*fleet);
 }
 
+// Guards against members that take a starting node for one without a data folder, so that founding the voters is refused.
+BOOST_AUTO_TEST_CASE(VoterIdIsKnownFromTheFirstDatagram)
+{
+    NodeOptions options;
+    options.settings.node = "entry-1";
+    options.settings.peer = { "127.0.0.1", 7000 };
+    options.settings.http = { "127.0.0.1", 8080 };
+    options.settings.peerKey = std::string(32, 'k');
+    options.startedAtUtc = TimeMs { 1000000 };
+    options.voter = VoterId { 77 };
+    const auto node = handle([&] { return makeNode(options, options.startedAtUtc); }, [](const Error&) { return NodePtr {}; });
+    BOOST_REQUIRE(node);
+    BOOST_CHECK_EQUAL(ownRecord(node->membership).status.voter.value, 77U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/tests/storage/StorageTest.cpp
+++ b/tests/storage/StorageTest.cpp
@@ -1,9 +1,13 @@
 #include "storage/Storage.h"
+#include "base/Hash.h"
 #include "storage/FakeDisk.h"
 #include "storage/FileDisk.h"
+#include "storage/SnapshotFile.h"
 
 #include <boost/test/unit_test.hpp>
+#include <cereal/archives/portable_binary.hpp>
 #include <filesystem>
+#include <sstream>
 #include <unistd.h>
 
 using namespace siskinshunt;
@@ -262,3 +266,31 @@
     BOOST_TEST(after.state.entries.size() == 2);
     std::filesystem::remove_all(folder);
 }
+
+// Guards against a small damaged snapshot whose length field makes the reader allocate what it claims. Found by fuzzing:
+// this content claims 922,746,881 bytes.
+BOOST_AUTO_TEST_CASE(claimedLengthOfASnapshotIsNotAllocated)
+{
+    static constexpr std::string_view hex = "68d21f5be5913c7a01000000000000003c0000000000000088699896410d3f31060102000000fff5000000000000000000370000000065";
+    std::string bytes;
+    for (size_t n = 0; n < hex.size(); n += 2)
+        bytes.push_back(static_cast<char>(std::stoi(std::string(hex.substr(n, 2)), nullptr, 16)));
+    const uint64_t checksum = hash64(bytes);
+    for (int shift = 0; shift < 64; shift += 8)
+        bytes.push_back(static_cast<char>(checksum >> shift));
+    const bool accepted = handle(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_AUTO(file, decodeSnapshotFile("s", bytes));
+            return file.group.value != 0;
+        },
+        [](const Error& error) { return error.code != ErrorCode::Corrupt; });
+    BOOST_TEST(!accepted);
+    // A string that claims 512 MiB and holds three bytes has to fail with little memory used.
+    std::string value;
+    std::istringstream stream(std::string("\x01\x00\x00\x00\x20"
+                                          "abc",
+        8));
+    cereal::PortableBinaryInputArchive archive(stream);
+    BOOST_CHECK_THROW(serializeBytes(archive, value, size_t { 1 } << 30), cereal::Exception);
+    BOOST_TEST(value.capacity() < size_t { 1 } << 20);
+}
