--- a/src/entry/HttpServer.cpp
+++ b/src/entry/HttpServer.cpp
@@ -269,7 +269,7 @@
     beast::get_lowest_layer(stream).expires_never();
     // Keeps the stream alive until the watch has ended: it refers to the stream by reference.
     bool watching = true;
-    asio::co_spawn(context, watchCaller(stream, exchange), [&watching, exchange](std::exception_ptr) {
+    asio::co_spawn(context, watchCaller(stream, exchange), [&watching, exchange](const std::exception_ptr&) {
         watching = false;
         wakeUp(*exchange);
     });
--- a/src/entry/UpstreamClient.cpp
+++ b/src/entry/UpstreamClient.cpp
@@ -256,7 +256,7 @@
 {
     const auto impl = m_impl;
     const DispatchId id = dispatch.dispatch;
-    asio::co_spawn(impl->context, impl->run(std::move(dispatch)), [impl, id](std::exception_ptr error) {
+    asio::co_spawn(impl->context, impl->run(std::move(dispatch)), [impl, id](const std::exception_ptr& error) {
         if (!error)
             return;
         const auto it = impl->running.find(id);
--- a/src/node/CallFlow.h
+++ b/src/node/CallFlow.h
@@ -5,6 +5,11 @@
 
 namespace siskinshunt {
 
+/// Shortest time after which a refused caller is told to come back.
+constexpr TimeMs minimumRetryAfter { 500 };
+/// For a state that another node, or this one a moment later, is not in.
+constexpr TimeMs drainRetryAfter { 1000 };
+
 /// Takes a request of a caller: checks, route, limits, then queue or dispatch.
 void acceptCall(Node&, const RequestArrived&);
 /// The caller closed its connection.
--- a/src/rules/RuleChecks.cpp
+++ b/src/rules/RuleChecks.cpp
@@ -42,15 +42,14 @@
 {
     using Conditions = std::tuple<std::string_view, std::string_view, std::string_view, std::string_view, std::string_view, std::string_view>;
     std::map<Conditions, const RouteRule*> seen;
-    const auto& routes = checker.rules.routes;
-    for (auto it = routes.begin(); it != routes.end(); ++it) {
-        checker.checkClass(it->origin, it->className);
-        checker.checkAccount(it->origin, it->account);
-        if (it->model.empty() == it->service.empty())
-            checker.report(it->origin, "route '" + it->name + "' needs either model= or service=");
-        const auto [first, fresh] = seen.try_emplace({ it->account, it->className, it->model, it->service, it->path, it->method }, &*it);
+    for (const auto& route : checker.rules.routes) {
+        checker.checkClass(route.origin, route.className);
+        checker.checkAccount(route.origin, route.account);
+        if (route.model.empty() == route.service.empty())
+            checker.report(route.origin, "route '" + route.name + "' needs either model= or service=");
+        const auto [first, fresh] = seen.try_emplace({ route.account, route.className, route.model, route.service, route.path, route.method }, &route);
         if (!fresh)
-            checker.report(it->origin, "route '" + it->name + "' never matches; route '" + first->second->name + "' on line " + std::to_string(first->second->origin.line) + " has the same conditions");
+            checker.report(route.origin, "route '" + route.name + "' never matches; route '" + first->second->name + "' on line " + std::to_string(first->second->origin.line) + " has the same conditions");
     }
 }
 
