--- a/src/node/CallEvents.cpp
+++ b/src/node/CallEvents.cpp
@@ -93,21 +93,25 @@
     retryCall(node, call, call.upstreamName + " failed: " + std::string(nameOf(failure)));
 }
 
+// For an answer that is still arriving and of no use.
+static void failAndCancel(Node& node, NodeCall& call, UpstreamFailure failure, const std::string& detail)
+{
+    const DispatchId dispatch = call.dispatch;
+    failDispatch(node, call, failure, detail);
+    node.out.cancels.push_back(dispatch);
+}
+
 static void takeHead(Node& node, NodeCall& call, UpstreamEvent& event)
 {
     if (isCrossed(call, event.headers)) {
         node.counters.add("crossed_answers");
-        const DispatchId dispatch = call.dispatch;
-        failDispatch(node, call, UpstreamFailure::Malformed, "the answer belongs to another call or attempt");
-        node.out.cancels.push_back(dispatch);
+        failAndCancel(node, call, UpstreamFailure::Malformed, "the answer belongs to another call or attempt");
         return;
     }
     call.status = event.status;
     const bool retryable = call.repeat == Repeat::Yes && (event.status >= 500 || event.status == 429);
     if (retryable) {
-        const DispatchId dispatch = call.dispatch;
-        failDispatch(node, call, UpstreamFailure::Closed, "status " + std::to_string(event.status));
-        node.out.cancels.push_back(dispatch);
+        failAndCancel(node, call, UpstreamFailure::Closed, "status " + std::to_string(event.status));
         return;
     }
     call.answerHeaders = std::move(event.headers);
@@ -169,9 +173,7 @@
     if (!call.streaming) {
         call.body += bytes;
         if (call.body.size() > maxAnswerBytes) {
-            const DispatchId dispatch = call.dispatch;
-            failDispatch(node, call, UpstreamFailure::Malformed, "the answer is over 16 MiB");
-            node.out.cancels.push_back(dispatch);
+            failAndCancel(node, call, UpstreamFailure::Malformed, "the answer is over 16 MiB");
         }
         return;
     }
@@ -183,9 +185,7 @@
         ok = takeStreamEvent(node, call, *event);
     }
     node.counters.add("stream_gaps");
-    const DispatchId dispatch = call.dispatch;
-    failDispatch(node, call, UpstreamFailure::Malformed, "events are missing in the stream");
-    node.out.cancels.push_back(dispatch);
+    failAndCancel(node, call, UpstreamFailure::Malformed, "events are missing in the stream");
 }
 
 static void finishModelCall(Node& node, NodeCall& call)
