--- /dev/null
+++ b/src/api/HttpHeadCheck.cpp
@@ -0,0 +1,81 @@
+#include "api/HttpHeadCheck.h"
+
+#include "api/HttpMessage.h"
+
+#include <algorithm>
+
+namespace siskinshunt {
+
+static std::string_view trim(std::string_view text)
+{
+    const auto first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+static bool isDigits(std::string_view text)
+{
+    return !text.empty() && text.find_first_not_of("0123456789") == std::string_view::npos;
+}
+
+namespace {
+
+    struct Framing {
+        int lengths = 0;
+        int codings = 0;
+    };
+
+}
+
+static std::optional<std::string> checkField(std::string_view line, Framing& framing)
+{
+    if (line.front() == ' ' || line.front() == '\t')
+        return "a folded header line";
+    const auto colon = line.find(':');
+    if (colon == std::string_view::npos || colon == 0)
+        return "a header line without a name";
+    const auto name = line.substr(0, colon);
+    if (name.find_first_of(" \t") != std::string_view::npos)
+        return "white space in a header name";
+    const auto value = trim(line.substr(colon + 1));
+    if (equalHeaderNames(name, "Content-Length")) {
+        ++framing.lengths;
+        if (!isDigits(value))
+            return "a Content-Length that is not a number";
+    }
+    if (equalHeaderNames(name, "Transfer-Encoding")) {
+        ++framing.codings;
+        if (!equalHeaderNames(value, "chunked"))
+            return "a transfer coding other than chunked";
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string> findHeadProblem(std::string_view head)
+{
+    Framing framing;
+    bool first = true;
+    while (!head.empty()) {
+        const auto end = head.find('\n');
+        if (end == std::string_view::npos || end == 0 || head[end - 1] != '\r')
+            return "a line that does not end with CR LF";
+        const auto line = head.substr(0, end - 1);
+        head.remove_prefix(end + 1);
+        const bool control = std::any_of(line.begin(), line.end(), [](unsigned char c) { return (c < 0x20 && c != '\t') || c == 0x7f; });
+        if (control)
+            return "a control byte";
+        if (line.empty())
+            break;
+        if (!first) {
+            if (auto problem = checkField(line, framing))
+                return problem;
+        }
+        first = false;
+    }
+    if (framing.lengths > 1 || framing.codings > 1 || (framing.lengths && framing.codings))
+        return "more than one statement of the body's length";
+    return std::nullopt;
+}
+
+}
--- a/src/base/LogEntry.h
+++ b/src/base/LogEntry.h
@@ -12,7 +12,7 @@
 namespace siskinshunt {
 
 /// Largest command, and so the largest data of a log entry, in bytes.
-constexpr size_t maxCommandBytes = 1 << 20;
+constexpr size_t maxCommandBytes = 3 << 20;
 /// Most voters and learners of one group together.
 constexpr size_t maxMembers = 16;
 
--- a/src/control/ControlCommand.cpp
+++ b/src/control/ControlCommand.cpp
@@ -5,7 +5,7 @@
 namespace siskinshunt {
 
 // Larger than the largest rules text with its fields.
-static constexpr size_t maxCommandBytes = 2 << 20;
+static constexpr size_t maxControlBytes = 4 << 20;
 
 std::string encodeControlCommand(const ControlCommand& command)
 {
@@ -15,7 +15,7 @@
 std::optional<ControlCommand> decodeControlCommand(std::string_view bytes)
 {
     ControlCommand command;
-    if (!decodeState(bytes, command, maxCommandBytes))
+    if (!decodeState(bytes, command, maxControlBytes))
         return std::nullopt;
     return command;
 }
@@ -28,7 +28,7 @@
 std::optional<ControlReply> decodeControlReply(std::string_view bytes)
 {
     ControlReply reply;
-    if (!decodeState(bytes, reply, maxCommandBytes) || reply.outcome > ControlOutcome::Malformed)
+    if (!decodeState(bytes, reply, maxControlBytes) || reply.outcome > ControlOutcome::Malformed)
         return std::nullopt;
     return reply;
 }
--- a/src/control/ControlCommand.h
+++ b/src/control/ControlCommand.h
@@ -5,6 +5,7 @@
 #include "base/TimeMs.h"
 #include "versions/MoveTypes.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -110,7 +111,76 @@
     void serialize(Archive& archive) { archive(id, state, detail); }
 };
 
-using ControlCommand = std::variant<ApplyRules, RecordMove, TakeEpoch, OpenIntent, CloseIntent>;
+/// Puts the configuration of a platform in force, unless one with the same or a higher number is. The caller has checked it.
+struct PutConfiguration {
+    uint64_t number = 0; ///< Given by the platform's operator; the highest one is in force.
+    std::string original; ///< As received, to be read back.
+    std::string rules; ///< The same as rules, a line each with who asked.
+    std::string operatorName;
+    TimeMs now; ///< UTC.
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(number, original, rules, operatorName, now); }
+};
+
+enum class VersionOrderState : uint8_t {
+    Running,
+    Completed,
+    RolledBack,
+};
+
+template <>
+inline constexpr auto enumNames<VersionOrderState> = std::to_array<EnumName<VersionOrderState>>({
+    { VersionOrderState::Running, "running" },
+    { VersionOrderState::Completed, "completed" },
+    { VersionOrderState::RolledBack, "rolled_back" },
+});
+
+/// An operator's order to move a backend's traffic to a version within a time.
+struct VersionOrder {
+    std::string backend;
+    std::string target; ///< Version.
+    TimeMs orderedAt; ///< UTC.
+    TimeMs within; ///< Time in which the move has to end.
+    VersionOrderState state = VersionOrderState::Running;
+    double share = 0; ///< Of the backend's requests that may go to the target version.
+    uint64_t sequence = 0; ///< Rises with each change of this order.
+    std::string reason;
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(backend, target, orderedAt, within, state, share, sequence, reason); }
+};
+
+/// Starts the move; the same order again is accepted without effect.
+struct OrderVersion {
+    std::string backend;
+    std::string target;
+    TimeMs within;
+    TimeMs now; ///< UTC.
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(backend, target, within, now); }
+};
+
+/// A step of the move, by the decision leader. Refused under an epoch that is not the current one.
+struct RecordVersionOrder {
+    uint64_t epoch = 0;
+    VersionOrder order;
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(epoch, order); }
+};
+
+/// Fixes the counts of a usage window before they are reported, so that every later report repeats them.
+struct CommitUsage {
+    int64_t window = 0;
+    std::map<std::string, uint64_t> counts; ///< Requests that began to run, by client account.
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(window, counts); }
+};
+
+using ControlCommand = std::variant<ApplyRules, RecordMove, TakeEpoch, OpenIntent, CloseIntent, PutConfiguration, OrderVersion, RecordVersionOrder, CommitUsage>;
 
 enum class ControlOutcome : uint8_t {
     Accepted,
--- a/src/control/DecisionLog.cpp
+++ b/src/control/DecisionLog.cpp
@@ -13,6 +13,7 @@
 static constexpr size_t maxNameBytes = 128;
 static constexpr size_t maxReasonBytes = 4096;
 static constexpr size_t maxRoutes = 1000;
+static constexpr size_t keptAccounts = 100000;
 
 static ControlReply replyOf(const DecisionLog& log, ControlOutcome outcome, std::string detail = {})
 {
@@ -40,6 +41,21 @@
     }
 }
 
+// Texts beyond the limits are forgotten, oldest first; their digests stay.
+static void forgetOldTexts(DecisionLog& log)
+{
+    size_t bytes = 0;
+    size_t kept = 0;
+    for (auto it = log.history.rbegin(); it != log.history.rend() && (!kept || !it->text.empty()); ++it) {
+        bytes += it->text.size();
+        ++kept;
+        if (kept > 1 && (kept > DecisionLog::keptTexts || bytes > DecisionLog::keptTextBytes)) {
+            it->text.clear();
+            it->text.shrink_to_fit();
+        }
+    }
+}
+
 static void appendRevision(DecisionLog& log, const ApplyRules& command, const std::string& digest)
 {
     const uint64_t last = log.history.empty() ? 0 : log.history.back().revision;
@@ -47,11 +63,7 @@
     ++log.revision;
     log.history.push_back({ log.revision, command.requestId, command.operatorName, command.now, command.text, digest });
     INVARIANT(log.history.back().revision == last + 1, "a revision rises by one", "from", last, "to", log.revision);
-    if (log.history.size() > DecisionLog::keptTexts) {
-        std::string& old = log.history[log.history.size() - DecisionLog::keptTexts - 1].text;
-        old.clear();
-        old.shrink_to_fit();
-    }
+    forgetOldTexts(log);
     if (log.history.size() > DecisionLog::keptHistory)
         log.history.pop_front();
 }
@@ -201,6 +213,62 @@
     return replyOf(log, ControlOutcome::Accepted);
 }
 
+static ControlReply applyTo(DecisionLog& log, const PutConfiguration& command)
+{
+    if (command.operatorName.size() > maxNameBytes || command.rules.size() > DecisionLog::maxTextBytes)
+        return replyOf(log, ControlOutcome::Malformed, "the operator or the rules break their bounds");
+    if (command.number <= log.configurationNumber)
+        return replyOf(log, ControlOutcome::Accepted, "number " + std::to_string(log.configurationNumber) + " stays in force");
+    const std::string request = "configuration-" + std::to_string(command.number);
+    appendRevision(log, { request, log.revision, command.rules, command.operatorName, command.now }, sha256Hex(command.rules));
+    log.configurationNumber = command.number;
+    log.configuration = command.original;
+    return replyOf(log, ControlOutcome::Accepted);
+}
+
+// After this time a repeated order is a new one and no resend.
+static constexpr TimeMs resendSpan { 10000 };
+
+static ControlReply applyTo(DecisionLog& log, const OrderVersion& command)
+{
+    if (command.backend.empty() || command.backend.size() > maxNameBytes || command.target.empty() || command.target.size() > maxNameBytes)
+        return replyOf(log, ControlOutcome::Malformed, "a backend and a version of at most 128 bytes are needed");
+    const auto it = log.versionOrders.find(command.backend);
+    const bool sameTarget = it != log.versionOrders.end() && it->second.target == command.target;
+    if (sameTarget && (it->second.state != VersionOrderState::RolledBack || command.now - it->second.orderedAt < it->second.within + resendSpan))
+        return replyOf(log, ControlOutcome::Accepted, std::string(nameOf(it->second.state)));
+    if (it == log.versionOrders.end() && log.versionOrders.size() >= DecisionLog::keptMoves)
+        return replyOf(log, ControlOutcome::Full, "too many version orders");
+    const uint64_t sequence = it == log.versionOrders.end() ? 1 : it->second.sequence + 1;
+    log.versionOrders[command.backend] = { .backend = command.backend, .target = command.target, .orderedAt = command.now, .within = command.within, .sequence = sequence, .reason = {} };
+    return replyOf(log, ControlOutcome::Accepted);
+}
+
+static ControlReply applyTo(DecisionLog& log, const RecordVersionOrder& command)
+{
+    if (command.epoch != log.epoch)
+        return replyOf(log, ControlOutcome::Stale, "epoch " + std::to_string(command.epoch) + " is not in force");
+    const auto it = log.versionOrders.find(command.order.backend);
+    if (it == log.versionOrders.end())
+        return replyOf(log, ControlOutcome::NotFound, "no order for " + command.order.backend.substr(0, maxNameBytes));
+    if (it->second.state != VersionOrderState::Running)
+        return replyOf(log, ControlOutcome::Finished, "the order is " + std::string(nameOf(it->second.state)));
+    if (command.order.target != it->second.target || command.order.sequence <= it->second.sequence || command.order.state > VersionOrderState::RolledBack || command.order.reason.size() > maxReasonBytes)
+        return replyOf(log, ControlOutcome::Stale, "sequence " + std::to_string(it->second.sequence) + " is recorded");
+    it->second = command.order;
+    return replyOf(log, ControlOutcome::Accepted);
+}
+
+static ControlReply applyTo(DecisionLog& log, const CommitUsage& command)
+{
+    if (command.counts.size() > keptAccounts)
+        return replyOf(log, ControlOutcome::Malformed, "more accounts than are counted");
+    const auto [it, fresh] = log.usage.try_emplace(command.window, command.counts);
+    if (log.usage.size() > DecisionLog::keptUsageWindows)
+        log.usage.erase(log.usage.begin());
+    return replyOf(log, ControlOutcome::Accepted, fresh ? "" : "known");
+}
+
 ControlReply applyControl(DecisionLog& log, const ControlCommand& command)
 {
     return std::visit([&](const auto& it) { return applyTo(log, it); }, command);
@@ -239,7 +307,7 @@
 }
 
 struct ControlSnapshot {
-    uint32_t format = 1;
+    uint32_t format = 2; ///< 1 had no configuration, version orders and usage.
     uint64_t revision = 0;
     std::vector<RulesRevision> history;
     std::map<std::string, AnsweredRequest> requests;
@@ -251,12 +319,18 @@
     uint64_t epoch = 0;
     NodeId epochLeader;
     TimeMs epochAt;
+    uint64_t configurationNumber = 0;
+    std::string configuration;
+    std::map<std::string, VersionOrder> versionOrders;
+    std::map<int64_t, std::map<std::string, uint64_t>> usage;
 
     template <class Archive>
     void serialize(Archive& archive)
     {
         archive(format, revision, history, requests, requestOrder, moves, finishedMoves, intents, endedIntents, epoch, epochLeader,
             epochAt);
+        if (format >= 2)
+            archive(configurationNumber, configuration, versionOrders, usage);
     }
 };
 
@@ -274,12 +348,16 @@
         .epoch = log.epoch,
         .epochLeader = log.epochLeader,
         .epochAt = log.epochAt,
+        .configurationNumber = log.configurationNumber,
+        .configuration = log.configuration,
+        .versionOrders = log.versionOrders,
+        .usage = log.usage,
     });
 }
 
 static bool isConsistent(const ControlSnapshot& snapshot)
 {
-    if (snapshot.format != 1 || snapshot.revision != (snapshot.history.empty() ? 0 : snapshot.history.back().revision))
+    if (snapshot.format < 1 || snapshot.format > 2 || snapshot.revision != (snapshot.history.empty() ? 0 : snapshot.history.back().revision))
         return false;
     for (size_t n = 1; n < snapshot.history.size(); ++n) {
         if (snapshot.history[n].revision != snapshot.history[n - 1].revision + 1)
@@ -305,6 +383,10 @@
     restored.epoch = snapshot.epoch;
     restored.epochLeader = snapshot.epochLeader;
     restored.epochAt = snapshot.epochAt;
+    restored.configurationNumber = snapshot.configurationNumber;
+    restored.configuration = std::move(snapshot.configuration);
+    restored.versionOrders = std::move(snapshot.versionOrders);
+    restored.usage = std::move(snapshot.usage);
     log = std::move(restored);
     return true;
 }
--- a/src/control/DecisionLog.h
+++ b/src/control/DecisionLog.h
@@ -39,6 +39,8 @@
     static constexpr size_t keptMoves = 1000; ///< The oldest finished ones go first.
     static constexpr size_t keptIntents = 10000; ///< The oldest ended ones go first.
     static constexpr size_t maxTextBytes = 1 << 20;
+    static constexpr size_t keptTextBytes = 4 << 20; ///< Of all kept texts; the last one is always kept.
+    static constexpr size_t keptUsageWindows = 200;
 
     uint64_t revision = 0; ///< In force; 0 before the first rules.
     std::deque<RulesRevision> history; ///< Oldest first; the last one is in force.
@@ -48,6 +50,10 @@
     std::deque<std::string> finishedMoves; ///< Oldest first.
     std::map<std::string, Intent> intents; ///< By id.
     std::deque<std::string> endedIntents; ///< Oldest first.
+    uint64_t configurationNumber = 0; ///< Of the last PutConfiguration in force; 0 if there was none.
+    std::string configuration; ///< Its original.
+    std::map<std::string, VersionOrder> versionOrders; ///< By backend.
+    std::map<int64_t, std::map<std::string, uint64_t>> usage; ///< Committed counts by window.
     uint64_t epoch = 0; ///< Term of the last TakeEpoch.
     NodeId epochLeader;
     TimeMs epochAt; ///< UTC.
--- /dev/null
+++ b/src/entry/ByteStream.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+
+namespace boost::asio::ssl {
+class context;
+}
+
+namespace siskinshunt {
+
+/// A connection of a caller, plain or with TLS. One read and one write may be outstanding.
+class ByteStream {
+public:
+    using Done = std::function<void(const boost::system::error_code&, size_t)>;
+
+    virtual ~ByteStream() = default;
+    virtual void handshake(std::function<void(const boost::system::error_code&)>) = 0;
+    virtual void read(boost::asio::mutable_buffer, Done) = 0;
+    virtual void write(boost::asio::const_buffer, Done) = 0;
+    virtual boost::asio::ip::tcp::socket& socket() = 0;
+};
+
+std::unique_ptr<ByteStream> makePlainStream(boost::asio::ip::tcp::socket);
+/// The context must outlive the stream.
+std::unique_ptr<ByteStream> makeTlsStream(boost::asio::ip::tcp::socket, boost::asio::ssl::context&);
+
+}
--- a/src/entry/Daemon.cpp
+++ b/src/entry/Daemon.cpp
@@ -14,31 +14,41 @@
 
 #include <boost/asio.hpp>
 #include <chrono>
+#include <ctime>
+#include <filesystem>
 #include <random>
 
 namespace siskinshunt {
 
 namespace asio = boost::asio;
 
+// Between looks at the settings file; the platform tells of changes by a signal or not at all.
+static constexpr TimeMs settingsInterval { 1000 };
+
 namespace {
 
-    // Milliseconds since 1970 at the start, then the monotonic clock, so that the time never goes back.
+    // Milliseconds since 1970 at the start, then a clock that also counts while the machine is suspended, so that a node
+    // that wakes up sees how old its beliefs are. It never goes back.
     class NodeClock {
     public:
         NodeClock()
             : m_startUtc(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count())
-            , m_start(std::chrono::steady_clock::now())
+            , m_start(bootMilliseconds())
         {
         }
 
-        TimeMs now() const
+        TimeMs now() const { return { m_startUtc + bootMilliseconds() - m_start }; }
+
+    private:
+        static int64_t bootMilliseconds()
         {
-            return { m_startUtc + std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_start).count() };
+            timespec time {};
+            ::clock_gettime(CLOCK_BOOTTIME, &time);
+            return static_cast<int64_t>(time.tv_sec) * 1000 + time.tv_nsec / 1000000;
         }
 
-    private:
         int64_t m_startUtc;
-        std::chrono::steady_clock::time_point m_start;
+        int64_t m_start;
     };
 
     // The data folder of a node that has one.
@@ -51,7 +61,7 @@
 
     class Daemon {
     public:
-        Daemon(const Settings&, const NodeClock&, NodePtr, DataFolder);
+        Daemon(const DaemonOptions&, const NodeClock&, NodePtr, DataFolder);
         int run();
 
     private:
@@ -61,15 +71,23 @@
         void diskWritten(Inputs);
         void tick();
         void waitForSignal();
+        void addServer(const Endpoint&, ListenerKind);
+        HttpServer& serverOf(ExchangeId);
+        void lookAtSettings();
+        void reloadSettings();
 
+        const DaemonOptions& m_options;
         const Settings& m_settings;
         const NodeClock& m_clock;
         NodePtr m_node;
         DataFolder m_folder;
         asio::io_context m_context { 1 };
-        asio::signal_set m_signals { m_context, SIGTERM, SIGINT };
+        asio::signal_set m_signals { m_context, SIGTERM, SIGINT, SIGHUP };
         asio::steady_timer m_timer { m_context };
-        HttpServer m_server;
+        std::vector<std::unique_ptr<HttpServer>> m_servers; ///< The first one is the node's own interface.
+        HttpServer* m_forwardServer = nullptr;
+        TimeMs m_nextLook;
+        std::filesystem::file_time_type m_settingsTime;
         UpstreamClient m_client;
         PeerTransport m_transport;
         std::vector<DiskRequest> m_waitingDisk; ///< Gather while a write is under way: one sync covers all of them.
@@ -98,40 +116,66 @@
     return out;
 }
 
-Daemon::Daemon(const Settings& settings, const NodeClock& clock, NodePtr node, DataFolder folder)
-    : m_settings(settings)
+Daemon::Daemon(const DaemonOptions& options, const NodeClock& clock, NodePtr node, DataFolder folder)
+    : m_options(options)
+    , m_settings(options.settings)
     , m_clock(clock)
     , m_node(std::move(node))
     , m_folder(std::move(folder))
-    , m_server(m_context, { .listen = settings.http, .limits = settings.limits, .tls = settings.tls },
-          {
-              .arrived = [this](RequestArrived arrived) {
-                  Inputs inputs;
-                  inputs.requests.push_back(std::move(arrived));
-                  apply(std::move(inputs)); },
-              .gone = [this](ExchangeId exchange) {
-                  Inputs inputs;
-                  inputs.gone.push_back(exchange);
-                  apply(std::move(inputs)); },
-              .log = writeLog,
-          })
-    , m_client(m_context, { .idleProbeAfter = settings.timings.idleProbeAfter }, [this](UpstreamEvent event) {
+    , m_client(m_context, { .idleReuse = m_settings.timings.idleReuse }, [this](UpstreamEvent event) {
         Inputs inputs;
         inputs.events.push_back(std::move(event));
         apply(std::move(inputs));
     })
-    , m_transport(m_context, { .listen = settings.peer }, {
-                                                              .datagram = [this](std::string bytes, const Endpoint& from) {
+    , m_transport(m_context, { .listen = m_settings.peer }, {
+                                                                .datagram = [this](std::string bytes, const Endpoint& from) {
                   Inputs inputs;
                   inputs.datagrams.push_back({ toString(from), std::move(bytes) });
                   apply(std::move(inputs)); },
-                                                              .frame = [this](std::string bytes) {
+                                                                .frame = [this](std::string bytes) {
                   Inputs inputs;
                   inputs.frames.push_back(std::move(bytes));
                   apply(std::move(inputs)); },
-                                                              .log = writeLog,
-                                                          })
+                                                                .log = writeLog,
+                                                            })
 {
+    addServer(m_settings.http, ListenerKind::Main);
+    addServer(m_settings.listeners.forward, ListenerKind::Forward);
+    addServer(m_settings.listeners.ready, ListenerKind::Ready);
+    addServer(m_settings.listeners.control, ListenerKind::Control);
+    addServer(m_settings.listeners.directory, ListenerKind::Directory);
+    std::error_code ec;
+    if (!m_options.settingsFile.empty())
+        m_settingsTime = std::filesystem::last_write_time(m_options.settingsFile, ec);
+}
+
+// The upper bits of an exchange's number tell its server.
+static constexpr int serverShift = 56;
+
+void Daemon::addServer(const Endpoint& listen, ListenerKind kind)
+{
+    if (!listen.port)
+        return;
+    HttpServerHandlers handlers {
+        .arrived = [this](RequestArrived arrived) {
+            Inputs inputs;
+            inputs.requests.push_back(std::move(arrived));
+            apply(std::move(inputs)); },
+        .gone = [this](ExchangeId exchange) {
+            Inputs inputs;
+            inputs.gone.push_back(exchange);
+            apply(std::move(inputs)); },
+        .log = writeLog,
+    };
+    HttpServerOptions options { .listen = listen, .listener = kind, .firstExchange = static_cast<ExchangeId>(m_servers.size()) << serverShift, .limits = m_settings.limits, .tls = m_settings.tls };
+    m_servers.push_back(std::make_unique<HttpServer>(m_context, std::move(options), std::move(handlers)));
+    if (kind == ListenerKind::Forward)
+        m_forwardServer = m_servers.back().get();
+}
+
+HttpServer& Daemon::serverOf(ExchangeId exchange)
+{
+    return *m_servers[std::min<size_t>(exchange >> serverShift, m_servers.size() - 1)];
 }
 
 void Daemon::apply(Inputs inputs)
@@ -146,7 +190,7 @@
     for (const auto& record : outputs.log)
         writeLog(record);
     for (auto& answer : outputs.answers)
-        m_server.answer(std::move(answer));
+        serverOf(answer.exchange).answer(std::move(answer));
     for (const DispatchId dispatch : outputs.cancels)
         m_client.cancel(dispatch);
     for (const auto& address : outputs.replacedPools)
@@ -157,6 +201,12 @@
         m_transport.send(datagram);
     for (auto& frame : outputs.frames)
         m_transport.send(std::move(frame));
+    if (outputs.forwardLimits && m_forwardServer)
+        m_forwardServer->setLimits(*outputs.forwardLimits);
+    if (outputs.closeWhenIdle) {
+        for (const auto& server : m_servers)
+            server->closeWhenIdle();
+    }
     if (!outputs.disk.empty())
         writeDisk(std::move(outputs.disk));
     if (outputs.stop)
@@ -202,15 +252,58 @@
         if (ec)
             return;
         apply({});
+        lookAtSettings();
+        flushLog();
         tick();
     });
 }
 
+// The platform may replace the settings file without a signal.
+void Daemon::lookAtSettings()
+{
+    const TimeMs now = m_clock.now();
+    if (m_options.settingsFile.empty() || now < m_nextLook)
+        return;
+    m_nextLook = now + settingsInterval;
+    std::error_code ec;
+    const auto time = std::filesystem::last_write_time(m_options.settingsFile, ec);
+    if (ec || time == m_settingsTime)
+        return;
+    m_settingsTime = time;
+    reloadSettings();
+}
+
+// Seeds and the log level can change while the node runs; everything else is read at the start only.
+void Daemon::reloadSettings()
+{
+    if (m_options.settingsFile.empty())
+        return;
+    const auto reloaded = handle([&]() -> Result<std::optional<Settings>> {
+        BOOST_LEAF_AUTO(settings, loadSettings(m_options.settingsFile));
+        return std::optional<Settings>(std::move(settings)); },
+        [](const Error& error) {
+            writeLog({ LogLevel::Error, "settings_refused", Step::ReadSettings, error.peer, "the settings before stay in force: " + error.detail, {} });
+            return std::optional<Settings> {};
+        });
+    if (!reloaded)
+        return;
+    Inputs inputs;
+    for (const auto& seed : reloaded->seeds)
+        inputs.seeds.push_back(toString(seed));
+    setLogLevel(reloaded->logLevel);
+    writeLog({ LogLevel::Info, "settings_read", Step::ReadSettings, m_options.settingsFile, "seeds and log level are in force", { { "seeds", std::to_string(inputs.seeds.size()) } } });
+    apply(std::move(inputs));
+}
+
 void Daemon::waitForSignal()
 {
     m_signals.async_wait([this](boost::system::error_code ec, int signal) {
         if (ec)
             return;
+        if (signal == SIGHUP) {
+            reloadSettings();
+            return waitForSignal();
+        }
         if (signal == SIGINT || m_drainAsked) {
             writeLog({ LogLevel::Warning, "stopped", Step::Command, {}, "stopped by a signal without draining", {} });
             return m_context.stop();
@@ -226,27 +319,33 @@
 
 int Daemon::run()
 {
-    m_server.start();
+    for (const auto& server : m_servers)
+        server->start();
     m_transport.start();
     waitForSignal();
     tick();
     writeLog({ LogLevel::Info, "started", Step::Accept, toString(m_settings.http), "serving", { { "peer_address", toString(m_settings.peer) }, { "data_folder", m_settings.dataFolder } } });
     m_context.run();
     writeLog({ LogLevel::Info, "exiting", Step::Command, {}, "the process ends", {} });
+    flushLog();
     return m_exitCode;
 }
 
-Result<int> runDaemon(const Settings& settings)
+Result<int> runDaemon(const DaemonOptions& daemonOptions)
 {
+    const Settings& settings = daemonOptions.settings;
     startLog(settings.node, settings.logLevel);
-    setInvariantHandler([](const std::string& line) { writeLog({ LogLevel::Error, "invariant_failed", Step::Command, {}, line, {} }); });
+    setInvariantHandler([](const std::string& line) {
+        writeLog({ LogLevel::Error, "invariant_failed", Step::Command, {}, line, {} });
+        flushLog();
+    });
     const NodeClock clock;
     BOOST_LEAF_AUTO(folder, openDataFolder(settings));
     std::random_device device;
-    NodeOptions options { .settings = settings, .startedAtUtc = clock.now(), .seed = static_cast<uint64_t>(device()) << 32 | device(), .voter = folder.voter, .recovered = std::move(folder.recovered) };
+    NodeOptions options { .settings = settings, .startedAtUtc = clock.now(), .seed = static_cast<uint64_t>(device()) << 32 | device(), .voter = folder.voter, .recovered = std::move(folder.recovered), .dialect = daemonOptions.dialect };
     BOOST_LEAF_AUTO(node, makeNode(std::move(options), clock.now()));
     try {
-        return Daemon(settings, clock, std::move(node), std::move(folder)).run();
+        return Daemon(daemonOptions, clock, std::move(node), std::move(folder)).run();
     } catch (const boost::system::system_error& error) {
         return fail(ErrorCode::Io, Step::Accept, toString(settings.http), error.what());
     }
--- /dev/null
+++ b/src/entry/HttpConnection.cpp
@@ -0,0 +1,359 @@
+#include "entry/HttpConnection.h"
+
+#include "api/HttpHeadCheck.h"
+#include "api/Refusal.h"
+#include "entry/HttpText.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace siskinshunt {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+// Bytes of later requests that are read ahead while one is being answered.
+static constexpr size_t maxReadAhead = 64 << 10;
+// An answer that the caller does not read is held up to this size beyond the body limit.
+static constexpr size_t maxUnsentBytes = 8 << 20;
+static constexpr auto writeTimeout = std::chrono::seconds(30);
+static constexpr auto lingerTime = std::chrono::milliseconds(200);
+
+struct HttpConnection::Parser : http::request_parser<http::string_body> { };
+
+static std::chrono::milliseconds toChrono(TimeMs time)
+{
+    return std::chrono::milliseconds(time.value);
+}
+
+HttpConnection::HttpConnection(std::unique_ptr<ByteStream> stream, std::string peer, HttpConnectionContext& context)
+    : m_stream(std::move(stream))
+    , m_peer(std::move(peer))
+    , m_context(context)
+    , m_phaseSince(Clock::now())
+{
+}
+
+HttpConnection::~HttpConnection() = default;
+
+void HttpConnection::setPhase(Phase phase)
+{
+    m_phase = phase;
+    m_phaseSince = Clock::now();
+}
+
+void HttpConnection::start()
+{
+    setPhase(Phase::Header);
+    m_stream->handshake([self = shared_from_this()](const error_code& ec) {
+        if (ec)
+            return self->close();
+        self->setPhase(Phase::Idle);
+        self->read();
+    });
+}
+
+void HttpConnection::read()
+{
+    if (m_reading || m_phase == Phase::Closed || (m_phase == Phase::Answering && m_in.size() > maxReadAhead))
+        return;
+    m_reading = true;
+    m_stream->read(asio::buffer(m_buffer), [self = shared_from_this()](const error_code& ec, size_t n) { self->readDone(ec, n); });
+}
+
+void HttpConnection::readDone(const error_code& ec, size_t n)
+{
+    m_reading = false;
+    if (m_phase == Phase::Closed)
+        return;
+    if (ec) {
+        // The rest of the last answer is still written to a caller that has only stopped sending.
+        if (m_phase == Phase::Flushing && ec == asio::error::eof)
+            return;
+        return close();
+    }
+    if (m_phase == Phase::Flushing || m_phase == Phase::Lingering)
+        return read();
+    m_in.append(m_buffer.data(), n);
+    parse();
+    read();
+}
+
+// Takes requests from the received bytes until one has to be answered or more bytes are needed.
+void HttpConnection::parse()
+{
+    if (m_parsing)
+        return;
+    m_parsing = true;
+    while (m_phase == Phase::Idle || m_phase == Phase::Header || m_phase == Phase::Body) {
+        if (!m_parser && !startParser())
+            break;
+        if (!feedParser())
+            break;
+        deliver();
+    }
+    m_parsing = false;
+}
+
+// Creates the parser once a whole head has arrived and its framing has been checked.
+bool HttpConnection::startParser()
+{
+    while (m_in.starts_with("\r\n"))
+        m_in.erase(0, 2);
+    if (m_in.empty())
+        return false;
+    if (m_phase == Phase::Idle)
+        setPhase(Phase::Header);
+    const auto end = m_in.find("\r\n\r\n");
+    const size_t headBytes = end == std::string::npos ? m_in.size() : end + 4;
+    if (headBytes > m_context.limits.headerBytes) {
+        refuse(431, "the header is over the limit");
+        return false;
+    }
+    if (end == std::string::npos) {
+        // A bare empty line would be read as the end of the head by other parsers.
+        if (m_in.find("\n\n") != std::string::npos)
+            refuse(400, "a line that does not end with CR LF");
+        return false;
+    }
+    if (const auto problem = findHeadProblem(std::string_view(m_in).substr(0, headBytes))) {
+        refuse(400, *problem);
+        return false;
+    }
+    m_parser = std::make_unique<Parser>();
+    m_parser->eager(true);
+    m_parser->header_limit(m_context.limits.headerBytes);
+    m_parser->body_limit(m_context.limits.bodyBytes);
+    return true;
+}
+
+// Returns true when the request is complete.
+bool HttpConnection::feedParser()
+{
+    const bool headKnown = m_parser->is_header_done();
+    error_code ec;
+    size_t used = 0;
+    while (!m_parser->is_done() && used < m_in.size()) {
+        used += m_parser->put(asio::buffer(m_in.data() + used, m_in.size() - used), ec);
+        if (ec)
+            break;
+    }
+    m_in.erase(0, used);
+    if (ec && ec != http::error::need_more) {
+        const bool tooLarge = ec == http::error::body_limit;
+        refuse(tooLarge ? 413 : 400, tooLarge ? "the body is over the limit" : "not a valid HTTP/1.1 request: " + ec.message());
+        return false;
+    }
+    if (m_parser->is_done())
+        return true;
+    if (!headKnown && m_parser->is_header_done()) {
+        setPhase(Phase::Body);
+        if (boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
+            m_out += "HTTP/1.1 100 Continue\r\n\r\n";
+            flush();
+        }
+    }
+    return false;
+}
+
+void HttpConnection::deliver()
+{
+    auto message = m_parser->release();
+    m_parser.reset();
+    m_keepAlive = message.keep_alive();
+    m_oldVersion = message.version() < 11;
+    m_headOnly = message.method() == http::verb::head;
+    RequestArrived arrived;
+    arrived.request.method = std::string(message.method_string());
+    arrived.request.target = std::string(message.target());
+    for (const auto& field : message)
+        arrived.request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    arrived.request.body = std::move(message.body());
+    arrived.peer = m_peer;
+    setPhase(Phase::Answering);
+    m_exchange = m_context.open(*this);
+    arrived.exchange = m_exchange;
+    m_context.arrived(std::move(arrived));
+}
+
+// Refuses a request that could not be read. The connection is closed afterwards, because its position is unknown.
+void HttpConnection::refuse(uint16_t status, const std::string& message)
+{
+    m_parser.reset();
+    m_in.clear();
+    m_keepAlive = false;
+    m_headOnly = false;
+    m_oldVersion = false;
+    const auto code = status == 400 ? RefusalCode::MalformedRequest : RefusalCode::TooLarge;
+    Answer answer { .status = status, .headers = { { "Content-Type", "application/json" }, { std::string(headers::run), std::string(nameOf(RunWord::NotRun)) } }, .body = refusalBody({ code, RunWord::NotRun, message, {}, {} }) };
+    m_context.log({ LogLevel::Warning, "request_unreadable", Step::Receive, m_peer, message, { { "status", std::to_string(status) } } });
+    appendHead(answer, true);
+    m_out += answer.body;
+    setPhase(Phase::Flushing);
+    flush();
+}
+
+void HttpConnection::appendHead(const Answer& answer, bool hasBody)
+{
+    const bool keepAlive = m_keepAlive && !m_context.closing;
+    if (!keepAlive)
+        m_keepAlive = false;
+    appendStatusLine(m_out, answer.status);
+    for (const auto& [name, value] : answer.headers) {
+        if (!isConnectionHeader(name))
+            appendField(m_out, name, value);
+    }
+    m_chunked = false;
+    if (isBodiless(answer.status)) {
+        // Such an answer states no length.
+    } else if (answer.contentLength)
+        appendField(m_out, "Content-Length", std::to_string(*answer.contentLength));
+    else if (answer.part == AnswerPart::Whole)
+        appendField(m_out, "Content-Length", std::to_string(answer.body.size()));
+    else if (m_oldVersion)
+        m_keepAlive = false;
+    else if (hasBody || m_headOnly) {
+        m_chunked = true;
+        appendField(m_out, "Transfer-Encoding", "chunked");
+    }
+    if (!m_keepAlive)
+        appendField(m_out, "Connection", "close");
+    else if (m_oldVersion)
+        appendField(m_out, "Connection", "keep-alive");
+    m_out += "\r\n";
+}
+
+void HttpConnection::answer(Answer part)
+{
+    if (m_phase != Phase::Answering)
+        return;
+    const auto appendBody = [&] {
+        if (m_headOnly)
+            return;
+        if (m_chunked)
+            appendChunk(m_out, part.body);
+        else
+            m_out += part.body;
+    };
+    switch (part.part) {
+    case AnswerPart::Whole:
+        appendHead(part, true);
+        if (!m_headOnly && !isBodiless(part.status))
+            m_out += part.body;
+        finishExchange();
+        break;
+    case AnswerPart::Head:
+        appendHead(part, true);
+        appendBody();
+        break;
+    case AnswerPart::Body:
+        appendBody();
+        break;
+    case AnswerPart::End:
+        appendBody();
+        if (m_chunked && !m_headOnly)
+            m_out += "0\r\n\r\n";
+        finishExchange();
+        break;
+    case AnswerPart::Abort: {
+        // A reset, because the end of a connection may complete an answer that has no length.
+        error_code ec;
+        m_stream->socket().set_option(asio::socket_base::linger(true, 0), ec);
+        m_context.close(std::exchange(m_exchange, 0));
+        return close();
+    }
+    }
+    if (m_out.size() > maxUnsentBytes + m_context.limits.bodyBytes) {
+        m_context.log({ LogLevel::Warning, "caller_too_slow", Step::Send, m_peer, "the caller does not read its answer", {} });
+        return close();
+    }
+    flush();
+}
+
+void HttpConnection::finishExchange()
+{
+    m_context.close(std::exchange(m_exchange, 0));
+    if (!m_keepAlive)
+        return setPhase(Phase::Flushing);
+    setPhase(Phase::Idle);
+    if (m_in.empty())
+        return;
+    asio::post(m_stream->socket().get_executor(), [self = shared_from_this()] {
+        self->parse();
+        self->read();
+    });
+}
+
+void HttpConnection::flush()
+{
+    if (m_writeActive || m_phase == Phase::Closed)
+        return;
+    if (m_out.empty()) {
+        if (m_phase != Phase::Flushing)
+            return;
+        error_code ec;
+        m_stream->socket().shutdown(tcp::socket::shutdown_send, ec);
+        setPhase(Phase::Lingering);
+        return read();
+    }
+    m_writeActive = true;
+    m_writeSince = Clock::now();
+    m_writing.swap(m_out);
+    m_stream->write(asio::buffer(m_writing), [self = shared_from_this()](const error_code& ec, size_t) {
+        self->m_writeActive = false;
+        self->m_writing.clear();
+        if (ec)
+            return self->close();
+        self->flush();
+    });
+}
+
+void HttpConnection::checkTimeout(Clock::time_point now)
+{
+    const auto& limits = m_context.limits;
+    const auto age = now - m_phaseSince;
+    if (m_writeActive && now - m_writeSince > writeTimeout)
+        return close();
+    switch (m_phase) {
+    case Phase::Idle:
+        if (age > toChrono(limits.idleTimeout))
+            close();
+        return;
+    case Phase::Header:
+        if (age > toChrono(limits.headerTimeout))
+            close();
+        return;
+    case Phase::Body:
+        if (age > toChrono(limits.bodyTimeout))
+            close();
+        return;
+    case Phase::Lingering:
+        if (age > lingerTime)
+            close();
+        return;
+    case Phase::Answering:
+    case Phase::Flushing:
+    case Phase::Closed:
+        return;
+    }
+}
+
+void HttpConnection::close()
+{
+    if (m_phase == Phase::Closed)
+        return;
+    m_phase = Phase::Closed;
+    error_code ec;
+    m_stream->socket().close(ec);
+    if (m_exchange) {
+        const ExchangeId exchange = std::exchange(m_exchange, 0);
+        m_context.close(exchange);
+        m_context.gone(exchange);
+    }
+}
+
+}
--- a/src/entry/HttpServer.h
+++ b/src/entry/HttpServer.h
@@ -14,6 +14,8 @@
 
 struct HttpServerOptions {
     Endpoint listen;
+    ListenerKind listener = ListenerKind::Main; ///< Copied to each request that arrives here.
+    ExchangeId firstExchange = 0; ///< Servers of one process count exchanges from different numbers.
     InputLimits limits;
     TlsSettings tls;
 };
@@ -40,6 +42,8 @@
     void answer(Answer);
     /// Answers the current requests and then closes each connection.
     void closeWhenIdle();
+    /// Limits for requests that have not begun to arrive.
+    void setLimits(const InputLimits&);
     size_t connections() const;
 
 private:
--- a/src/entry/Log.cpp
+++ b/src/entry/Log.cpp
@@ -5,22 +5,66 @@
 #include <boost/json/serialize.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
-#include <iostream>
+#include <climits>
+#include <poll.h>
+#include <unistd.h>
 
 namespace siskinshunt {
 
 namespace logging = boost::log;
 
+// Lines that wait for standard output; a reader that stops costs this much memory and then lines.
+static constexpr size_t maxQueuedBytes = 256 << 10;
+// Queued lines are written without waiting for the next flush when there are this many bytes.
+static constexpr size_t flushBytes = 32 << 10;
+
 namespace {
 
+    class QueueBackend : public logging::sinks::basic_formatted_sink_backend<char, logging::sinks::synchronized_feeding> {
+    public:
+        void consume(const logging::record_view&, const string_type& line)
+        {
+            if (m_queue.size() + line.size() > maxQueuedBytes) {
+                ++m_dropped;
+                return;
+            }
+            m_queue += line;
+            m_queue += '\n';
+            if (m_queue.size() > flushBytes)
+                flush();
+        }
+
+        void flush()
+        {
+            size_t at = 0;
+            pollfd out { STDOUT_FILENO, POLLOUT, 0 };
+            while (at < m_queue.size() && ::poll(&out, 1, 0) == 1 && (out.revents & POLLOUT)) {
+                // A pipe that reports room takes PIPE_BUF bytes without blocking.
+                const auto n = ::write(STDOUT_FILENO, m_queue.data() + at, std::min<size_t>(m_queue.size() - at, PIPE_BUF));
+                if (n <= 0)
+                    break;
+                at += static_cast<size_t>(n);
+            }
+            m_queue.erase(0, at);
+        }
+
+        uint64_t takeDropped() { return m_queue.size() < maxQueuedBytes / 2 ? std::exchange(m_dropped, 0) : 0; }
+
+    private:
+        std::string m_queue;
+        uint64_t m_dropped = 0;
+    };
+
     struct LogState {
         std::string node;
         LogLevel minimum = LogLevel::Info;
+        boost::shared_ptr<QueueBackend> backend;
+        boost::shared_ptr<logging::sinks::synchronous_sink<QueueBackend>> sink;
         logging::sources::logger_mt logger;
     };
 
@@ -34,22 +78,22 @@
 
 void startLog(const std::string& node, LogLevel minimum)
 {
-    using Backend = logging::sinks::text_ostream_backend;
-    auto backend = boost::make_shared<Backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream*) {}));
-    backend->auto_flush(true);
-    auto sink = boost::make_shared<logging::sinks::synchronous_sink<Backend>>(backend);
-    sink->set_formatter(logging::expressions::stream << logging::expressions::smessage);
-    logging::core::get()->add_sink(sink);
-    logState().node = node;
+    auto& state = logState();
+    state.backend = boost::make_shared<QueueBackend>();
+    state.sink = boost::make_shared<logging::sinks::synchronous_sink<QueueBackend>>(state.backend);
+    state.sink->set_formatter(logging::expressions::stream << logging::expressions::smessage);
+    logging::core::get()->add_sink(state.sink);
+    state.node = node;
+    state.minimum = minimum;
+}
+
+void setLogLevel(LogLevel minimum)
+{
     logState().minimum = minimum;
 }
 
-void writeLog(const LogRecord& record)
+static void writeLine(LogState& state, const LogRecord& record)
 {
-    auto& state = logState();
-    if (record.level < state.minimum)
-        return;
     boost::json::object line;
     const auto now = boost::posix_time::microsec_clock::universal_time();
     line["time"] = boost::posix_time::to_iso_extended_string(now) + "Z";
@@ -64,4 +108,23 @@
     BOOST_LOG(state.logger) << boost::json::serialize(line);
 }
 
+void writeLog(const LogRecord& record)
+{
+    auto& state = logState();
+    if (record.level < state.minimum || !state.backend)
+        return;
+    writeLine(state, record);
+}
+
+void flushLog()
+{
+    auto& state = logState();
+    if (!state.backend)
+        return;
+    const auto backend = state.sink->locked_backend();
+    backend->flush();
+    if (const uint64_t dropped = backend->takeDropped())
+        writeLine(state, { LogLevel::Warning, "log_lines_dropped", Step::Send, "standard output", "lines were dropped because the output was not read", { { "lines", std::to_string(dropped) } } });
+}
+
 }
--- /dev/null
+++ b/src/forward/ForwardTarget.cpp
@@ -0,0 +1,116 @@
+#include "forward/ForwardTarget.h"
+
+#include <algorithm>
+
+namespace siskinshunt {
+
+// A target that cannot be reached is left alone this long at first, which is about one announcement interval.
+static constexpr TimeMs firstAvoidance { 500 };
+static constexpr TimeMs longestAvoidance { 4000 };
+// A full upstream has places again after about one request.
+static constexpr TimeMs refusedAvoidance { 60 };
+// Answers that the moving average remembers: enough to tell 40% of failures from the 14% that some services have anyway.
+static constexpr double averageMemory = 20;
+static constexpr double badFailureShare = 0.3;
+static constexpr double leastAnswers = 8;
+
+ForwardTarget& putTarget(ForwardTargets& table, const ForwardTarget& announced)
+{
+    auto& entry = table.entries[announced.id];
+    if (entry.backend != announced.backend) {
+        if (!entry.backend.empty())
+            std::erase(table.byBackend[entry.backend], announced.id);
+        table.byBackend[announced.backend].push_back(announced.id);
+    }
+    const bool known = entry.id && entry.incarnation == announced.incarnation;
+    ForwardTarget next = announced;
+    if (known) {
+        next.failuresInRow = entry.failuresInRow;
+        next.failureShare = entry.failureShare;
+        next.answers = entry.answers;
+        next.avoidUntil = entry.avoidUntil;
+        next.avoidFor = entry.avoidFor;
+    }
+    next.own = entry.own;
+    next.others = entry.others;
+    entry = std::move(next);
+    return entry;
+}
+
+void removeTarget(ForwardTargets& table, UpstreamId id)
+{
+    const auto it = table.entries.find(id);
+    if (it == table.entries.end())
+        return;
+    std::erase(table.byBackend[it->second.backend], id);
+    table.entries.erase(it);
+}
+
+ForwardTarget* findTarget(ForwardTargets& table, UpstreamId id)
+{
+    const auto it = table.entries.find(id);
+    return it == table.entries.end() ? nullptr : &it->second;
+}
+
+static void sumReports(ForwardTargets& table)
+{
+    for (auto& [id, target] : table.entries)
+        target.others = {};
+    for (const auto& [node, loads] : table.reported) {
+        for (const auto& [id, load] : loads) {
+            if (ForwardTarget* target = findTarget(table, id)) {
+                target->others.running += load.running;
+                target->others.unread += load.unread;
+            }
+        }
+    }
+}
+
+void takeReport(ForwardTargets& table, TimeMs now, NodeId node, const std::map<UpstreamId, TargetLoad>& loads)
+{
+    table.reported[node] = loads;
+    table.reportedAt[node] = now;
+    sumReports(table);
+}
+
+void expireReports(ForwardTargets& table, TimeMs now, TimeMs silence)
+{
+    bool changed = false;
+    for (auto it = table.reportedAt.begin(); it != table.reportedAt.end();) {
+        if (now - it->second <= silence) {
+            ++it;
+            continue;
+        }
+        changed = table.reported.erase(it->first) || changed;
+        it = table.reportedAt.erase(it);
+    }
+    if (changed)
+        sumReports(table);
+}
+
+static void avoid(ForwardTarget& target, TimeMs now)
+{
+    target.avoidFor = std::clamp(target.avoidFor * 2, firstAvoidance, longestAvoidance);
+    target.avoidUntil = now + target.avoidFor;
+}
+
+void noteOutcome(ForwardTarget& target, TimeMs now, TargetOutcome outcome)
+{
+    if (outcome == TargetOutcome::Refused) {
+        target.avoidUntil = std::max(target.avoidUntil, now + refusedAvoidance);
+        return;
+    }
+    const bool failed = outcome != TargetOutcome::Answered;
+    const double weight = std::min(target.answers + 1, averageMemory);
+    target.failureShare += ((failed ? 1.0 : 0.0) - target.failureShare) / weight;
+    target.answers = weight;
+    target.failuresInRow = failed ? target.failuresInRow + 1 : 0;
+    if (outcome == TargetOutcome::Unreachable)
+        return avoid(target, now);
+    if (failed && target.answers >= leastAnswers && target.failureShare >= badFailureShare)
+        return avoid(target, now);
+    if (!failed && target.failureShare < badFailureShare)
+        target.avoidFor = {};
+}
+
+}
--- /dev/null
+++ b/src/forward/ForwardTarget.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "base/Ids.h"
+#include "base/TimeMs.h"
+
+#include <array>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace siskinshunt {
+
+/// Requests at an upstream, as one node or all others together count them.
+struct TargetLoad {
+    double running = 0; ///< Sent and not ended.
+    double unread = 0; ///< Prompt tokens of these that wait to be read.
+};
+
+/// An upstream as this node's forwarding sees it: what it announced, the load sent to it, and how it answered.
+struct ForwardTarget {
+    UpstreamId id;
+    std::string name;
+    std::string address; ///< "IP:PORT".
+    std::string domain;
+    std::string version;
+    std::string backend;
+    uint64_t incarnation = 0;
+    uint32_t slots = 1;
+    bool engine = false; ///< Reads prompts and answers by tokens.
+    bool reclaimable = false;
+    bool leaving = false; ///< Wants no new work.
+    TimeMs lastSeen; ///< Of its announcements, here or at another node.
+
+    TargetLoad own;
+    TargetLoad others;
+
+    int failuresInRow = 0;
+    double failureShare = 0; ///< Moving average over its answers.
+    double answers = 0; ///< Weight of the average, up to its memory.
+    TimeMs avoidUntil; ///< Gets no work before, unless all others are avoided, too.
+    TimeMs avoidFor; ///< Length of the last avoidance, which doubles with each.
+};
+
+/// All upstreams of the forwarding rules.
+struct ForwardTargets {
+    std::map<UpstreamId, ForwardTarget> entries;
+    std::map<std::string, std::vector<UpstreamId>, std::less<>> byBackend;
+    /// By node: the load that it reported last, subtracted again when it reports anew or goes.
+    std::map<NodeId, std::map<UpstreamId, TargetLoad>> reported;
+    std::map<NodeId, TimeMs> reportedAt;
+};
+
+/// Announced state of a target; load and health of a known incarnation stay.
+ForwardTarget& putTarget(ForwardTargets&, const ForwardTarget& announced);
+void removeTarget(ForwardTargets&, UpstreamId);
+ForwardTarget* findTarget(ForwardTargets&, UpstreamId);
+
+/// Replaces what a node reported of its load.
+void takeReport(ForwardTargets&, TimeMs now, NodeId, const std::map<UpstreamId, TargetLoad>&);
+/// Drops reports of nodes that have not been heard of for this long.
+void expireReports(ForwardTargets&, TimeMs now, TimeMs silence);
+
+/// How a request ended at a target, as far as it speaks for or against the target.
+enum class TargetOutcome : uint8_t {
+    Answered,
+    Failed, ///< An error of the upstream, or an answer that is not one.
+    Refused, ///< Not run: full or not the upstream that was meant.
+    Unreachable, ///< No connection, or one that broke without an answer.
+};
+
+/// Notes the outcome and decides how long the target is avoided.
+void noteOutcome(ForwardTarget&, TimeMs now, TargetOutcome);
+
+}
--- /dev/null
+++ b/src/forward/TargetChoice.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "base/Random.h"
+#include "forward/ForwardTarget.h"
+#include "forward/PromptParts.h"
+
+#include <functional>
+#include <optional>
+
+namespace siskinshunt {
+
+/// What the choice of a target goes by.
+struct ChoiceOptions {
+    std::string domain; ///< This node's failure domain, which is preferred.
+    /// Share of a slot's worth that another failure domain costs: bytes between domains have a price.
+    double otherDomainPenalty = 0.05;
+    double tokensPerMs = 40; ///< Prompt tokens that an engine reads per ms; learnt while running.
+    TimeMs staleAfter { 6000 }; ///< A target that has been silent for longer is chosen only if all are.
+};
+
+/// One request that needs a target.
+struct ChoiceRequest {
+    std::string_view backend;
+    std::vector<PromptPart> parts;
+    uint32_t promptTokens = 0;
+    std::vector<UpstreamId> tried; ///< Left out.
+    std::function<bool(const ForwardTarget&)> allowed; ///< By version; null: all.
+};
+
+struct TargetChoice {
+    UpstreamId target;
+    double waitMs = 0; ///< Expected time to the first event; 0 for targets that are no engines.
+    double unread = 0; ///< Prompt tokens that the target has to read.
+    bool full = false; ///< All of its slots are taken.
+};
+
+/// The best target for the request, or nothing when there is none at all. Targets that failed lately or fell silent are
+/// taken only when no other is left.
+std::optional<TargetChoice> chooseTarget(const ForwardTargets&, const PartMemory&, const ChoiceOptions&, const ChoiceRequest&, TimeMs now, Random&);
+
+}
--- /dev/null
+++ b/src/node/ControlCalls.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "node/NodeState.h"
+
+namespace siskinshunt {
+
+/// Takes a call of an operator, upstream or caller in the dialect of the platform.
+void takeControlCall(Node&, const RequestArrived&);
+/// Ends calls whose time is over.
+void tickControlCalls(Node&);
+
+void receiveLeaving(Node&, NodeId from, std::string_view body);
+void receiveLeavingNoted(Node&, std::string_view body);
+
+}
--- a/src/node/ControlFlow.cpp
+++ b/src/node/ControlFlow.cpp
@@ -3,9 +3,11 @@
 #include "base/Invariant.h"
 #include "node/ExplainFlow.h"
 #include "node/FleetFlow.h"
+#include "node/ForwardFlow.h"
 #include "node/Groups.h"
 #include "node/MovesFlow.h"
 #include "node/Peers.h"
+#include "node/VersionOrders.h"
 #include "rules/RuleParser.h"
 #include "wire/Codec.h"
 
@@ -27,7 +29,7 @@
 {
     INVARIANT(index > node.decisionIndex, "the decision log is applied in order", "index", index, "applied", node.decisionIndex);
     const auto decoded = decodeControlCommand(command);
-    if (!decoded || std::holds_alternative<OpenIntent>(*decoded) || std::holds_alternative<CloseIntent>(*decoded))
+    if (!decoded || std::holds_alternative<OpenIntent>(*decoded) || std::holds_alternative<CloseIntent>(*decoded) || std::holds_alternative<CommitUsage>(*decoded))
         return;
     node.decisionIndex = index;
     if (const auto* move = std::get_if<RecordMove>(&*decoded))
@@ -43,6 +45,8 @@
     view.moves = recordedMoves(node.decisionLog);
     view.epoch = node.decisionLog.epoch;
     view.ledgerGroups = node.options.settings.ledgerGroups;
+    for (const auto& [backend, order] : node.decisionLog.versionOrders)
+        view.versionOrders.push_back(order);
     return view;
 }
 
@@ -58,11 +62,31 @@
     parsed.rules.revision = revision.revision;
     node.rules = std::make_shared<const RuleSet>(std::move(parsed.rules));
     setLimits(node.limiter, node.rules->limits, node.now);
+    setForwardRules(node);
     explain(node, DecisionCode::ApplyRules, { { SubjectKind::Rules, std::to_string(revision.revision) } }, {}, "applied by " + revision.operatorName + " under request " + revision.requestId);
     addLog(node, LogLevel::Info, "rules_in_force", Step::ReadRules, revision.operatorName, "rules revision " + std::to_string(revision.revision) + " is in force",
         { { "revision", std::to_string(revision.revision) } });
 }
 
+// Tells the nodes that this voter is to keep informed at once; gossip reaches the others and repairs what is lost. Each
+// voter informs the nodes whose ids fall to it, so that no voter sends to all.
+static void announceView(Node& node)
+{
+    if (!node.options.voter)
+        return;
+    std::vector<NodeId> voters { node.self };
+    std::vector<NodeId> others;
+    for (const auto& [id, member] : node.membership.members) {
+        if (isAlive(node.membership, id))
+            (member.status.voter ? voters : others).push_back(id);
+    }
+    std::sort(voters.begin(), voters.end());
+    for (const NodeId other : others) {
+        if (voters[other.value % voters.size()] == node.self)
+            sendFrame(node, other, FrameKind::ViewNotice, {}, encode(FetchViewFrame { node.view.index }));
+    }
+}
+
 static void adoptView(Node& node, ControlView view)
 {
     INVARIANT(view.index >= node.view.index, "a view never goes back", "have", node.view.index, "new", view.index);
@@ -72,7 +96,9 @@
     if (newRules)
         adoptRules(node, node.view.rules);
     followMoves(node);
+    followVersionOrders(node);
     refreshTargets(node);
+    announceView(node);
 }
 
 // A node with a data folder stores a view before it is in force, so that a restart never goes back behind it.
@@ -167,6 +193,15 @@
         sendFrame(node, from, FrameKind::View, {}, encode(node.view));
 }
 
+void receiveViewNotice(Node& node, NodeId from, std::string_view body)
+{
+    const auto frame = handle([&]() -> Result<FetchViewFrame> { return decode<FetchViewFrame>(body, 64); }, [](const Error&) { return FetchViewFrame {}; });
+    if (frame.have <= std::max(node.view.index, node.fetchedIndex))
+        return;
+    node.fetchedIndex = frame.have;
+    sendFrame(node, from, FrameKind::FetchView, {}, encode(FetchViewFrame { node.view.index }));
+}
+
 void receiveView(Node& node, std::string_view body)
 {
     auto view = handle([&]() -> Result<ControlView> { return decode<ControlView>(body, maxViewBytes); }, [](const Error&) { return ControlView {}; });
--- a/src/node/ControlFlow.h
+++ b/src/node/ControlFlow.h
@@ -11,6 +11,7 @@
 /// Notes that a member may hold a newer view, and asks for it.
 void viewSeen(Node&, NodeId member);
 void receiveFetchView(Node&, NodeId from, std::string_view body);
+void receiveViewNotice(Node&, NodeId from, std::string_view body);
 void receiveView(Node&, std::string_view body);
 /// Puts the view stored by an earlier process in force.
 Result<void> restoreView(Node&);
--- a/src/node/FleetFlow.cpp
+++ b/src/node/FleetFlow.cpp
@@ -4,6 +4,7 @@
 #include "base/Hash.h"
 #include "node/Answers.h"
 #include "node/CallFlow.h"
+#include "node/ForwardFlow.h"
 #include "node/MovesFlow.h"
 #include "node/Peers.h"
 #include "node/PlatformPoll.h"
@@ -61,6 +62,7 @@
 {
     if (const Upstream* upstream = findUpstream(node.membership.upstreams, id)) {
         updateOne(node, *upstream);
+        updateForwardTarget(node, *upstream);
         pumpQueue(node, upstream->announced.model);
     }
 }
@@ -68,12 +70,15 @@
 void upstreamRemoved(Node& node, UpstreamId id)
 {
     removeTarget(node.router, id);
+    removeForwardTarget(node, id);
 }
 
 void refreshTargets(Node& node)
 {
     for (const auto& [id, upstream] : node.membership.upstreams.entries)
         updateOne(node, upstream);
+    for (const auto& [id, upstream] : node.membership.upstreams.entries)
+        updateForwardTarget(node, upstream);
     node.nextRefresh = node.now + refreshInterval;
 }
 
--- /dev/null
+++ b/src/node/ForwardEvents.cpp
@@ -0,0 +1,354 @@
+#include "node/ForwardFlow.h"
+#include "node/VersionOrders.h"
+
+#include <algorithm>
+
+namespace siskinshunt {
+
+// Answers up to this size are held until they are complete, so that a broken one can be replaced.
+static constexpr size_t maxHeldBody = 1 << 20;
+// An upstream whose connection this node has closed may take this long to stop its run.
+static constexpr TimeMs stopTime { 450 };
+// Before this share of its time has passed, a silent repeatable request is not sent a second time.
+static constexpr double silentShare = 1.5;
+static constexpr TimeMs leastSilence { 250 };
+// A stream that may be resumed goes on elsewhere after a pause of this many of its longest regular pauses.
+static constexpr int silentGaps = 4;
+static constexpr TimeMs leastGap { 1000 };
+// Weight of one observation in the average pace of reading prompts.
+static constexpr double paceWeight = 0.05;
+static constexpr double leastPace = 1;
+static constexpr double mostPace = 2000;
+// The full refusals of a backend last about this long.
+static constexpr TimeMs fullRetryAfter { 300 };
+
+namespace {
+
+    // Why an attempt ended without a usable answer.
+    enum class AttemptEnd : uint8_t {
+        NotSent, ///< No byte has left.
+        NotRun, ///< The upstream states that it did not run the request.
+        Broken, ///< It may have run.
+        UpstreamError, ///< A complete answer that reports a failure.
+    };
+
+}
+
+static TargetOutcome outcomeOf(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::NotSent:
+        return TargetOutcome::Unreachable;
+    case AttemptEnd::NotRun:
+        return TargetOutcome::Refused;
+    case AttemptEnd::Broken:
+    case AttemptEnd::UpstreamError:
+        break;
+    }
+    return TargetOutcome::Failed;
+}
+
+// The answer's rest is read so that the connection can be used again.
+static void detach(Node& node, ForwardCall& call)
+{
+    node.forward.dispatches[call.dispatch] = 0;
+    releaseTarget(node, call);
+}
+
+static void abandon(Node& node, ForwardCall& call)
+{
+    node.forward.dispatches.erase(call.dispatch);
+    node.out.cancels.push_back(call.dispatch);
+    releaseTarget(node, call);
+}
+
+static bool mayTryAgain(Node& node, const ForwardCall& call, AttemptEnd end)
+{
+    if (end != AttemptEnd::NotSent && end != AttemptEnd::NotRun) {
+        if (!call.mayRepeat() || call.runs >= call.rule->attempts)
+            return false;
+    }
+    // An attempt that never left its connection is no arrival, so it is free of the limit of retries.
+    if (end == AttemptEnd::NotSent)
+        return call.tried.size() < 6;
+    auto& forward = node.forward;
+    return takeRetry(forward.retries[call.backend], forward.retryLimit, node.now, forwardNodes(node));
+}
+
+static void clearAnswer(ForwardCall& call)
+{
+    if (call.headPassed)
+        return;
+    call.status = 0;
+    call.headers.clear();
+    call.body.clear();
+    call.contentLength.reset();
+}
+
+// Goes on after an attempt without a usable answer: elsewhere, or with a refusal that says truly whether it may have run.
+static void afterAttempt(Node& node, ForwardCall& call, AttemptEnd end, const std::string& reason, bool ownCut = false)
+{
+    addLog(node, LogLevel::Info, "forward_attempt_failed", Step::Receive, call.targetName, reason,
+        { { "request", call.requestId }, { "stage", std::string(nameOf(call.stage)) }, { "status", std::to_string(call.status) }, { "may_have_run", std::to_string(call.runs) }, { "sent_ms_ago", std::to_string((node.now - call.sentAt).value) } });
+    if (ForwardTarget* target = findTarget(node.forward.targets, call.target))
+        noteOutcome(*target, node.now, outcomeOf(end));
+    if (end != AttemptEnd::NotSent && end != AttemptEnd::NotRun)
+        noteVersionResult(node, call, true);
+    if (call.resumable())
+        call.events.dropHeld();
+    if (mayTryAgain(node, call, end)) {
+        clearAnswer(call);
+        call.stage = ForwardStage::Waiting;
+        call.resumeAt = node.now + (ownCut && call.resumable() ? stopTime : TimeMs {});
+        if (call.resumeAt <= node.now)
+            startAttempt(node, call);
+        return;
+    }
+    if (end == AttemptEnd::NotSent || end == AttemptEnd::NotRun) {
+        if (!call.runs)
+            return refuseForward(node, call, 503, "upstream_full", reason, fullRetryAfter);
+    }
+    refuseForward(node, call, 502, "upstream_failed", reason);
+}
+
+static bool isGoodAnswer(const ForwardState& forward, const ForwardCall& call, const HttpHeaders& headers)
+{
+    if (findHeader(headers, forward.headers.receipt).empty() || !findHeader(headers, "Content-Encoding").empty())
+        return false;
+    return findHeader(headers, forward.headers.requestId) == call.requestId;
+}
+
+static bool isStreaming(const ForwardCall& call)
+{
+    return call.rule->kind == ForwardKind::Stream && call.status >= 200 && call.status < 300;
+}
+
+// Once per request, in the window in which its run began.
+static void countUsage(Node& node, ForwardCall& call)
+{
+    if (call.counted || !call.account)
+        return;
+    call.counted = true;
+    noteUsage(node.forward.usage, node.now, call.account->name);
+}
+
+static void takeHead(Node& node, ForwardCall& call, UpstreamEvent& event)
+{
+    auto& forward = node.forward;
+    const bool notRun = event.status == 421 || !findHeader(event.headers, forward.headers.notRun).empty();
+    call.lastByteAt = node.now;
+    if (notRun) {
+        const bool wrongUpstream = event.status == 421;
+        --call.runs;
+        call.status = event.status;
+        detach(node, call);
+        if (ForwardTarget* target = findTarget(forward.targets, call.target); target && wrongUpstream)
+            noteOutcome(*target, node.now, TargetOutcome::Unreachable);
+        return afterAttempt(node, call, AttemptEnd::NotRun, "the upstream did not run the request: status " + std::to_string(event.status));
+    }
+    const bool success = event.status >= 200 && event.status < 300;
+    if (success && !isGoodAnswer(forward, call, event.headers)) {
+        abandon(node, call);
+        return afterAttempt(node, call, AttemptEnd::Broken, "a success without the upstream's receipt and the request's id");
+    }
+    call.stage = ForwardStage::Answering;
+    if (call.headPassed)
+        return;
+    call.status = event.status;
+    call.headers = headersForCaller(event.headers);
+    call.contentLength = event.contentLength;
+}
+
+// Learns how fast engines read prompts from the time to the first event.
+static void learnPace(Node& node, const ForwardCall& call)
+{
+    const double took = static_cast<double>((node.now - call.sentAt).value);
+    if (call.expectedWait.value < 20 || took < 1)
+        return;
+    auto& pace = node.forward.choice.tokensPerMs;
+    const double ratio = std::clamp(static_cast<double>(call.expectedWait.value) / took, 0.25, 4.0);
+    pace = std::clamp(pace * (1 + paceWeight * (ratio - 1)), leastPace, mostPace);
+}
+
+static void firstEvent(Node& node, ForwardCall& call)
+{
+    countUsage(node, call);
+    learnPace(node, call);
+    noteVersionResult(node, call, false);
+    if (ForwardTarget* target = findTarget(node.forward.targets, call.target)) {
+        target->own.unread = std::max(0.0, target->own.unread - call.unread);
+        call.unread = 0;
+        noteOutcome(*target, node.now, TargetOutcome::Answered);
+    }
+}
+
+static void passHead(Node& node, ForwardCall& call)
+{
+    if (call.headPassed)
+        return;
+    call.headPassed = true;
+    // A resumed stream may have another length than its first upstream stated.
+    const auto length = call.resumable() ? std::nullopt : call.contentLength;
+    node.out.answers.push_back({ .exchange = call.exchange, .part = AnswerPart::Head, .status = call.status, .headers = call.headers, .contentLength = length });
+}
+
+static void passBody(Node& node, ForwardCall& call, std::string bytes)
+{
+    if (bytes.empty())
+        return;
+    passHead(node, call);
+    call.passedBytes += bytes.size();
+    node.out.answers.push_back({ .exchange = call.exchange, .part = AnswerPart::Body, .body = std::move(bytes) });
+}
+
+static void takeBody(Node& node, ForwardCall& call, UpstreamEvent& event)
+{
+    call.lastByteAt = node.now;
+    if (isStreaming(call)) {
+        if (call.unread > 0 || !call.counted)
+            firstEvent(node, call);
+        return passBody(node, call, call.resumable() ? call.events.take(event.bytes) : std::move(event.bytes));
+    }
+    if (call.headPassed)
+        return passBody(node, call, std::move(event.bytes));
+    call.body += event.bytes;
+    if (call.body.size() > maxHeldBody)
+        passBody(node, call, std::exchange(call.body, {}));
+}
+
+static void takeEnd(Node& node, ForwardCall& call)
+{
+    const bool stream = isStreaming(call);
+    if (stream && call.events.heldBytes()) {
+        releaseTarget(node, call);
+        return afterAttempt(node, call, AttemptEnd::Broken, "the stream ended in the middle of an event");
+    }
+    countUsage(node, call);
+    const bool upstreamError = !call.headPassed && call.status >= 500;
+    if (!stream)
+        noteVersionResult(node, call, upstreamError);
+    if (upstreamError) {
+        const bool again = call.rule->kind == ForwardKind::Repeatable && call.runs < call.rule->attempts && call.until - node.now > leastSilence / 2;
+        ForwardTarget* target = findTarget(node.forward.targets, call.target);
+        if (target)
+            noteOutcome(*target, node.now, TargetOutcome::Failed);
+        if (again && takeRetry(node.forward.retries[call.backend], node.forward.retryLimit, node.now, forwardNodes(node))) {
+            addLog(node, LogLevel::Info, "forward_attempt_failed", Step::Receive, call.targetName, "the upstream reports a failure",
+                { { "request", call.requestId }, { "status", std::to_string(call.status) }, { "may_have_run", std::to_string(call.runs) } });
+            releaseTarget(node, call);
+            clearAnswer(call);
+            call.stage = ForwardStage::Waiting;
+            return startAttempt(node, call);
+        }
+    } else if (!stream) {
+        if (ForwardTarget* target = findTarget(node.forward.targets, call.target))
+            noteOutcome(*target, node.now, TargetOutcome::Answered);
+    }
+    if (call.headPassed)
+        node.out.answers.push_back({ .exchange = call.exchange, .part = AnswerPart::End });
+    else
+        node.out.answers.push_back({ .exchange = call.exchange, .part = AnswerPart::Whole, .status = call.status, .headers = call.headers, .body = std::move(call.body), .contentLength = call.request.method == "HEAD" ? call.contentLength : std::nullopt });
+    endForward(node, call, upstreamError ? "upstream_error" : "answered");
+}
+
+bool takeForwardEvent(Node& node, UpstreamEvent& event)
+{
+    auto& forward = node.forward;
+    const auto it = forward.dispatches.find(event.dispatch);
+    if (it == forward.dispatches.end())
+        return false;
+    const ExchangeId exchange = it->second;
+    const bool last = event.kind == UpstreamEventKind::End || event.kind == UpstreamEventKind::Failed;
+    if (last)
+        forward.dispatches.erase(it);
+    const auto found = forward.calls.find(exchange);
+    if (found == forward.calls.end())
+        return true;
+    ForwardCall& call = *found->second;
+    switch (event.kind) {
+    case UpstreamEventKind::Sending:
+        call.stage = ForwardStage::Sent;
+        call.sentAt = node.now;
+        ++call.sends;
+        ++call.runs;
+        break;
+    case UpstreamEventKind::Head:
+        takeHead(node, call, event);
+        break;
+    case UpstreamEventKind::Body:
+        takeBody(node, call, event);
+        break;
+    case UpstreamEventKind::End:
+        takeEnd(node, call);
+        break;
+    case UpstreamEventKind::Failed: {
+        const bool sent = call.stage != ForwardStage::Connecting;
+        if (event.failure == UpstreamFailure::Silent)
+            node.out.replacedPools.push_back(findTarget(forward.targets, call.target) ? findTarget(forward.targets, call.target)->address : std::string {});
+        releaseTarget(node, call);
+        afterAttempt(node, call, sent ? AttemptEnd::Broken : AttemptEnd::NotSent, std::string(nameOf(event.failure)) + ": " + event.detail);
+        break;
+    }
+    }
+    return true;
+}
+
+static bool hasFallenSilent(const Node& node, const ForwardCall& call)
+{
+    if (!call.mayRepeat() || call.runs >= call.rule->attempts || !call.dispatch || call.stage == ForwardStage::Connecting)
+        return false;
+    if (call.headPassed)
+        return node.now - call.lastByteAt > std::max(call.rule->gap * silentGaps, leastGap);
+    const TimeMs target { static_cast<int64_t>(static_cast<double>(call.rule->target.value) * silentShare) };
+    return node.now - call.sentAt > std::max({ target, call.expectedWait * 3, leastSilence });
+}
+
+static void tickCall(Node& node, ForwardCall& call)
+{
+    if (node.now >= call.until) {
+        const bool mayHaveRun = call.runs > 0;
+        if (call.dispatch)
+            abandon(node, call);
+        return refuseForward(node, call, mayHaveRun ? 504 : 503, "out_of_time", "no answer within the time of the request");
+    }
+    if (call.stage == ForwardStage::Waiting && node.now >= call.resumeAt)
+        return startAttempt(node, call);
+    if (!hasFallenSilent(node, call))
+        return;
+    // Only when another send is allowed is the run given up: a late answer is better than none.
+    auto& forward = node.forward;
+    if (!takeRetry(forward.retries[call.backend], forward.retryLimit, node.now, forwardNodes(node)))
+        return;
+    addLog(node, LogLevel::Info, "forward_attempt_silent", Step::Receive, call.targetName, "no byte for too long; going on elsewhere",
+        { { "request", call.requestId }, { "sent_ms_ago", std::to_string((node.now - call.sentAt).value) }, { "last_byte_ms_ago", std::to_string((node.now - std::max(call.lastByteAt, call.sentAt)).value) } });
+    if (ForwardTarget* target = findTarget(forward.targets, call.target)) {
+        noteOutcome(*target, node.now, TargetOutcome::Failed);
+        node.out.replacedPools.push_back(target->address);
+    }
+    noteVersionResult(node, call, true);
+    abandon(node, call);
+    if (call.resumable())
+        call.events.dropHeld();
+    clearAnswer(call);
+    call.stage = ForwardStage::Waiting;
+    call.resumeAt = node.now + (call.resumable() ? stopTime : TimeMs {});
+    if (call.resumeAt <= node.now)
+        startAttempt(node, call);
+}
+
+void tickForwardCalls(Node& node)
+{
+    std::vector<ExchangeId> ids;
+    ids.reserve(node.forward.calls.size());
+    for (const auto& [id, call] : node.forward.calls)
+        ids.push_back(id);
+    // In order of arrival, so that a seed repeats a run.
+    std::sort(ids.begin(), ids.end());
+    for (const ExchangeId id : ids) {
+        const auto it = node.forward.calls.find(id);
+        if (it != node.forward.calls.end())
+            tickCall(node, *it->second);
+    }
+}
+
+}
--- /dev/null
+++ b/src/node/ForwardFlow.cpp
@@ -0,0 +1,309 @@
+#include "node/ForwardFlow.h"
+
+#include "base/Hash.h"
+#include "node/Answers.h"
+#include "node/VersionOrders.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+namespace siskinshunt {
+
+// A node that has no rules yet gets them within about a second.
+static constexpr TimeMs noRulesRetryAfter { 500 };
+// An upstream may come back, or a new one announce itself, within an announcement interval.
+static constexpr TimeMs noTargetRetryAfter { 700 };
+// Connections in a failure domain take a few milliseconds; a lost opening packet is sent again after a second.
+static constexpr TimeMs connectTimeout { 400 };
+// An upstream may close an idle connection at any moment, so a request that must not repeat goes only over one used just now.
+static constexpr TimeMs onceMaxIdle { 1500 };
+// Below this a send is no attempt: the upstream could not answer in time.
+static constexpr TimeMs leastTimeLeft { 10 };
+static constexpr size_t maxHistograms = 512;
+
+ForwardState makeForwardState(const NodeOptions& options)
+{
+    const auto& settings = options.settings;
+    ForwardState out;
+    if (options.dialect)
+        out.headers = options.dialect->headers;
+    out.choice.domain = settings.failureDomain;
+    out.accounts.options.slack = settings.forward.allowanceSlack;
+    out.retryLimit = { settings.forward.retryWindow, settings.forward.retryRatio, settings.forward.retryExtra };
+    out.usage.window = settings.duties.usageWindow;
+    return out;
+}
+
+void setForwardRules(Node& node)
+{
+    node.forward.routes = makeRouteTable(node.rules);
+    if (node.rules->intakes.empty())
+        return;
+    const auto& intake = node.rules->intakes.front();
+    InputLimits limits = node.options.settings.limits;
+    limits.headerBytes = intake.headerBytes;
+    limits.bodyBytes = intake.bodyBytes;
+    limits.headerTimeout = intake.headerTimeout;
+    limits.idleTimeout = intake.idleTimeout;
+    node.out.forwardLimits = limits;
+}
+
+void noteLeaving(Node& node, UpstreamId id, uint64_t incarnation)
+{
+    auto& [known, at] = node.forward.leaving[id];
+    known = std::max(known, incarnation);
+    at = node.now;
+    if (ForwardTarget* target = findTarget(node.forward.targets, id); target && target->incarnation <= known)
+        target->leaving = true;
+}
+
+bool isNotedLeaving(const Node& node, UpstreamId id, uint64_t incarnation)
+{
+    const auto it = node.forward.leaving.find(id);
+    return it != node.forward.leaving.end() && incarnation <= it->second.first;
+}
+
+void updateForwardTarget(Node& node, const Upstream& upstream)
+{
+    const auto& announced = upstream.announced;
+    ForwardTarget target;
+    target.id = upstream.id;
+    target.name = announced.name;
+    target.address = announced.address;
+    target.domain = announced.domain;
+    target.version = announced.version;
+    target.backend = announced.model;
+    target.incarnation = announced.incarnation;
+    target.slots = std::max<uint32_t>(1, announced.load.capacity);
+    target.reclaimable = announced.reclaimable;
+    target.lastSeen = upstream.lastSeen;
+    target.leaving = announced.leaving || isNotedLeaving(node, upstream.id, announced.incarnation);
+    const BackendRule* backend = node.forward.routes ? findBackend(*node.forward.routes, announced.model) : nullptr;
+    target.engine = backend && backend->slots > 0;
+    const ForwardTarget* known = findTarget(node.forward.targets, upstream.id);
+    if (known && known->incarnation != announced.incarnation)
+        forgetUpstream(node.forward.parts, upstream.id);
+    if (!known)
+        addLog(node, LogLevel::Info, "upstream_known", Step::Announce, announced.name, "a new upstream takes requests", { { "backend", target.backend }, { "address", target.address }, { "version", target.version } });
+    putTarget(node.forward.targets, target);
+}
+
+void removeForwardTarget(Node& node, UpstreamId id)
+{
+    if (const ForwardTarget* target = findTarget(node.forward.targets, id))
+        addLog(node, LogLevel::Info, "upstream_forgotten", Step::Announce, target->name, "the upstream has been silent too long");
+    removeTarget(node.forward.targets, id);
+    forgetUpstream(node.forward.parts, id);
+}
+
+void releaseTarget(Node& node, ForwardCall& call)
+{
+    if (!call.dispatch)
+        return;
+    if (ForwardTarget* target = findTarget(node.forward.targets, call.target)) {
+        target->own.running = std::max(0.0, target->own.running - 1);
+        target->own.unread = std::max(0.0, target->own.unread - call.unread);
+    }
+    call.unread = 0;
+    call.dispatch = 0;
+}
+
+static void recordHistogram(Node& node, const ForwardCall& call, std::string_view outcome)
+{
+    const auto key = std::pair(call.account ? call.account->name : std::string("-"), call.rule->name);
+    if (!node.histograms.contains(key) && node.histograms.size() >= maxHistograms)
+        return;
+    auto& histograms = node.histograms[key];
+    histograms.whole.record(static_cast<uint64_t>((node.now - call.arrivedAt).value) * 1000);
+    ++histograms.outcomes[std::string(outcome)];
+}
+
+void endForward(Node& node, ForwardCall& call, std::string_view outcome)
+{
+    const bool good = outcome == "answered";
+    const auto stamp = [&](TimeMs at) { return at.value ? std::to_string((at - call.arrivedAt).value) : std::string("-"); };
+    addLog(node, good ? LogLevel::Info : LogLevel::Warning, good ? "forward_answered" : "forward_ended", Step::Route, call.targetName, std::string(outcome),
+        { { "request", call.requestId }, { "route", call.rule->name }, { "account", call.account ? call.account->name : "" }, { "backend", call.backend },
+            { "status", std::to_string(call.status) }, { "stage", std::string(nameOf(call.stage)) }, { "sends", std::to_string(call.sends) }, { "may_have_run", std::to_string(call.runs) },
+            { "sent_ms", stamp(call.sentAt) }, { "expected_wait_ms", std::to_string(call.expectedWait.value) }, { "last_byte_ms", stamp(call.lastByteAt) }, { "took_ms", std::to_string((node.now - call.arrivedAt).value) },
+            { "left_ms", std::to_string((call.until - node.now).value) }, { "rules", std::to_string(call.routes->rules->revision) } });
+    node.counters.add("forward_" + std::string(outcome));
+    recordHistogram(node, call, outcome);
+    releaseTarget(node, call);
+    node.forward.calls.erase(call.exchange);
+}
+
+static std::string errorBody(const std::string& code, const std::string& text, bool notRun)
+{
+    return boost::json::serialize(boost::json::object { { "error", boost::json::object { { "code", code }, { "message", text }, { "run", notRun ? "not-run" : "unknown" } } } });
+}
+
+static std::string secondsOf(TimeMs time)
+{
+    char text[32];
+    std::snprintf(text, sizeof(text), "%.3f", time.seconds());
+    return text;
+}
+
+void refuseForward(Node& node, ForwardCall& call, uint16_t status, std::string code, std::string text, TimeMs retryAfter)
+{
+    if (call.headPassed) {
+        // The caller has part of the answer: only the end of the connection tells that the rest does not come.
+        node.out.answers.push_back({ .exchange = call.exchange, .part = AnswerPart::Abort });
+        return endForward(node, call, code);
+    }
+    const bool notRun = status == 503 || status == 429;
+    HttpHeaders headers { { "Content-Type", "application/json" } };
+    if (!call.requestId.empty())
+        headers.emplace_back(node.forward.headers.requestId, call.requestId);
+    if (retryAfter > TimeMs {})
+        headers.emplace_back("Retry-After", secondsOf(retryAfter));
+    call.status = status;
+    node.out.answers.push_back({ .exchange = call.exchange, .part = AnswerPart::Whole, .status = status, .headers = std::move(headers), .body = errorBody(code, text, notRun) });
+    if (notRun && call.account)
+        returnAllowance(node.forward.accounts, call.account->name, call.cost);
+    endForward(node, call, code);
+}
+
+// A refusal of a request that never became a call.
+static void refuseArrived(Node& node, const RequestArrived& arrived, uint16_t status, const std::string& code, const std::string& text, TimeMs retryAfter = {})
+{
+    const std::string id(findHeader(arrived.request.headers, node.forward.headers.requestId));
+    HttpHeaders headers { { "Content-Type", "application/json" } };
+    if (!id.empty())
+        headers.emplace_back(node.forward.headers.requestId, id);
+    if (retryAfter > TimeMs {})
+        headers.emplace_back("Retry-After", secondsOf(retryAfter));
+    node.counters.add("forward_" + code);
+    addLog(node, LogLevel::Warning, "forward_refused", Step::Route, arrived.peer, code,
+        { { "request", id }, { "status", std::to_string(status) }, { "target", std::string(pathOf(arrived.request.target)) }, { "rules", std::to_string(node.rules ? node.rules->revision : 0) }, { "retry_after_ms", std::to_string(retryAfter.value) } });
+    node.out.answers.push_back({ .exchange = arrived.exchange, .part = AnswerPart::Whole, .status = status, .headers = std::move(headers), .body = errorBody(code, text, true) });
+}
+
+static std::string pickBackend(Node& node, const ForwardCall& call)
+{
+    uint64_t sum = 0;
+    for (const auto& share : call.rule->to)
+        sum += share.weight;
+    uint64_t draw = node.random.below(sum);
+    for (const auto& share : call.rule->to) {
+        if (draw < share.weight)
+            return share.backend;
+        draw -= share.weight;
+    }
+    return call.rule->to.front().backend;
+}
+
+static void send(Node& node, ForwardCall& call, const ForwardTarget& target, const TargetChoice& choice)
+{
+    auto& forward = node.forward;
+    ForwardTarget& known = *findTarget(forward.targets, target.id);
+    call.stage = ForwardStage::Connecting;
+    call.dispatch = ++node.lastDispatch;
+    call.target = target.id;
+    call.targetName = target.name;
+    call.unread = choice.unread;
+    call.expectedWait = { static_cast<int64_t>(choice.waitMs) };
+    call.sentAt = node.now;
+    call.tried.push_back(target.id);
+    known.own.running += 1;
+    known.own.unread += choice.unread;
+    for (const auto& part : call.parts) {
+        notePart(forward.parts, node.now, part.hash, target.id);
+        if (part != call.parts.back())
+            forward.placed.push_back({ part.hash, target.id });
+    }
+    UpstreamDispatch dispatch;
+    dispatch.dispatch = call.dispatch;
+    dispatch.address = target.address;
+    dispatch.request = call.request;
+    addAttemptHeaders(dispatch.request, forward.headers, target.name, call.until - node.now, call.events.lastId());
+    dispatch.maxIdle = call.mayRepeat() ? TimeMs { 60000 } : onceMaxIdle;
+    dispatch.connectTimeout = std::min(connectTimeout, call.until - node.now);
+    dispatch.firstByteTimeout = dispatch.progressTimeout = call.until - node.now + 1_s;
+    dispatch.idHeader = forward.headers.requestId;
+    dispatch.idValue = call.requestId;
+    forward.dispatches[call.dispatch] = call.exchange;
+    node.out.dispatches.push_back(std::move(dispatch));
+}
+
+void startAttempt(Node& node, ForwardCall& call)
+{
+    auto& forward = node.forward;
+    if (call.until - node.now <= leastTimeLeft)
+        return refuseForward(node, call, call.runs ? 504 : 503, "out_of_time", "the time for an answer is over");
+    if (call.backend.empty())
+        call.backend = pickBackend(node, call);
+    ChoiceRequest request { .backend = call.backend, .parts = call.parts, .promptTokens = call.promptTokens, .tried = call.tried, .allowed = versionFilter(node, call) };
+    auto choice = chooseTarget(forward.targets, forward.parts, forward.choice, request, node.now, node.random);
+    if (!choice) {
+        request.allowed = [&node](const ForwardTarget& target) { return !isVersionBarred(node, target); };
+        choice = chooseTarget(forward.targets, forward.parts, forward.choice, request, node.now, node.random);
+    }
+    if (!choice)
+        return refuseForward(node, call, call.runs ? 502 : 503, "no_upstream", "no upstream of " + call.backend + " takes requests", call.runs ? TimeMs {} : noTargetRetryAfter);
+    send(node, call, *findTarget(forward.targets, choice->target), *choice);
+}
+
+static ForwardCall& addCall(Node& node, RequestArrived&& arrived, const ForwardRule& rule, const AllowanceRule* account, ForwardFacts&& facts, double cost)
+{
+    auto& forward = node.forward;
+    auto& call = *(forward.calls[arrived.exchange] = std::make_unique<ForwardCall>());
+    call.exchange = arrived.exchange;
+    call.requestId = std::move(facts.requestId);
+    call.routes = forward.routes;
+    call.rule = &rule;
+    call.account = account;
+    call.urgency = urgencyOf(*forward.routes, account, rule);
+    call.arrivedAt = node.now;
+    call.callerUntil = node.now + facts.timeLeft.value_or(rule.timeout);
+    call.until = std::min(call.callerUntil, node.now + rule.timeout);
+    call.cost = cost;
+    call.parts = std::move(facts.parts);
+    call.promptTokens = facts.promptTokens;
+    call.request = requestForUpstreams(std::move(arrived.request), forward.headers, account ? account->name : std::string {}, call.urgency);
+    return call;
+}
+
+void acceptForward(Node& node, RequestArrived&& arrived)
+{
+    auto& forward = node.forward;
+    const auto& request = arrived.request;
+    if (!forward.routes)
+        return refuseArrived(node, arrived, 503, "no_rules", "this node has no rules yet", noRulesRetryAfter);
+    const ForwardRule* rule = findForward(*forward.routes, findHeader(request.headers, "Host"), pathOf(request.target));
+    if (!rule)
+        return refuseArrived(node, arrived, 404, "unknown_route", "no forward rule matches the host and the path");
+    const AllowanceRule* account = nullptr;
+    if (!forward.routes->rules->allowances.empty()) {
+        const auto key = bearerToken(request);
+        account = key.empty() ? nullptr : findAccountOfKey(*forward.routes, key);
+        if (!account && !(key.empty() && rule->anonymous))
+            return refuseArrived(node, arrived, 401, "unauthorized", "the caller key is missing or unknown");
+    }
+    ForwardFacts facts = readFacts(request.headers, forward.headers);
+    const double cost = !account ? 0 : account->tokens ? static_cast<double>(facts.tokens.value_or(static_cast<uint64_t>(account->plainTokens)))
+                                                       : 1;
+    if (account && !takeAllowance(forward.accounts, node.now, *account, cost))
+        return refuseArrived(node, arrived, 429, "over_allowance", "the account has used its allowance", std::max(allowanceIn(forward.accounts, *account, cost), 100_ms));
+    ForwardCall& call = addCall(node, std::move(arrived), *rule, account, std::move(facts), cost);
+    call.backend = pickBackend(node, call);
+    noteFirstSend(forward.retries[call.backend], forward.retryLimit, node.now);
+    startAttempt(node, call);
+}
+
+bool forwardCallerGone(Node& node, ExchangeId exchange)
+{
+    const auto it = node.forward.calls.find(exchange);
+    if (it == node.forward.calls.end())
+        return false;
+    ForwardCall& call = *it->second;
+    if (call.dispatch) {
+        node.forward.dispatches.erase(call.dispatch);
+        node.out.cancels.push_back(call.dispatch);
+    }
+    endForward(node, call, "caller_gone");
+    return true;
+}
+
+}
--- /dev/null
+++ b/src/node/ForwardState.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "base/Random.h"
+#include "forward/AccountShare.h"
+#include "forward/ForwardCall.h"
+#include "forward/ForwardTarget.h"
+#include "forward/TargetChoice.h"
+#include "forward/UsageMeter.h"
+#include "node/Dialect.h"
+#include "node/NodeIo.h"
+#include "node/PeerMessages.h"
+
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+namespace siskinshunt {
+
+struct NodeOptions;
+
+/// Forwarding at this node.
+struct ForwardState {
+    HeaderNames headers;
+    std::shared_ptr<const RouteTable> routes; ///< Null until rules are in force.
+    ForwardTargets targets;
+    PartMemory parts;
+    ChoiceOptions choice;
+    AccountShares accounts;
+    RetryLimit retryLimit;
+    std::map<std::string, RetryUse> retries; ///< By backend.
+    UsageMeter usage;
+    std::unordered_map<ExchangeId, std::unique_ptr<ForwardCall>> calls;
+    /// By dispatch; 0 for one whose answer is no longer wanted and only read to its end.
+    std::unordered_map<DispatchId, ExchangeId> dispatches;
+    std::vector<PlacedPart> placed; ///< Since the last report to the other nodes.
+    TimeMs nextReport;
+    TimeMs nextExpiry;
+    /// Upstreams that are leaving, with the last incarnation that is meant and when this was learnt.
+    std::map<UpstreamId, std::pair<uint64_t, TimeMs>> leaving;
+};
+
+/// A call of an upstream or operator that waits for other nodes.
+struct WaitingLeave {
+    ExchangeId exchange = 0;
+    TimeMs until;
+};
+
+struct ControlCallState {
+    uint64_t lastRequest = 0;
+    std::map<uint64_t, WaitingLeave> leaves; ///< Waiting for the decision leader, by request number.
+};
+
+/// What the holder of the duties does; only the decision leader fills it.
+struct DutyState {
+    uint64_t epoch = 0; ///< For which it was set up.
+    TimeMs readyAt; ///< Calls may be made from then on: the holder before has stopped.
+    std::map<NodeId, int64_t> reportedTo; ///< By node: all windows below this one are complete.
+    std::map<int64_t, std::map<NodeId, std::map<std::string, uint64_t>>> reports; ///< By window and node.
+    std::set<int64_t> committing;
+    std::set<int64_t> sent; ///< Acknowledged by the platform.
+    DispatchId usageDispatch = 0;
+    int64_t usageWindow = 0; ///< Under way.
+    TimeMs nextUsage;
+    DispatchId scaleDispatch = 0;
+    ScaleOrder scaleOrder; ///< Under way.
+    std::map<ScaleOrder, TimeMs> scaled; ///< When an order was last acknowledged or refused, without its number.
+    TimeMs nextScale;
+    TimeMs nextUsageReport; ///< Of this node to the leader, also when it does not lead.
+};
+
+/// What this node does about the open version orders.
+struct VersionFollowers {
+    struct Follower {
+        uint64_t sequence = 0;
+        std::string target;
+        bool tripped = false; ///< This node sends nothing more to the target version.
+        std::map<std::pair<std::string, bool>, VersionCounts> counts; ///< By route, and whether of the target version.
+        int failuresInRow = 0;
+    };
+
+    std::map<std::string, VersionOrder> orders; ///< In force, by backend.
+    std::map<std::string, Follower> followers;
+    TimeMs nextReport;
+    // At the decision leader.
+    std::map<NodeId, VersionEvidenceFrame> evidence;
+    std::map<std::string, TimeMs> nextStep; ///< By backend.
+    std::set<std::string> recording;
+};
+
+}
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -3,9 +3,13 @@
 #include "base/Invariant.h"
 #include "node/AdminFlow.h"
 #include "node/CallFlow.h"
+#include "node/ControlCalls.h"
 #include "node/ControlFlow.h"
+#include "node/Duties.h"
 #include "node/ExplainFlow.h"
 #include "node/FleetFlow.h"
+#include "node/ForwardFlow.h"
+#include "node/Founding.h"
 #include "node/Groups.h"
 #include "node/LeaderFlow.h"
 #include "node/MovesFlow.h"
@@ -13,6 +17,7 @@
 #include "node/Peers.h"
 #include "node/PlatformPoll.h"
 #include "node/RequestFlow.h"
+#include "node/VersionOrders.h"
 #include "wire/Envelope.h"
 
 #include <charconv>
@@ -27,11 +32,19 @@
     delete node;
 }
 
+// Where others send those who ask for this node.
+static Endpoint callerAddress(const Settings& settings)
+{
+    if (settings.listeners.forward.port)
+        return settings.listeners.forward;
+    return settings.listeners.control.port ? settings.listeners.control : settings.http;
+}
+
 static MembershipOptions membershipOptions(const NodeOptions& options, uint64_t cluster, const MacKey& key)
 {
     const auto& settings = options.settings;
     MembershipOptions out;
-    out.identity = { .name = settings.node, .udpAddress = toString(settings.peer), .tcpAddress = toString(settings.peer), .httpAddress = toString(settings.http), .domain = settings.failureDomain };
+    out.identity = { .name = settings.node, .udpAddress = toString(settings.peer), .tcpAddress = toString(settings.peer), .httpAddress = toString(callerAddress(settings)), .domain = settings.failureDomain };
     out.cluster = cluster;
     out.key = key;
     for (const auto& seed : settings.seeds)
@@ -62,6 +75,7 @@
     , decisions(self)
     , membership(makeMembership(membershipOptions(options, cluster, key), now))
     , router(routerOptions(options))
+    , forward(makeForwardState(options))
 {
 }
 
@@ -110,6 +124,8 @@
 
 static void takeUpstreamEvent(Node& node, UpstreamEvent&& event)
 {
+    if (takeForwardEvent(node, event) || takeDutyEvent(node, event))
+        return;
     if (!takeOrderEvent(node, event) && !takePlatformEvent(node, event))
         takeCallEvent(node, std::move(event));
 }
@@ -119,6 +135,8 @@
     if (inputs.drain && !node.draining) {
         node.draining = true;
         node.drainSince = node.now;
+        node.out.closeWhenIdle = true;
+        publishStatus(node);
     }
     for (const auto& completion : inputs.completions)
         takeCompletion(node, completion);
@@ -132,10 +150,14 @@
         receiveFrame(node, frame);
     for (auto& event : inputs.events)
         takeUpstreamEvent(node, std::move(event));
-    for (const auto& request : inputs.requests)
-        takeRequest(node, request);
-    for (const ExchangeId exchange : inputs.gone)
-        callerGone(node, exchange);
+    for (auto& request : inputs.requests)
+        takeRequest(node, std::move(request));
+    for (const ExchangeId exchange : inputs.gone) {
+        if (!forwardCallerGone(node, exchange))
+            callerGone(node, exchange);
+    }
+    if (!inputs.seeds.empty())
+        node.membership.options.seeds = inputs.seeds;
 }
 
 // A node that leaves is first off the address list, then serves until callers have let go of its address and its calls
@@ -144,15 +166,18 @@
 {
     if (!node.draining)
         return;
-    if (!node.left && node.now - node.drainSince >= node.options.settings.timings.entryValid && node.calls.empty()) {
+    const auto& timings = node.options.settings.timings;
+    const bool idle = node.now - node.drainSince >= timings.entryValid && node.calls.empty() && node.forward.calls.empty();
+    if (!node.left && (idle || node.now - node.drainSince >= timings.drainLimit)) {
         node.left = true;
         node.leftAt = node.now;
         for (auto& [id, group] : node.groups)
             transferLeadership(*group.replica);
         leave(node.membership, node.now, node.membershipOutputs);
-        addLog(node, LogLevel::Info, "node_left", Step::Command, {}, "all calls have ended");
+        addLog(node, LogLevel::Info, "node_left", Step::Command, {}, idle ? "all calls have ended" : "the time for leaving is over", { { "forwarded_cut", std::to_string(node.forward.calls.size()) } });
     }
-    if (node.left && node.now - node.leftAt >= leaveSpread)
+    const bool late = node.draining && node.now - node.drainSince >= timings.drainLimit;
+    if (node.left && (late || node.now - node.leftAt >= leaveSpread))
         node.out.stop = true;
 }
 
@@ -161,10 +186,15 @@
     tickMembership(node);
     flushMembership(node);
     tickGroups(node);
+    tickFounding(node);
     tickControl(node);
     tickLeader(node);
     tickReclaims(node);
     tickCalls(node);
+    tickForward(node);
+    tickControlCalls(node);
+    tickDuties(node);
+    tickVersionOrders(node);
     tickEvidence(node);
     tickDemand(node);
     tickLeases(node);
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -2,6 +2,7 @@
 
 #include "base/Error.h"
 #include "base/Ids.h"
+#include "node/Dialect.h"
 #include "node/NodeIo.h"
 
 #include <map>
@@ -18,6 +19,7 @@
     uint64_t seed = 1;
     VoterId voter; ///< From the identity file; none without a data folder.
     std::map<GroupId, GroupState> recovered; ///< From the data folder.
+    std::shared_ptr<const Dialect> dialect; ///< Of the platform; null: only the node's own interface.
 };
 
 /// What came in since the last step.
@@ -34,6 +36,7 @@
     std::vector<std::string> frames; ///< Sealed, without their length.
     std::vector<DiskCompletion> completions;
     std::vector<GroupId> pinning; ///< Groups that hold back old log segments and should take a snapshot.
+    std::vector<std::string> seeds; ///< New seed addresses, "IP:PORT", after the settings were read again.
     bool drain = false; ///< Leave gracefully: first the address list, then the process.
 };
 
--- a/src/node/NodeIo.h
+++ b/src/node/NodeIo.h
@@ -20,11 +20,21 @@
 /// One HTTP request of this node to an upstream or to the platform. Chosen by the node, never reused.
 using DispatchId = uint64_t;
 
+/// What a listening address of the daemon serves.
+enum class ListenerKind : uint8_t {
+    Main, ///< The node's own interface.
+    Forward, ///< Requests that are forwarded by host and path.
+    Control, ///< Calls of operators and upstreams in the dialect of the platform.
+    Directory, ///< Callers that ask for entry addresses.
+    Ready, ///< Readiness checks.
+};
+
 /// A complete request from outside.
 struct RequestArrived {
     ExchangeId exchange = 0;
     HttpRequest request;
     std::string peer; ///< "IP:PORT".
+    ListenerKind listener = ListenerKind::Main;
 };
 
 enum class UpstreamEventKind : uint8_t {
@@ -60,6 +70,7 @@
     UpstreamEventKind kind = UpstreamEventKind::Failed;
     uint16_t status = 0; ///< Head.
     HttpHeaders headers; ///< Head.
+    std::optional<uint64_t> contentLength; ///< Head: as stated by the upstream.
     std::string bytes; ///< Body.
     UpstreamFailure failure = UpstreamFailure::None;
     std::string detail; ///< Of a failure, for logs.
@@ -71,6 +82,9 @@
     std::string address; ///< "IP:PORT".
     HttpRequest request;
     bool freshConnection = false; ///< Never use a pooled connection: a call that may not be repeated must not be lost on one that went stale.
+    TimeMs maxIdle { 60000 }; ///< A pooled connection that idled longer is left alone.
+    std::string idHeader; ///< Header that answers repeat; an answer with another value belongs to another request and is skipped.
+    std::string idValue;
     TimeMs connectTimeout { 500 };
     TimeMs firstByteTimeout { 30000 }; ///< From the end of sending to the first byte of the answer.
     TimeMs progressTimeout { 2000 }; ///< Between bytes of the answer.
@@ -91,6 +105,7 @@
     uint16_t status = 200;
     HttpHeaders headers;
     std::string body;
+    std::optional<uint64_t> contentLength; ///< Head: the body's length, if it is known before the body.
 };
 
 /// A sealed datagram.
@@ -122,6 +137,8 @@
     std::vector<PeerFrame> frames;
     std::vector<DiskRequest> disk;
     std::vector<LogRecord> log;
+    std::optional<InputLimits> forwardLimits; ///< In force for the forwarding address from now on.
+    bool closeWhenIdle = false; ///< Answers end their connection from now on, so that callers go elsewhere.
     bool stop = false; ///< The node has left; the process may end.
 };
 
--- a/src/node/NodeState.h
+++ b/src/node/NodeState.h
@@ -13,6 +13,7 @@
 #include "limits/Retry.h"
 #include "membership/Membership.h"
 #include "node/CapacityState.h"
+#include "node/ForwardState.h"
 #include "node/Node.h"
 #include "node/NodeCall.h"
 #include "node/PeerMessages.h"
@@ -193,6 +194,11 @@
     DemandMeter demand;
     std::map<std::pair<std::string, std::string>, ClassHistograms> histograms; ///< By account and class; bounded.
 
+    ForwardState forward;
+    ControlCallState controlCalls;
+    DutyState duties;
+    VersionFollowers versionOrders;
+
     // Shutdown.
     bool draining = false;
     TimeMs drainSince;
--- a/src/node/PeerMessages.h
+++ b/src/node/PeerMessages.h
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,12 @@
     TableRecords,
     ReplaceVoter,
     Demand, ///< A DemandFrame.
+    ForwardLoad, ///< A ForwardLoadFrame.
+    Usage, ///< A UsageFrame.
+    Leaving, ///< A LeavingFrame.
+    LeavingNoted, ///< Its answer by the decision leader.
+    ViewNotice, ///< A FetchViewFrame: the sender's view has this index.
+    VersionEvidence, ///< A VersionEvidenceFrame.
 };
 
 template <>
@@ -52,6 +59,12 @@
     { FrameKind::TableRecords, "table_records" },
     { FrameKind::ReplaceVoter, "replace_voter" },
     { FrameKind::Demand, "demand" },
+    { FrameKind::ForwardLoad, "forward_load" },
+    { FrameKind::Usage, "usage" },
+    { FrameKind::Leaving, "leaving" },
+    { FrameKind::LeavingNoted, "leaving_noted" },
+    { FrameKind::ViewNotice, "view_notice" },
+    { FrameKind::VersionEvidence, "version_evidence" },
 });
 
 /// Asks a voter to propose a command; repeated with the same request number until answered.
@@ -106,9 +119,10 @@
     std::vector<MoveDirective> moves;
     uint64_t epoch = 0;
     uint32_t ledgerGroups = 0; ///< Of the nodes that made it; a node with another number refuses once calls.
+    std::vector<VersionOrder> versionOrders;
 
     template <class Archive>
-    void serialize(Archive& archive) { archive(index, rules, moves, epoch, ledgerGroups); }
+    void serialize(Archive& archive) { archive(index, rules, moves, epoch, ledgerGroups, versionOrders); }
 };
 
 struct FetchViewFrame {
@@ -125,6 +139,76 @@
     void serialize(Archive& archive) { archive(evidence); }
 };
 
+/// Load that a node has sent to one upstream.
+struct ReportedLoad {
+    UpstreamId upstream;
+    float running = 0;
+    float unread = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(upstream, running, unread); }
+};
+
+/// A prompt part that a node has sent to an upstream since its last report.
+struct PlacedPart {
+    uint64_t part = 0;
+    UpstreamId upstream;
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(part, upstream); }
+};
+
+/// What an entry node tells the others several times a second.
+struct ForwardLoadFrame {
+    std::vector<ReportedLoad> loads;
+    std::vector<PlacedPart> placed;
+    std::map<std::string, double> demand; ///< Per second, by client account.
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(loads, placed, demand); }
+};
+
+/// Requests that began to run at a node, for the decision leader. Windows that ended are complete.
+struct UsageFrame {
+    int64_t current = 0; ///< The window in which the sender is; earlier ones are complete.
+    std::map<int64_t, std::map<std::string, uint64_t>> windows;
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(current, windows); }
+};
+
+/// An upstream wants no new work.
+struct LeavingFrame {
+    uint64_t request = 0; ///< Answered with the same number by the decision leader; 0 asks for no answer.
+    UpstreamId upstream;
+    uint64_t incarnation = 0; ///< This one and all before it.
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(request, upstream, incarnation); }
+};
+
+/// How a version did at one node since the order, by route.
+struct VersionCounts {
+    std::string backend;
+    std::string route;
+    bool target = false; ///< Of the version that is moved to; else of all others.
+    uint64_t answers = 0;
+    uint64_t failures = 0;
+    double milliseconds = 0; ///< Sum of the times to the answer, or to the first event.
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(backend, route, target, answers, failures, milliseconds); }
+};
+
+struct VersionEvidenceFrame {
+    std::vector<VersionCounts> counts; ///< Since the start of each order.
+    std::vector<std::string> tripped; ///< Backends whose target version this node has stopped using.
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(counts, tripped); }
+};
+
+constexpr size_t maxForwardLoadBytes = 512 << 10;
 constexpr size_t maxViewBytes = 3 << 20;
 constexpr size_t maxEvidenceBytes = 1 << 20;
 
--- a/src/node/Peers.cpp
+++ b/src/node/Peers.cpp
@@ -1,11 +1,15 @@
 #include "node/Peers.h"
 
+#include "node/ControlCalls.h"
 #include "node/ControlFlow.h"
+#include "node/Duties.h"
 #include "node/ExplainFlow.h"
 #include "node/FleetFlow.h"
+#include "node/ForwardFlow.h"
 #include "node/Groups.h"
 #include "node/LeaderFlow.h"
 #include "node/MovesFlow.h"
+#include "node/VersionOrders.h"
 #include "node/VoterRepair.h"
 #include "wire/Codec.h"
 #include "wire/FrameReader.h"
@@ -64,6 +68,18 @@
         return receiveLeaseGrants(node, envelope.body);
     case FrameKind::Demand:
         return receiveDemand(node, envelope.sender, envelope.body);
+    case FrameKind::ForwardLoad:
+        return receiveForwardLoad(node, envelope.sender, envelope.body);
+    case FrameKind::Usage:
+        return receiveUsage(node, envelope.sender, envelope.body);
+    case FrameKind::Leaving:
+        return receiveLeaving(node, envelope.sender, envelope.body);
+    case FrameKind::LeavingNoted:
+        return receiveLeavingNoted(node, envelope.body);
+    case FrameKind::ViewNotice:
+        return receiveViewNotice(node, envelope.sender, envelope.body);
+    case FrameKind::VersionEvidence:
+        return receiveVersionEvidence(node, envelope.sender, envelope.body);
     case FrameKind::TableDigest:
     case FrameKind::TableRecords: {
         const auto kind = static_cast<FrameKind>(envelope.kind) == FrameKind::TableDigest ? TableFrameKind::TableDigest : TableFrameKind::TableRecords;
--- a/src/node/RequestFlow.cpp
+++ b/src/node/RequestFlow.cpp
@@ -3,7 +3,9 @@
 #include "node/AdminFlow.h"
 #include "node/Answers.h"
 #include "node/CallFlow.h"
+#include "node/ControlCalls.h"
 #include "node/FleetFlow.h"
+#include "node/ForwardFlow.h"
 #include "node/Metrics.h"
 #include "node/OnceFlow.h"
 
@@ -21,7 +23,7 @@
     answerJson(node, arrived.exchange, ready ? 200 : 503, ready ? R"({"ready":true})" : std::string(R"({"ready":false,"reason":")") + reason + "\"}");
 }
 
-void takeRequest(Node& node, const RequestArrived& arrived)
+static void takeMainRequest(Node& node, const RequestArrived& arrived)
 {
     const auto path = pathOf(arrived.request.target);
     if (path == "/health")
@@ -34,6 +36,8 @@
         return answerEntries(node, arrived);
     if (path == "/v1/announce")
         return answerAnnounce(node, arrived);
+    if (!node.options.settings.ledgerGroups && !path.starts_with("/admin/"))
+        return refuseRequest(node, arrived.exchange, RefusalCode::UnknownRoute, "this node takes no model calls: it has no ledger groups");
     if (path.starts_with("/v1/calls/"))
         return answerCallState(node, arrived);
     if (path.starts_with("/admin/"))
@@ -41,4 +45,19 @@
     acceptCall(node, arrived);
 }
 
+void takeRequest(Node& node, RequestArrived&& arrived)
+{
+    switch (arrived.listener) {
+    case ListenerKind::Main:
+        return takeMainRequest(node, arrived);
+    case ListenerKind::Forward:
+        return acceptForward(node, std::move(arrived));
+    case ListenerKind::Ready:
+        return answerReady(node, arrived);
+    case ListenerKind::Control:
+    case ListenerKind::Directory:
+        return takeControlCall(node, arrived);
+    }
+}
+
 }
--- a/src/node/VoterRepair.cpp
+++ b/src/node/VoterRepair.cpp
@@ -9,9 +9,7 @@
 
 namespace siskinshunt {
 
-static constexpr TimeMs repairInterval { 1000 };
-// A restart of the process keeps its voter id, so only a lost disk or instance is absent this long.
-static constexpr TimeMs missingBeforeRepair { 30000 };
+static constexpr TimeMs repairInterval { 300 };
 
 static void noteMissing(Node& node, Group& group, const std::vector<VoterId>& voters)
 {
@@ -31,7 +29,7 @@
             return voter;
     }
     for (const auto& [voter, since] : group.missingSince) {
-        if (node.now - since >= missingBeforeRepair)
+        if (node.now - since >= node.options.settings.voters.missing)
             return voter;
     }
     return {};
@@ -66,6 +64,17 @@
     addLog(node, LogLevel::Warning, std::move(code), Step::Propose, "group " + std::to_string(group.id.value), std::move(text), { { "voter", hexOf(CallId { voter.value }) } });
 }
 
+// Adds live spares until the group has the number of voters that the settings ask for.
+static void growGroup(Node& node, Group& group, const ReplicaStatus& state)
+{
+    if (state.voters.size() >= node.options.settings.voters.target)
+        return;
+    if (const VoterId spare = spareVoter(node, state)) {
+        logChange(node, group, "voter_added", spare, "the group has fewer voters than the settings ask for");
+        changeMembers(*group.replica, MemberChange::AddLearner, spare);
+    }
+}
+
 void repairVoters(Node& node, Group& group)
 {
     if (node.now < group.nextRepair || !leadsGroup(node, group))
@@ -84,7 +93,7 @@
         return;
     }
     if (!lost)
-        return;
+        return growGroup(node, group, state);
     // The group has grown by the spare, so that the lost voter can go.
     const auto order = node.replacements.find(lost);
     const bool grown = order != node.replacements.end()
--- a/src/rules/RuleChecks.cpp
+++ b/src/rules/RuleChecks.cpp
@@ -110,6 +110,38 @@
         checker.report(checker.rules.drains[1].origin, "only one drain rule is allowed; the first is on line " + std::to_string(checker.rules.drains[0].origin.line));
 }
 
+static void checkForwards(Checker& checker)
+{
+    std::map<std::pair<std::string_view, std::string_view>, const ForwardRule*> seen;
+    for (const auto& forward : checker.rules.forwards) {
+        uint64_t sum = 0;
+        for (const auto& share : forward.to) {
+            sum += share.weight;
+            if (!checker.hasRule("backend", share.backend))
+                checker.report(forward.origin, "backend '" + share.backend + "' is not defined; expected the name of a backend rule");
+        }
+        if (!sum)
+            checker.report(forward.origin, "forward '" + forward.name + "': the weights in to= add up to 0");
+        const auto [first, fresh] = seen.try_emplace({ forward.host, forward.prefix }, &forward);
+        if (!fresh)
+            checker.report(forward.origin, "forward '" + forward.name + "' has the host and prefix of forward '" + first->second->name + "' on line " + std::to_string(first->second->origin.line));
+    }
+}
+
+static void checkCallerKeys(Checker& checker)
+{
+    std::map<std::string_view, const CallerKeyRule*> seen;
+    for (const auto& key : checker.rules.callerKeys) {
+        if (!checker.hasRule("allowance", key.account))
+            checker.report(key.origin, "account '" + key.account + "' is not defined; expected the name of an allowance rule");
+        const auto [first, fresh] = seen.try_emplace(key.tokenSha256, &key);
+        if (!fresh && first->second->account != key.account)
+            checker.report(key.origin, "the key of caller-key '" + key.name + "' belongs to account '" + first->second->account + "' on line " + std::to_string(first->second->origin.line));
+    }
+    if (checker.rules.intakes.size() > 1)
+        checker.report(checker.rules.intakes[1].origin, "only one intake rule is allowed; the first is on line " + std::to_string(checker.rules.intakes[0].origin.line));
+}
+
 void checkReferences(ParsedRules& parsed)
 {
     Checker checker { parsed };
@@ -120,5 +152,7 @@
     checkVersions(checker);
     checkMoves(checker);
     checkInstances(checker);
+    checkForwards(checker);
+    checkCallerKeys(checker);
 }
 }
--- a/src/rules/RuleKinds.cpp
+++ b/src/rules/RuleKinds.cpp
@@ -207,6 +207,121 @@
     return s_spec;
 }
 
+// Splits "a:1,b:2" and hands each name and value to `take`; false when the form differs or `take` refuses.
+template <class Take>
+static bool readPairs(std::string_view text, Take&& take)
+{
+    while (!text.empty()) {
+        const auto pair = text.substr(0, text.find(','));
+        const auto colon = pair.rfind(':');
+        if (colon == std::string_view::npos || !isRuleName(pair.substr(0, colon)) || !take(std::string(pair.substr(0, colon)), pair.substr(colon + 1)))
+            return false;
+        text.remove_prefix(std::min(text.size(), pair.size() + 1));
+    }
+    return true;
+}
+
+static bool readShares(ForwardRule& rule, std::string_view text)
+{
+    const bool valid = readPairs(text, [&](std::string backend, std::string_view value) {
+        const auto weight = parseCount(value);
+        rule.to.push_back({ std::move(backend), static_cast<uint32_t>(weight.value_or(0)) });
+        return weight && *weight <= 1000000;
+    });
+    return valid && !rule.to.empty();
+}
+
+static bool readPrices(BackendRule& rule, std::string_view text)
+{
+    return readPairs(text, [&](std::string domain, std::string_view value) {
+        const auto factor = parseNumber(value);
+        rule.prices.push_back({ std::move(domain), factor.value_or(1) });
+        return factor.has_value();
+    });
+}
+
+static bool assignFlag(bool& target, std::string_view value)
+{
+    target = value == "yes";
+    return target || value == "no";
+}
+
+static bool assignPrefix(std::string& target, std::string_view value)
+{
+    target = value;
+    return value.starts_with('/') && value.ends_with('/');
+}
+
+static constexpr std::string_view yesNoExpected = "yes or no";
+static constexpr std::string_view durationExpected = "a duration from 1ms to 1h";
+
+static const KindSpec<BackendRule>& backendSpec()
+{
+    static const KindSpec<BackendRule> s_spec { "backend", &RuleSet::backends, &BackendRule::name, {
+                                                                                                       { "health", false, "a path that starts with /", [](BackendRule& rule, std::string_view v) { rule.health = v; return v.starts_with('/'); } },
+                                                                                                       { "connections", false, "a whole number from 0 to 1000000", [](BackendRule& rule, std::string_view v) { return assign<uint32_t, uint64_t>(rule.connections, parseCount(v), 0, 1000000); } },
+                                                                                                       { "slots", false, "a whole number from 0 to 100000", [](BackendRule& rule, std::string_view v) { return assign<uint32_t, uint64_t>(rule.slots, parseCount(v), 0, 100000); } },
+                                                                                                       { "memory-tokens", false, "a whole number", [](BackendRule& rule, std::string_view v) { return assign<uint64_t, uint64_t>(rule.memoryTokens, parseCount(v), 0, uint64_t { 1 } << 40); } },
+                                                                                                       { "min", false, "a whole number from 0 to 10000", [](BackendRule& rule, std::string_view v) { return assign<uint32_t, uint64_t>(rule.minInstances, parseCount(v), 0, 10000); } },
+                                                                                                       { "max", false, "a whole number from 0 to 10000", [](BackendRule& rule, std::string_view v) { return assign<uint32_t, uint64_t>(rule.maxInstances, parseCount(v), 0, 10000); } },
+                                                                                                       { "boot", false, "a duration from 0ms to 1h", [](BackendRule& rule, std::string_view v) { return assignDuration(rule.boot, v, 0_ms, 60_min); } },
+                                                                                                       { "reclaimable-price", false, "a number from 0 to 1000", [](BackendRule& rule, std::string_view v) { return assign(rule.reclaimablePrice, parseNumber(v), 0.0, 1000.0); } },
+                                                                                                       { "prices", false, "DOMAIN:FACTOR, separated by commas", readPrices },
+                                                                                                   } };
+    return s_spec;
+}
+
+static const KindSpec<ForwardRule>& forwardSpec()
+{
+    static const KindSpec<ForwardRule> s_spec { "forward", &RuleSet::forwards, &ForwardRule::name, {
+                                                                                                       { "host", true, "a host name", [](ForwardRule& rule, std::string_view v) { rule.host = v; return !v.empty(); } },
+                                                                                                       { "prefix", true, "a path that starts and ends with /", [](ForwardRule& rule, std::string_view v) { return assignPrefix(rule.prefix, v); } },
+                                                                                                       { "kind", true, "repeatable, once or stream", [](ForwardRule& rule, std::string_view v) { return assignEnum(rule.kind, parseEnum<ForwardKind>(v)); } },
+                                                                                                       { "timeout", true, durationExpected, [](ForwardRule& rule, std::string_view v) { return assignDuration(rule.timeout, v, 1_ms, 60_min); } },
+                                                                                                       { "target", false, durationExpected, [](ForwardRule& rule, std::string_view v) { return assignDuration(rule.target, v, 1_ms, 60_min); } },
+                                                                                                       { "gap", false, "a duration from 0ms to 1h", [](ForwardRule& rule, std::string_view v) { return assignDuration(rule.gap, v, 0_ms, 60_min); } },
+                                                                                                       { "priority", false, "a whole number from 0 (first) to 9 (last)", [](ForwardRule& rule, std::string_view v) { return assign<int, uint64_t>(rule.priority, parseCount(v), 0, 9); } },
+                                                                                                       { "attempts", false, "a whole number from 1 to 10", [](ForwardRule& rule, std::string_view v) { return assign<int, uint64_t>(rule.attempts, parseCount(v), 1, 10); } },
+                                                                                                       { "anonymous", false, yesNoExpected, [](ForwardRule& rule, std::string_view v) { return assignFlag(rule.anonymous, v); } },
+                                                                                                       { "affinity", false, yesNoExpected, [](ForwardRule& rule, std::string_view v) { return assignFlag(rule.affinity, v); } },
+                                                                                                       { "resume", false, yesNoExpected, [](ForwardRule& rule, std::string_view v) { return assignFlag(rule.resume, v); } },
+                                                                                                       { "to", true, "BACKEND:WEIGHT, separated by commas", readShares },
+                                                                                                   } };
+    return s_spec;
+}
+
+static const KindSpec<AllowanceRule>& allowanceSpec()
+{
+    static const KindSpec<AllowanceRule> s_spec { "allowance", &RuleSet::allowances, &AllowanceRule::name, {
+                                                                                                               { "priority", false, "a whole number from 0 (first) to 9 (last)", [](AllowanceRule& rule, std::string_view v) { return assign<int, uint64_t>(rule.priority, parseCount(v), 0, 9); } },
+                                                                                                               { "rate", false, "a number from 0", [](AllowanceRule& rule, std::string_view v) { return assign(rule.rate, parseNumber(v), 0.0, 1e12); } },
+                                                                                                               { "burst", false, "a number from 0", [](AllowanceRule& rule, std::string_view v) { return assign(rule.burst, parseNumber(v), 0.0, 1e12); } },
+                                                                                                               { "tokens", false, yesNoExpected, [](AllowanceRule& rule, std::string_view v) { return assignFlag(rule.tokens, v); } },
+                                                                                                               { "plain-tokens", false, "a number from 0", [](AllowanceRule& rule, std::string_view v) { return assign(rule.plainTokens, parseNumber(v), 0.0, 1e9); } },
+                                                                                                           } };
+    return s_spec;
+}
+
+static const KindSpec<CallerKeyRule>& callerKeySpec()
+{
+    static const KindSpec<CallerKeyRule> s_spec { "caller-key", &RuleSet::callerKeys, &CallerKeyRule::name, {
+                                                                                                                { "account", true, nameExpected, [](CallerKeyRule& rule, std::string_view v) { return assignName(rule.account, v); } },
+                                                                                                                { "token-sha256", true, "64 lower-case hex digits", [](CallerKeyRule& rule, std::string_view v) { rule.tokenSha256 = v; return isHexDigest(v); } },
+                                                                                                            } };
+    return s_spec;
+}
+
+static const KindSpec<IntakeRule>& intakeSpec()
+{
+    static const KindSpec<IntakeRule> s_spec { "intake", &RuleSet::intakes, &IntakeRule::name, {
+                                                                                                   { "header-bytes", false, "a size from 1KB to 1MB", [](IntakeRule& rule, std::string_view v) { return assign<uint32_t, uint64_t>(rule.headerBytes, parseBytes(v), 1024, 1 << 20); } },
+                                                                                                   { "body-bytes", false, "a size from 1KB to 256MB", [](IntakeRule& rule, std::string_view v) { return assign<uint64_t, uint64_t>(rule.bodyBytes, parseBytes(v), 1024, 256 << 20); } },
+                                                                                                   { "header-timeout", false, durationExpected, [](IntakeRule& rule, std::string_view v) { return assignDuration(rule.headerTimeout, v, 1_ms, 60_min); } },
+                                                                                                   { "idle-timeout", false, durationExpected, [](IntakeRule& rule, std::string_view v) { return assignDuration(rule.idleTimeout, v, 1_ms, 60_min); } },
+                                                                                               } };
+    return s_spec;
+}
+
 template <class Rule>
 static std::string keyList(const KindSpec<Rule>& spec)
 {
@@ -249,7 +364,7 @@
 
 std::vector<std::string_view> ruleKindNames()
 {
-    return { "account", "class", "target", "route", "limit", "retry", "version", "move", "price", "instances", "drain" };
+    return { "account", "class", "target", "route", "limit", "retry", "version", "move", "price", "instances", "drain", "backend", "forward", "allowance", "caller-key", "intake" };
 }
 
 void addRule(const RuleInput& input, ParsedRules& out)
@@ -257,7 +372,9 @@
     const bool known = addRuleOfKind(accountSpec(), input, out) || addRuleOfKind(classSpec(), input, out) || addRuleOfKind(targetSpec(), input, out)
         || addRuleOfKind(routeSpec(), input, out) || addRuleOfKind(limitSpec(), input, out) || addRuleOfKind(retrySpec(), input, out)
         || addRuleOfKind(versionSpec(), input, out) || addRuleOfKind(moveSpec(), input, out) || addRuleOfKind(priceSpec(), input, out)
-        || addRuleOfKind(instancesSpec(), input, out) || addRuleOfKind(drainSpec(), input, out);
+        || addRuleOfKind(instancesSpec(), input, out) || addRuleOfKind(drainSpec(), input, out)
+        || addRuleOfKind(backendSpec(), input, out) || addRuleOfKind(forwardSpec(), input, out) || addRuleOfKind(allowanceSpec(), input, out)
+        || addRuleOfKind(callerKeySpec(), input, out) || addRuleOfKind(intakeSpec(), input, out);
     if (known)
         return;
     std::string kinds;
--- a/src/rules/RuleSet.h
+++ b/src/rules/RuleSet.h
@@ -148,6 +148,94 @@
     RuleOrigin origin;
 };
 
+/// What may be done with a forwarded request.
+enum class ForwardKind : uint8_t {
+    Repeatable, ///< May run more than once.
+    Once, ///< Runs at most once.
+    Stream, ///< Answered by numbered events; runs at most once unless it may be resumed.
+};
+
+template <>
+inline constexpr auto enumNames<ForwardKind> = std::to_array<EnumName<ForwardKind>>({
+    { ForwardKind::Repeatable, "repeatable" },
+    { ForwardKind::Once, "once" },
+    { ForwardKind::Stream, "stream" },
+});
+
+/// Part of a route's requests that goes to one backend.
+struct BackendShare {
+    std::string backend;
+    uint32_t weight = 0; ///< Relative to the other shares of the route.
+};
+
+/// Price factor of a failure domain.
+struct DomainPrice {
+    std::string domain;
+    double factor = 1;
+};
+
+/// A service that requests are forwarded to; its upstreams announce themselves under its name.
+struct BackendRule {
+    std::string name;
+    std::string health = "/health"; ///< Path of its health check.
+    uint32_t connections = 0; ///< Connections that one upstream accepts from all nodes together; 0 is no limit.
+    uint32_t slots = 0; ///< Requests that one engine serves at once; 0: not an engine.
+    uint64_t memoryTokens = 0; ///< Tokens that one engine holds.
+    uint32_t minInstances = 0; ///< Per failure domain.
+    uint32_t maxInstances = 0; ///< Per failure domain; 0: the instances are not this system's to order.
+    TimeMs boot { 0 }; ///< From an order to the first request.
+    double reclaimablePrice = 1; ///< Price of a reclaimable instance as a share of the other kind's.
+    std::vector<DomainPrice> prices;
+    RuleOrigin origin;
+};
+
+/// A route of forwarded requests, selected by host and longest path prefix.
+struct ForwardRule {
+    std::string name;
+    std::string host; ///< Lower case.
+    std::string prefix; ///< Begins and ends with a slash.
+    ForwardKind kind = ForwardKind::Once;
+    TimeMs timeout { 30000 }; ///< The caller has its final answer by then.
+    TimeMs target { 1000 }; ///< Within which an answer (of a stream: its first event) is worth its full value.
+    TimeMs gap { 0 }; ///< Longest pause between events that is in time; 0: not a stream.
+    int priority = 5; ///< 0 is served first, 9 last.
+    int attempts = 1; ///< Upstreams that may run one request.
+    bool anonymous = false; ///< Needs no caller key.
+    bool affinity = false; ///< Requests carry their prompt's parts, which engines cache.
+    bool resume = false; ///< A broken stream may go on at another upstream.
+    std::vector<BackendShare> to;
+    RuleOrigin origin;
+};
+
+/// What one client account may ask of all nodes together.
+struct AllowanceRule {
+    std::string name; ///< The client account.
+    int priority = 5; ///< Goes before the route's priority.
+    double rate = 0; ///< Tokens or requests per second; 0 is no limit.
+    double burst = 0; ///< Tokens or requests on top.
+    bool tokens = false; ///< Counted in tokens instead of requests.
+    double plainTokens = 1; ///< Tokens that a request without a statement of its tokens counts as.
+    RuleOrigin origin;
+};
+
+/// A key by which callers show their client account.
+struct CallerKeyRule {
+    std::string name;
+    std::string account;
+    std::string tokenSha256; ///< 64 lower-case hex digits.
+    RuleOrigin origin;
+};
+
+/// Bounds of what callers may send to the forwarding address.
+struct IntakeRule {
+    std::string name;
+    uint32_t headerBytes = 16 << 10;
+    uint64_t bodyBytes = 4 << 20;
+    TimeMs headerTimeout { 3000 };
+    TimeMs idleTimeout { 15000 };
+    RuleOrigin origin;
+};
+
 /// Kind, name and origin of one rule line.
 struct RuleLine {
     std::string kind;
@@ -170,6 +258,11 @@
     std::vector<PriceRule> prices;
     std::vector<InstancesRule> instances;
     std::vector<DrainRule> drains;
+    std::vector<BackendRule> backends;
+    std::vector<ForwardRule> forwards;
+    std::vector<AllowanceRule> allowances;
+    std::vector<CallerKeyRule> callerKeys;
+    std::vector<IntakeRule> intakes;
     std::vector<RuleLine> lines; ///< Every rule above.
 };
 
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -83,12 +83,52 @@
         item.duration("clock_slack_ms", timings.clockSlack, 10, 60000);
         item.duration("progress_timeout_ms", timings.progressTimeout, 100, 600000);
         item.duration("connect_timeout_ms", timings.connectTimeout, 50, 60000);
-        item.duration("idle_probe_after_ms", timings.idleProbeAfter, 100, 600000);
+        item.duration("idle_reuse_ms", timings.idleReuse, 0, 600000);
         item.duration("entry_valid_ms", timings.entryValid, 100, 3600000);
+        item.duration("drain_limit_ms", timings.drainLimit, 100, 24 * 3600 * 1000);
         item.duration("ledger_retention_ms", timings.ledgerRetention, 1000, int64_t { 30 } * 24 * 3600 * 1000);
     });
 }
 
+static void readForwarding(SettingsReader& reader, Settings& settings)
+{
+    reader.object("listeners", [&](SettingsReader& item) {
+        item.endpoint("forward", settings.listeners.forward, false);
+        item.endpoint("ready", settings.listeners.ready, false);
+        item.endpoint("control", settings.listeners.control, false);
+        item.endpoint("directory", settings.listeners.directory, false);
+    });
+    reader.object("forward", [&](SettingsReader& item) {
+        item.number("retry_ratio", settings.forward.retryRatio, 0, 10);
+        item.number("retry_extra", settings.forward.retryExtra, 0, 1e9);
+        item.duration("retry_window_ms", settings.forward.retryWindow, 100, 3600000);
+        item.number("allowance_slack", settings.forward.allowanceSlack, 0, 1e12);
+    });
+    reader.object("duties", [&](SettingsReader& item) {
+        item.endpointText("address", settings.duties.address, true);
+        item.boolean("usage", settings.duties.usage);
+        item.boolean("scaling", settings.duties.scaling);
+        item.duration("lease_ms", settings.duties.lease, 0, 600000);
+        item.duration("usage_window_ms", settings.duties.usageWindow, 100, 3600000);
+        item.duration("usage_due_ms", settings.duties.usageDue, 100, 3600000);
+    });
+    reader.object("voters", [&](SettingsReader& item) {
+        item.boolean("found", settings.voters.found);
+        item.integer("target", settings.voters.target, 0, 7);
+        item.duration("missing_ms", settings.voters.missing, 100, 3600000);
+    });
+}
+
+// Seeds may be given by another port of their machines.
+static void readSeeds(SettingsReader& reader, Settings& settings)
+{
+    uint16_t port = 0;
+    reader.endpoints("seeds", settings.seeds);
+    reader.integer("seed_port", port, 1, 65535);
+    for (auto& seed : settings.seeds)
+        seed.port = port ? port : seed.port;
+}
+
 static void readPeerKey(SettingsReader& reader, Settings& settings, const std::string& file)
 {
     std::string keyFile;
@@ -112,7 +152,8 @@
     reader.endpoint("http", settings.http, true);
     reader.endpoint("peer", settings.peer, true);
     readPeerKey(reader, settings, file);
-    reader.endpoints("seeds", settings.seeds);
+    readSeeds(reader, settings);
+    readForwarding(reader, settings);
     reader.text("data_folder", settings.dataFolder, false);
     readOperators(reader, settings);
     reader.digest("announce_token_sha256", settings.announceTokenSha256, true);
@@ -127,7 +168,7 @@
     });
     readLimits(reader, settings.limits);
     readTimings(reader, settings.timings);
-    reader.integer("ledger_groups", settings.ledgerGroups, 1, 64);
+    reader.integer("ledger_groups", settings.ledgerGroups, 0, 64);
     reader.integer("queue_bytes", settings.queueBytes, 1 << 20, 1 << 30);
     reader.enumeration("log_level", settings.logLevel);
     reader.finish();
--- a/src/settings/SettingsReader.cpp
+++ b/src/settings/SettingsReader.cpp
@@ -195,6 +195,20 @@
     return n;
 }
 
+void SettingsReader::number(std::string_view key, double& target, double low, double high)
+{
+    m_state->used.emplace(key);
+    const auto* value = find(*m_state->object, key);
+    if (!value)
+        return;
+    if (!value->is_number())
+        return problem(key, "has the wrong type; allowed: a number");
+    const double n = value->to_number<double>();
+    if (n < low || n > high)
+        return problem(key, "is out of range; allowed: a number from " + std::to_string(low) + " to " + std::to_string(high));
+    target = n;
+}
+
 void SettingsReader::duration(std::string_view key, TimeMs& target, int64_t low, int64_t high)
 {
     if (const auto n = integerInRange(key, low, high))
--- a/src/settings/SettingsReader.h
+++ b/src/settings/SettingsReader.h
@@ -42,6 +42,8 @@
     void endpoint(std::string_view key, Endpoint& target, bool required);
     void endpointText(std::string_view key, std::string& target, bool required);
     void endpoints(std::string_view key, std::vector<Endpoint>& target);
+    /// Any number, whole or not.
+    void number(std::string_view key, double& target, double low, double high);
     void duration(std::string_view key, TimeMs& target, int64_t low, int64_t high);
     void object(std::string_view key, const std::function<void(SettingsReader&)>& read);
     void list(std::string_view key, const std::function<void(SettingsReader&)>& read);
--- a/src/siskinshunt/Main.cpp
+++ b/src/siskinshunt/Main.cpp
@@ -1,15 +1,18 @@
 #include "entry/Daemon.h"
+#include "platform/PlatformDialect.h"
 #include "settings/Settings.h"
 
 #include <boost/program_options.hpp>
+#include <cstdlib>
 #include <iostream>
 
 namespace siskinshunt {
 
 static constexpr int exitFailure = 1;
 static constexpr int exitUsage = 2;
+static constexpr const char* settingsVariable = "SISKINSHUNT_CONFIG";
 
-static int runWithSettings(const std::string& file, bool checkOnly)
+static int runWithSettings(const std::string& file, bool checkOnly, const std::shared_ptr<const Dialect>& dialect)
 {
     bool readable = true;
     const Settings settings = handle([&] { return loadSettings(file); },
@@ -24,7 +27,7 @@
         std::cout << file << ": valid settings of node " << settings.node << '\n';
         return 0;
     }
-    return handle([&] { return runDaemon(settings); },
+    return handle([&] { return runDaemon({ .settings = settings, .settingsFile = file, .dialect = dialect }); },
         [](const Error& error) {
             std::cerr << "siskinshunt: " << toString(error) << '\n';
             return exitFailure;
@@ -35,7 +38,7 @@
 {
     namespace po = boost::program_options;
     po::options_description options("siskinshunt: serves language models on reclaimable instances\n\nusage: siskinshunt --config FILE [--check]\n\noptions");
-    options.add_options()("config", po::value<std::string>(), "settings file, JSON with comments")("check", "check the settings and exit")("version", "print the version and exit")("help", "print this help and exit");
+    options.add_options()("config", po::value<std::string>(), "settings file, JSON with comments; default: the path in SISKINSHUNT_CONFIG")("platform", "speak the calls of the users' platform on the control and directory addresses")("check", "check the settings and exit")("version", "print the version and exit")("help", "print this help and exit");
     po::variables_map values;
     po::store(po::parse_command_line(argc, argv, options), values);
     if (values.count("help")) {
@@ -46,11 +49,14 @@
         std::cout << "siskinshunt " << SISKINSHUNT_VERSION << '\n';
         return 0;
     }
-    if (!values.count("config")) {
-        std::cerr << "siskinshunt: --config FILE is missing; see --help\n";
+    const char* fromEnvironment = std::getenv(settingsVariable);
+    if (!values.count("config") && !fromEnvironment) {
+        std::cerr << "siskinshunt: neither --config FILE nor the variable " << settingsVariable << " is given; see --help\n";
         return exitUsage;
     }
-    return runWithSettings(values["config"].as<std::string>(), values.count("check") != 0);
+    const std::string file = values.count("config") ? values["config"].as<std::string>() : std::string(fromEnvironment);
+    const std::shared_ptr<const Dialect> dialect = values.count("platform") ? makePlatformDialect() : nullptr;
+    return runWithSettings(file, values.count("check") != 0, dialect);
 }
 
 }
