--- /dev/null
+++ b/src/forward/Allowance.cpp
@@ -0,0 +1,103 @@
+#include "forward/Allowance.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace siskinshunt {
+
+// A bucket of this size passes at most rate * window + size in any window, so the platform's limit bounds the size.
+static double sizeOf(const AllowanceOptions& options, const AllowanceRule& rule)
+{
+    const double beyond = options.overshoot * (rule.rate * options.window.seconds() + rule.burst) + options.slack;
+    return rule.burst + options.slackPart * beyond;
+}
+
+// What other nodes have probably spent of the account since their last reports.
+static double unreported(const Allowances& state, TimeMs now, const std::string& account)
+{
+    double sum = 0;
+    for (const auto& [node, peer] : state.peers) {
+        const auto it = peer.accounts.find(account);
+        if (it != peer.accounts.end())
+            sum += it->second.rate * std::max(now - peer.heard, TimeMs {}).seconds();
+    }
+    return sum;
+}
+
+static Allowances::Bucket& refill(Allowances& state, TimeMs now, const AllowanceRule& rule)
+{
+    const auto [it, fresh] = state.buckets.try_emplace(rule.name);
+    auto& bucket = it->second;
+    const double size = sizeOf(state.options, rule);
+    const double added = fresh ? size : rule.rate * std::max(now - bucket.updated, TimeMs {}).seconds();
+    bucket.level = std::min(size, bucket.level + added);
+    bucket.updated = now;
+    return bucket;
+}
+
+bool takeAllowance(Allowances& state, TimeMs now, const AllowanceRule& rule, double cost)
+{
+    if (rule.rate <= 0)
+        return true;
+    auto& bucket = refill(state, now, rule);
+    // A request larger than the bucket passes when the bucket is nearly full; the debt holds back what follows.
+    const double needed = std::min(cost, sizeOf(state.options, rule) * 0.9);
+    if (bucket.level - unreported(state, now, rule.name) < needed)
+        return false;
+    bucket.level -= cost;
+    bucket.spent += cost;
+    return true;
+}
+
+void returnAllowance(Allowances& state, const std::string& account, double cost)
+{
+    const auto it = state.buckets.find(account);
+    if (it == state.buckets.end())
+        return;
+    it->second.level += cost;
+    it->second.spent -= cost;
+}
+
+TimeMs allowanceIn(const Allowances& state, TimeMs now, const AllowanceRule& rule, double cost)
+{
+    const auto it = state.buckets.find(rule.name);
+    if (it == state.buckets.end() || rule.rate <= 0)
+        return {};
+    const double missing = std::min(cost, sizeOf(state.options, rule)) + unreported(state, now, rule.name) - it->second.level;
+    return { std::max<int64_t>(0, static_cast<int64_t>(missing / rule.rate * 1000)) };
+}
+
+void takeSpending(Allowances& state, TimeMs now, NodeId node, const std::map<std::string, double>& totals)
+{
+    const auto [it, fresh] = state.peers.try_emplace(node);
+    auto& peer = it->second;
+    const TimeMs age = fresh ? state.options.rateMemory : std::max(now - peer.heard, 1_ms);
+    const double keep = std::exp(-age.seconds() / state.options.rateMemory.seconds());
+    for (const auto& [account, total] : totals) {
+        const auto [known, first] = peer.accounts.try_emplace(account);
+        auto& spending = known->second;
+        // The first report of a peer tells nothing of when it was spent; a lower total is that of a new process.
+        const double spent = fresh && first ? 0 : total < spending.total ? std::max(total, 0.0)
+                                                                         : total - spending.total;
+        spending.total = total;
+        spending.rate = spending.rate * keep + spent / age.seconds() * (1 - keep);
+        if (const auto bucket = state.buckets.find(account); bucket != state.buckets.end())
+            bucket->second.level -= spent;
+    }
+    peer.heard = now;
+}
+
+std::map<std::string, double> spendingOf(const Allowances& state)
+{
+    std::map<std::string, double> out;
+    for (const auto& [account, bucket] : state.buckets)
+        out[account] = bucket.spent;
+    return out;
+}
+
+void expirePeers(Allowances& state, TimeMs now)
+{
+    std::erase_if(state.peers, [&](const auto& it) { return now - it.second.heard > state.options.keepSilentNodes; });
+}
+
+}
--- /dev/null
+++ b/src/forward/FleetPlan.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "base/TimeMs.h"
+#include "rules/RuleSet.h"
+
+#include <map>
+#include <string>
+
+namespace siskinshunt {
+
+struct FleetPlanOptions {
+    /// Engines that the load needs at least, when it comes evenly: from an engine's share of time spent on prompts alone.
+    /// Twice of it keeps the time to the first event near that of an idle engine, and covers bursts and crashes.
+    double comfort = 2.2;
+    /// What remains when all reclaimable instances are taken back at once still has to carry the load.
+    double safety = 1.3;
+    /// Part of an engine's slots in use that counts as much as an engine whose time is full.
+    double slotWeight = 0.5;
+    uint32_t spare = 1; ///< Engines on top, for a crash.
+    TimeMs peakMemory { 20000 }; ///< Time constant in which a former peak of the load is forgotten.
+};
+
+/// Load of a backend over all nodes.
+struct FleetDemand {
+    double readPerSecond = 0; ///< Prompt tokens that engines have to read.
+    double running = 0; ///< Requests under way.
+    double tokensPerMs = 0; ///< What one engine reads.
+};
+
+/// Instances that announce themselves in one failure domain.
+struct DomainFleet {
+    uint32_t onDemand = 0;
+    uint32_t reclaimable = 0;
+};
+
+/// Instances that are wanted in one failure domain.
+struct DomainPlan {
+    uint32_t onDemand = 0;
+    uint32_t reclaimable = 0;
+
+    bool operator==(const DomainPlan&) const = default;
+};
+
+/// Engines that the demand keeps busy all the time.
+double busyEngines(const FleetPlanOptions&, const BackendRule&, const FleetDemand&);
+
+/// How many instances are wanted, for this many busy engines. `supply` tells whether reclaimable instances can be had at
+/// the moment; without them the on-demand ones take their place. The domains are those in which the backend runs.
+std::map<std::string, DomainPlan> planFleet(const FleetPlanOptions&, const BackendRule&, double busy, const std::map<std::string, DomainFleet>& present, bool supply);
+
+}
--- /dev/null
+++ b/src/forward/RetryLimit.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "base/TimeMs.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace siskinshunt {
+
+/// The limit of retries for one backend over all nodes: a share of the requests plus a constant, in a sliding window.
+struct RetryLimit {
+    TimeMs window { 10000 };
+    double ratio = 0.2; ///< Retries per request.
+    double extra = 0; ///< Retries beyond, over all nodes.
+};
+
+/// One node's use of it, in slices of the window.
+struct RetryUse {
+    static constexpr size_t slices = 20;
+    struct Slice {
+        int64_t number = -1;
+        uint32_t requests = 0;
+        uint32_t retries = 0;
+    };
+    std::array<Slice, slices> ring {};
+};
+
+void noteFirstSend(RetryUse&, const RetryLimit&, TimeMs now);
+/// Whether one more send of a request is within this node's part; counts it if so.
+bool takeRetry(RetryUse&, const RetryLimit&, TimeMs now, size_t nodes);
+
+}
--- a/src/node/Duties.cpp
+++ b/src/node/Duties.cpp
@@ -56,6 +56,7 @@
     fresh.nextUsageReport = node.duties.nextUsageReport;
     fresh.reports = std::move(node.duties.reports);
     fresh.reportedTo = std::move(node.duties.reportedTo);
+    fresh.demand = std::move(node.duties.demand);
     node.duties = std::move(fresh);
     addLog(node, LogLevel::Info, "duties_taken", Step::Order, {}, "this node makes the calls of one node at a time", { { "epoch", std::to_string(node.leader.epoch) }, { "ready_in_ms", std::to_string(node.options.settings.duties.lease.value) } });
 }
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -19,6 +19,12 @@
 static constexpr TimeMs onceMaxIdle { 1500 };
 // Below this a send is no attempt: the upstream could not answer in time.
 static constexpr TimeMs leastTimeLeft { 10 };
+// A stream that comes later than this after the order to leave may outlast the node.
+static constexpr TimeMs streamsWhileLeaving { 2500 };
+// Plain requests are answered within this time, if at all.
+static constexpr TimeMs mostWhileLeaving { 1500 };
+// Another entry node takes the request at once.
+static constexpr TimeMs leavingRetryAfter { 20 };
 static constexpr size_t maxHistograms = 512;
 
 ForwardState makeForwardState(const NodeOptions& options)
@@ -28,7 +34,7 @@
     if (options.dialect)
         out.headers = options.dialect->headers;
     out.choice.domain = settings.failureDomain;
-    out.accounts.options.slack = settings.forward.allowanceSlack;
+    out.allowances.options.slack = settings.forward.allowanceSlack;
     out.retryLimit = { settings.forward.retryWindow, settings.forward.retryRatio, settings.forward.retryExtra };
     out.usage.window = settings.duties.usageWindow;
     return out;
@@ -161,12 +167,12 @@
     call.status = status;
     node.out.answers.push_back({ .exchange = call.exchange, .part = AnswerPart::Whole, .status = status, .headers = std::move(headers), .body = errorBody(code, text, notRun) });
     if (notRun && call.account)
-        returnAllowance(node.forward.accounts, call.account->name, call.cost);
+        returnAllowance(node.forward.allowances, call.account->name, call.cost);
     endForward(node, call, code);
 }
 
 // A refusal of a request that never became a call.
-static void refuseArrived(Node& node, const RequestArrived& arrived, uint16_t status, const std::string& code, const std::string& text, TimeMs retryAfter = {})
+static void refuseArrived(Node& node, const RequestArrived& arrived, uint16_t status, const std::string& code, const std::string& text, TimeMs retryAfter = {}, const std::string& account = {})
 {
     const std::string id(findHeader(arrived.request.headers, node.forward.headers.requestId));
     HttpHeaders headers { { "Content-Type", "application/json" } };
@@ -176,7 +182,7 @@
         headers.emplace_back("Retry-After", secondsOf(retryAfter));
     node.counters.add("forward_" + code);
     addLog(node, LogLevel::Warning, "forward_refused", Step::Route, arrived.peer, code,
-        { { "request", id }, { "status", std::to_string(status) }, { "target", std::string(pathOf(arrived.request.target)) }, { "rules", std::to_string(node.rules ? node.rules->revision : 0) }, { "retry_after_ms", std::to_string(retryAfter.value) } });
+        { { "request", id }, { "status", std::to_string(status) }, { "account", account }, { "target", std::string(pathOf(arrived.request.target)) }, { "rules", std::to_string(node.rules ? node.rules->revision : 0) }, { "retry_after_ms", std::to_string(retryAfter.value) } });
     node.out.answers.push_back({ .exchange = arrived.exchange, .part = AnswerPart::Whole, .status = status, .headers = std::move(headers), .body = errorBody(code, text, true) });
 }
 
@@ -208,6 +214,8 @@
     call.tried.push_back(target.id);
     known.own.running += 1;
     known.own.unread += choice.unread;
+    if (known.engine)
+        forward.toRead[known.backend] += choice.unread;
     for (const auto& part : call.parts) {
         notePart(forward.parts, node.now, part.hash, target.id);
         if (part != call.parts.back())
@@ -269,6 +277,7 @@
 {
     auto& forward = node.forward;
     const auto& request = arrived.request;
+    const TimeMs leavingFor = node.draining ? node.now - node.drainSince : TimeMs {};
     if (!forward.routes)
         return refuseArrived(node, arrived, 503, "no_rules", "this node has no rules yet", noRulesRetryAfter);
     const ForwardRule* rule = findForward(*forward.routes, findHeader(request.headers, "Host"), pathOf(request.target));
@@ -281,11 +290,15 @@
         if (!account && !(key.empty() && rule->anonymous))
             return refuseArrived(node, arrived, 401, "unauthorized", "the caller key is missing or unknown");
     }
+    // A node that leaves takes only what it can still answer in whole.
+    const TimeMs lastTaken = rule->kind == ForwardKind::Stream ? streamsWhileLeaving : node.options.settings.timings.drainLimit - std::min(rule->timeout, mostWhileLeaving);
+    if (leavingFor > lastTaken)
+        return refuseArrived(node, arrived, 503, "leaving", "this node is leaving", leavingRetryAfter);
     ForwardFacts facts = readFacts(request.headers, forward.headers);
     const double cost = !account ? 0 : account->tokens ? static_cast<double>(facts.tokens.value_or(static_cast<uint64_t>(account->plainTokens)))
                                                        : 1;
-    if (account && !takeAllowance(forward.accounts, node.now, *account, cost))
-        return refuseArrived(node, arrived, 429, "over_allowance", "the account has used its allowance", std::max(allowanceIn(forward.accounts, *account, cost), 100_ms));
+    if (account && !takeAllowance(forward.allowances, node.now, *account, cost))
+        return refuseArrived(node, arrived, 429, "over_allowance", "the account has used its allowance", std::max(allowanceIn(forward.allowances, node.now, *account, cost), 100_ms), account->name);
     ForwardCall& call = addCall(node, std::move(arrived), *rule, account, std::move(facts), cost);
     call.backend = pickBackend(node, call);
     noteFirstSend(forward.retries[call.backend], forward.retryLimit, node.now);
--- a/src/node/ForwardReport.cpp
+++ b/src/node/ForwardReport.cpp
@@ -1,6 +1,8 @@
 #include "node/ForwardFlow.h"
 #include "node/Groups.h"
+#include "node/LeaderFlow.h"
 #include "node/Peers.h"
+#include "node/Scaling.h"
 #include "wire/Codec.h"
 
 #include <algorithm>
@@ -24,7 +26,7 @@
         if (!member.status.voter && (isAlive(node.membership, id) || member.status.state == MemberState::Suspect))
             ++n;
     }
-    return std::max(n, node.forward.accounts.peers.size() + 1);
+    return std::max(n, node.forward.allowances.peers.size() + 1);
 }
 
 static bool takesCallers(const Node& node)
@@ -35,10 +37,10 @@
 static void reportLoad(Node& node)
 {
     auto& forward = node.forward;
-    forward.accounts.nodes = forwardNodes(node);
-    const auto scale = static_cast<int64_t>(std::max<size_t>(1, forward.accounts.nodes / reportNodes));
+    const size_t nodes = forwardNodes(node);
+    const auto scale = static_cast<int64_t>(std::max<size_t>(1, nodes / reportNodes));
     forward.nextReport = node.now + reportInterval * scale;
-    ForwardLoadFrame frame { .loads = {}, .placed = std::move(forward.placed), .demand = demandOf(forward.accounts, node.now) };
+    ForwardLoadFrame frame { .loads = {}, .placed = std::move(forward.placed), .spent = spendingOf(forward.allowances), .toRead = forward.toRead, .tokensPerMs = static_cast<float>(forward.choice.tokensPerMs) };
     forward.placed.clear();
     if (frame.placed.size() > maxPlaced)
         frame.placed.resize(maxPlaced);
@@ -47,8 +49,9 @@
             frame.loads.push_back({ id, static_cast<float>(target.own.running), static_cast<float>(target.own.unread) });
     }
     const std::string body = encode(frame);
+    const NodeId leader = decisionLeader(node);
     for (const auto& [id, member] : node.membership.members) {
-        if (!member.status.voter && isAlive(node.membership, id))
+        if ((!member.status.voter || id == leader) && isAlive(node.membership, id))
             sendFrame(node, id, FrameKind::ForwardLoad, {}, body);
     }
 }
@@ -64,7 +67,10 @@
     for (const auto& load : frame.loads)
         loads[load.upstream] = { std::max(0.0, static_cast<double>(load.running)), std::max(0.0, static_cast<double>(load.unread)) };
     takeReport(node.forward.targets, node.now, from, loads);
-    takeDemand(node.forward.accounts, node.now, from, std::move(frame.demand));
+    takeSpending(node.forward.allowances, node.now, from, frame.spent);
+    takeBackendDemand(node, from, frame);
+    if (!takesCallers(node))
+        return;
     for (const auto& placed : frame.placed)
         notePart(node.forward.parts, node.now, placed.part, placed.upstream);
 }
@@ -74,7 +80,7 @@
     auto& forward = node.forward;
     forward.nextExpiry = node.now + expiryInterval;
     expireReports(forward.targets, node.now, reportSilence);
-    expirePeers(forward.accounts, node.now);
+    expirePeers(forward.allowances, node.now);
     expireParts(forward.parts, node.now);
     expireUsage(forward.usage, node.now);
     std::erase_if(forward.leaving, [&](const auto& it) { return node.now - it.second.second > leavingKept; });
@@ -82,13 +88,13 @@
 
 void tickForward(Node& node)
 {
+    if (node.now >= node.forward.nextExpiry)
+        expireForward(node);
     if (!takesCallers(node))
         return;
     tickForwardCalls(node);
     if (node.now >= node.forward.nextReport)
         reportLoad(node);
-    if (node.now >= node.forward.nextExpiry)
-        expireForward(node);
 }
 
 }
--- a/src/node/ForwardState.h
+++ b/src/node/ForwardState.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include "base/Random.h"
-#include "forward/AccountShare.h"
+#include "forward/Allowance.h"
 #include "forward/ForwardCall.h"
 #include "forward/ForwardTarget.h"
+#include "forward/RetryLimit.h"
 #include "forward/TargetChoice.h"
 #include "forward/UsageMeter.h"
 #include "node/Dialect.h"
@@ -25,13 +26,14 @@
     ForwardTargets targets;
     PartMemory parts;
     ChoiceOptions choice;
-    AccountShares accounts;
+    Allowances allowances;
     RetryLimit retryLimit;
     std::map<std::string, RetryUse> retries; ///< By backend.
     UsageMeter usage;
     std::unordered_map<ExchangeId, std::unique_ptr<ForwardCall>> calls;
     /// By dispatch; 0 for one whose answer is no longer wanted and only read to its end.
     std::unordered_map<DispatchId, ExchangeId> dispatches;
+    std::map<std::string, double> toRead; ///< Prompt tokens given to engines to read since the start, by backend.
     std::vector<PlacedPart> placed; ///< Since the last report to the other nodes.
     TimeMs nextReport;
     TimeMs nextExpiry;
@@ -50,6 +52,24 @@
     std::map<uint64_t, WaitingLeave> leaves; ///< Waiting for the decision leader, by request number.
 };
 
+/// Load of a backend, from the reports of the entry nodes.
+struct BackendDemand {
+    std::map<NodeId, double> totals; ///< Tokens to read since each node's start.
+    double tokens = 0; ///< Since the last step.
+    double readPerSecond = 0; ///< Moving average.
+    double tokensPerMs = 0;
+    double busy = 0; ///< Engines kept busy; a peak is forgotten slowly.
+    TimeMs since; ///< First report.
+    TimeMs steppedAt;
+};
+
+/// An order for instances that has been given.
+struct OrderedScale {
+    uint32_t wanted = 0;
+    TimeMs at;
+    bool accepted = false;
+};
+
 /// What the holder of the duties does; only the decision leader fills it.
 struct DutyState {
     uint64_t epoch = 0; ///< For which it was set up.
@@ -63,7 +83,8 @@
     TimeMs nextUsage;
     DispatchId scaleDispatch = 0;
     ScaleOrder scaleOrder; ///< Under way.
-    std::map<ScaleOrder, TimeMs> scaled; ///< When an order was last acknowledged or refused, without its number.
+    std::map<std::string, BackendDemand> demand; ///< By backend.
+    std::map<ScaleOrder, OrderedScale> ordered; ///< The last order of each kind, under a key without its number.
     TimeMs nextScale;
     TimeMs nextUsageReport; ///< Of this node to the leader, also when it does not lead.
 };
--- a/src/node/PeerMessages.h
+++ b/src/node/PeerMessages.h
@@ -162,10 +162,12 @@
 struct ForwardLoadFrame {
     std::vector<ReportedLoad> loads;
     std::vector<PlacedPart> placed;
-    std::map<std::string, double> demand; ///< Per second, by client account.
+    std::map<std::string, double> spent; ///< Of the allowances since the sender's start, by client account.
+    std::map<std::string, double> toRead; ///< Prompt tokens that engines were given to read since the sender's start, by backend.
+    float tokensPerMs = 0; ///< Pace of engines that the sender has learnt.
 
     template <class Archive>
-    void serialize(Archive& archive) { archive(loads, placed, demand); }
+    void serialize(Archive& archive) { archive(loads, placed, spent, toRead, tokensPerMs); }
 };
 
 /// Requests that began to run at a node, for the decision leader. Windows that ended are complete.
--- a/src/node/Scaling.cpp
+++ b/src/node/Scaling.cpp
@@ -1,45 +1,145 @@
 #include "node/Scaling.h"
 
+#include "forward/FleetPlan.h"
+
 #include <algorithm>
+#include <cmath>
 
 namespace siskinshunt {
 
-// An order that the platform could not meet is repeated after this time.
-static constexpr TimeMs refusedRetry { 1000 };
+static constexpr TimeMs stepInterval { 1000 };
+// Load has to be known for this long before instances are given up.
+static constexpr TimeMs leastHistory { 5000 };
+static constexpr double demandMemorySeconds = 3;
 static constexpr TimeMs orderPause { 200 };
-// The same order is not repeated before a started instance could have announced itself.
-static constexpr TimeMs settleTime { 3000 };
-
-namespace {
-
-    struct Present {
-        uint32_t reclaimable = 0;
-        uint32_t onDemand = 0;
-    };
+// An order that the platform could not meet is repeated after this time, and reclaimable instances count as not to be had.
+static constexpr TimeMs refusedRetry { 2000 };
+// After an order, instances are counted again when those that it started could have announced themselves.
+static constexpr TimeMs settleTime { 4000 };
 
+void takeBackendDemand(Node& node, NodeId from, const ForwardLoadFrame& frame)
+{
+    for (const auto& [backend, total] : frame.toRead) {
+        auto& demand = node.duties.demand[backend];
+        const auto [it, fresh] = demand.totals.try_emplace(from, total);
+        if (!demand.since.value)
+            demand.since = demand.steppedAt = node.now;
+        // A lower total is that of a new process.
+        if (!fresh)
+            demand.tokens += total < it->second ? total : total - it->second;
+        it->second = total;
+        if (frame.tokensPerMs > 0)
+            demand.tokensPerMs += (static_cast<double>(frame.tokensPerMs) - demand.tokensPerMs) * (demand.tokensPerMs > 0 ? 0.1 : 1);
+    }
 }
 
-static std::map<std::string, Present> presentByDomain(const Node& node, const std::string& backend)
+static std::map<std::string, DomainFleet> presentFleet(const Node& node, const std::string& backend)
 {
-    std::map<std::string, Present> out;
+    std::map<std::string, DomainFleet> out;
     const auto& targets = node.forward.targets;
     const auto ids = targets.byBackend.find(backend);
     if (ids == targets.byBackend.end())
         return out;
     for (const UpstreamId id : ids->second) {
         const ForwardTarget& target = targets.entries.at(id);
-        auto& present = out[target.domain];
+        auto& fleet = out[target.domain];
         if (!target.leaving && node.now - target.lastSeen < node.forward.choice.staleAfter)
-            ++(target.reclaimable ? present.reclaimable : present.onDemand);
+            ++(target.reclaimable ? fleet.reclaimable : fleet.onDemand);
     }
     return out;
 }
 
+static double runningOf(const Node& node, const std::string& backend)
+{
+    double running = 0;
+    for (const auto& [id, target] : node.forward.targets.entries) {
+        if (target.backend == backend)
+            running += target.own.running + target.others.running;
+    }
+    return running;
+}
+
+static void stepDemand(Node& node, const FleetPlanOptions& options, const BackendRule& backend, BackendDemand& demand)
+{
+    const double seconds = (node.now - demand.steppedAt).seconds();
+    if (seconds < stepInterval.seconds())
+        return;
+    demand.steppedAt = node.now;
+    const double keep = std::exp(-seconds / demandMemorySeconds);
+    demand.readPerSecond = demand.readPerSecond * keep + demand.tokens / seconds * (1 - keep);
+    demand.tokens = 0;
+    const double busy = busyEngines(options, backend, { demand.readPerSecond, runningOf(node, backend.name), demand.tokensPerMs });
+    demand.busy = std::max(busy, demand.busy * std::exp(-seconds / options.peakMemory.seconds()));
+}
+
+static bool isReclaimableSupplied(const Node& node, const std::string& backend)
+{
+    return std::none_of(node.duties.ordered.begin(), node.duties.ordered.end(), [&](const auto& it) {
+        return it.first.backend == backend && it.first.reclaimable && !it.second.accepted && node.now - it.second.at < refusedRetry * 2;
+    });
+}
+
+// The order that brings one kind in one domain to the plan, if it is due.
+static std::optional<ScaleOrder> orderFor(const Node& node, ScaleOrder key, uint32_t wanted, uint32_t present)
+{
+    const auto it = node.duties.ordered.find(key);
+    const bool fresh = it == node.duties.ordered.end();
+    if (fresh && wanted == present)
+        return std::nullopt;
+    if (!fresh) {
+        const auto& last = it->second;
+        const TimeMs age = node.now - last.at;
+        const bool same = last.wanted == wanted;
+        if (!last.accepted && age < refusedRetry)
+            return std::nullopt;
+        if (last.accepted && same && (present == wanted || age < settleTime * 2))
+            return std::nullopt;
+        // Fewer instances are not given up at once: the load may return.
+        if (last.accepted && wanted < last.wanted && age < settleTime)
+            return std::nullopt;
+    }
+    key.wanted = wanted;
+    return key;
+}
+
+static std::optional<ScaleOrder> dueOrderOf(Node& node, const BackendRule& backend)
+{
+    static constexpr FleetPlanOptions options {};
+    const auto it = node.duties.demand.find(backend.name);
+    if (it == node.duties.demand.end())
+        return std::nullopt;
+    stepDemand(node, options, backend, it->second);
+    if (node.now - it->second.since < leastHistory)
+        return std::nullopt;
+    const auto present = presentFleet(node, backend.name);
+    const auto plan = planFleet(options, backend, it->second.busy, present, isReclaimableSupplied(node, backend.name));
+    // More first: what is given up is replaced before.
+    for (const bool more : { true, false }) {
+        for (const auto& [domain, wanted] : plan) {
+            const auto& fleet = present.at(domain);
+            for (const bool reclaimable : { true, false }) {
+                const uint32_t n = reclaimable ? wanted.reclaimable : wanted.onDemand;
+                const uint32_t now = reclaimable ? fleet.reclaimable : fleet.onDemand;
+                if ((n > now) != more)
+                    continue;
+                if (auto order = orderFor(node, { .backend = backend.name, .domain = domain, .reclaimable = reclaimable }, n, now))
+                    return order;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
 std::optional<ScaleOrder> dueScaleOrder(Node& node)
 {
-    (void)node;
-    (void)presentByDomain;
-    (void)settleTime;
+    if (!node.rules)
+        return std::nullopt;
+    for (const auto& backend : node.rules->backends) {
+        if (!backend.maxInstances)
+            continue;
+        if (auto order = dueOrderOf(node, backend))
+            return order;
+    }
     return std::nullopt;
 }
 
@@ -47,11 +147,11 @@
 {
     auto& duties = node.duties;
     const bool accepted = status >= 200 && status < 300;
-    duties.nextScale = node.now + (accepted ? orderPause : refusedRetry);
+    duties.nextScale = node.now + orderPause;
     ScaleOrder key = duties.scaleOrder;
     key.wanted = 0;
-    duties.scaled[key] = node.now;
-    addLog(node, accepted ? LogLevel::Info : LogLevel::Warning, "instances_answered", Step::Order, key.backend, key.domain, { { "status", std::to_string(status) }, { "wanted", std::to_string(duties.scaleOrder.wanted) } });
+    duties.ordered[key] = { duties.scaleOrder.wanted, node.now, accepted };
+    addLog(node, accepted ? LogLevel::Info : LogLevel::Warning, "instances_answered", Step::Order, key.backend, key.domain, { { "status", std::to_string(status) }, { "wanted", std::to_string(duties.scaleOrder.wanted) }, { "reclaimable", key.reclaimable ? "yes" : "no" } });
 }
 
 }
--- a/src/node/Scaling.h
+++ b/src/node/Scaling.h
@@ -6,7 +6,9 @@
 
 namespace siskinshunt {
 
-/// The next order that the instances of the backends call for, if any.
+/// Takes what an entry node reports of the load of the backends.
+void takeBackendDemand(Node&, NodeId from, const ForwardLoadFrame&);
+/// The next order that the load of the backends calls for, if any.
 std::optional<ScaleOrder> dueScaleOrder(Node&);
 /// Notes the platform's answer to the order under way.
 void scaleAnswered(Node&, uint16_t status);
