--- /dev/null
+++ b/src/forward/EnginePace.h
@@ -0,0 +1,22 @@
+#pragma once
+
+namespace siskinshunt {
+
+/// How long engines take to the first event, learnt from what was observed: a fixed time plus a time per prompt token
+/// that had to be read before it. Decayed least squares, so that it follows engines that change.
+struct EnginePace {
+    double tokensPerMs = 40; ///< Used until enough was observed.
+    double baseMs = 40;
+
+    // Sums over the observations, decayed with each of them.
+    double n = 0;
+    double x = 0;
+    double y = 0;
+    double xx = 0;
+    double xy = 0;
+};
+
+/// Notes that a request with this many tokens to read before its first event took this long.
+void notePace(EnginePace&, double tokens, double milliseconds);
+
+}
--- a/src/forward/FleetPlan.cpp
+++ b/src/forward/FleetPlan.cpp
@@ -48,6 +48,7 @@
     const auto total = static_cast<uint32_t>(std::ceil(busy * options.comfort)) + options.spare;
     const uint32_t least = backend.minInstances * static_cast<uint32_t>(domains.size());
     uint32_t onDemand = std::max(least, static_cast<uint32_t>(std::ceil(busy * options.safety)));
+    const uint32_t loosePlanned = total > onDemand ? total - onDemand : 0;
     if (!supply)
         onDemand = std::max(onDemand, total - std::min(total, reclaimablePresent));
     std::map<std::string, uint32_t> room;
@@ -59,7 +60,7 @@
     spread(onDemand, domains, room, fixed);
     for (const auto& domain : domains)
         room[domain] = backend.maxInstances - fixed[domain];
-    spread(total > onDemand ? total - onDemand : 0, domains, room, loose);
+    spread(loosePlanned, domains, room, loose);
     std::map<std::string, DomainPlan> plan;
     for (const auto& domain : domains)
         plan[domain] = { fixed[domain], loose[domain] };
--- a/src/forward/TargetChoice.h
+++ b/src/forward/TargetChoice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Random.h"
+#include "forward/EnginePace.h"
 #include "forward/ForwardTarget.h"
 #include "forward/PromptParts.h"
 
@@ -14,7 +15,7 @@
     std::string domain; ///< This node's failure domain, which is preferred.
     /// Share of a slot's worth that another failure domain costs: bytes between domains have a price.
     double otherDomainPenalty = 0.05;
-    double tokensPerMs = 40; ///< Prompt tokens that an engine reads per ms; learnt while running.
+    EnginePace pace; ///< Learnt while running.
     TimeMs staleAfter { 6000 }; ///< A target that has been silent for longer is chosen only if all are.
 };
 
@@ -31,6 +32,7 @@
     UpstreamId target;
     double waitMs = 0; ///< Expected time to the first event; 0 for targets that are no engines.
     double unread = 0; ///< Prompt tokens that the target has to read.
+    double ahead = 0; ///< Prompt tokens that it has to read before the first event, those of other requests included.
     bool full = false; ///< All of its slots are taken.
 };
 
--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -15,10 +15,6 @@
 // A stream that may be resumed goes on elsewhere after a pause of this many of its longest regular pauses.
 static constexpr int silentGaps = 4;
 static constexpr TimeMs leastGap { 1000 };
-// Weight of one observation in the average pace of reading prompts.
-static constexpr double paceWeight = 0.05;
-static constexpr double leastPace = 1;
-static constexpr double mostPace = 2000;
 // The full refusals of a backend last about this long.
 static constexpr TimeMs fullRetryAfter { 300 };
 
@@ -159,21 +155,11 @@
     call.contentLength = event.contentLength;
 }
 
-// Learns how fast engines read prompts from the time to the first event.
-static void learnPace(Node& node, const ForwardCall& call)
-{
-    const double took = static_cast<double>((node.now - call.sentAt).value);
-    if (call.expectedWait.value < 20 || took < 1)
-        return;
-    auto& pace = node.forward.choice.tokensPerMs;
-    const double ratio = std::clamp(static_cast<double>(call.expectedWait.value) / took, 0.25, 4.0);
-    pace = std::clamp(pace * (1 + paceWeight * (ratio - 1)), leastPace, mostPace);
-}
-
 static void firstEvent(Node& node, ForwardCall& call)
 {
     countUsage(node, call);
-    learnPace(node, call);
+    if (call.ahead > 0)
+        notePace(node.forward.choice.pace, call.ahead, static_cast<double>((node.now - call.sentAt).value));
     noteVersionResult(node, call, false);
     if (ForwardTarget* target = findTarget(node.forward.targets, call.target)) {
         target->own.unread = std::max(0.0, target->own.unread - call.unread);
--- a/src/node/ForwardReport.cpp
+++ b/src/node/ForwardReport.cpp
@@ -40,7 +40,7 @@
     const size_t nodes = forwardNodes(node);
     const auto scale = static_cast<int64_t>(std::max<size_t>(1, nodes / reportNodes));
     forward.nextReport = node.now + reportInterval * scale;
-    ForwardLoadFrame frame { .loads = {}, .placed = std::move(forward.placed), .spent = spendingOf(forward.allowances), .toRead = forward.toRead, .tokensPerMs = static_cast<float>(forward.choice.tokensPerMs) };
+    ForwardLoadFrame frame { .loads = {}, .placed = std::move(forward.placed), .spent = spendingOf(forward.allowances), .toRead = forward.toRead, .tokensPerMs = static_cast<float>(forward.choice.pace.tokensPerMs) };
     forward.placed.clear();
     if (frame.placed.size() > maxPlaced)
         frame.placed.resize(maxPlaced);
--- a/src/node/Scaling.cpp
+++ b/src/node/Scaling.cpp
@@ -13,7 +13,7 @@
 static constexpr double demandMemorySeconds = 3;
 static constexpr TimeMs orderPause { 200 };
 // An order that the platform could not meet is repeated after this time, and reclaimable instances count as not to be had.
-static constexpr TimeMs refusedRetry { 2000 };
+static constexpr TimeMs refusedRetry { 4000 };
 // After an order, instances are counted again when those that it started could have announced themselves.
 static constexpr TimeMs settleTime { 4000 };
 
@@ -69,14 +69,15 @@
     demand.readPerSecond = demand.readPerSecond * keep + demand.tokens / seconds * (1 - keep);
     demand.tokens = 0;
     const double busy = busyEngines(options, backend, { demand.readPerSecond, runningOf(node, backend.name), demand.tokensPerMs });
+    addLog(node, LogLevel::Info, "load_estimated", Step::Order, backend.name, "engines kept busy by the load",
+        { { "busy", std::to_string(busy) }, { "read_per_s", std::to_string(demand.readPerSecond) }, { "running", std::to_string(runningOf(node, backend.name)) }, { "tokens_per_ms", std::to_string(demand.tokensPerMs) } });
     demand.busy = std::max(busy, demand.busy * std::exp(-seconds / options.peakMemory.seconds()));
 }
 
 static bool isReclaimableSupplied(const Node& node, const std::string& backend)
 {
-    return std::none_of(node.duties.ordered.begin(), node.duties.ordered.end(), [&](const auto& it) {
-        return it.first.backend == backend && it.first.reclaimable && !it.second.accepted && node.now - it.second.at < refusedRetry * 2;
-    });
+    const auto it = node.duties.supplyRefused.find(backend);
+    return it == node.duties.supplyRefused.end() || node.now - it->second > refusedRetry;
 }
 
 // The order that brings one kind in one domain to the plan, if it is due.
@@ -95,7 +96,7 @@
         if (last.accepted && same && (present == wanted || age < settleTime * 2))
             return std::nullopt;
         // Fewer instances are not given up at once: the load may return.
-        if (last.accepted && wanted < last.wanted && age < settleTime)
+        if (last.accepted && wanted < last.wanted && age < settleTime * 2)
             return std::nullopt;
     }
     key.wanted = wanted;
@@ -112,7 +113,8 @@
     if (node.now - it->second.since < leastHistory)
         return std::nullopt;
     const auto present = presentFleet(node, backend.name);
-    const auto plan = planFleet(options, backend, it->second.busy, present, isReclaimableSupplied(node, backend.name));
+    const bool supply = isReclaimableSupplied(node, backend.name);
+    const auto plan = planFleet(options, backend, it->second.busy, present, supply);
     // More first: what is given up is replaced before.
     for (const bool more : { true, false }) {
         for (const auto& [domain, wanted] : plan) {
@@ -120,7 +122,7 @@
             for (const bool reclaimable : { true, false }) {
                 const uint32_t n = reclaimable ? wanted.reclaimable : wanted.onDemand;
                 const uint32_t now = reclaimable ? fleet.reclaimable : fleet.onDemand;
-                if ((n > now) != more)
+                if ((n > now) != more || (reclaimable && !supply))
                     continue;
                 if (auto order = orderFor(node, { .backend = backend.name, .domain = domain, .reclaimable = reclaimable }, n, now))
                     return order;
@@ -151,6 +153,8 @@
     ScaleOrder key = duties.scaleOrder;
     key.wanted = 0;
     duties.ordered[key] = { duties.scaleOrder.wanted, node.now, accepted };
+    if (key.reclaimable && !accepted)
+        duties.supplyRefused[key.backend] = node.now;
     addLog(node, accepted ? LogLevel::Info : LogLevel::Warning, "instances_answered", Step::Order, key.backend, key.domain, { { "status", std::to_string(status) }, { "wanted", std::to_string(duties.scaleOrder.wanted) }, { "reclaimable", key.reclaimable ? "yes" : "no" } });
 }
 
