--- a/src/membership/Gossip.cpp
+++ b/src/membership/Gossip.cpp
@@ -247,7 +247,7 @@
             return;
         refreshRings(m);
         const bool alone = m.ring.size() < 2;
-        m.nextSeed = now + (alone ? 1_s : m.options.seedInterval);
+        m.nextSeed = now + (alone ? m.options.seedIntervalAlone : m.options.seedInterval);
         std::vector<std::string> candidates;
         for (const auto& seed : m.options.seeds) {
             const bool known = seed == m.options.identity.udpAddress || std::any_of(m.members.begin(), m.members.end(), [&](const auto& it) {
@@ -256,8 +256,15 @@
             if (!known)
                 candidates.push_back(seed);
         }
-        if (!candidates.empty())
-            sendPing(m, now, {}, candidates[m.random.below(candidates.size())], {}, out);
+        if (candidates.empty())
+            return;
+        // Alone, all seeds are asked: each of them may be down, and callers wait for this node to learn the rules.
+        if (alone) {
+            for (const auto& seed : candidates)
+                sendPing(m, now, {}, seed, {}, out);
+            return;
+        }
+        sendPing(m, now, {}, candidates[m.random.below(candidates.size())], {}, out);
     }
 
     /// After a pause of this process its own timers are late, so they prove nothing about others.
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -50,7 +50,8 @@
     TimeMs suspicionPerDoubling { 250 };
     TimeMs deadRetention { 6 * 3600 * 1000 }; ///< Regions lose each other for an hour now and then.
     TimeMs recontactInterval { 5000 }; ///< One dead member is pinged per interval.
-    TimeMs seedInterval { 30000 }; ///< One seed that is no live member is pinged per interval; 1 s while alone.
+    TimeMs seedInterval { 30000 }; ///< One seed that is no live member is pinged per interval.
+    TimeMs seedIntervalAlone { 150 }; ///< All seeds are pinged per interval while no member is known.
     TimeMs syncInterval { 10000 }; ///< Digest comparison while tables agree.
     TimeMs syncIntervalDiffering { 500 }; ///< The same while most exchanges show another digest.
     size_t maxMembers = 1024;
--- a/src/node/ControlCalls.cpp
+++ b/src/node/ControlCalls.cpp
@@ -201,6 +201,13 @@
     const Upstream* known = findUpstream(node.membership.upstreams, id);
     // An upstream that this node has not heard of may be known to others: every incarnation up to now is meant.
     const uint64_t incarnation = known ? known->announced.incarnation : static_cast<uint64_t>(std::max<int64_t>(0, node.now.value));
+    if (known && !known->announced.leaving) {
+        // As a record, too: a node that starts later learns of it by gossip.
+        Announcement gone = known->announced;
+        gone.leaving = true;
+        gone.sequence = std::max(gone.sequence, known->localSequence) + 1;
+        announce(node.membership, node.now, gone, node.membershipOutputs);
+    }
     addLog(node, LogLevel::Info, "upstream_leaves", Step::Announce, call.name, "the upstream ends", { { "known", known ? "yes" : "no" } });
     spreadLeaving(node, arrived.exchange, id, incarnation);
 }
--- a/src/node/FleetFlow.cpp
+++ b/src/node/FleetFlow.cpp
@@ -63,6 +63,7 @@
     if (const Upstream* upstream = findUpstream(node.membership.upstreams, id)) {
         updateOne(node, *upstream);
         updateForwardTarget(node, *upstream);
+        node.upstreamsChanged = true;
         pumpQueue(node, upstream->announced.model);
     }
 }
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -17,6 +17,7 @@
 #include "node/Peers.h"
 #include "node/PlatformPoll.h"
 #include "node/RequestFlow.h"
+#include "node/StoredUpstreams.h"
 #include "node/VersionOrders.h"
 #include "wire/Envelope.h"
 
@@ -110,12 +111,13 @@
     BOOST_LEAF_CHECK(restoreView(*node));
     // Before the first datagram, so that no member takes this node for one without a data folder.
     publishStatus(*node);
+    restoreUpstreams(*node);
     return node;
 }
 
 static void takeCompletion(Node& node, const DiskCompletion& completion)
 {
-    if (viewStored(node, completion))
+    if (viewStored(node, completion) || upstreamsStored(node, completion))
         return;
     const auto it = node.groups.find(completion.group);
     if (it != node.groups.end())
@@ -190,6 +192,7 @@
     tickControl(node);
     tickLeader(node);
     tickReclaims(node);
+    tickStoredUpstreams(node);
     tickCalls(node);
     tickForward(node);
     tickControlCalls(node);
--- a/src/node/NodeState.h
+++ b/src/node/NodeState.h
@@ -37,6 +37,8 @@
 constexpr GroupId decisionGroup { 1 };
 /// Pseudo group of the storage: the snapshot of the view that this node has put in force.
 constexpr GroupId viewGroup { 1000000 };
+/// Pseudo group of the storage: the upstreams that were known, so that a restart need not wait for all to announce themselves.
+constexpr GroupId upstreamsGroup { 1000001 };
 
 /// Outcome of a proposal: applied with a reply, or not known to be applied in time.
 using ProposalDone = std::function<void(Node&, bool applied, const std::string& reply)>;
@@ -176,6 +178,10 @@
     Membership membership;
     MembershipOutputs membershipOutputs;
     TimeMs nextRefresh; ///< Of the routing targets.
+    bool upstreamsChanged = false; ///< Since they were stored.
+    bool storingUpstreams = false;
+    uint64_t upstreamsRequest = 0;
+    TimeMs nextStoreUpstreams;
 
     // Calls.
     std::unordered_map<CallId, std::unique_ptr<NodeCall>> calls;
--- /dev/null
+++ b/src/node/StoredUpstreams.cpp
@@ -0,0 +1,65 @@
+#include "node/StoredUpstreams.h"
+
+#include "membership/Messages.h"
+#include "wire/Codec.h"
+
+namespace siskinshunt {
+
+// The stored upstreams only shorten a restart, so they may be this old.
+static constexpr TimeMs storeInterval { 1000 };
+static constexpr size_t maxStoredBytes = 8 << 20;
+
+namespace {
+
+    struct StoredUpstreams {
+        std::vector<Announcement> announced;
+
+        template <class Archive>
+        void serialize(Archive& archive) { archive(announced); }
+    };
+
+}
+
+void tickStoredUpstreams(Node& node)
+{
+    if (!node.options.voter || !node.upstreamsChanged || node.storingUpstreams || node.now < node.nextStoreUpstreams)
+        return;
+    node.upstreamsChanged = false;
+    node.nextStoreUpstreams = node.now + storeInterval;
+    StoredUpstreams stored;
+    for (const auto& [id, upstream] : node.membership.upstreams.entries) {
+        if (!upstream.announced.leaving)
+            stored.announced.push_back(upstream.announced);
+    }
+    DiskRequest request { .id = ++node.upstreamsRequest, .group = upstreamsGroup, .hardState = {}, .snapshot = {}, .entries = {} };
+    request.snapshot = Snapshot { .meta = { .index = static_cast<uint64_t>(node.now.value), .term = 1, .members = {} }, .bytes = std::make_shared<const std::string>(encode(stored)) };
+    node.storingUpstreams = true;
+    node.out.disk.push_back(std::move(request));
+}
+
+bool upstreamsStored(Node& node, const DiskCompletion& completion)
+{
+    if (completion.group != upstreamsGroup)
+        return false;
+    node.storingUpstreams = false;
+    if (!completion.ok)
+        addLog(node, LogLevel::Warning, "upstreams_not_stored", Step::Sync, "disk", completion.error);
+    return true;
+}
+
+void restoreUpstreams(Node& node)
+{
+    const auto it = node.options.recovered.find(upstreamsGroup);
+    if (it == node.options.recovered.end() || !it->second.snapshot.meta.index)
+        return;
+    const auto stored = handle([&]() -> Result<StoredUpstreams> { return decode<StoredUpstreams>(*it->second.snapshot.bytes, maxStoredBytes, "stored upstreams"); },
+        [&](const Error& error) {
+            addLog(node, LogLevel::Warning, "upstreams_not_restored", Step::Recover, error.peer, error.detail);
+            return StoredUpstreams {};
+        });
+    for (const auto& announced : stored.announced)
+        announce(node.membership, node.now, announced, node.membershipOutputs);
+    addLog(node, LogLevel::Info, "upstreams_restored", Step::Recover, {}, "upstreams known before the restart", { { "upstreams", std::to_string(stored.announced.size()) } });
+}
+
+}
