--- a/src/node/ControlFlow.cpp
+++ b/src/node/ControlFlow.cpp
@@ -7,6 +7,7 @@
 #include "node/Groups.h"
 #include "node/MovesFlow.h"
 #include "node/Peers.h"
+#include "node/StoredUpstreams.h"
 #include "node/VersionOrders.h"
 #include "rules/RuleParser.h"
 #include "wire/Codec.h"
@@ -189,8 +190,12 @@
 void receiveFetchView(Node& node, NodeId from, std::string_view body)
 {
     const auto frame = handle([&]() -> Result<FetchViewFrame> { return decode<FetchViewFrame>(body, 64); }, [](const Error&) { return FetchViewFrame { UINT64_MAX }; });
-    if (frame.have < node.view.index)
-        sendFrame(node, from, FrameKind::View, {}, encode(node.view));
+    if (frame.have >= node.view.index)
+        return;
+    sendFrame(node, from, FrameKind::View, {}, encode(node.view));
+    // A node that has just started needs the upstreams as well; gossip would take seconds to bring all of them.
+    if (!frame.have)
+        sendUpstreams(node, from);
 }
 
 void receiveViewNotice(Node& node, NodeId from, std::string_view body)
--- a/src/node/StoredUpstreams.cpp
+++ b/src/node/StoredUpstreams.cpp
@@ -1,6 +1,7 @@
 #include "node/StoredUpstreams.h"
 
 #include "membership/Messages.h"
+#include "node/Peers.h"
 #include "wire/Codec.h"
 
 namespace siskinshunt {
@@ -8,6 +9,8 @@
 // The stored upstreams only shorten a restart, so they may be this old.
 static constexpr TimeMs storeInterval { 1000 };
 static constexpr size_t maxStoredBytes = 8 << 20;
+// Below the 255 entries that a list of a table frame can hold.
+static constexpr size_t recordsPerFrame = 200;
 
 namespace {
 
@@ -47,6 +50,25 @@
     return true;
 }
 
+void sendUpstreams(Node& node, NodeId to)
+{
+    const auto alive = [&node](NodeId id) { return isAlive(node.membership, id); };
+    TableRecords records;
+    const auto flush = [&] {
+        if (!records.upstreams.empty())
+            sendFrame(node, to, FrameKind::TableRecords, {}, encode(records));
+        records.upstreams.clear();
+    };
+    for (const auto& [id, upstream] : node.membership.upstreams.entries) {
+        if (!isVouched(node.membership.upstreams, upstream, alive))
+            continue;
+        records.upstreams.push_back(recordOf(upstream, node.now));
+        if (records.upstreams.size() >= recordsPerFrame)
+            flush();
+    }
+    flush();
+}
+
 void restoreUpstreams(Node& node)
 {
     const auto it = node.options.recovered.find(upstreamsGroup);
--- a/src/node/StoredUpstreams.h
+++ b/src/node/StoredUpstreams.h
@@ -10,5 +10,7 @@
 bool upstreamsStored(Node&, const DiskCompletion&);
 /// Takes the upstreams stored by an earlier process as announced just now: those that are gone fall silent.
 void restoreUpstreams(Node&);
+/// Sends the whole table of upstreams to a node.
+void sendUpstreams(Node&, NodeId to);
 
 }
