--- a/src/forward/FleetPlan.cpp
+++ b/src/forward/FleetPlan.cpp
@@ -49,8 +49,10 @@
     const uint32_t least = backend.minInstances * static_cast<uint32_t>(domains.size());
     uint32_t onDemand = std::max(least, static_cast<uint32_t>(std::ceil(busy * options.safety)));
     const uint32_t loosePlanned = total > onDemand ? total - onDemand : 0;
-    if (!supply)
-        onDemand = std::max(onDemand, total - std::min(total, reclaimablePresent));
+    if (!supply) {
+        const auto needed = std::min(total, static_cast<uint32_t>(std::ceil(busy * options.without)) + options.spare);
+        onDemand = std::max(onDemand, needed - std::min(needed, reclaimablePresent));
+    }
     std::map<std::string, uint32_t> room;
     std::map<std::string, uint32_t> fixed;
     std::map<std::string, uint32_t> loose;
--- a/src/forward/FleetPlan.h
+++ b/src/forward/FleetPlan.h
@@ -11,9 +11,11 @@
 struct FleetPlanOptions {
     /// Engines that the load needs at least, when it comes evenly: from an engine's share of time spent on prompts alone.
     /// Twice of it keeps the time to the first event near that of an idle engine, and covers bursts and crashes.
-    double comfort = 2.2;
+    double comfort = 3.0;
     /// What remains when all reclaimable instances are taken back at once still has to carry the load.
-    double safety = 1.3;
+    double safety = 1.25;
+    /// What is kept up with on-demand instances while reclaimable ones cannot be had.
+    double without = 1.7;
     /// Part of an engine's slots in use that counts as much as an engine whose time is full.
     double slotWeight = 0.5;
     uint32_t spare = 1; ///< Engines on top, for a crash.
