Refuse at once what the backlog of others makes late, and order instances before the traffic

Cause: while one account floods, every class was late: requests queued at engines behind work of the same urgency until their callers left, silent ones were sent a second time to equally busy engines, and orders for instances came 8 s late when the decision leader froze. Load is now reported by urgency, a request that would miss its target by the backlog of others is refused at once with the backlog as the time to come back, an engine that answers others gets twice the patience, and reclaimable instances are ordered before any load is known.

--- a/src/forward/ForwardTarget.cpp
+++ b/src/forward/ForwardTarget.cpp
@@ -25,6 +25,7 @@
     const bool known = entry.id && entry.incarnation == announced.incarnation;
     ForwardTarget next = announced;
     if (known) {
+        next.lastByteAt = entry.lastByteAt;
         next.failuresInRow = entry.failuresInRow;
         next.failureShare = entry.failureShare;
         next.answers = entry.answers;
@@ -58,10 +59,8 @@
         target.others = {};
     for (const auto& [node, loads] : table.reported) {
         for (const auto& [id, load] : loads) {
-            if (ForwardTarget* target = findTarget(table, id)) {
-                target->others.running += load.running;
-                target->others.unread += load.unread;
-            }
+            if (ForwardTarget* target = findTarget(table, id))
+                target->others += load;
         }
     }
 }
--- a/src/forward/ForwardTarget.h
+++ b/src/forward/ForwardTarget.h
@@ -10,10 +10,29 @@
 
 namespace siskinshunt {
 
+/// Levels of urgency, 0 first.
+constexpr int urgencyLevels = 10;
+
 /// Requests at an upstream, as one node or all others together count them.
 struct TargetLoad {
     double running = 0; ///< Sent and not ended.
-    double unread = 0; ///< Prompt tokens of these that wait to be read.
+    std::array<double, urgencyLevels> unread {}; ///< Prompt tokens of these that wait to be read, by urgency.
+
+    TargetLoad& operator+=(const TargetLoad& other)
+    {
+        running += other.running;
+        for (size_t n = 0; n < unread.size(); ++n)
+            unread[n] += other.unread[n];
+        return *this;
+    }
+    /// Prompt tokens that an engine reads before those of a request of this urgency.
+    double unreadUpTo(int urgency) const
+    {
+        double sum = 0;
+        for (int n = 0; n <= urgency; ++n)
+            sum += unread[static_cast<size_t>(n)];
+        return sum;
+    }
 };
 
 /// An upstream as this node's forwarding sees it: what it announced, the load sent to it, and how it answered.
@@ -34,6 +53,7 @@
     TargetLoad own;
     TargetLoad others;
 
+    TimeMs lastByteAt; ///< Of any answer to this node.
     int failuresInRow = 0;
     double failureShare = 0; ///< Moving average over its answers.
     double answers = 0; ///< Weight of the average, up to its memory.
--- a/src/forward/TargetChoice.h
+++ b/src/forward/TargetChoice.h
@@ -24,6 +24,7 @@
     std::string_view backend;
     std::vector<PromptPart> parts;
     uint32_t promptTokens = 0;
+    int urgency = urgencyLevels - 1;
     std::vector<UpstreamId> tried; ///< Left out.
     std::function<bool(const ForwardTarget&)> allowed; ///< By version; null: all.
 };
@@ -33,6 +34,7 @@
     double waitMs = 0; ///< Expected time to the first event; 0 for targets that are no engines.
     double unread = 0; ///< Prompt tokens that the target has to read.
     double ahead = 0; ///< Prompt tokens that it has to read before the first event, those of other requests included.
+    double backlogMs = 0; ///< The part of the wait that other requests cause.
     bool full = false; ///< All of its slots are taken.
 };
 
--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -12,6 +12,9 @@
 // Before this share of its time has passed, a silent repeatable request is not sent a second time.
 static constexpr double silentShare = 1.5;
 static constexpr TimeMs leastSilence { 250 };
+// An upstream that has sent a byte to this node within the first time gets the second times the patience.
+static constexpr TimeMs livelyFor { 300 };
+static constexpr int64_t livelyPatience = 2;
 // A stream that may be resumed goes on elsewhere after a pause of this many of its longest regular pauses.
 static constexpr int silentGaps = 4;
 static constexpr TimeMs leastGap { 1000 };
@@ -162,7 +165,8 @@
         notePace(node.forward.choice.pace, call.ahead, static_cast<double>((node.now - call.sentAt).value));
     noteVersionResult(node, call, false);
     if (ForwardTarget* target = findTarget(node.forward.targets, call.target)) {
-        target->own.unread = std::max(0.0, target->own.unread - call.unread);
+        auto& unread = target->own.unread[static_cast<size_t>(call.urgency)];
+        unread = std::max(0.0, unread - call.unread);
         call.unread = 0;
         noteOutcome(*target, node.now, TargetOutcome::Answered);
     }
@@ -190,6 +194,8 @@
 static void takeBody(Node& node, ForwardCall& call, UpstreamEvent& event)
 {
     call.lastByteAt = node.now;
+    if (ForwardTarget* target = findTarget(node.forward.targets, call.target))
+        target->lastByteAt = node.now;
     if (isStreaming(call)) {
         if (call.unread > 0 || !call.counted)
             firstEvent(node, call);
@@ -286,7 +292,11 @@
     if (call.headPassed)
         return node.now - call.lastByteAt > std::max(call.rule->gap * silentGaps, leastGap);
     const TimeMs target { static_cast<int64_t>(static_cast<double>(call.rule->target.value) * silentShare) };
-    return node.now - call.sentAt > std::max({ target, call.expectedWait * 3, leastSilence });
+    const TimeMs limit = std::max({ target, call.expectedWait * 3, leastSilence });
+    // An upstream that answers others is slow, not silent: sending the request elsewhere would only add to the load.
+    const auto it = node.forward.targets.entries.find(call.target);
+    const bool answersOthers = it != node.forward.targets.entries.end() && node.now - it->second.lastByteAt < livelyFor;
+    return node.now - call.sentAt > (answersOthers ? limit * livelyPatience : limit);
 }
 
 static void tickCall(Node& node, ForwardCall& call)
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -25,6 +25,9 @@
 static constexpr TimeMs mostWhileLeaving { 1500 };
 // Another entry node takes the request at once.
 static constexpr TimeMs leavingRetryAfter { 20 };
+// A request is refused when others alone delay it by this part of its target, and it would miss the target by the second.
+static constexpr double refusedBacklog = 1.0;
+static constexpr double refusedWait = 1.4;
 static constexpr size_t maxHistograms = 512;
 
 ForwardState makeForwardState(const NodeOptions& options)
@@ -108,7 +111,8 @@
         return;
     if (ForwardTarget* target = findTarget(node.forward.targets, call.target)) {
         target->own.running = std::max(0.0, target->own.running - 1);
-        target->own.unread = std::max(0.0, target->own.unread - call.unread);
+        auto& unread = target->own.unread[static_cast<size_t>(call.urgency)];
+        unread = std::max(0.0, unread - call.unread);
     }
     call.unread = 0;
     call.dispatch = 0;
@@ -214,7 +218,7 @@
     call.sentAt = node.now;
     call.tried.push_back(target.id);
     known.own.running += 1;
-    known.own.unread += choice.unread;
+    known.own.unread[static_cast<size_t>(call.urgency)] += choice.unread;
     if (known.engine)
         forward.toRead[known.backend] += choice.unread;
     for (const auto& part : call.parts) {
@@ -236,6 +240,14 @@
     node.out.dispatches.push_back(std::move(dispatch));
 }
 
+// A request that would surely be late because of what waits before it: it would take time from others and be worth little
+// itself. Its own size is no reason, and one that has run elsewhere goes on.
+static bool isOverloaded(const ForwardCall& call, const TargetChoice& choice)
+{
+    const auto target = static_cast<double>(call.rule->target.value);
+    return !call.runs && choice.backlogMs > target * refusedBacklog && choice.waitMs > target * refusedWait;
+}
+
 void startAttempt(Node& node, ForwardCall& call)
 {
     auto& forward = node.forward;
@@ -243,7 +255,7 @@
         return refuseForward(node, call, call.runs ? 504 : 503, "out_of_time", "the time for an answer is over");
     if (call.backend.empty())
         call.backend = pickBackend(node, call);
-    ChoiceRequest request { .backend = call.backend, .parts = call.parts, .promptTokens = call.promptTokens, .tried = call.tried, .allowed = versionFilter(node, call) };
+    ChoiceRequest request { .backend = call.backend, .parts = call.parts, .promptTokens = call.promptTokens, .urgency = call.urgency, .tried = call.tried, .allowed = versionFilter(node, call) };
     auto choice = chooseTarget(forward.targets, forward.parts, forward.choice, request, node.now, node.random);
     if (!choice) {
         request.allowed = [&node](const ForwardTarget& target) { return !isVersionBarred(node, target); };
@@ -251,7 +263,10 @@
     }
     if (!choice)
         return refuseForward(node, call, call.runs ? 502 : 503, "no_upstream", "no upstream of " + call.backend + " takes requests", call.runs ? TimeMs {} : noTargetRetryAfter);
-    send(node, call, *findTarget(forward.targets, choice->target), *choice);
+    const ForwardTarget& target = *findTarget(forward.targets, choice->target);
+    if (target.engine && isOverloaded(call, *choice))
+        return refuseForward(node, call, 503, "overloaded", "all engines are busy for longer than the route's target", { static_cast<int64_t>(choice->backlogMs) });
+    send(node, call, target, *choice);
 }
 
 static ForwardCall& addCall(Node& node, RequestArrived&& arrived, const ForwardRule& rule, const AllowanceRule* account, ForwardFacts&& facts, double cost)
--- a/src/node/ForwardReport.cpp
+++ b/src/node/ForwardReport.cpp
@@ -34,6 +34,22 @@
     return node.options.settings.listeners.forward.port != 0;
 }
 
+static ReportedLoad reportOf(const ForwardTarget& target)
+{
+    ReportedLoad out { .upstream = target.id, .running = static_cast<float>(target.own.running), .unread = {} };
+    for (size_t n = 0; n < out.unread.size(); ++n)
+        out.unread[n] = static_cast<float>(target.own.unread[n]);
+    return out;
+}
+
+static TargetLoad loadOf(const ReportedLoad& reported)
+{
+    TargetLoad out { .running = std::max(0.0, static_cast<double>(reported.running)), .unread = {} };
+    for (size_t n = 0; n < reported.unread.size(); ++n)
+        out.unread[n] = std::max(0.0, static_cast<double>(reported.unread[n]));
+    return out;
+}
+
 static void reportLoad(Node& node)
 {
     auto& forward = node.forward;
@@ -46,7 +62,7 @@
         frame.placed.resize(maxPlaced);
     for (const auto& [id, target] : forward.targets.entries) {
         if (target.own.running > 0)
-            frame.loads.push_back({ id, static_cast<float>(target.own.running), static_cast<float>(target.own.unread) });
+            frame.loads.push_back(reportOf(target));
     }
     const std::string body = encode(frame);
     const NodeId leader = decisionLeader(node);
@@ -65,7 +81,7 @@
         });
     std::map<UpstreamId, TargetLoad> loads;
     for (const auto& load : frame.loads)
-        loads[load.upstream] = { std::max(0.0, static_cast<double>(load.running)), std::max(0.0, static_cast<double>(load.unread)) };
+        loads[load.upstream] = loadOf(load);
     takeReport(node.forward.targets, node.now, from, loads);
     takeSpending(node.forward.allowances, node.now, from, frame.spent);
     takeBackendDemand(node, from, frame);
--- a/src/node/PeerMessages.h
+++ b/src/node/PeerMessages.h
@@ -143,7 +143,7 @@
 struct ReportedLoad {
     UpstreamId upstream;
     float running = 0;
-    float unread = 0;
+    std::array<float, 10> unread {}; ///< By urgency.
 
     template <class Archive>
     void serialize(Archive& archive) { archive(upstream, running, unread); }
--- a/src/node/Scaling.cpp
+++ b/src/node/Scaling.cpp
@@ -103,20 +103,36 @@
     return key;
 }
 
+// Before any load is known: reclaimable instances for the part of the fleet that they will replace, so that they have
+// started when on-demand ones are given up.
+static std::optional<ScaleOrder> firstOrder(const Node& node, const FleetPlanOptions& options, const BackendRule& backend, const std::map<std::string, DomainFleet>& present)
+{
+    if (!isReclaimableSupplied(node, backend.name))
+        return std::nullopt;
+    for (const auto& [domain, fleet] : present) {
+        const auto wanted = static_cast<uint32_t>(fleet.onDemand * (1 - options.safety / options.comfort));
+        const ScaleOrder key { .backend = backend.name, .domain = domain, .reclaimable = true };
+        if (wanted && !fleet.reclaimable && wanted + fleet.onDemand <= backend.maxInstances && !node.duties.ordered.contains(key))
+            return ScaleOrder { .backend = backend.name, .domain = domain, .wanted = wanted, .reclaimable = true };
+    }
+    return std::nullopt;
+}
+
 static std::optional<ScaleOrder> dueOrderOf(Node& node, const BackendRule& backend)
 {
     static constexpr FleetPlanOptions options {};
+    const auto present = presentFleet(node, backend.name);
+    const bool supply = isReclaimableSupplied(node, backend.name);
     const auto it = node.duties.demand.find(backend.name);
     if (it == node.duties.demand.end())
-        return std::nullopt;
+        return firstOrder(node, options, backend, present);
     stepDemand(node, options, backend, it->second);
-    if (node.now - it->second.since < leastHistory)
-        return std::nullopt;
-    const auto present = presentFleet(node, backend.name);
-    const bool supply = isReclaimableSupplied(node, backend.name);
+    const bool mayGiveUp = node.now - it->second.since >= leastHistory;
     const auto plan = planFleet(options, backend, it->second.busy, present, supply);
     // More first: what is given up is replaced before.
     for (const bool more : { true, false }) {
+        if (!more && !mayGiveUp)
+            break;
         for (const auto& [domain, wanted] : plan) {
             const auto& fleet = present.at(domain);
             for (const bool reclaimable : { true, false }) {
