--- a/tests/control/DecisionLogTest.cpp
+++ b/tests/control/DecisionLogTest.cpp
@@ -127,3 +127,71 @@
         BOOST_TEST((decodeControlReply(machine.apply(2, command.substr(0, n)))->outcome == ControlOutcome::Malformed));
     BOOST_TEST(!restoreControl(other, command));
 }
+
+static PutConfiguration makeConfiguration(uint64_t number, const std::string& original)
+{
+    return { .number = number, .original = original, .rules = "rules of " + original, .operatorName = "asma", .now = TimeMs { 1000 } };
+}
+
+// Guards against a configuration that goes back, or that changes under its number.
+BOOST_AUTO_TEST_CASE(highestConfigurationHolds)
+{
+    DecisionLog log;
+    BOOST_TEST((applyControl(log, makeConfiguration(7, "seven")).outcome == ControlOutcome::Accepted));
+    BOOST_TEST((applyControl(log, makeConfiguration(5, "five")).outcome == ControlOutcome::Accepted));
+    BOOST_TEST((applyControl(log, makeConfiguration(7, "other")).outcome == ControlOutcome::Accepted));
+    BOOST_TEST(log.configuration == "seven");
+    BOOST_TEST(rulesText(log) == "rules of seven");
+    BOOST_TEST(log.revision == 1U);
+    applyControl(log, makeConfiguration(12, "twelve"));
+    DecisionLog restored;
+    BOOST_REQUIRE(restoreControl(restored, snapshotControl(log)));
+    BOOST_TEST((restored.configurationNumber == 12U && restored.configuration == "twelve" && restored.revision == 2U));
+}
+
+// Guards against two reports of one usage window with different counts.
+BOOST_AUTO_TEST_CASE(firstUsageOfAWindowHolds)
+{
+    DecisionLog log;
+    applyControl(log, CommitUsage { .window = 9, .counts = { { "acme", 3 } } });
+    applyControl(log, CommitUsage { .window = 9, .counts = { { "acme", 4 } } });
+    BOOST_TEST(log.usage.at(9).at("acme") == 3U);
+    DecisionLog restored;
+    BOOST_REQUIRE(restoreControl(restored, snapshotControl(log)));
+    BOOST_TEST(restored.usage.at(9).at("acme") == 3U);
+}
+
+// Guards against a resent order that starts a finished move anew, and against steps under an old epoch or after the end.
+BOOST_AUTO_TEST_CASE(versionOrderEndsOnce)
+{
+    DecisionLog log;
+    applyControl(log, TakeEpoch { .leader = { 1 }, .term = 3, .now = TimeMs { 1000 } });
+    const OrderVersion order { .backend = "lm", .target = "v2", .within = TimeMs { 12000 }, .now = TimeMs { 1000 } };
+    applyControl(log, order);
+    auto step = log.versionOrders.at("lm");
+    ++step.sequence;
+    step.state = VersionOrderState::RolledBack;
+    BOOST_TEST((applyControl(log, RecordVersionOrder { .epoch = 2, .order = step }).outcome == ControlOutcome::Stale));
+    BOOST_TEST((applyControl(log, RecordVersionOrder { .epoch = 3, .order = step }).outcome == ControlOutcome::Accepted));
+    step.state = VersionOrderState::Completed;
+    ++step.sequence;
+    BOOST_TEST((applyControl(log, RecordVersionOrder { .epoch = 3, .order = step }).outcome == ControlOutcome::Finished));
+    BOOST_TEST((applyControl(log, order).outcome == ControlOutcome::Accepted));
+    BOOST_TEST((log.versionOrders.at("lm").state == VersionOrderState::RolledBack));
+}
+
+// Guards against a history of large texts that fills the memory and the disk of the voters.
+BOOST_AUTO_TEST_CASE(oldTextsAreForgottenByTheirSize)
+{
+    DecisionLog log;
+    for (uint64_t n = 1; n <= 30; ++n) {
+        auto command = makeConfiguration(n, "x");
+        command.rules = std::string(400000, 'r');
+        applyControl(log, command);
+    }
+    size_t bytes = 0;
+    for (const auto& revision : log.history)
+        bytes += revision.text.size();
+    BOOST_TEST(bytes <= DecisionLog::keptTextBytes);
+    BOOST_TEST(!rulesText(log).empty());
+}
--- /dev/null
+++ b/tests/entry/HttpServerTest.cpp
@@ -0,0 +1,152 @@
+#include "entry/HttpServer.h"
+
+#include <boost/asio.hpp>
+#include <boost/test/unit_test.hpp>
+#include <thread>
+
+using namespace siskinshunt;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+// A server on the loopback that answers each request with its method, target and body.
+class EchoServer {
+public:
+    explicit EchoServer(InputLimits limits = {})
+    {
+        tcp::acceptor probe(m_context, { asio::ip::make_address("127.0.0.1"), 0 });
+        m_port = probe.local_endpoint().port();
+        probe.close();
+        HttpServerHandlers handlers { .arrived = [this](RequestArrived arrived) { answer(arrived); }, .gone = [this](ExchangeId) { ++gone; }, .log = [](const LogRecord&) {} };
+        m_server = std::make_unique<HttpServer>(m_context, HttpServerOptions { .listen = { "127.0.0.1", m_port }, .limits = limits, .tls = {} }, std::move(handlers));
+        m_server->start();
+        m_thread = std::thread([this] { m_context.run(); });
+    }
+
+    ~EchoServer()
+    {
+        asio::post(m_context, [this] { m_server.reset(); });
+        m_work.reset();
+        m_thread.join();
+    }
+
+    // Sends the bytes and reads until the server closes or `until` has arrived; then the same with what follows.
+    std::string exchange(const std::string& bytes, const std::string& until = {}, const std::string& rest = {}, const std::string& restUntil = {})
+    {
+        asio::io_context context;
+        tcp::socket socket(context);
+        socket.connect({ asio::ip::make_address("127.0.0.1"), m_port });
+        asio::write(socket, asio::buffer(bytes));
+        std::string out;
+        error_code ec;
+        const auto readUntil = [&](const std::string& text) {
+            while (!ec && (text.empty() || out.find(text) == std::string::npos)) {
+                std::array<char, 4096> buf {};
+                const size_t n = socket.read_some(asio::buffer(buf), ec);
+                out.append(buf.data(), n);
+            }
+        };
+        readUntil(until);
+        if (!rest.empty()) {
+            asio::write(socket, asio::buffer(rest));
+            readUntil(restUntil);
+        }
+        reset = ec == asio::error::connection_reset;
+        return out;
+    }
+
+    std::atomic<int> gone { 0 };
+    std::atomic<int> arrivals { 0 };
+    bool reset = false;
+
+private:
+    void answer(const RequestArrived& arrived)
+    {
+        ++arrivals;
+        const auto& request = arrived.request;
+        if (request.target == "/abort") {
+            m_server->answer({ .exchange = arrived.exchange, .part = AnswerPart::Head, .status = 200 });
+            m_server->answer({ .exchange = arrived.exchange, .part = AnswerPart::Body, .body = "part" });
+            return m_server->answer({ .exchange = arrived.exchange, .part = AnswerPart::Abort });
+        }
+        if (request.target == "/stream") {
+            m_server->answer({ .exchange = arrived.exchange, .part = AnswerPart::Head, .status = 200, .headers = { { "X-A", "1" }, { "X-A", "2" } } });
+            m_server->answer({ .exchange = arrived.exchange, .part = AnswerPart::Body, .body = "one" });
+            m_server->answer({ .exchange = arrived.exchange, .part = AnswerPart::Body, .body = "two" });
+            return m_server->answer({ .exchange = arrived.exchange, .part = AnswerPart::End });
+        }
+        m_server->answer({ .exchange = arrived.exchange, .part = AnswerPart::Whole, .status = 200, .body = request.method + " " + request.target + " [" + request.body + "]" });
+    }
+
+    asio::io_context m_context { 1 };
+    asio::executor_work_guard<asio::io_context::executor_type> m_work { m_context.get_executor() };
+    uint16_t m_port = 0;
+    std::unique_ptr<HttpServer> m_server;
+    std::thread m_thread;
+};
+
+}
+
+// Guards against a request that hides behind a length which the server reads differently from an upstream.
+BOOST_AUTO_TEST_CASE(smuggledRequestsAreRefusedAndTheConnectionCloses)
+{
+    EchoServer server;
+    const std::string hidden = "GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n";
+    for (const char* fields : { "Transfer-Encoding: xchunked\r\n", "Transfer-Encoding: chunked, identity\r\n", "Content-Length: 0\r\nTransfer-Encoding: chunked\r\n", "Content-Length: 4\r\nContent-Length: 0\r\n", "A: b\r\n c\r\n", "A: b\n" }) {
+        const auto answer = server.exchange("POST /outer HTTP/1.1\r\nHost: h\r\n" + std::string(fields) + "\r\n" + hidden);
+        BOOST_TEST(answer.starts_with("HTTP/1.1 400"), fields << answer);
+        BOOST_TEST(answer.find("/hidden") == std::string::npos, fields);
+    }
+    BOOST_TEST(server.arrivals == 0);
+}
+
+// Guards against bodies that are cut, joined or read as the next request.
+BOOST_AUTO_TEST_CASE(bodiesArriveUnchanged)
+{
+    EchoServer server;
+    const auto two = server.exchange("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nxyzPOST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1;x=y\r\nc\r\n0\r\n\r\n", "/b [abc]");
+    BOOST_TEST(two.find("POST /a [xyz]") != std::string::npos);
+    BOOST_TEST(two.find("POST /b [abc]") != std::string::npos);
+    const auto waiting = server.exchange("POST /c HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n", "100 Continue\r\n\r\n", "z", "/c [z]");
+    BOOST_TEST(waiting.starts_with("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200"));
+}
+
+// Guards against answers whose length, repeated headers or end a caller cannot tell.
+BOOST_AUTO_TEST_CASE(answersAreFramed)
+{
+    EchoServer server;
+    const auto stream = server.exchange("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n", "0\r\n\r\n");
+    BOOST_TEST(stream.find("X-A: 1\r\nX-A: 2\r\n") != std::string::npos);
+    BOOST_TEST(stream.ends_with("\r\n\r\n3\r\none\r\n3\r\ntwo\r\n0\r\n\r\n"));
+    const auto head = server.exchange("HEAD /h HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    BOOST_TEST(head.find("Content-Length: 10\r\n") != std::string::npos);
+    BOOST_TEST(head.ends_with("\r\n\r\n"));
+    const auto old = server.exchange("GET /stream HTTP/1.0\r\n\r\n");
+    BOOST_TEST(old.ends_with("\r\n\r\nonetwo"));
+}
+
+// Guards against an answer that broke off and looks complete.
+BOOST_AUTO_TEST_CASE(abortedAnswerResetsTheConnection)
+{
+    EchoServer server;
+    const auto answer = server.exchange("GET /abort HTTP/1.1\r\nHost: h\r\n\r\n");
+    BOOST_TEST(server.reset);
+    BOOST_TEST(answer.find("0\r\n\r\n") == std::string::npos);
+}
+
+// Guards against inputs without bounds.
+BOOST_AUTO_TEST_CASE(limitsOfCallersHold)
+{
+    InputLimits limits;
+    limits.headerBytes = 1024;
+    limits.bodyBytes = 10;
+    limits.headerTimeout = TimeMs { 200 };
+    EchoServer server(limits);
+    BOOST_TEST(server.exchange("GET /a HTTP/1.1\r\nHost: h\r\nA: " + std::string(2000, 'x') + "\r\n\r\n").starts_with("HTTP/1.1 431"));
+    BOOST_TEST(server.exchange("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n").starts_with("HTTP/1.1 413"));
+    BOOST_TEST(server.exchange("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nb\r\n01234567890\r\n0\r\n\r\n").starts_with("HTTP/1.1 413"));
+    BOOST_TEST(server.exchange("GET /a HTTP/1.1\r\nHost:").empty());
+    BOOST_TEST(server.arrivals == 0);
+}
--- /dev/null
+++ b/tests/forward/AllowanceTest.cpp
@@ -0,0 +1,174 @@
+#include "forward/Allowance.h"
+
+#include "forward/RetryLimit.h"
+
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <vector>
+
+using namespace siskinshunt;
+
+static AllowanceRule ruleOf(double rate, double burst)
+{
+    AllowanceRule rule;
+    rule.name = "acme";
+    rule.rate = rate;
+    rule.burst = burst;
+    rule.tokens = true;
+    return rule;
+}
+
+namespace {
+
+// Nodes that share one allowance and tell each other of their spending at an interval.
+struct Nodes {
+    explicit Nodes(size_t count, double slack)
+        : states(count)
+    {
+        for (auto& state : states)
+            state.options.slack = slack;
+    }
+
+    void exchange(TimeMs now, const std::vector<bool>& cut = {})
+    {
+        for (size_t from = 0; from < states.size(); ++from) {
+            for (size_t to = 0; to < states.size(); ++to) {
+                const bool isCut = !cut.empty() && (cut[from] || cut[to]);
+                if (from != to && !isCut)
+                    takeSpending(states[to], now, NodeId { from + 1 }, spendingOf(states[from]));
+            }
+        }
+    }
+
+    std::vector<Allowances> states;
+};
+
+// The largest sum in any window of what was let pass.
+struct SlidingSum {
+    void add(TimeMs now, double cost)
+    {
+        passed.emplace_back(now, cost);
+        sum += cost;
+        while (now - passed.front().first > window) {
+            sum -= passed.front().second;
+            passed.pop_front();
+        }
+        largest = std::max(largest, sum);
+    }
+
+    TimeMs window { 8000 };
+    std::deque<std::pair<TimeMs, double>> passed;
+    double sum = 0;
+    double largest = 0;
+};
+
+}
+
+static double limitOf(const AllowanceRule& rule, double slack)
+{
+    return (rule.rate * 8 + rule.burst) * 1.1 + slack;
+}
+
+// Sends `share` times the rate, spread over the nodes, and returns the share of it that passed.
+static double flood(Nodes& nodes, const AllowanceRule& rule, double share, SlidingSum& sum, const std::vector<bool>& cut = {})
+{
+    static constexpr double cost = 5000;
+    double asked = 0;
+    double passed = 0;
+    double due = 0;
+    size_t turn = 0;
+    for (TimeMs now { 1000 }; now < TimeMs { 41000 }; now += 10_ms) {
+        if (now.value % 100 == 0)
+            nodes.exchange(now, now > TimeMs { 11000 } ? cut : std::vector<bool> {});
+        for (due += rule.rate * share * 0.01; due >= cost; due -= cost) {
+            auto& state = nodes.states[turn++ % nodes.states.size()];
+            asked += cost;
+            if (!takeAllowance(state, now, rule, cost))
+                continue;
+            passed += cost;
+            sum.add(now, cost);
+        }
+    }
+    return passed / asked;
+}
+
+// Load pattern: one account sends six times its usual over all nodes. Guards against a sum over the nodes above the limit,
+// and against shares that leave much of the allowance unused.
+BOOST_AUTO_TEST_CASE(oneAccountFloodsAllNodes)
+{
+    const auto rule = ruleOf(120000, 120000);
+    for (const size_t count : { 7, 30 }) {
+        Nodes nodes(count, 110000);
+        SlidingSum sum;
+        const double passed = flood(nodes, rule, 3.3, sum);
+        BOOST_TEST(sum.largest <= limitOf(rule, 110000), count << " nodes: " << sum.largest);
+        BOOST_TEST(passed * 3.3 >= 0.95, count << " nodes passed " << passed);
+    }
+}
+
+// Load pattern: the account stays just below its limit. Guards against refusals of what the allowance covers.
+BOOST_AUTO_TEST_CASE(accountBelowItsLimitIsNotRefused)
+{
+    const auto rule = ruleOf(120000, 120000);
+    Nodes nodes(7, 110000);
+    SlidingSum sum;
+    BOOST_TEST(flood(nodes, rule, 0.9, sum) == 1.0);
+}
+
+// Guards against a node that is cut off and spends the whole allowance beside the others.
+BOOST_AUTO_TEST_CASE(nodeThatIsCutOffKeepsToItsPart)
+{
+    const auto rule = ruleOf(120000, 120000);
+    Nodes nodes(7, 110000);
+    SlidingSum sum;
+    flood(nodes, rule, 3.3, sum, { true, false, false, false, false, false, false });
+    BOOST_TEST(sum.largest <= limitOf(rule, 110000), sum.largest);
+}
+
+// Guards against large requests that never pass because they exceed the bucket.
+BOOST_AUTO_TEST_CASE(requestLargerThanTheBucketPasses)
+{
+    Allowances state;
+    const auto rule = ruleOf(1000, 1000);
+    BOOST_TEST(takeAllowance(state, TimeMs { 1000 }, rule, 5000));
+    BOOST_TEST(!takeAllowance(state, TimeMs { 1100 }, rule, 100));
+    BOOST_TEST(allowanceIn(state, TimeMs { 1100 }, rule, 100).value > 2000);
+    BOOST_TEST(takeAllowance(state, TimeMs { 9000 }, rule, 5000));
+}
+
+// Guards against a lowered limit that the old bucket outlives.
+BOOST_AUTO_TEST_CASE(loweredLimitBindsAtOnce)
+{
+    Allowances state;
+    BOOST_TEST(takeAllowance(state, TimeMs { 1000 }, ruleOf(100000, 100000), 10));
+    double passed = 0;
+    for (int n = 0; n < 100; ++n)
+        passed += takeAllowance(state, TimeMs { 1010 }, ruleOf(1000, 1000), 500) ? 500 : 0;
+    BOOST_TEST(passed <= 2000);
+}
+
+// Load pattern: every request fails once. Guards against retries beyond the platform's limit as a sum over the nodes.
+BOOST_AUTO_TEST_CASE(retriesStayWithinTheSharedLimit)
+{
+    static constexpr size_t count = 7;
+    const RetryLimit limit { TimeMs { 10000 }, 0.2, 54 };
+    std::vector<RetryUse> nodes(count);
+    std::deque<TimeMs> requests;
+    std::deque<TimeMs> retries;
+    size_t turn = 0;
+    for (TimeMs now { 100000 }; now < TimeMs { 160000 }; now += 20_ms) {
+        auto& use = nodes[turn++ % count];
+        noteFirstSend(use, limit, now);
+        requests.push_back(now);
+        for (int n = 0; n < 2; ++n) {
+            if (takeRetry(use, limit, now, count))
+                retries.push_back(now);
+        }
+        while (now - requests.front() > limit.window)
+            requests.pop_front();
+        while (!retries.empty() && now - retries.front() > limit.window)
+            retries.pop_front();
+        BOOST_REQUIRE(static_cast<double>(retries.size()) <= limit.ratio * static_cast<double>(requests.size()) + limit.extra);
+    }
+    BOOST_TEST(retries.size() >= 60U);
+}
--- /dev/null
+++ b/tests/forward/FleetPlanTest.cpp
@@ -0,0 +1,76 @@
+#include "forward/FleetPlan.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace siskinshunt;
+
+static BackendRule backendOf()
+{
+    BackendRule backend;
+    backend.name = "lm";
+    backend.slots = 64;
+    backend.minInstances = 1;
+    backend.maxInstances = 6;
+    backend.reclaimablePrice = 0.2;
+    backend.prices = { { "a", 0.85 }, { "b", 1.2 }, { "c", 1.0 } };
+    return backend;
+}
+
+static const std::map<std::string, DomainFleet> present { { "a", { 3, 0 } }, { "b", { 3, 0 } }, { "c", { 3, 0 } } };
+
+static DomainPlan sumOf(const std::map<std::string, DomainPlan>& plan)
+{
+    DomainPlan sum;
+    for (const auto& [domain, it] : plan) {
+        sum.onDemand += it.onDemand;
+        sum.reclaimable += it.reclaimable;
+    }
+    return sum;
+}
+
+// Load pattern: all reclaimable instances are taken back in waves. Guards against a plan whose on-demand instances cannot
+// carry the load alone.
+BOOST_AUTO_TEST_CASE(onDemandInstancesCarryTheLoadAlone)
+{
+    for (double busy = 0.5; busy <= 9; busy += 0.5) {
+        const auto sum = sumOf(planFleet({}, backendOf(), busy, present, true));
+        BOOST_TEST(sum.onDemand >= std::min(18.0, busy));
+        BOOST_TEST(sum.onDemand + sum.reclaimable >= std::min(18.0, busy * 2));
+    }
+}
+
+// Guards against domains above their limit or below their least number, and against the dear domain first.
+BOOST_AUTO_TEST_CASE(limitsAndPricesOfDomainsHold)
+{
+    for (const bool supply : { true, false }) {
+        for (double busy = 0; busy < 20; busy += 0.7) {
+            for (const auto& [domain, it] : planFleet({}, backendOf(), busy, present, supply)) {
+                BOOST_TEST(it.onDemand + it.reclaimable <= 6U);
+                BOOST_TEST(it.onDemand >= 1U);
+            }
+        }
+    }
+    const auto plan = planFleet({}, backendOf(), 3.0, present, true);
+    BOOST_TEST(plan.at("a").onDemand >= plan.at("b").onDemand);
+    BOOST_TEST(plan.at("c").onDemand >= plan.at("b").onDemand);
+}
+
+// Load pattern: reclaimable instances are not to be had. Guards against a fleet that waits for them.
+BOOST_AUTO_TEST_CASE(dryMarketIsMadeUpForByOnDemandInstances)
+{
+    const auto usual = sumOf(planFleet({}, backendOf(), 3.0, present, true));
+    const auto dry = sumOf(planFleet({}, backendOf(), 3.0, present, false));
+    BOOST_TEST(dry.onDemand > usual.onDemand);
+    auto held = present;
+    held["a"].reclaimable = 3;
+    BOOST_TEST(sumOf(planFleet({}, backendOf(), 3.0, held, false)).onDemand < dry.onDemand);
+}
+
+// Guards against a load that forgets the tokens of running requests or the prompts.
+BOOST_AUTO_TEST_CASE(busyEnginesCountPromptsAndSlots)
+{
+    const auto backend = backendOf();
+    BOOST_TEST(busyEngines({}, backend, { 80000, 0, 40 }) == 2.0);
+    BOOST_TEST(busyEngines({}, backend, { 80000, 64, 40 }) == 2.5);
+    BOOST_TEST(busyEngines({}, backend, {}) == 0.0);
+}
--- /dev/null
+++ b/tests/forward/ForwardCallTest.cpp
@@ -0,0 +1,75 @@
+#include "forward/ForwardCall.h"
+
+#include "forward/UsageMeter.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace siskinshunt;
+
+// Guards against callers that set what only the system may set, and against keys that reach an upstream.
+BOOST_AUTO_TEST_CASE(headersOfTheSystemAreItsOwn)
+{
+    HeaderNames names;
+    names.reserved = { "X-Reserve" };
+    HttpRequest request { "POST", "/a", { { "Host", "h" }, { "authorization", "Bearer k" }, { names.account, "other" }, { names.urgency, "0" }, { names.target, "t" }, { names.timeLeft, "9" }, { "x-reserve", "1" }, { "Connection", "close, X-Hop" }, { "X-Hop", "1" }, { "TE", "trailers" }, { "Accept", "a" }, { "Accept", "b" }, { names.requestId, "r" } }, "body" };
+    auto made = requestForUpstreams(std::move(request), names, "acme", 3);
+    addAttemptHeaders(made, names, "runner-1", TimeMs { 250 }, {});
+    const HttpHeaders expected { { "Host", "h" }, { "Accept", "a" }, { "Accept", "b" }, { names.requestId, "r" }, { names.account, "acme" }, { names.urgency, "3" }, { names.target, "runner-1" }, { names.timeLeft, "250" } };
+    BOOST_TEST((made.headers == expected));
+    BOOST_TEST(made.body == "body");
+}
+
+// Guards against a caller that has the request's identity removed by naming it in Connection.
+BOOST_AUTO_TEST_CASE(identityCannotBeListedAway)
+{
+    const HeaderNames names;
+    HttpRequest request { "GET", "/a", { { "Connection", names.requestId + ", Host, " + names.tokens }, { "Host", "h" }, { names.requestId, "r" }, { names.tokens, "1,2" } }, "" };
+    const auto made = requestForUpstreams(std::move(request), names, {}, 0);
+    BOOST_TEST(findHeader(made.headers, "Host") == "h");
+    BOOST_TEST(findHeader(made.headers, names.requestId) == "r");
+    BOOST_TEST(findHeader(made.headers, names.tokens) == "1,2");
+}
+
+// Guards against sums and parts that are made up from unreadable headers.
+BOOST_AUTO_TEST_CASE(unreadableFactsAreAbsent)
+{
+    const HeaderNames names;
+    const auto facts = readFacts({ { names.timeLeft, "5000" }, { names.tokens, "1460,80" }, { names.promptParts, "5c1e07a2:800,91bd3f06:410" } }, names);
+    BOOST_TEST(facts.timeLeft->value == 5000);
+    BOOST_TEST(*facts.tokens == 1540U);
+    BOOST_TEST(facts.promptTokens == 1460U);
+    BOOST_REQUIRE(facts.parts.size() == 2U);
+    BOOST_TEST(facts.parts[1].hash == 0x91bd3f06U);
+    const auto odd = readFacts({ { names.timeLeft, "-1" }, { names.tokens, "14" }, { names.promptParts, "5c1e07a2:800,zz:1" } }, names);
+    BOOST_TEST((!odd.timeLeft && !odd.tokens && odd.parts.empty()));
+}
+
+// Guards against torn or repeated events where a stream goes on elsewhere, wherever its bytes are split.
+BOOST_AUTO_TEST_CASE(eventsAreCutAtTheirEnds)
+{
+    const std::string stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c";
+    for (size_t at = 0; at <= stream.size(); ++at) {
+        EventCutter cutter;
+        std::string out = cutter.take(stream.substr(0, at));
+        out += cutter.take(stream.substr(at));
+        BOOST_TEST(out == stream.substr(0, stream.find("id: 3")));
+        BOOST_TEST(cutter.lastId() == "2");
+        BOOST_TEST(cutter.events() == 2U);
+        BOOST_TEST(cutter.heldBytes() == std::string("id: 3\ndata: c").size());
+        cutter.dropHeld();
+        BOOST_TEST(cutter.take("id: 3\ndata: c\n\n") == "id: 3\ndata: c\n\n");
+    }
+}
+
+// Guards against counts in a neighbouring window and windows that are kept for ever.
+BOOST_AUTO_TEST_CASE(usageFallsIntoWindowsOfTrueTime)
+{
+    UsageMeter meter;
+    noteUsage(meter, TimeMs { 9999 }, "acme");
+    noteUsage(meter, TimeMs { 10000 }, "acme");
+    noteUsage(meter, TimeMs { 14999 }, "acme");
+    BOOST_TEST(meter.windows.at(1).at("acme") == 1U);
+    BOOST_TEST(meter.windows.at(2).at("acme") == 2U);
+    expireUsage(meter, TimeMs { 72000 });
+    BOOST_TEST((meter.windows.size() == 1U && meter.windows.contains(2)));
+}
--- /dev/null
+++ b/tests/forward/TargetChoiceTest.cpp
@@ -0,0 +1,147 @@
+#include "forward/TargetChoice.h"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+using namespace siskinshunt;
+
+namespace {
+
+struct Engines {
+    explicit Engines(int count)
+    {
+        for (int n = 0; n < count; ++n) {
+            ForwardTarget target;
+            target.id = UpstreamId { static_cast<uint64_t>(n + 1) };
+            target.backend = "lm";
+            target.domain = "a";
+            target.engine = true;
+            target.slots = 64;
+            target.lastSeen = now;
+            target.incarnation = 1;
+            putTarget(table, target);
+        }
+        options.domain = "a";
+        options.pace = { .tokensPerMs = 40, .baseMs = 40 };
+    }
+
+    std::optional<TargetChoice> choose(ChoiceRequest request)
+    {
+        request.backend = "lm";
+        return chooseTarget(table, parts, options, request, now, random);
+    }
+
+    ForwardTarget& at(uint64_t id) { return *findTarget(table, UpstreamId { id }); }
+
+    TimeMs now { 100000 };
+    ForwardTargets table;
+    PartMemory parts;
+    ChoiceOptions options;
+    Random random { 1 };
+};
+
+}
+
+static std::vector<PromptPart> partsOf(uint64_t session)
+{
+    return { { 1, 2500 }, { 1000 + session, 3700 }, { 5000 + session, 2900 } };
+}
+
+// Load pattern: sessions that share long prompts. Guards against nodes that place one session on several engines, and
+// against all sessions on one engine.
+BOOST_AUTO_TEST_CASE(sessionsHaveOneHomeOnAllNodes)
+{
+    std::set<uint64_t> homes;
+    for (uint64_t session = 0; session < 60; ++session) {
+        Engines one(9);
+        Engines two(9);
+        two.random = Random(99);
+        const auto a = one.choose({ .parts = partsOf(session), .promptTokens = 9100 });
+        const auto b = two.choose({ .parts = partsOf(session), .promptTokens = 9100 });
+        BOOST_REQUIRE(a && b);
+        BOOST_TEST((a->target == b->target));
+        homes.insert(a->target.value);
+    }
+    BOOST_TEST(homes.size() >= 8U);
+}
+
+// Guards against a choice that follows a cached part to an engine whose backlog costs more than reading it anew.
+BOOST_AUTO_TEST_CASE(cachedPartsAreWeighedAgainstTheBacklog)
+{
+    Engines engines(3);
+    const auto parts = partsOf(7);
+    for (const auto& part : parts)
+        notePart(engines.parts, engines.now, part.hash, UpstreamId { 2 });
+    const auto cached = engines.choose({ .parts = parts, .promptTokens = 9100 });
+    BOOST_TEST((cached->target == UpstreamId { 2 }));
+    BOOST_TEST(cached->unread == 0);
+    engines.at(2).others.unread[9] = 60000;
+    const auto moved = engines.choose({ .parts = parts, .promptTokens = 9100 });
+    BOOST_TEST((moved->target != UpstreamId { 2 }));
+    BOOST_TEST(moved->unread == 9100);
+}
+
+// Load pattern: many requests of little urgency wait. Guards against urgent ones that are held to queue behind them.
+BOOST_AUTO_TEST_CASE(backlogOfLessUrgentRequestsDoesNotCount)
+{
+    Engines engines(1);
+    engines.at(1).own.unread[8] = 100000;
+    BOOST_TEST(engines.choose({ .promptTokens = 400, .urgency = 2 })->backlogMs == 0);
+    BOOST_TEST(engines.choose({ .promptTokens = 400, .urgency = 8 })->backlogMs == 2500);
+}
+
+// Guards against work for upstreams that leave, failed just now, fell silent, or were tried already.
+BOOST_AUTO_TEST_CASE(unsoundTargetsComeLast)
+{
+    Engines engines(4);
+    engines.at(1).leaving = true;
+    noteOutcome(engines.at(2), engines.now, TargetOutcome::Unreachable);
+    engines.at(3).lastSeen = engines.now - 60_s;
+    for (uint64_t session = 0; session < 20; ++session)
+        BOOST_TEST((engines.choose({ .parts = partsOf(session), .promptTokens = 100 })->target == UpstreamId { 4 }));
+    const auto doubtful = engines.choose({ .promptTokens = 100, .tried = { UpstreamId { 4 } } });
+    BOOST_REQUIRE(doubtful);
+    BOOST_TEST((doubtful->target != UpstreamId { 1 }));
+    BOOST_TEST(!engines.choose({ .promptTokens = 100, .tried = { UpstreamId { 2 }, UpstreamId { 3 }, UpstreamId { 4 } } }));
+}
+
+// Guards against an upstream with many failures that keeps its share of the requests, and against one with the usual
+// failures of its service that loses it.
+BOOST_AUTO_TEST_CASE(greyUpstreamIsAvoided)
+{
+    Engines engines(2);
+    for (int n = 0; n < 20; ++n) {
+        noteOutcome(engines.at(1), engines.now, n % 5 < 2 ? TargetOutcome::Failed : TargetOutcome::Answered);
+        noteOutcome(engines.at(2), engines.now, n % 7 == 0 ? TargetOutcome::Failed : TargetOutcome::Answered);
+    }
+    noteOutcome(engines.at(1), engines.now, TargetOutcome::Failed);
+    BOOST_TEST((engines.at(1).avoidUntil > engines.now));
+    BOOST_TEST((engines.at(2).avoidUntil <= engines.now));
+}
+
+// Guards against loads of a node that has gone and is counted for ever.
+BOOST_AUTO_TEST_CASE(reportsOfSilentNodesExpire)
+{
+    Engines engines(1);
+    takeReport(engines.table, engines.now, NodeId { 5 }, { { UpstreamId { 1 }, { .running = 3, .unread = {} } } });
+    takeReport(engines.table, engines.now, NodeId { 6 }, { { UpstreamId { 1 }, { .running = 2, .unread = {} } } });
+    BOOST_TEST(engines.at(1).others.running == 5);
+    takeReport(engines.table, engines.now + 1_s, NodeId { 6 }, { { UpstreamId { 1 }, { .running = 1, .unread = {} } } });
+    expireReports(engines.table, engines.now + 2500_ms, 2_s);
+    BOOST_TEST(engines.at(1).others.running == 1);
+}
+
+// Guards against estimates that take the fixed time of an engine for time per token.
+BOOST_AUTO_TEST_CASE(paceIsLearntBesideTheFixedTime)
+{
+    EnginePace pace;
+    Random random(3);
+    for (int n = 0; n < 500; ++n) {
+        const auto tokens = static_cast<double>(random.below(12000));
+        notePace(pace, tokens, 45 + tokens / 80 + static_cast<double>(random.below(10)));
+    }
+    BOOST_TEST(pace.tokensPerMs > 72);
+    BOOST_TEST(pace.tokensPerMs < 88);
+    BOOST_TEST(pace.baseMs > 40);
+    BOOST_TEST(pace.baseMs < 60);
+}
--- /dev/null
+++ b/tests/node/ForwardTest.cpp
@@ -0,0 +1,415 @@
+#include "FleetFixture.h"
+
+#include "base/Hash.h"
+#include "node/ForwardFlow.h"
+#include "rules/RuleParser.h"
+
+namespace siskinshunt {
+
+namespace {
+
+    // One entry node with rules, whose upstreams and callers are played by the test.
+    struct ForwardNode {
+        explicit ForwardNode(const std::string& more = {})
+        {
+            NodeOptions options;
+            options.settings.node = "entry-1";
+            options.settings.cluster = "test";
+            options.settings.failureDomain = "a";
+            options.settings.http = { "127.0.0.1", 8080 };
+            options.settings.peer = { "127.0.0.1", 7000 };
+            options.settings.peerKey = std::string(32, 'k');
+            options.settings.listeners.forward = { "127.0.0.1", 8081 };
+            options.settings.timings.drainLimit = TimeMs { 7000 };
+            options.settings.ledgerGroups = 0;
+            options.startedAtUtc = now;
+            node = handle([&] { return makeNode(std::move(options), now); }, [](const Error&) { return NodePtr {}; });
+            BOOST_REQUIRE(node);
+            useRules(rulesText() + more);
+        }
+
+        static std::string rulesText()
+        {
+            const std::string who = " # Asma: test\n";
+            return "backend desk" + who + "backend lm slots=64 memory-tokens=100000" + who
+                + "forward book host=h prefix=/book/ kind=once timeout=1s target=150ms attempts=1 anonymous=yes to=desk:1" + who
+                + "forward look host=h prefix=/look/ kind=repeatable timeout=1s target=150ms attempts=2 anonymous=yes to=desk:1" + who
+                + "forward plan host=h prefix=/plan/ kind=stream timeout=6s target=800ms gap=250ms attempts=2 resume=yes anonymous=yes to=lm:1" + who
+                + "forward ask host=h prefix=/ask/ kind=stream timeout=4s target=600ms gap=250ms attempts=1 resume=no anonymous=yes to=lm:1" + who;
+        }
+
+        void useRules(const std::string& text)
+        {
+            auto parsed = parseRules(text);
+            BOOST_REQUIRE_MESSAGE(parsed.problems.empty(), parsed.problems.front().message);
+            node->rules = std::make_shared<const RuleSet>(std::move(parsed.rules));
+            setForwardRules(*node);
+        }
+
+        void addUpstream(const std::string& name, const std::string& backend, uint64_t incarnation = 1, bool leaving = false)
+        {
+            Announcement announced;
+            announced.name = name;
+            announced.address = "127.0.0.2:" + std::to_string(9000 + ++announcements);
+            announced.domain = "a";
+            announced.model = backend;
+            announced.version = "v1";
+            announced.leaving = leaving;
+            announced.incarnation = incarnation;
+            announced.sequence = announcements;
+            announced.load.capacity = 4;
+            announce(node->membership, now, announced, node->membershipOutputs);
+            run({});
+        }
+
+        void run(Inputs inputs)
+        {
+            Outputs outputs;
+            step(*node, now, std::move(inputs), outputs);
+            for (auto& it : outputs.dispatches)
+                dispatches.push_back(std::move(it));
+            for (auto& it : outputs.answers)
+                answers.push_back(std::move(it));
+            cancels.insert(cancels.end(), outputs.cancels.begin(), outputs.cancels.end());
+        }
+
+        void advance(TimeMs time)
+        {
+            for (const TimeMs end = now + time; now < end;) {
+                now += 20_ms;
+                run({});
+            }
+        }
+
+        ExchangeId post(const std::string& path, HttpHeaders headers = {})
+        {
+            headers.emplace_back("Host", "h");
+            headers.emplace_back(names.requestId, "r" + std::to_string(++exchange));
+            Inputs inputs;
+            inputs.requests.push_back({ exchange, { "POST", path, std::move(headers), "body" }, "127.0.0.9:1", ListenerKind::Forward });
+            run(std::move(inputs));
+            return exchange;
+        }
+
+        const UpstreamDispatch& last() const { return dispatches.back(); }
+
+        void event(UpstreamEvent event)
+        {
+            event.dispatch = last().dispatch;
+            Inputs inputs;
+            inputs.events.push_back(std::move(event));
+            run(std::move(inputs));
+        }
+
+        void sending() { event({ .kind = UpstreamEventKind::Sending }); }
+        void fail(UpstreamFailure failure) { event({ .kind = UpstreamEventKind::Failed, .failure = failure }); }
+        void body(const std::string& bytes) { event({ .kind = UpstreamEventKind::Body, .bytes = bytes }); }
+        void end() { event({ .kind = UpstreamEventKind::End }); }
+        void head(uint16_t status, HttpHeaders more = {}, bool receipt = true)
+        {
+            more.emplace_back(names.requestId, "r" + std::to_string(exchange));
+            if (receipt)
+                more.emplace_back(names.receipt, "proof");
+            event({ .kind = UpstreamEventKind::Head, .status = status, .headers = std::move(more) });
+        }
+
+        // The whole answer of the last exchange; status 0 when there is none, 1 when it was broken off.
+        std::pair<int, std::string> answer() const
+        {
+            int status = 0;
+            std::string text;
+            for (const auto& it : answers) {
+                if (it.exchange != exchange)
+                    continue;
+                if (it.part == AnswerPart::Abort)
+                    return { 1, text };
+                if (it.part == AnswerPart::Whole || it.part == AnswerPart::Head) {
+                    BOOST_CHECK_EQUAL(status, 0);
+                    status = it.status;
+                }
+                text += it.body;
+            }
+            return { status, text };
+        }
+
+        HeaderNames names;
+        TimeMs now { 1764800000000 };
+        NodePtr node;
+        ExchangeId exchange = 0;
+        uint64_t announcements = 0;
+        std::vector<UpstreamDispatch> dispatches;
+        std::vector<Answer> answers;
+        std::vector<DispatchId> cancels;
+    };
+
+}
+
+BOOST_AUTO_TEST_SUITE(Forward)
+
+// Guards against a request that must not repeat and is sent a second time after a byte may have left, and against a
+// refusal that says it has not run.
+BOOST_AUTO_TEST_CASE(OnceIsNeverSentAgain)
+{
+    for (const auto failure : { UpstreamFailure::Closed, UpstreamFailure::Silent, UpstreamFailure::Malformed }) {
+        ForwardNode entry;
+        entry.addUpstream("d1", "desk");
+        entry.addUpstream("d2", "desk");
+        entry.post("/book/1");
+        BOOST_REQUIRE_EQUAL(entry.dispatches.size(), 1U);
+        BOOST_CHECK(entry.last().maxIdle < 2_s);
+        entry.sending();
+        entry.fail(failure);
+        entry.advance(2_s);
+        BOOST_CHECK_EQUAL(entry.dispatches.size(), 1U);
+        BOOST_CHECK_EQUAL(entry.answer().first, 502);
+    }
+}
+
+// Guards against a loss of requests that an upstream has not run: they may go elsewhere whatever their kind.
+BOOST_AUTO_TEST_CASE(UnsentAndUnrunRequestsGoElsewhere)
+{
+    ForwardNode entry;
+    entry.addUpstream("d1", "desk");
+    entry.addUpstream("d2", "desk");
+    entry.addUpstream("d3", "desk");
+    entry.post("/book/1");
+    entry.fail(UpstreamFailure::ConnectFailed);
+    BOOST_REQUIRE_EQUAL(entry.dispatches.size(), 2U);
+    entry.sending();
+    entry.head(503, { { entry.names.notRun, "1" } });
+    BOOST_REQUIRE_EQUAL(entry.dispatches.size(), 3U);
+    BOOST_CHECK(entry.dispatches[0].address != entry.dispatches[1].address);
+    entry.sending();
+    entry.head(200);
+    entry.body("done");
+    entry.end();
+    BOOST_CHECK(entry.answer() == std::pair(200, std::string("done")));
+}
+
+// Guards against a refusal without a time to come back, or one that is not true.
+BOOST_AUTO_TEST_CASE(RequestThatNobodyRanIsRefusedAsNotRun)
+{
+    ForwardNode entry;
+    entry.addUpstream("d1", "desk");
+    entry.post("/book/1");
+    entry.sending();
+    entry.head(421, {}, false);
+    BOOST_CHECK_EQUAL(entry.answer().first, 503);
+    BOOST_CHECK(entry.answer().second.find("not-run") != std::string::npos);
+    BOOST_CHECK(!findHeader(entry.answers.back().headers, "Retry-After").empty());
+}
+
+// Guards against a failure of an upstream that reaches the caller though the request may be repeated.
+BOOST_AUTO_TEST_CASE(RepeatableIsTriedElsewhereOnce)
+{
+    ForwardNode entry;
+    entry.addUpstream("d1", "desk");
+    entry.addUpstream("d2", "desk");
+    entry.post("/look/1");
+    entry.sending();
+    entry.head(500);
+    entry.end();
+    BOOST_REQUIRE_EQUAL(entry.dispatches.size(), 2U);
+    BOOST_CHECK_EQUAL(entry.answer().first, 0);
+    entry.sending();
+    entry.head(500);
+    entry.body("sorry");
+    entry.end();
+    BOOST_CHECK_EQUAL(entry.dispatches.size(), 2U);
+    BOOST_CHECK(entry.answer() == std::pair(500, std::string("sorry")));
+}
+
+// Guards against bytes that are not the upstream's answer and reach the caller as a success.
+BOOST_AUTO_TEST_CASE(SuccessWithoutReceiptIsNoAnswer)
+{
+    ForwardNode entry;
+    entry.addUpstream("d1", "desk");
+    entry.addUpstream("d2", "desk");
+    entry.post("/book/1");
+    entry.sending();
+    entry.head(200, {}, false);
+    BOOST_CHECK_EQUAL(entry.answer().first, 502);
+    BOOST_CHECK_EQUAL(entry.cancels.size(), 1U);
+    entry.post("/look/1");
+    entry.sending();
+    entry.head(200, { { "Content-Encoding", "gzip" } });
+    BOOST_CHECK_EQUAL(entry.dispatches.size(), 3U);
+    entry.sending();
+    entry.head(200);
+    entry.body("half");
+    entry.fail(UpstreamFailure::Closed);
+    BOOST_CHECK_EQUAL(entry.answer().first, 502);
+}
+
+// Guards against gaps, repeats and torn events where a stream goes on at another upstream, and against a second head.
+BOOST_AUTO_TEST_CASE(BrokenStreamGoesOnElsewhere)
+{
+    ForwardNode entry;
+    entry.addUpstream("r1", "lm");
+    entry.addUpstream("r2", "lm");
+    entry.post("/plan/1");
+    const auto first = entry.last().address;
+    entry.sending();
+    entry.head(200);
+    entry.body("id: 1\ndata: a\n\nid: 2\nda");
+    entry.fail(UpstreamFailure::Closed);
+    BOOST_REQUIRE_EQUAL(entry.dispatches.size(), 2U);
+    BOOST_CHECK(entry.last().address != first);
+    BOOST_CHECK_EQUAL(findHeader(entry.last().request.headers, entry.names.lastEvent), "1");
+    entry.sending();
+    entry.head(200);
+    entry.body("id: 2\ndata: b\n\n");
+    entry.end();
+    BOOST_CHECK(entry.answer() == std::pair(200, std::string("id: 1\ndata: a\n\nid: 2\ndata: b\n\n")));
+}
+
+// Guards against a stream that must not repeat and is resumed, and against its cut answer that looks complete.
+BOOST_AUTO_TEST_CASE(StreamThatMustNotRepeatIsBrokenOff)
+{
+    ForwardNode entry;
+    entry.addUpstream("r1", "lm");
+    entry.addUpstream("r2", "lm");
+    entry.post("/ask/1");
+    entry.sending();
+    entry.head(200);
+    entry.body("id: 1\ndata: a\n\n");
+    entry.fail(UpstreamFailure::Closed);
+    BOOST_CHECK_EQUAL(entry.dispatches.size(), 1U);
+    BOOST_CHECK_EQUAL(entry.answer().first, 1);
+}
+
+// Guards against a second run beside the first one: an upstream whose connection was cut here may go on for a moment.
+BOOST_AUTO_TEST_CASE(SilentStreamIsResumedAfterItsRunHasStopped)
+{
+    ForwardNode entry;
+    entry.addUpstream("r1", "lm");
+    entry.addUpstream("r2", "lm");
+    entry.post("/plan/1");
+    entry.sending();
+    entry.head(200);
+    entry.body("id: 1\ndata: a\n\n");
+    entry.advance(1040_ms);
+    BOOST_REQUIRE_EQUAL(entry.cancels.size(), 1U);
+    BOOST_CHECK_EQUAL(entry.dispatches.size(), 1U);
+    entry.advance(380_ms);
+    BOOST_CHECK_EQUAL(entry.dispatches.size(), 1U);
+    entry.advance(120_ms);
+    BOOST_CHECK_EQUAL(entry.dispatches.size(), 2U);
+}
+
+// Guards against requests that outlive their route's time, and against upstreams that are given more than is left.
+BOOST_AUTO_TEST_CASE(TimeOfTheRequestBoundsEverySend)
+{
+    ForwardNode entry;
+    entry.addUpstream("d1", "desk");
+    entry.addUpstream("d2", "desk");
+    entry.post("/look/1", { { entry.names.timeLeft, "400" } });
+    BOOST_CHECK_EQUAL(findHeader(entry.last().request.headers, entry.names.timeLeft), "400");
+    entry.sending();
+    entry.advance(240_ms);
+    entry.fail(UpstreamFailure::Closed);
+    BOOST_REQUIRE_EQUAL(entry.dispatches.size(), 2U);
+    BOOST_CHECK_EQUAL(findHeader(entry.last().request.headers, entry.names.timeLeft), "160");
+    entry.sending();
+    entry.advance(180_ms);
+    BOOST_CHECK_EQUAL(entry.answer().first, 504);
+    BOOST_CHECK_EQUAL(entry.cancels.size(), 1U);
+}
+
+// Guards against upstreams that go on working for a caller who has left.
+BOOST_AUTO_TEST_CASE(CallerThatLeavesCancelsTheRun)
+{
+    ForwardNode entry;
+    entry.addUpstream("r1", "lm");
+    const auto exchange = entry.post("/plan/1");
+    entry.sending();
+    Inputs inputs;
+    inputs.gone.push_back(exchange);
+    entry.run(std::move(inputs));
+    BOOST_CHECK(entry.cancels == std::vector<DispatchId> { entry.last().dispatch });
+    BOOST_CHECK(entry.node->forward.calls.empty());
+    BOOST_CHECK_EQUAL(findTarget(entry.node->forward.targets, idOfName<UpstreamId>("r1"))->own.running, 0);
+}
+
+// Guards against work for an upstream after its notice, also when a late announcement says that it is ready, and against
+// a new start under the same name that stays shut out.
+BOOST_AUTO_TEST_CASE(LeavingUpstreamGetsNoWork)
+{
+    ForwardNode entry;
+    entry.addUpstream("d1", "desk", 5);
+    noteLeaving(*entry.node, idOfName<UpstreamId>("d1"), 5);
+    entry.post("/book/1");
+    BOOST_CHECK(entry.dispatches.empty());
+    BOOST_CHECK_EQUAL(entry.answer().first, 503);
+    entry.addUpstream("d1", "desk", 5);
+    entry.post("/book/2");
+    BOOST_CHECK(entry.dispatches.empty());
+    entry.addUpstream("d1", "desk", 6);
+    entry.post("/book/3");
+    BOOST_CHECK_EQUAL(entry.dispatches.size(), 1U);
+}
+
+// Load pattern: engines have a backlog longer than a route's target. Guards against requests that wait to be late, and
+// against a refusal of urgent ones.
+BOOST_AUTO_TEST_CASE(BacklogRefusesAtOnceWhatWouldBeLate)
+{
+    ForwardNode entry("allowance gold priority=0 # Asma: test\nallowance tin priority=3 # Asma: test\ncaller-key g account=gold token-sha256=" + sha256Hex("g") + " # Asma: test\ncaller-key t account=tin token-sha256=" + sha256Hex("t") + " # Asma: test\n");
+    entry.addUpstream("r1", "lm");
+    findTarget(entry.node->forward.targets, idOfName<UpstreamId>("r1"))->others.unread[1] = 60000;
+    entry.post("/ask/1", { { "Authorization", "Bearer t" }, { entry.names.tokens, "500,50" } });
+    BOOST_CHECK_EQUAL(entry.answer().first, 503);
+    BOOST_CHECK(!findHeader(entry.answers.back().headers, "Retry-After").empty());
+    entry.post("/ask/2", { { "Authorization", "Bearer g" }, { entry.names.tokens, "500,50" } });
+    BOOST_CHECK_EQUAL(entry.dispatches.size(), 1U);
+}
+
+// Guards against requests without a right to be run, and against answers of a node that knows no rules.
+BOOST_AUTO_TEST_CASE(RightsAreCheckedBeforeAnythingIsSent)
+{
+    ForwardNode entry("allowance tin rate=100 burst=100 tokens=yes plain-tokens=60 # Asma: test\ncaller-key t account=tin token-sha256=" + sha256Hex("t") + " # Asma: test\nforward shut host=h prefix=/shut/ kind=once timeout=1s to=desk:1 # Asma: test\n");
+    entry.addUpstream("d1", "desk");
+    entry.post("/shut/1");
+    BOOST_CHECK_EQUAL(entry.answer().first, 401);
+    entry.post("/book/1", { { "Authorization", "Bearer x" } });
+    BOOST_CHECK_EQUAL(entry.answer().first, 401);
+    entry.post("/none/1");
+    BOOST_CHECK_EQUAL(entry.answer().first, 404);
+    BOOST_CHECK(entry.dispatches.empty());
+    entry.post("/shut/2", { { "Authorization", "Bearer t" } });
+    BOOST_CHECK_EQUAL(entry.dispatches.size(), 1U);
+    BOOST_CHECK_EQUAL(findHeader(entry.last().request.headers, entry.names.account), "tin");
+    BOOST_CHECK(findHeader(entry.last().request.headers, "Authorization").empty());
+    for (int n = 0; n < 5; ++n)
+        entry.post("/shut/3", { { "Authorization", "Bearer t" } });
+    BOOST_CHECK_EQUAL(entry.answer().first, 429);
+    entry.node->forward.routes = nullptr;
+    entry.post("/book/2");
+    BOOST_CHECK_EQUAL(entry.answer().first, 503);
+}
+
+// Guards against a node that leaves and takes streams it cannot finish, or ends while it still answers one.
+BOOST_AUTO_TEST_CASE(LeavingNodeAnswersWhatItTakes)
+{
+    ForwardNode entry;
+    entry.node->options.settings.timings.entryValid = TimeMs { 1000 };
+    entry.addUpstream("r1", "lm");
+    entry.addUpstream("d1", "desk");
+    Inputs inputs;
+    inputs.drain = true;
+    entry.run(std::move(inputs));
+    entry.advance(2600_ms);
+    entry.post("/plan/1");
+    BOOST_CHECK_EQUAL(entry.answer().first, 503);
+    entry.post("/book/1");
+    entry.sending();
+    entry.advance(600_ms);
+    BOOST_CHECK(!entry.node->out.stop);
+    BOOST_REQUIRE_EQUAL(entry.dispatches.size(), 1U);
+    entry.head(200);
+    entry.end();
+    BOOST_CHECK_EQUAL(entry.answer().first, 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
--- /dev/null
+++ b/tests/platform/ManifestTest.cpp
@@ -0,0 +1,123 @@
+#include "platform/ManifestRules.h"
+
+#include "base/Hash.h"
+#include "platform/PlatformDialect.h"
+#include "rules/RuleParser.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace siskinshunt;
+
+static const std::string manifest = R"({"version":7,
+ "routes":[
+  {"name":"r-1","host":"a.example","pathPrefix":"/p/","kind":"streaming","timeoutMs":6000,"targetLatencyMs":800,"priority":1,"weightedBackends":[{"service":"lm","weight":90},{"service":"desk","weight":10}],"maxAttempts":2,"allowAnonymous":false,"sessionAffinity":true,"streamResume":true,"targetGapMs":250},
+  {"name":"r-2","host":"a.example","pathPrefix":"/b/","kind":"non_idempotent","timeoutMs":1000.0,"targetLatencyMs":150,"priority":0,"service":"desk","maxAttempts":1,"allowAnonymous":true}],
+ "services":[
+  {"name":"lm","healthPath":"/health","maxConnections":360,"engine":{"slots":64,"kvCapacity":232000},"scaling":{"min":1,"max":6,"bootS":4.0,"spotPrice":0.22,"zonePrices":{"x":0.85,"y":1.2}}},
+  {"name":"desk","healthPath":"/health","maxConnections":100}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+ "tenants":[{"name":"acme","apiKeys":["k1","k2"],"priority":1,"unit":"tokens","plainTokens":200,"ratePerS":120352,"burst":120352}]})";
+
+static std::string changed(const std::string& from, const std::string& to)
+{
+    std::string out = manifest;
+    const auto at = out.find(from);
+    BOOST_REQUIRE(at != std::string::npos);
+    return out.replace(at, from.size(), to);
+}
+
+// Whether the manifest is refused, by the adapter or by the rules that it is written as.
+static bool isRefused(const std::string& text)
+{
+    const auto read = readManifest(text, "10.0.0.9");
+    if (std::holds_alternative<BadCall>(read))
+        return true;
+    return !parseRules(std::get<PutConfigurationCall>(read).rules).problems.empty();
+}
+
+// Guards against fields that are decoded into something else, and against lines without the person behind them.
+BOOST_AUTO_TEST_CASE(manifestBecomesRulesWithTheirOrigin)
+{
+    const auto call = std::get<PutConfigurationCall>(readManifest(manifest, "10.0.0.9"));
+    BOOST_TEST(call.number == 7U);
+    BOOST_TEST(call.original == manifest);
+    const auto parsed = parseRules(call.rules);
+    BOOST_REQUIRE_MESSAGE(parsed.problems.empty(), (parsed.problems.empty() ? "" : parsed.problems.front().message));
+    const auto& rules = parsed.rules;
+    BOOST_REQUIRE(rules.forwards.size() == 2U);
+    const auto& plan = rules.forwards[0];
+    BOOST_TEST((plan.kind == ForwardKind::Stream && plan.resume && plan.affinity && !plan.anonymous && plan.attempts == 2));
+    BOOST_TEST((plan.timeout == TimeMs { 6000 } && plan.target == TimeMs { 800 } && plan.gap == TimeMs { 250 }));
+    BOOST_TEST((plan.to.size() == 2U && plan.to[1].backend == "desk" && plan.to[1].weight == 10U));
+    BOOST_TEST((rules.forwards[1].kind == ForwardKind::Once && rules.forwards[1].anonymous && rules.forwards[1].timeout == TimeMs { 1000 }));
+    BOOST_TEST((rules.backends.at(0).slots == 64U && rules.backends[0].memoryTokens == 232000U && rules.backends[0].maxInstances == 6U && rules.backends[0].boot == TimeMs { 4000 }));
+    BOOST_TEST((rules.allowances.at(0).tokens && rules.allowances[0].plainTokens == 200));
+    BOOST_TEST(rules.callerKeys.at(1).tokenSha256 == sha256Hex("k2"));
+    BOOST_TEST((rules.intakes.at(0).idleTimeout == TimeMs { 15000 }));
+    for (const auto& line : rules.lines) {
+        BOOST_TEST(line.origin.person == "operator at 10.0.0.9");
+        BOOST_TEST(line.origin.reason == "manifest version 7");
+    }
+    BOOST_TEST(call.rules.find("k1") == std::string::npos);
+}
+
+// Guards against an invalid manifest in force.
+BOOST_AUTO_TEST_CASE(invalidManifestsAreRefused)
+{
+    BOOST_TEST(!isRefused(manifest));
+    BOOST_TEST(isRefused(manifest.substr(0, manifest.size() / 2)));
+    BOOST_TEST(isRefused("[]"));
+    BOOST_TEST(isRefused(changed("\"version\":7", "\"version\":\"7\"")));
+    BOOST_TEST(isRefused(changed("\"service\":\"desk\",\"maxAttempts\"", "\"service\":\"gone\",\"maxAttempts\"")));
+    BOOST_TEST(isRefused(changed("/b/", "/p/")));
+    BOOST_TEST(isRefused(changed("\"weight\":90},{\"service\":\"desk\",\"weight\":10", "\"weight\":0},{\"service\":\"desk\",\"weight\":0")));
+    BOOST_TEST(isRefused(changed("\"timeoutMs\":6000", "\"timeoutMs\":0")));
+    BOOST_TEST(isRefused(changed("\"burst\":120352}", "\"burst\":120352},{\"name\":\"other\",\"apiKeys\":[\"k1\"]}")));
+    BOOST_TEST(isRefused(changed("\"streaming\"", "\"unheard-of\"")));
+    BOOST_TEST(isRefused(changed("\"timeoutMs\":6000", "\"timeoutMs\":\"6000\"")));
+    BOOST_TEST(isRefused(changed("\"r-1\"", "\"r-1 # x\"")));
+}
+
+static ControlCall decodeCall(const std::string& method, const std::string& target, const std::string& body = {})
+{
+    return makePlatformDialect()->decode({ method, target, {}, body }, "10.0.0.9:4000");
+}
+
+// Guards against registrations of another form that name an upstream, and against states that are confused.
+BOOST_AUTO_TEST_CASE(registrationsAreReadOrRefused)
+{
+    const std::string beat = R"({"service":"lm","address":"10.0.0.1:80","zone":"x","version":"v1","slots":64,"state":"draining","sequence":0,"born":1764800000000,"spot":true,"leaves_ms":2300,"models":[]})";
+    const auto call = std::get<AnnounceCall>(decodeCall("PUT", "/instances/i-1", beat)).announcement;
+    BOOST_TEST((call.name == "i-1" && call.model == "lm" && call.domain == "x" && call.address == "10.0.0.1:80" && call.version == "v1"));
+    BOOST_TEST((call.leaving && call.reclaimable && call.reclaimIn && call.reclaimIn->value == 2300));
+    BOOST_TEST((call.kind == UpstreamKind::Engine && call.load.capacity == 64U && call.incarnation == 1764800000000U && call.sequence == 1U));
+    for (const char* odd : { "", "[]", "{}", R"({"service":"lm","address":"a","zone":"x","slots":"64","state":"ready","sequence":1})", R"({"service":"lm","address":"a","zone":"x","slots":6,"state":"asleep","sequence":1})", R"({"service":7,"address":"a","zone":"x","slots":6,"state":"ready","sequence":1})" })
+        BOOST_TEST(std::holds_alternative<BadCall>(decodeCall("PUT", "/instances/i-1", odd)), odd);
+    BOOST_TEST(std::get<LeaveCall>(decodeCall("DELETE", "/instances/i-1")).name == "i-1");
+}
+
+// Guards against calls that are taken for others.
+BOOST_AUTO_TEST_CASE(callsAreTold)
+{
+    BOOST_TEST(std::get<EntriesCall>(decodeCall("GET", "/resolve?name=h&region=r&zone=x")).domain == "x");
+    BOOST_TEST(std::holds_alternative<ReadConfigurationCall>(decodeCall("GET", "/config")));
+    BOOST_TEST(std::holds_alternative<PutConfigurationCall>(decodeCall("PUT", "/config", manifest)));
+    const auto order = std::get<OrderVersionCall>(decodeCall("POST", "/rollouts", R"({"service":"lm","target":"v2","durationS":12})"));
+    BOOST_TEST((order.backend == "lm" && order.target == "v2" && order.within == TimeMs { 12000 }));
+    BOOST_TEST(std::get<ReadVersionCall>(decodeCall("GET", "/rollouts/lm")).backend == "lm");
+    BOOST_TEST(std::get<BadCall>(decodeCall("POST", "/config")).status == 404);
+    BOOST_TEST(std::get<BadCall>(decodeCall("POST", "/rollouts", "{}")).status == 400);
+}
+
+// Guards against answers and orders that the platform cannot read.
+BOOST_AUTO_TEST_CASE(bodiesHaveThePlatformsForm)
+{
+    const auto dialect = makePlatformDialect();
+    BOOST_TEST(dialect->entriesBody({ "10.0.0.1:80" }, TimeMs { 2000 }) == R"({"addresses":["10.0.0.1:80"],"ttlS":2E0})");
+    BOOST_TEST(dialect->versionBody({ .backend = "lm", .target = "v2", .state = VersionOrderState::RolledBack, .reason = {} }) == R"({"state":"rolled_back","target":"v2"})");
+    const auto usage = dialect->usageRequest({ "core-1", 12 }, { 353, { { "acme", 4 } } });
+    BOOST_TEST((usage.method == "POST" && usage.target == "/usage" && usage.body == R"({"window":353,"counts":{"acme":4}})"));
+    BOOST_TEST((findHeader(usage.headers, "Lease-Holder") == "core-1" && findHeader(usage.headers, "Fencing-Token") == "12"));
+    const auto scale = dialect->scaleRequest({ "core-1", 12 }, { .backend = "lm", .domain = "x", .wanted = 3, .reclaimable = true });
+    BOOST_TEST(scale.body == R"({"service":"lm","zone":"x","desired":3,"spot":true})");
+}
--- /dev/null
+++ b/tests/rules/ForwardRulesTest.cpp
@@ -0,0 +1,51 @@
+#include "rules/RuleParser.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace siskinshunt;
+
+static std::string problemsOf(const std::string& text)
+{
+    std::string out;
+    for (const auto& problem : parseRules(text).problems)
+        out += std::to_string(problem.line) + ": " + problem.message + "\n";
+    return out;
+}
+
+static const std::string backend = "backend desk health=/up connections=10 # Asma: test\n";
+static const std::string digestA(64, 'a');
+
+// Guards against values that are read into the wrong field or lost.
+BOOST_AUTO_TEST_CASE(forwardingRulesAreRead)
+{
+    const auto parsed = parseRules("backend lm slots=64 memory-tokens=232000 min=1 max=6 boot=4s reclaimable-price=0.22 prices=x:0.85,y:1.2 # Asma: engines\n" + backend
+        + "forward plan host=a.example prefix=/p/ kind=stream timeout=6s target=800ms gap=250ms priority=1 attempts=2 anonymous=no affinity=yes resume=yes to=lm:90,desk:10 # Asma: plans\n"
+        + "allowance acme priority=1 rate=120352 burst=120352 tokens=yes plain-tokens=200 # Asma: limit\ncaller-key acme.1 account=acme token-sha256=" + digestA + " # Asma: key\n"
+        + "intake all header-bytes=16384 body-bytes=4MB header-timeout=3s idle-timeout=15s # Asma: limits\n");
+    BOOST_REQUIRE_MESSAGE(parsed.problems.empty(), problemsOf(parsed.rules.text));
+    const auto& forward = parsed.rules.forwards.at(0);
+    BOOST_TEST((forward.kind == ForwardKind::Stream && forward.resume && forward.affinity && !forward.anonymous));
+    BOOST_TEST((forward.to.size() == 2U && forward.to[0].backend == "lm" && forward.to[0].weight == 90U));
+    BOOST_TEST(forward.origin.person == "Asma");
+    BOOST_TEST((parsed.rules.backends.at(0).prices.at(1).domain == "y" && parsed.rules.backends[0].prices[1].factor == 1.2));
+    BOOST_TEST((parsed.rules.allowances.at(0).tokens && parsed.rules.allowances[0].rate == 120352));
+    BOOST_TEST((parsed.rules.intakes.at(0).bodyBytes == 4U << 20));
+}
+
+// Guards against configurations in force that cannot work: unknown backends, two routes at one place, weights of 0, no
+// timeout, and a key that two accounts share.
+BOOST_AUTO_TEST_CASE(impossibleForwardingIsRefused)
+{
+    const auto forward = [](const std::string& name, const std::string& more) { return "forward " + name + " host=a prefix=/p/ kind=once timeout=1s " + more + " # Asma: test\n"; };
+    BOOST_TEST(problemsOf(backend + forward("f", "to=desk:1")) == "");
+    BOOST_TEST(problemsOf(backend + forward("f", "to=desk:1,gone:0")).find("backend 'gone' is not defined") != std::string::npos);
+    BOOST_TEST(problemsOf(backend + forward("f", "to=desk:0")).find("add up to 0") != std::string::npos);
+    BOOST_TEST(problemsOf(backend + forward("f", "to=desk:1") + forward("g", "to=desk:1")).find("has the host and prefix of forward 'f'") != std::string::npos);
+    BOOST_TEST(problemsOf(backend + "forward f host=a prefix=/p/ kind=once timeout=0ms to=desk:1 # Asma: test\n").find("timeout='0ms'") != std::string::npos);
+    BOOST_TEST(problemsOf(backend + "forward f host=a prefix=/p kind=once timeout=1s to=desk:1 # Asma: test\n").find("prefix='/p'") != std::string::npos);
+    const std::string accounts = "allowance a # Asma: test\nallowance b # Asma: test\n";
+    const auto key = [](const std::string& name, const std::string& account) { return "caller-key " + name + " account=" + account + " token-sha256=" + digestA + " # Asma: test\n"; };
+    BOOST_TEST(problemsOf(accounts + key("k", "a") + key("l", "a")) == "");
+    BOOST_TEST(problemsOf(accounts + key("k", "a") + key("l", "b")).find("belongs to account 'a'") != std::string::npos);
+    BOOST_TEST(problemsOf(accounts + key("k", "c")).find("account 'c' is not defined") != std::string::npos);
+}
--- a/tests/settings/SettingsTest.cpp
+++ b/tests/settings/SettingsTest.cpp
@@ -55,3 +55,19 @@
         [](const Error& error) { return toString(error); });
     BOOST_TEST(text == "read_settings /nonexistent/s.json: cannot open the file; expected a readable JSON settings file");
 }
+
+// Guards against forwarding settings that are lost or accepted out of range.
+BOOST_AUTO_TEST_CASE(forwardingSettingsAreRead)
+{
+    const std::string more = R"(, "seeds": ["127.0.0.1:9001", "127.0.0.2:9002"], "seed_port": 7600, "ledger_groups": 0,
+        "listeners": { "forward": "127.0.1.1:8221", "ready": "127.0.1.1:8224" }, "forward": { "retry_ratio": 0.2, "retry_extra": 54, "retry_window_ms": 10000, "allowance_slack": 110000 },
+        "duties": { "address": "127.0.0.9:80", "usage": true, "lease_ms": 3000 }, "voters": { "found": true, "target": 5, "missing_ms": 6000 })";
+    const auto settings = handle([&] { return parseSettings(settingsWith(more), "s.json"); }, [](const Error&) { return Settings {}; });
+    BOOST_TEST((settings.seeds.size() == 2U && settings.seeds[0].port == 7600 && settings.seeds[1].port == 7600));
+    BOOST_TEST((settings.listeners.forward.port == 8221 && settings.listeners.control.port == 0));
+    BOOST_TEST((settings.forward.retryRatio == 0.2 && settings.forward.retryExtra == 54 && settings.forward.allowanceSlack == 110000));
+    BOOST_TEST((settings.duties.usage && !settings.duties.scaling && settings.duties.lease == TimeMs { 3000 }));
+    BOOST_TEST((settings.voters.found && settings.voters.target == 5U && settings.voters.missing == TimeMs { 6000 }));
+    BOOST_TEST(errorOf(settingsWith(", \"forward\": { \"retry_ratio\": \"x\" }")) == "read_settings s.json: key 'forward.retry_ratio' has the wrong type; allowed: a number");
+    BOOST_TEST(errorOf(settingsWith(", \"voters\": { \"target\": 9 }")) == "read_settings s.json: key 'voters.target' is 9; allowed: a whole number from 0 to 7");
+}
