--- a/src/entry/Daemon.cpp
+++ b/src/entry/Daemon.cpp
@@ -189,8 +189,10 @@
 {
     for (const auto& record : outputs.log)
         writeLog(record);
-    for (auto& answer : outputs.answers)
-        serverOf(answer.exchange).answer(std::move(answer));
+    for (auto& answer : outputs.answers) {
+        HttpServer& server = serverOf(answer.exchange);
+        server.answer(std::move(answer));
+    }
     for (const DispatchId dispatch : outputs.cancels)
         m_client.cancel(dispatch);
     for (const auto& address : outputs.replacedPools)
--- a/src/entry/HttpServer.cpp
+++ b/src/entry/HttpServer.cpp
@@ -127,8 +127,9 @@
 void HttpServer::Impl::sweep()
 {
     const auto now = HttpConnection::Clock::now();
-    for (size_t n = 0; n < connections.size(); ++n)
-        connections[n]->checkTimeout(now);
+    // Closing one reports to the node, which may not change the list.
+    for (const auto& connection : connections)
+        connection->checkTimeout(now);
     std::erase_if(connections, [](const auto& it) { return it->isClosed(); });
     sweeping = !connections.empty();
     if (!sweeping)
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -155,7 +155,7 @@
     return text;
 }
 
-void refuseForward(Node& node, ForwardCall& call, uint16_t status, std::string code, std::string text, TimeMs retryAfter)
+void refuseForward(Node& node, ForwardCall& call, uint16_t status, const std::string& code, const std::string& text, TimeMs retryAfter)
 {
     if (call.headPassed) {
         // The caller has part of the answer: only the end of the connection tells that the rest does not come.
--- a/src/node/ForwardFlow.h
+++ b/src/node/ForwardFlow.h
@@ -32,7 +32,7 @@
 /// Takes the load of the attempt off its target.
 void releaseTarget(Node&, ForwardCall&);
 /// Ends the request with an answer of this node's own. 503 and 429 say that the request has not run.
-void refuseForward(Node&, ForwardCall&, uint16_t status, std::string code, std::string text, TimeMs retryAfter = {});
+void refuseForward(Node&, ForwardCall&, uint16_t status, const std::string& code, const std::string& text, TimeMs retryAfter = {});
 /// Entry nodes that share the limits, this one included.
 size_t forwardNodes(const Node&);
 /// Looks after the requests that are under way.
