Build the headers of a refusal and clear a read prompt in one place

The read-through found the headers of a refusal built twice, the bookkeeping of a read prompt written twice, two loops over the upstreams where one does, a choice of backend that was always made before, and a kind of attempt's end that nothing gives.

--- a/src/node/FleetFlow.cpp
+++ b/src/node/FleetFlow.cpp
@@ -76,10 +76,10 @@
 
 void refreshTargets(Node& node)
 {
-    for (const auto& [id, upstream] : node.membership.upstreams.entries)
+    for (const auto& [id, upstream] : node.membership.upstreams.entries) {
         updateOne(node, upstream);
-    for (const auto& [id, upstream] : node.membership.upstreams.entries)
         updateForwardTarget(node, upstream);
+    }
     node.nextRefresh = node.now + refreshInterval;
 }
 
--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -28,7 +28,6 @@
         NotSent, ///< No byte has left.
         NotRun, ///< The upstream states that it did not run the request.
         Broken, ///< It may have run.
-        UpstreamError, ///< A complete answer that reports a failure.
     };
 
 }
@@ -41,7 +40,6 @@
     case AttemptEnd::NotRun:
         return TargetOutcome::Refused;
     case AttemptEnd::Broken:
-    case AttemptEnd::UpstreamError:
         break;
     }
     return TargetOutcome::Failed;
@@ -165,9 +163,7 @@
         notePace(node.forward.choice.pace, call.ahead, static_cast<double>((node.now - call.sentAt).value));
     noteVersionResult(node, call, false);
     if (ForwardTarget* target = findTarget(node.forward.targets, call.target)) {
-        auto& unread = target->own.unread[static_cast<size_t>(call.urgency)];
-        unread = std::max(0.0, unread - call.unread);
-        call.unread = 0;
+        clearUnread(*target, call);
         noteOutcome(*target, node.now, TargetOutcome::Answered);
     }
 }
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -105,14 +105,20 @@
     forgetUpstream(node.forward.parts, id);
 }
 
+void clearUnread(ForwardTarget& target, ForwardCall& call)
+{
+    auto& unread = target.own.unread[static_cast<size_t>(call.urgency)];
+    unread = std::max(0.0, unread - call.unread);
+    call.unread = 0;
+}
+
 void releaseTarget(Node& node, ForwardCall& call)
 {
     if (!call.dispatch)
         return;
     if (ForwardTarget* target = findTarget(node.forward.targets, call.target)) {
         target->own.running = std::max(0.0, target->own.running - 1);
-        auto& unread = target->own.unread[static_cast<size_t>(call.urgency)];
-        unread = std::max(0.0, unread - call.unread);
+        clearUnread(*target, call);
     }
     call.unread = 0;
     call.dispatch = 0;
@@ -155,6 +161,16 @@
     return text;
 }
 
+static HttpHeaders refusalHeaders(const Node& node, const std::string& requestId, TimeMs retryAfter)
+{
+    HttpHeaders out { { "Content-Type", "application/json" } };
+    if (!requestId.empty())
+        out.emplace_back(node.forward.headers.requestId, requestId);
+    if (retryAfter > TimeMs {})
+        out.emplace_back(headers::retryAfter, secondsOf(retryAfter));
+    return out;
+}
+
 void refuseForward(Node& node, ForwardCall& call, uint16_t status, const std::string& code, const std::string& text, TimeMs retryAfter)
 {
     if (call.headPassed) {
@@ -163,13 +179,8 @@
         return endForward(node, call, code);
     }
     const bool notRun = status == 503 || status == 429;
-    HttpHeaders headers { { "Content-Type", "application/json" } };
-    if (!call.requestId.empty())
-        headers.emplace_back(node.forward.headers.requestId, call.requestId);
-    if (retryAfter > TimeMs {})
-        headers.emplace_back("Retry-After", secondsOf(retryAfter));
     call.status = status;
-    node.out.answers.push_back({ .exchange = call.exchange, .part = AnswerPart::Whole, .status = status, .headers = std::move(headers), .body = errorBody(code, text, notRun) });
+    node.out.answers.push_back({ .exchange = call.exchange, .part = AnswerPart::Whole, .status = status, .headers = refusalHeaders(node, call.requestId, retryAfter), .body = errorBody(code, text, notRun) });
     if (notRun && call.account)
         returnAllowance(node.forward.allowances, call.account->name, call.cost);
     endForward(node, call, code);
@@ -179,15 +190,10 @@
 static void refuseArrived(Node& node, const RequestArrived& arrived, uint16_t status, const std::string& code, const std::string& text, TimeMs retryAfter = {}, const std::string& account = {})
 {
     const std::string id(findHeader(arrived.request.headers, node.forward.headers.requestId));
-    HttpHeaders headers { { "Content-Type", "application/json" } };
-    if (!id.empty())
-        headers.emplace_back(node.forward.headers.requestId, id);
-    if (retryAfter > TimeMs {})
-        headers.emplace_back("Retry-After", secondsOf(retryAfter));
     node.counters.add("forward_" + code);
     addLog(node, LogLevel::Warning, "forward_refused", Step::Route, arrived.peer, code,
         { { "request", id }, { "status", std::to_string(status) }, { "account", account }, { "target", std::string(pathOf(arrived.request.target)) }, { "rules", std::to_string(node.rules ? node.rules->revision : 0) }, { "retry_after_ms", std::to_string(retryAfter.value) } });
-    node.out.answers.push_back({ .exchange = arrived.exchange, .part = AnswerPart::Whole, .status = status, .headers = std::move(headers), .body = errorBody(code, text, true) });
+    node.out.answers.push_back({ .exchange = arrived.exchange, .part = AnswerPart::Whole, .status = status, .headers = refusalHeaders(node, id, retryAfter), .body = errorBody(code, text, true) });
 }
 
 static std::string pickBackend(Node& node, const ForwardCall& call)
@@ -253,8 +259,6 @@
     auto& forward = node.forward;
     if (call.until - node.now <= leastTimeLeft)
         return refuseForward(node, call, call.runs ? 504 : 503, "out_of_time", "the time for an answer is over");
-    if (call.backend.empty())
-        call.backend = pickBackend(node, call);
     ChoiceRequest request { .backend = call.backend, .parts = call.parts, .promptTokens = call.promptTokens, .urgency = call.urgency, .tried = call.tried, .allowed = versionFilter(node, call) };
     auto choice = chooseTarget(forward.targets, forward.parts, forward.choice, request, node.now, node.random);
     if (!choice) {
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -178,7 +178,7 @@
         leave(node.membership, node.now, node.membershipOutputs);
         addLog(node, LogLevel::Info, "node_left", Step::Command, {}, idle ? "all calls have ended" : "the time for leaving is over", { { "forwarded_cut", std::to_string(node.forward.calls.size()) } });
     }
-    const bool late = node.draining && node.now - node.drainSince >= timings.drainLimit;
+    const bool late = node.now - node.drainSince >= timings.drainLimit;
     // Requests may come until the very end: callers keep the address for a while.
     const bool answered = node.calls.empty() && node.forward.calls.empty();
     if (node.left && (late || (answered && node.now - node.leftAt >= leaveSpread)))
