Compare all members of a pool that is no larger than the random draws

Cause: two random draws with replacement name the same member of a pool of two in half of all choices, so a call went to the busy one while the other was idle.

--- a/src/routing/Choice.cpp
+++ b/src/routing/Choice.cpp
@@ -88,8 +88,17 @@
             out.add(best[n]);
     }
 
+    /// Random members of the group; all of a group that is no larger than their number, since two draws may be the same
+    /// member while the other one is idle.
     void addRandom(Decision& decision, const VersionGroup& group, Candidates& out)
     {
+        if (group.subset.size() <= decision.router.options.randomCandidates) {
+            for (const auto& member : group.subset) {
+                if (mayUse(decision, member.slot))
+                    out.add(member.slot);
+            }
+            return;
+        }
         for (uint32_t n = 0; n < decision.router.options.randomCandidates; ++n) {
             const uint32_t slot = group.subset[decision.router.random.below(group.subset.size())].slot;
             if (mayUse(decision, slot))
--- a/tests/routing/RouterTest.cpp
+++ b/tests/routing/RouterTest.cpp
@@ -343,6 +343,20 @@
     BOOST_TEST((choose(router, { .pool = "unknown" }, 1_s).reason == ChoiceReason::NoUpstream));
 }
 
+// Guards against a call that queues at the busy one of two services because both random draws named it.
+BOOST_AUTO_TEST_CASE(bothOfTwoServicesAreCompared)
+{
+    for (uint64_t seed = 1; seed <= 50; ++seed) {
+        Router router({ .domain = "0", .seed = seed });
+        for (uint32_t n = 0; n < 2; ++n) {
+            updateTarget(router, { .id = runner(n), .pool = "hire-desk", .domain = "0", .kind = UpstreamKind::Service });
+            updateLoad(router, runner(n), { .capacity = 10 }, 0_s);
+        }
+        const auto first = send(router, { .pool = "hire-desk" }, 1, 1_s).upstream;
+        BOOST_TEST((choose(router, { .pool = "hire-desk" }, 1_s).upstream != first));
+    }
+}
+
 // Guards against calls without urgency that take the last places, also when many nodes see the same free ones.
 BOOST_AUTO_TEST_CASE(lastPlacesAreKeptForUrgentCalls)
 {
