Count a once call as load of its upstream while the ledger commits it

Cause: bookings that arrive within the time of one commit saw the same loads and all went to one service: 6 of 6 before, at least 2 at each after (OnceCall/BookingsThatArriveTogetherAreSpread). This is what made QueuedCallOfDeadNodeIsTakenOverAndRunsOnce fail: its four fillers left the second service idle. Ruled out: a stale capacity of the services (all nodes know 0) and the kept places (only for model calls).

--- a/src/node/CallFlow.cpp
+++ b/src/node/CallFlow.cpp
@@ -70,9 +70,26 @@
     call.dispatch = 0;
 }
 
+static SentCall sentCallOf(const NodeCall& call, uint32_t attempt)
+{
+    const auto tokens = static_cast<uint32_t>(call.model.promptTokens + call.stream.offset);
+    return { .call = call.id, .attempt = attempt, .upstream = call.upstream, .priority = call.priority, .promptTokens = tokens, .cachedTokens = call.expectedCached };
+}
+
+void planDispatch(Node& node, const NodeCall& call)
+{
+    recordSent(node.router, sentCallOf(call, call.attempts + 1), node.now);
+}
+
+void dropPlannedDispatch(Node& node, const NodeCall& call)
+{
+    recordEnd(node.router, call.id, call.attempts + 1, CallEnd::Cancelled, node.now);
+}
+
 void endCall(Node& node, NodeCall& call, std::string_view outcome)
 {
     recordOutcome(node, call, outcome);
+    dropPlannedDispatch(node, call);
     if (call.admitted)
         finishCall(node.limiter, call.account, call.className, static_cast<uint32_t>(call.usage.completionTokens), node.now);
     stopDispatch(node, call);
@@ -371,8 +388,7 @@
     dispatch.connectTimeout = node.options.settings.timings.connectTimeout;
     dispatch.firstByteTimeout = firstByteTimeout(node, call);
     dispatch.progressTimeout = node.options.settings.timings.progressTimeout;
-    const auto tokens = static_cast<uint32_t>(call.model.promptTokens + call.stream.offset);
-    recordSent(node.router, { .call = call.id, .attempt = call.attempts, .upstream = call.upstream, .priority = call.priority, .promptTokens = tokens, .cachedTokens = call.expectedCached }, node.now);
+    recordSent(node.router, sentCallOf(call, call.attempts), node.now);
     if (auto* histograms = histogramsOf(node, call); histograms && call.attempts == 1)
         histograms->queued.record(static_cast<uint64_t>((node.now - call.arrived).value) * 1000);
     node.counters.add("dispatches");
--- a/src/node/OnceFlow.cpp
+++ b/src/node/OnceFlow.cpp
@@ -87,6 +87,7 @@
 {
     if (!call.exchange)
         return endCall(node, call, "taken_over");
+    dropPlannedDispatch(node, call);
     call.stage = CallStage::Joining;
     call.joined = call.id;
     call.dispatchState = DispatchState::MayHaveLeft;
@@ -100,6 +101,7 @@
     // The reservation was committed, but a takeover has changed it before its reply came.
     if (first == call.id)
         return joinCallItself(node, call);
+    dropPlannedDispatch(node, call);
     const ExchangeId exchange = call.exchange;
     NodeCall waiter = call;
     if (call.admitted)
@@ -210,6 +212,7 @@
     const bool queueEmpty = queue == node.queues.end() || std::all_of(queue->second.classes.begin(), queue->second.classes.end(), [](const auto& it) { return !it.second.requests; });
     if (queueEmpty && poolHasRoom(node, call.pool) && chooseUpstream(node, call, true)) {
         call.reservedDispatched = true;
+        planDispatch(node, call);
         reserve.dispatchNow = true;
         reserve.upstream = call.upstreamName;
     }
@@ -219,6 +222,7 @@
 void commitDispatch(Node& node, NodeCall& call)
 {
     call.stage = CallStage::Committing;
+    planDispatch(node, call);
     const Dispatch dispatch { .call = call.id, .owner = call.owner, .attempt = call.ledgerAttempt, .upstream = call.upstreamName, .now = node.now };
     proposeForCall(node, call, dispatch, reserveTimeout, [](Node& node, NodeCall& call, const std::optional<LedgerReply>& reply) {
         if (reply && (reply->outcome == LedgerOutcome::Accepted || isOwnEffect(call, *reply, CallState::Dispatched, call.ledgerAttempt))) {
--- a/tests/node/OnceCallTest.cpp
+++ b/tests/node/OnceCallTest.cpp
@@ -31,6 +31,19 @@
     checkFleet(*fleet);
 }
 
+// Guards against bookings that arrive together and all go to one service, since none of them counts as load while the
+// ledger commits it.
+BOOST_AUTO_TEST_CASE(BookingsThatArriveTogetherAreSpread)
+{
+    const auto fleet = makeFleet();
+    for (int n = 0; n < 6; ++n)
+        fleet->book(3, "together-" + std::to_string(n));
+    fleet->runFor(1_s);
+    for (auto name : { "desk-0", "desk-1" })
+        BOOST_CHECK_GE(fleet->upstream(name).dispatches.size(), 2U);
+    checkFleet(*fleet);
+}
+
 // Guards against a second run of a call whose node died after it was sent.
 BOOST_AUTO_TEST_CASE(DispatchedCallOfDeadNodeBecomesUnknown)
 {
