--- a/src/node/Scaling.cpp
+++ b/src/node/Scaling.cpp
@@ -49,6 +49,15 @@
     return out;
 }
 
+// "domain on-demand+reclaimable" of each domain.
+static std::string fleetText(const std::map<std::string, DomainFleet>& present)
+{
+    std::string out;
+    for (const auto& [domain, fleet] : present)
+        out += (out.empty() ? "" : ", ") + domain + " " + std::to_string(fleet.onDemand) + "+" + std::to_string(fleet.reclaimable);
+    return out;
+}
+
 static double runningOf(const Node& node, const std::string& backend)
 {
     double running = 0;
@@ -59,7 +68,7 @@
     return running;
 }
 
-static void stepDemand(Node& node, const FleetPlanOptions& options, const BackendRule& backend, BackendDemand& demand)
+static void stepDemand(Node& node, const FleetPlanOptions& options, const BackendRule& backend, const std::map<std::string, DomainFleet>& present, BackendDemand& demand)
 {
     const double seconds = (node.now - demand.steppedAt).seconds();
     if (seconds < stepInterval.seconds())
@@ -70,7 +79,7 @@
     demand.tokens = 0;
     const double busy = busyEngines(options, backend, { demand.readPerSecond, runningOf(node, backend.name), demand.tokensPerMs });
     addLog(node, LogLevel::Info, "load_estimated", Step::Order, backend.name, "engines kept busy by the load",
-        { { "busy", std::to_string(busy) }, { "read_per_s", std::to_string(demand.readPerSecond) }, { "running", std::to_string(runningOf(node, backend.name)) }, { "tokens_per_ms", std::to_string(demand.tokensPerMs) } });
+        { { "busy", std::to_string(busy) }, { "read_per_s", std::to_string(demand.readPerSecond) }, { "running", std::to_string(runningOf(node, backend.name)) }, { "tokens_per_ms", std::to_string(demand.tokensPerMs) }, { "fleet", fleetText(present) } });
     demand.busy = std::max(busy, demand.busy * std::exp(-seconds / options.peakMemory.seconds()));
 }
 
@@ -126,7 +135,7 @@
     const auto it = node.duties.demand.find(backend.name);
     if (it == node.duties.demand.end())
         return firstOrder(node, options, backend, present);
-    stepDemand(node, options, backend, it->second);
+    stepDemand(node, options, backend, present, it->second);
     const bool mayGiveUp = node.now - it->second.since >= leastHistory;
     const auto plan = planFleet(options, backend, it->second.busy, present, supply);
     // More first: what is given up is replaced before.
