Send the upstreams to a new node in frames that it takes

Cause: the table was sent in frames of 200 records, about 34 KB, and a node takes 16 KB, so it dropped them as bad without a line. With 140 upstreams (grown Punjab) the entry nodes of one domain knew none of them after 12 s and refused 76% of their requests as no_upstream.

--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -62,6 +62,9 @@
     size_t syncChunk = 3000; ///< Bytes of records or of hashes in one TableRecords frame.
     size_t syncBytesPerSecond = 12500; ///< Frames take what room this leaves; a peer that got too little asks again.
     UpstreamTableOptions upstreams;
+
+    /// Longest body of a table frame: records of one chunk may take four times its size as hashes and requests for them.
+    size_t tableFrameLimit() const { return syncChunk * 4 + 4000; }
 };
 
 /// What a node says of itself in its member record.
--- a/src/membership/Sync.cpp
+++ b/src/membership/Sync.cpp
@@ -274,7 +274,7 @@
     const Member* member = findMember(m, from);
     if (!member || m.stopped)
         return DropReason::BadSender;
-    const size_t limit = m.options.syncChunk * 4 + 4000;
+    const size_t limit = m.options.tableFrameLimit();
     return handle(
         [&]() -> Result<DropReason> {
             if (kind == TableFrameKind::TableDigest) {
--- a/src/node/Peers.cpp
+++ b/src/node/Peers.cpp
@@ -84,8 +84,11 @@
     case FrameKind::TableRecords: {
         const auto kind = static_cast<FrameKind>(envelope.kind) == FrameKind::TableDigest ? TableFrameKind::TableDigest : TableFrameKind::TableRecords;
         const auto reason = receiveTableFrame(node.membership, node.now, envelope.sender, kind, envelope.body, node.membershipOutputs);
-        if (reason != DropReason::None)
+        if (reason != DropReason::None) {
             countDrop(node, reason);
+            const Member* sender = findMember(node.membership, envelope.sender);
+            addLog(node, LogLevel::Warning, "bad_table_frame", Step::Decode, sender ? sender->identity.name : std::string {}, std::string(nameOf(reason)), { { "bytes", std::to_string(envelope.body.size()) } });
+        }
         return;
     }
     case FrameKind::Explain:
--- a/src/node/StoredUpstreams.cpp
+++ b/src/node/StoredUpstreams.cpp
@@ -54,17 +54,23 @@
 {
     const auto alive = [&node](NodeId id) { return isAlive(node.membership, id); };
     TableRecords records;
+    size_t bytes = 0;
     const auto flush = [&] {
         if (!records.upstreams.empty())
             sendFrame(node, to, FrameKind::TableRecords, {}, encode(records));
         records.upstreams.clear();
+        bytes = 0;
     };
+    // Half of what a frame may hold: the size of a record in the frame is estimated.
+    const size_t room = node.membership.options.tableFrameLimit() / 2;
     for (const auto& [id, upstream] : node.membership.upstreams.entries) {
         if (!isVouched(node.membership.upstreams, upstream, alive))
             continue;
-        records.upstreams.push_back(recordOf(upstream, node.now));
-        if (records.upstreams.size() >= recordsPerFrame)
+        auto record = recordOf(upstream, node.now);
+        if (records.upstreams.size() >= recordsPerFrame || bytes + wireSize(record) > room)
             flush();
+        bytes += wireSize(record);
+        records.upstreams.push_back(std::move(record));
     }
     flush();
 }
--- a/tests/node/ControlTest.cpp
+++ b/tests/node/ControlTest.cpp
@@ -225,6 +225,23 @@
     BOOST_CHECK_EQUAL(ownRecord(node->membership).status.voter.value, 77U);
 }
 
+// Guards against a new node that knows no upstream of a large fleet for many seconds, since the frames that bring them
+// are larger than the node takes.
+BOOST_AUTO_TEST_CASE(NewNodeKnowsALargeFleetWithItsRules)
+{
+    auto fleet = std::make_unique<NodeFleet>(NodeFleetOptions {});
+    for (int n = 0; n < 250; ++n)
+        fleet->addUpstream("runner-of-a-large-fleet-" + std::to_string(n), UpstreamKind::Engine, "sound-plan", "lhr-depot");
+    BOOST_REQUIRE(fleet->begin());
+    BOOST_REQUIRE(fleet->runUntil([&] { return fleet->nodes[0].node->membership.upstreams.entries.size() == 250; }, 30_s));
+    fleet->kill(3, false);
+    fleet->runFor(1_s);
+    fleet->start(3);
+    BOOST_REQUIRE(fleet->runUntil([&] { return fleet->nodes[3].node->rules != nullptr; }, 5_s));
+    fleet->runFor(300_ms);
+    BOOST_CHECK_GE(fleet->nodes[3].node->membership.upstreams.entries.size(), 245U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
