Fill the tables of new nodes at once, also when their seeds are busy

Now a node in its first 10 s compares tables every 150 ms with up to 50 KB/s, and whoever lacks half of a table gets its records even when the answering node has used up its bytes. Ruled out: announcements that change their home (runners stay with one node).

--- a/src/membership/Gossip.cpp
+++ b/src/membership/Gossip.cpp
@@ -63,7 +63,7 @@
     static void fill(Membership& m, TimeMs now, GossipMessage& message, NodeId peer, Room room)
     {
         const size_t used = m.traffic.lastSecond(now);
-        if (used >= m.options.bytesPerSecond)
+        if (used >= (isNew(m, now) ? m.options.bytesPerSecondNew : m.options.bytesPerSecond))
             return;
         m.memberDeltas.offer(peer, [&](const Delta& it) { return addMember(m, message, room, it); });
         m.upstreamDeltas.offer(peer, [&](const Delta& it) { return addUpstream(m, now, message, room, it); });
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -19,6 +19,7 @@
     m.self = idOfName<NodeId>(m.options.identity.name);
     m.random = Random(combineHash(m.options.seed, m.self.value));
     m.own = { .id = m.self, .incarnation = firstIncarnation(m.options.startedAtUtc), .version = 1 };
+    m.startedAt = now;
     m.utcOffset = m.options.startedAtUtc - now;
     m.nextSequence = firstSequence(m.options.startedAtUtc);
     m.upstreams.self = m.self;
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -54,6 +54,9 @@
     TimeMs seedIntervalAlone { 150 }; ///< All seeds are pinged per interval while no member is known.
     TimeMs syncInterval { 10000 }; ///< Digest comparison while tables agree.
     TimeMs syncIntervalDiffering { 500 }; ///< The same while most exchanges show another digest.
+    TimeMs newFor { 10000 }; ///< A node compares tables more often and with more bytes for this long after its start.
+    TimeMs syncIntervalNew { 150 }; ///< The same for a new node.
+    size_t bytesPerSecondNew { 50000 }; ///< In place of the other limits for a new node: the tables of 400 nodes and 870 upstreams in about 4 s.
     size_t maxMembers = 1024;
     size_t datagramLimit = 700; ///< Payload of a usual datagram; never above maxDatagram.
     size_t bytesPerSecond = 12500; ///< Both ways with IP and UDP headers; above it datagrams carry no deltas.
@@ -151,6 +154,7 @@
     std::unordered_map<NodeId, Member> members; ///< Without this node itself.
     UpstreamTable upstreams;
     bool stopped = false; ///< Replaced or refused: sends nothing more.
+    TimeMs startedAt; ///< By the same clock as `now`.
     TimeMs utcOffset; ///< Wall clock minus `now`; the caller keeps it up to date.
 
     // Private to the implementation from here on.
--- a/src/membership/Sync.cpp
+++ b/src/membership/Sync.cpp
@@ -9,6 +9,9 @@
 
 namespace gossip {
 
+    // Share of differing digests below which a new node's tables count as filled: changes of the moment cause as many.
+    static constexpr double mismatchOfFilled = 0.1;
+
     static size_t bucketOf(uint64_t id, size_t buckets) { return (id >> 32) % buckets; }
 
     /// Suspects count like live members, because each node's suspicion ends in its own time.
@@ -79,7 +82,21 @@
     static size_t roomNow(Membership& m, TimeMs now)
     {
         const size_t used = m.traffic.lastSecond(now);
-        return used >= m.options.syncBytesPerSecond ? 0 : std::min(m.options.syncBytesPerSecond - used, m.options.syncChunk);
+        const size_t most = isNew(m, now) ? m.options.bytesPerSecondNew : m.options.syncBytesPerSecond;
+        return used >= most ? 0 : std::min(most - used, m.options.syncChunk);
+    }
+
+    template <size_t N>
+    static size_t filled(const std::array<uint32_t, N>& ranges)
+    {
+        return N - static_cast<size_t>(std::count(ranges.begin(), ranges.end(), 0U));
+    }
+
+    /// Whether the peer lacks much of what this node knows. It gets its records also when this node has used up its
+    /// bytes: at a cold start the pings of all nodes take those of the seeds, and nobody else can tell of the others.
+    static bool isFarBehind(const TableDigest& theirs, const TableDigest& own)
+    {
+        return filled(theirs.members) * 2 < filled(own.members) || filled(theirs.upstreams) * 2 < filled(own.upstreams);
     }
 
     /// Room that a peer is told it may fill. It counts as traffic from now on: answers to several requests would otherwise
@@ -97,12 +114,14 @@
     {
         if (now < m.nextSync)
             return;
-        const TimeMs interval = m.mismatch > 0.5 ? m.options.syncIntervalDiffering : m.options.syncInterval;
+        refreshRings(m);
+        const bool fresh = isNew(m, now) && (m.mismatch > mismatchOfFilled || m.ring.size() <= m.options.seeds.size() + 1);
+        const TimeMs interval = fresh ? m.options.syncIntervalNew : m.mismatch > 0.5 ? m.options.syncIntervalDiffering
+                                                                                     : m.options.syncInterval;
         m.nextSync = now + interval * m.random.between(80, 120) / 100;
         // While gossip still spreads changes the tables differ anyway, and comparing them would take its bandwidth.
-        if (m.memberDeltas.size() + m.upstreamDeltas.size() > 8)
+        if (!fresh && m.memberDeltas.size() + m.upstreamDeltas.size() > 8)
             return;
-        refreshRings(m);
         const Member* peer = findMember(m, m.ring[m.random.below(m.ring.size())]);
         if (!peer || roomNow(m, now) < m.options.syncChunk / 4)
             return;
@@ -192,7 +211,8 @@
         const TableDigest own = digestTables(m);
         const uint64_t members = differing(own.members, theirs.members);
         const uint64_t upstreams = differing(own.upstreams, theirs.upstreams);
-        SyncWriter writer { m, now, std::min<size_t>(theirs.room, roomNow(m, now)) };
+        const size_t room = isFarBehind(theirs, own) ? m.options.syncChunk : roomNow(m, now);
+        SyncWriter writer { m, now, std::min<size_t>(theirs.room, room) };
         if ((!members && !upstreams) || writer.room < m.options.syncChunk / 4)
             return;
         std::array<std::vector<const MemberStatus*>, memberBuckets> memberItems;
--- a/tests/membership/MembershipTest.cpp
+++ b/tests/membership/MembershipTest.cpp
@@ -75,6 +75,43 @@
     BOOST_TEST(countEvents(network, MembershipEventKind::MemberDown) == 0U);
 }
 
+// The most members, and the fewest, that a node knows.
+static std::pair<size_t, size_t> knownMembers(GossipNetwork& network)
+{
+    std::pair<size_t, size_t> out { 0, SIZE_MAX };
+    for (size_t n = 0; n < network.hosts.size(); ++n) {
+        out.first = std::max(out.first, network.node(n).members.size() + 1);
+        out.second = std::min(out.second, network.node(n).members.size() + 1);
+    }
+    return out;
+}
+
+// All nodes start at once and know the same three seeds; upstreams announce themselves to some of the nodes.
+static void coldStart(size_t nodes, size_t upstreams, TimeMs limit)
+{
+    GossipNetwork network(3);
+    for (size_t n = 0; n < nodes; ++n)
+        network.add("node" + std::to_string(n), "domain" + std::to_string(n % 3));
+    network.run(1_s);
+    for (size_t n = 0; n < upstreams; ++n) {
+        const size_t home = n % 9;
+        const Announcement announced { .name = "runner" + std::to_string(n), .address = "10.9.0.1:" + std::to_string(8000 + n), .domain = "domain0", .model = "lm", .incarnation = 1, .sequence = 1 };
+        announce(network.node(home), network.now, announced, network.outputs);
+        network.flush(home);
+    }
+    network.run(limit - 1_s);
+    BOOST_TEST(knownMembers(network).second == nodes);
+    for (size_t n = 0; n < nodes; ++n)
+        BOOST_TEST(network.node(n).upstreams.entries.size() == upstreams);
+}
+
+// Guards against a cold start that leaves nodes with their seeds only: the pings of all of them take the seeds' bandwidth,
+// so that the seeds tell nothing of the others.
+BOOST_AUTO_TEST_CASE(eightyNodesFindEachOtherFromThreeSeeds) { coldStart(81, 140, 8_s); }
+
+// The same at the size that the design is made for.
+BOOST_AUTO_TEST_CASE(fourHundredNodesFindEachOtherFromThreeSeeds) { coldStart(400, 0, 20_s); }
+
 // Guards against a dead node that keeps its place, and against a restarted one that is taken for the dead one.
 BOOST_AUTO_TEST_CASE(killedNodeIsDroppedAndReturnsUnderItsName)
 {
