Report load through a hub of each failure domain where entry nodes are many

Cause: with 72 entry nodes every node told all others of its load, once in 900 ms to bound the cost, so loads were a second old and still took 2.5 times the processor time once all nodes knew each other. Now the nodes of a domain report every 150 ms to one of them, a voter if there is one; hubs exchange sums and tell their nodes the sum of all, from which a node takes off its own report by number. Up to 12 entry nodes keep telling each other directly.

--- a/src/forward/Allowance.cpp
+++ b/src/forward/Allowance.cpp
@@ -31,7 +31,7 @@
         const auto it = peer.second.accounts.find(account);
         return it != peer.second.accounts.end() && it->second.total > 0;
     });
-    return inUse ? size / static_cast<double>(state.peers.size() + 1) : size;
+    return inUse ? size / static_cast<double>(std::max(state.peers.size() + 1, state.nodes)) : size;
 }
 
 static Allowances::Bucket& refill(Allowances& state, TimeMs now, const AllowanceRule& rule)
--- a/src/forward/Allowance.h
+++ b/src/forward/Allowance.h
@@ -42,7 +42,8 @@
 
     AllowanceOptions options;
     std::map<std::string, Bucket> buckets; ///< By account.
-    std::map<NodeId, Peer> peers;
+    std::map<NodeId, Peer> peers; ///< Other nodes, or sums of several of them.
+    size_t nodes = 1; ///< That share the allowances, this one included.
 };
 
 /// Whether a request of this cost is within the account's allowance; takes the cost if so.
--- a/src/forward/ForwardTarget.cpp
+++ b/src/forward/ForwardTarget.cpp
@@ -14,6 +14,16 @@
 static constexpr double badFailureShare = 0.3;
 static constexpr double leastAnswers = 8;
 
+static TargetLoad reportedOf(const ForwardTargets& table, UpstreamId id)
+{
+    TargetLoad sum;
+    for (const auto& [node, loads] : table.reported) {
+        if (const auto it = loads.find(id); it != loads.end())
+            sum += it->second;
+    }
+    return sum;
+}
+
 ForwardTarget& putTarget(ForwardTargets& table, const ForwardTarget& announced)
 {
     auto& entry = table.entries[announced.id];
@@ -22,6 +32,9 @@
             std::erase(table.byBackend[entry.backend], announced.id);
         table.byBackend[announced.backend].push_back(announced.id);
     }
+    // Nodes may have reported load of a target before this one has heard of it.
+    if (!entry.id)
+        entry.others = reportedOf(table, announced.id);
     const bool known = entry.id && entry.incarnation == announced.incarnation;
     ForwardTarget next = announced;
     if (known) {
@@ -56,19 +69,28 @@
 static void sumReports(ForwardTargets& table)
 {
     for (auto& [id, target] : table.entries)
-        target.others = {};
-    for (const auto& [node, loads] : table.reported) {
-        for (const auto& [id, load] : loads) {
-            if (ForwardTarget* target = findTarget(table, id))
-                target->others += load;
-        }
-    }
+        target.others = reportedOf(table, id);
 }
 
 void takeReport(ForwardTargets& table, TimeMs now, NodeId node, const std::map<UpstreamId, TargetLoad>& loads)
 {
-    table.reported[node] = loads;
+    auto& known = table.reported[node];
+    for (const auto& [id, load] : known) {
+        if (ForwardTarget* target = findTarget(table, id))
+            target->others -= load;
+    }
+    for (const auto& [id, load] : loads) {
+        if (ForwardTarget* target = findTarget(table, id))
+            target->others += load;
+    }
+    known = loads;
     table.reportedAt[node] = now;
+}
+
+void takeFleetReport(ForwardTargets& table, TimeMs now, NodeId from, const std::map<UpstreamId, TargetLoad>& loads)
+{
+    table.reported = { { from, loads } };
+    table.reportedAt = { { from, now } };
     sumReports(table);
 }
 
--- a/src/forward/ForwardTarget.h
+++ b/src/forward/ForwardTarget.h
@@ -3,6 +3,7 @@
 #include "base/Ids.h"
 #include "base/TimeMs.h"
 
+#include <algorithm>
 #include <array>
 #include <map>
 #include <string>
@@ -25,6 +26,14 @@
             unread[n] += other.unread[n];
         return *this;
     }
+    TargetLoad& operator-=(const TargetLoad& other)
+    {
+        // Sums of rounded reports end a little below zero.
+        running = std::max(0.0, running - other.running);
+        for (size_t n = 0; n < unread.size(); ++n)
+            unread[n] = std::max(0.0, unread[n] - other.unread[n]);
+        return *this;
+    }
     /// Prompt tokens that an engine reads before those of a request of this urgency.
     double unreadUpTo(int urgency) const
     {
@@ -77,6 +86,8 @@
 
 /// Replaces what a node reported of its load.
 void takeReport(ForwardTargets&, TimeMs now, NodeId, const std::map<UpstreamId, TargetLoad>&);
+/// Takes a report of all other nodes' load together, in place of every other report.
+void takeFleetReport(ForwardTargets&, TimeMs now, NodeId from, const std::map<UpstreamId, TargetLoad>& loads);
 /// Drops reports of nodes that have not been heard of for this long.
 void expireReports(ForwardTargets&, TimeMs now, TimeMs silence);
 
--- /dev/null
+++ b/src/forward/LoadSum.cpp
@@ -0,0 +1,43 @@
+#include "forward/LoadSum.h"
+
+#include <algorithm>
+
+namespace siskinshunt {
+
+void addTotals(RisingSum& state, NodeId node, const std::map<std::string, double>& totals)
+{
+    const auto [known, first] = state.last.try_emplace(node);
+    for (const auto& [name, total] : totals) {
+        auto& last = known->second[name];
+        auto& sum = state.sum[name];
+        if (!first)
+            sum += total < last ? std::max(total, 0.0) : total - last;
+        last = total;
+    }
+}
+
+void keepReport(SentReports& state, SentReport report)
+{
+    state.reports.push_back(std::move(report));
+    if (state.reports.size() > SentReports::kept)
+        state.reports.pop_front();
+}
+
+const SentReport* findReport(const SentReports& state, uint64_t number)
+{
+    const auto it = std::find_if(state.reports.begin(), state.reports.end(), [number](const auto& report) { return report.number == number; });
+    return it == state.reports.end() ? nullptr : &*it;
+}
+
+std::map<UpstreamId, TargetLoad> withoutReport(std::map<UpstreamId, TargetLoad> sum, const SentReport* own)
+{
+    if (!own)
+        return sum;
+    for (const auto& [id, load] : own->loads) {
+        if (const auto it = sum.find(id); it != sum.end())
+            it->second -= load;
+    }
+    return sum;
+}
+
+}
--- a/src/membership/Sync.cpp
+++ b/src/membership/Sync.cpp
@@ -115,7 +115,7 @@
         if (now < m.nextSync)
             return;
         refreshRings(m);
-        const bool fresh = isNew(m, now) && (m.mismatch > mismatchOfFilled || m.ring.size() <= m.options.seeds.size() + 1);
+        const bool fresh = isNew(m, now) && m.mismatch > mismatchOfFilled;
         const TimeMs interval = fresh ? m.options.syncIntervalNew : m.mismatch > 0.5 ? m.options.syncIntervalDiffering
                                                                                      : m.options.syncInterval;
         m.nextSync = now + interval * m.random.between(80, 120) / 100;
--- a/src/node/ForwardReport.cpp
+++ b/src/node/ForwardReport.cpp
@@ -1,6 +1,9 @@
+#include "node/ForwardReport.h"
+
 #include "node/ForwardFlow.h"
 #include "node/Groups.h"
 #include "node/LeaderFlow.h"
+#include "node/LoadHubs.h"
 #include "node/Peers.h"
 #include "node/Scaling.h"
 #include "wire/Codec.h"
@@ -9,10 +12,8 @@
 
 namespace siskinshunt {
 
-// Between reports of load to the other entry nodes, up to this many of them; with more the pause grows, so that the cost
-// per node stays the same.
+// Between reports of load to the other entry nodes.
 static constexpr TimeMs reportInterval { 100 };
-static constexpr size_t reportNodes = 8;
 static constexpr TimeMs expiryInterval { 500 };
 // Reports of a node that has not been heard of for this long no longer count as load.
 static constexpr TimeMs reportSilence { 2000 };
@@ -29,16 +30,16 @@
     return std::max(n, node.forward.allowances.peers.size() + 1);
 }
 
-static bool takesCallers(const Node& node)
+bool takesCallers(const Node& node)
 {
     return node.options.settings.listeners.forward.port != 0;
 }
 
-static ReportedLoad reportOf(const ForwardTarget& target)
+ReportedLoad reportedLoad(UpstreamId id, const TargetLoad& load)
 {
-    ReportedLoad out { .upstream = target.id, .running = static_cast<float>(target.own.running), .unread = {} };
+    ReportedLoad out { .upstream = id, .running = static_cast<float>(load.running), .unread = {} };
     for (size_t n = 0; n < out.unread.size(); ++n)
-        out.unread[n] = static_cast<float>(target.own.unread[n]);
+        out.unread[n] = static_cast<float>(load.unread[n]);
     return out;
 }
 
@@ -50,21 +51,38 @@
     return out;
 }
 
-static void reportLoad(Node& node)
+std::map<UpstreamId, TargetLoad> loadsOf(const std::vector<ReportedLoad>& reported)
+{
+    std::map<UpstreamId, TargetLoad> out;
+    for (const auto& load : reported)
+        out[load.upstream] = loadOf(load);
+    return out;
+}
+
+void notePlaced(Node& node, const std::vector<PlacedPart>& placed)
+{
+    for (const auto& part : placed)
+        notePart(node.forward.parts, node.now, part.part, part.upstream);
+}
+
+ForwardLoadFrame takeOwnLoad(Node& node)
 {
     auto& forward = node.forward;
-    const size_t nodes = forwardNodes(node);
-    const auto scale = static_cast<int64_t>(std::max<size_t>(1, nodes / reportNodes));
-    forward.nextReport = node.now + reportInterval * scale;
-    ForwardLoadFrame frame { .loads = {}, .placed = std::move(forward.placed), .spent = spendingOf(forward.allowances), .toRead = forward.toRead, .tokensPerMs = static_cast<float>(forward.choice.pace.tokensPerMs) };
-    forward.placed.clear();
+    ForwardLoadFrame frame { .loads = {}, .placed = std::exchange(forward.placed, {}), .spent = spendingOf(forward.allowances), .toRead = forward.toRead, .tokensPerMs = static_cast<float>(forward.choice.pace.tokensPerMs) };
     if (frame.placed.size() > maxPlaced)
         frame.placed.resize(maxPlaced);
     for (const auto& [id, target] : forward.targets.entries) {
         if (target.own.running > 0)
-            frame.loads.push_back(reportOf(target));
+            frame.loads.push_back(reportedLoad(id, target.own));
     }
-    const std::string body = encode(frame);
+    return frame;
+}
+
+// Few entry nodes tell each other directly.
+static void reportToAll(Node& node)
+{
+    node.forward.nextReport = node.now + reportInterval;
+    const std::string body = encode(takeOwnLoad(node));
     const NodeId leader = decisionLeader(node);
     for (const auto& [id, member] : node.membership.members) {
         if ((!member.status.voter || id == leader) && isAlive(node.membership, id))
@@ -79,16 +97,12 @@
             addLog(node, LogLevel::Warning, "bad_load_report", Step::Decode, error.peer, error.detail);
             return ForwardLoadFrame {};
         });
-    std::map<UpstreamId, TargetLoad> loads;
-    for (const auto& load : frame.loads)
-        loads[load.upstream] = loadOf(load);
-    takeReport(node.forward.targets, node.now, from, loads);
+    takeReport(node.forward.targets, node.now, from, loadsOf(frame.loads));
     takeSpending(node.forward.allowances, node.now, from, frame.spent);
     takeBackendDemand(node, from, frame);
     if (!takesCallers(node))
         return;
-    for (const auto& placed : frame.placed)
-        notePart(node.forward.parts, node.now, placed.part, placed.upstream);
+    notePlaced(node, frame.placed);
 }
 
 static void expireForward(Node& node)
@@ -104,13 +118,20 @@
 
 void tickForward(Node& node)
 {
-    if (node.now >= node.forward.nextExpiry)
+    auto& forward = node.forward;
+    if (node.now >= forward.nextExpiry)
         expireForward(node);
+    tickLoadHub(node);
     if (!takesCallers(node))
         return;
     tickForwardCalls(node);
-    if (node.now >= node.forward.nextReport)
-        reportLoad(node);
+    if (node.now < forward.nextReport)
+        return;
+    forward.allowances.nodes = forwardNodes(node);
+    if (usesLoadHubs(node))
+        reportToHub(node);
+    else
+        reportToAll(node);
 }
 
 }
--- a/src/node/ForwardState.h
+++ b/src/node/ForwardState.h
@@ -4,6 +4,7 @@
 #include "forward/Allowance.h"
 #include "forward/ForwardCall.h"
 #include "forward/ForwardTarget.h"
+#include "forward/LoadSum.h"
 #include "forward/RetryLimit.h"
 #include "forward/TargetChoice.h"
 #include "forward/UsageMeter.h"
@@ -19,6 +20,31 @@
 
 struct NodeOptions;
 
+/// Reports of load through hubs: what a reporting node and what a hub keeps.
+struct LoadHubState {
+    struct Reporter {
+        uint64_t number = 0; ///< Of its last report.
+        TimeMs heard;
+    };
+    struct OtherHub {
+        std::map<std::string, double> spent; ///< In its domain, by client account.
+        TimeMs heard;
+    };
+
+    NodeId hub; ///< Of this node's domain, as of the last report.
+    uint64_t lastNumber = 0;
+    SentReports sent;
+    // At a hub.
+    std::map<NodeId, Reporter> reporters;
+    std::map<NodeId, OtherHub> others;
+    RisingSum spent; ///< In this domain, by client account.
+    RisingSum toRead; ///< The same of prompt tokens to read, by backend.
+    float tokensPerMs = 0; ///< Pace of engines, as the last reporter has learnt it.
+    std::vector<PlacedPart> placedHere; ///< Reported in this domain since the last sum.
+    std::vector<PlacedPart> placedElsewhere;
+    TimeMs nextSum;
+};
+
 /// Forwarding at this node.
 struct ForwardState {
     HeaderNames headers;
@@ -35,6 +61,7 @@
     std::unordered_map<DispatchId, ExchangeId> dispatches;
     std::map<std::string, double> toRead; ///< Prompt tokens given to engines to read since the start, by backend.
     std::vector<PlacedPart> placed; ///< Since the last report to the other nodes.
+    LoadHubState hubs;
     TimeMs nextReport;
     TimeMs nextExpiry;
     /// Upstreams that are leaving, with the last incarnation that is meant and when this was learnt.
--- /dev/null
+++ b/src/node/LoadHubs.cpp
@@ -0,0 +1,246 @@
+#include "node/LoadHubs.h"
+
+#include "node/ForwardFlow.h"
+#include "node/ForwardReport.h"
+#include "node/Groups.h"
+#include "node/LeaderFlow.h"
+#include "node/Peers.h"
+#include "node/Scaling.h"
+#include "wire/Codec.h"
+
+#include <algorithm>
+#include <set>
+
+namespace siskinshunt {
+
+// Up to this many entry nodes tell each other directly: a node of a quarter of a core spends 1% of it on that.
+static constexpr size_t mostWithoutHubs = 12;
+// Between reports and between sums, for a domain of up to `nodesPerInterval` nodes; larger ones take longer, so that the
+// cost at the hub stays the same.
+static constexpr TimeMs hubInterval { 150 };
+static constexpr size_t nodesPerInterval = 32;
+// A node that has not reported for this long is left out of the sums.
+static constexpr TimeMs reporterSilence { 2000 };
+// Placed parts kept between two sums; what is left out costs a second reading of a part.
+static constexpr size_t maxPlacedInSum = 4000;
+
+static TimeMs intervalOf(size_t nodes)
+{
+    return hubInterval * static_cast<int64_t>(1 + nodes / nodesPerInterval);
+}
+
+bool usesLoadHubs(const Node& node)
+{
+    return forwardNodes(node) > mostWithoutHubs;
+}
+
+// The hub of a failure domain: a voter if there is one, since voters take no callers. All nodes that know the same members
+// choose the same.
+static NodeId hubOf(const Node& node, const std::string& domain)
+{
+    std::pair<bool, uint64_t> best { true, UINT64_MAX };
+    const auto consider = [&](NodeId id, bool voter) { best = std::min(best, std::pair(!voter, id.value)); };
+    if (node.options.settings.failureDomain == domain && !node.draining)
+        consider(node.self, static_cast<bool>(node.options.voter));
+    for (const auto& [id, member] : node.membership.members) {
+        if (member.identity.domain == domain && isAlive(node.membership, id) && !member.status.draining)
+            consider(id, static_cast<bool>(member.status.voter));
+    }
+    return best.second == UINT64_MAX ? NodeId {} : NodeId { best.second };
+}
+
+static std::set<std::string> domainsOf(const Node& node)
+{
+    std::set<std::string> out { node.options.settings.failureDomain };
+    for (const auto& [id, member] : node.membership.members) {
+        if (isAlive(node.membership, id))
+            out.insert(member.identity.domain);
+    }
+    return out;
+}
+
+static size_t nodesOfDomain(const Node& node)
+{
+    return static_cast<size_t>(std::count_if(node.membership.members.begin(), node.membership.members.end(), [&](const auto& it) {
+        return it.second.identity.domain == node.options.settings.failureDomain && isAlive(node.membership, it.first);
+    }));
+}
+
+void reportToHub(Node& node)
+{
+    auto& forward = node.forward;
+    auto& hubs = forward.hubs;
+    forward.nextReport = node.now + intervalOf(nodesOfDomain(node));
+    const NodeId hub = hubOf(node, node.options.settings.failureDomain);
+    if (hub != hubs.hub) {
+        const Member* member = findMember(node.membership, hub);
+        addLog(node, LogLevel::Info, "load_hub", Step::Send, member ? member->identity.name : hub == node.self ? node.options.settings.node
+                                                                                                               : std::string {},
+            "load of this node is reported here");
+        hubs.hub = hub;
+    }
+    if (hub == node.self || !hub)
+        return;
+    HubReportFrame frame { .number = ++hubs.lastNumber, .load = takeOwnLoad(node) };
+    keepReport(hubs.sent, { frame.number, loadsOf(frame.load.loads), frame.load.spent });
+    sendFrame(node, hub, FrameKind::HubReport, {}, encode(frame));
+}
+
+template <class Frame>
+static std::optional<Frame> decodeLoad(Node& node, std::string_view body)
+{
+    return handle(
+        [&]() -> Result<std::optional<Frame>> {
+            BOOST_LEAF_AUTO(frame, decode<Frame>(body, maxForwardLoadBytes));
+            return std::optional(std::move(frame));
+        },
+        [&](const Error& error) {
+            addLog(node, LogLevel::Warning, "bad_load_report", Step::Decode, error.peer, error.detail);
+            return std::optional<Frame> {};
+        });
+}
+
+static void addPlaced(std::vector<PlacedPart>& to, const std::vector<PlacedPart>& placed)
+{
+    to.insert(to.end(), placed.begin(), placed.begin() + static_cast<std::ptrdiff_t>(std::min(placed.size(), maxPlacedInSum - std::min(maxPlacedInSum, to.size()))));
+}
+
+// What a node or a hub told, as far as this node forwards or plans itself.
+static void takeLoad(Node& node, NodeId from, const ForwardLoadFrame& load)
+{
+    takeReport(node.forward.targets, node.now, from, loadsOf(load.loads));
+    takeBackendDemand(node, from, load);
+    if (!takesCallers(node))
+        return;
+    takeSpending(node.forward.allowances, node.now, from, load.spent);
+    notePlaced(node, load.placed);
+}
+
+void receiveHubReport(Node& node, NodeId from, std::string_view body)
+{
+    const auto frame = decodeLoad<HubReportFrame>(node, body);
+    if (!frame)
+        return;
+    auto& hubs = node.forward.hubs;
+    hubs.reporters[from] = { frame->number, node.now };
+    addTotals(hubs.spent, from, frame->load.spent);
+    addTotals(hubs.toRead, from, frame->load.toRead);
+    if (frame->load.tokensPerMs > 0)
+        hubs.tokensPerMs = frame->load.tokensPerMs;
+    addPlaced(hubs.placedHere, frame->load.placed);
+    takeLoad(node, from, frame->load);
+}
+
+void receiveDomainLoad(Node& node, NodeId from, std::string_view body)
+{
+    const auto frame = decodeLoad<ForwardLoadFrame>(node, body);
+    if (!frame)
+        return;
+    auto& hubs = node.forward.hubs;
+    hubs.others[from] = { frame->spent, node.now };
+    addPlaced(hubs.placedElsewhere, frame->placed);
+    takeLoad(node, from, *frame);
+}
+
+void receiveFleetLoad(Node& node, NodeId from, std::string_view body)
+{
+    const auto frame = decodeLoad<FleetLoadFrame>(node, body);
+    if (!frame || !takesCallers(node))
+        return;
+    auto& forward = node.forward;
+    const auto included = frame->included.find(node.self);
+    const SentReport* own = included == frame->included.end() ? nullptr : findReport(forward.hubs.sent, included->second);
+    takeFleetReport(forward.targets, node.now, from, withoutReport(loadsOf(frame->loads), own));
+    notePlaced(node, frame->placed);
+    for (const auto& [hub, totals] : frame->spent) {
+        if (hub != from) {
+            takeSpending(forward.allowances, node.now, hub, totals);
+            continue;
+        }
+        // The sum of the own domain contains what this node has spent.
+        if (!own)
+            continue;
+        auto others = totals;
+        for (const auto& [account, spent] : own->spent)
+            others[account] -= spent;
+        takeSpending(forward.allowances, node.now, hub, others);
+    }
+}
+
+// Sum over the nodes that report to this one, and its own if it takes callers.
+static ForwardLoadFrame domainLoad(Node& node)
+{
+    auto& forward = node.forward;
+    auto& hubs = forward.hubs;
+    std::map<UpstreamId, TargetLoad> sum;
+    for (const auto& [reporter, known] : hubs.reporters) {
+        const auto it = forward.targets.reported.find(reporter);
+        if (it == forward.targets.reported.end())
+            continue;
+        for (const auto& [id, load] : it->second)
+            sum[id] += load;
+    }
+    if (takesCallers(node)) {
+        const ForwardLoadFrame own = takeOwnLoad(node);
+        for (const auto& [id, load] : loadsOf(own.loads))
+            sum[id] += load;
+        addTotals(hubs.spent, node.self, own.spent);
+        addTotals(hubs.toRead, node.self, own.toRead);
+        addPlaced(hubs.placedHere, own.placed);
+        if (own.tokensPerMs > 0)
+            hubs.tokensPerMs = own.tokensPerMs;
+    }
+    ForwardLoadFrame frame { .loads = {}, .placed = std::exchange(hubs.placedHere, {}), .spent = hubs.spent.sum, .toRead = hubs.toRead.sum, .tokensPerMs = hubs.tokensPerMs };
+    for (const auto& [id, load] : sum)
+        frame.loads.push_back(reportedLoad(id, load));
+    return frame;
+}
+
+static void sendToHubs(Node& node, const ForwardLoadFrame& frame)
+{
+    std::set<NodeId> to { decisionLeader(node) };
+    for (const auto& domain : domainsOf(node))
+        to.insert(hubOf(node, domain));
+    const std::string body = encode(frame);
+    for (const NodeId id : to) {
+        if (id && id != node.self)
+            sendFrame(node, id, FrameKind::DomainLoad, {}, body);
+    }
+}
+
+static void sendToReporters(Node& node, ForwardLoadFrame&& own)
+{
+    auto& forward = node.forward;
+    auto& hubs = forward.hubs;
+    FleetLoadFrame frame { .loads = {}, .placed = std::move(own.placed), .spent = { { node.self, std::move(own.spent) } }, .included = {} };
+    frame.placed.insert(frame.placed.end(), hubs.placedElsewhere.begin(), hubs.placedElsewhere.end());
+    hubs.placedElsewhere.clear();
+    for (const auto& [hub, known] : hubs.others)
+        frame.spent[hub] = known.spent;
+    for (const auto& [id, target] : forward.targets.entries) {
+        TargetLoad all = target.own;
+        all += target.others;
+        if (all.running > 0)
+            frame.loads.push_back(reportedLoad(id, all));
+    }
+    for (const auto& [id, known] : hubs.reporters)
+        frame.included[id] = known.number;
+    const std::string body = encode(frame);
+    for (const auto& [id, known] : hubs.reporters)
+        sendFrame(node, id, FrameKind::FleetLoad, {}, body);
+}
+
+void tickLoadHub(Node& node)
+{
+    auto& hubs = node.forward.hubs;
+    if (hubs.reporters.empty() || node.now < hubs.nextSum)
+        return;
+    hubs.nextSum = node.now + intervalOf(hubs.reporters.size());
+    std::erase_if(hubs.reporters, [&](const auto& it) { return node.now - it.second.heard > reporterSilence; });
+    std::erase_if(hubs.others, [&](const auto& it) { return node.now - it.second.heard > reporterSilence; });
+    ForwardLoadFrame frame = domainLoad(node);
+    sendToHubs(node, frame);
+    sendToReporters(node, std::move(frame));
+}
+
+}
--- a/src/node/PeerMessages.h
+++ b/src/node/PeerMessages.h
@@ -39,6 +39,9 @@
     LeavingNoted, ///< Its answer by the decision leader.
     ViewNotice, ///< A FetchViewFrame: the sender's view has this index.
     VersionEvidence, ///< A VersionEvidenceFrame.
+    HubReport, ///< A HubReportFrame.
+    DomainLoad, ///< A ForwardLoadFrame: the sum over the sender's failure domain.
+    FleetLoad, ///< A FleetLoadFrame.
 };
 
 template <>
@@ -65,6 +68,9 @@
     { FrameKind::LeavingNoted, "leaving_noted" },
     { FrameKind::ViewNotice, "view_notice" },
     { FrameKind::VersionEvidence, "version_evidence" },
+    { FrameKind::HubReport, "hub_report" },
+    { FrameKind::DomainLoad, "domain_load" },
+    { FrameKind::FleetLoad, "fleet_load" },
 });
 
 /// Asks a voter to propose a command; repeated with the same request number until answered.
@@ -170,6 +176,26 @@
     void serialize(Archive& archive) { archive(loads, placed, spent, toRead, tokensPerMs); }
 };
 
+/// What an entry node tells the hub of its failure domain.
+struct HubReportFrame {
+    uint64_t number = 0; ///< Rises with each report of the sender.
+    ForwardLoadFrame load;
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(number, load); }
+};
+
+/// What a hub tells the entry nodes that report to it.
+struct FleetLoadFrame {
+    std::vector<ReportedLoad> loads; ///< Of all nodes, the receiver included.
+    std::vector<PlacedPart> placed; ///< By any node since the last frame.
+    std::map<NodeId, std::map<std::string, double>> spent; ///< By hub and client account: sums that never go down.
+    std::map<NodeId, uint64_t> included; ///< By node that reports to this hub: its last report, which the sums contain.
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(loads, placed, spent, included); }
+};
+
 /// Requests that began to run at a node, for the decision leader. Windows that ended are complete.
 struct UsageFrame {
     int64_t current = 0; ///< The window in which the sender is; earlier ones are complete.
--- a/src/node/Peers.cpp
+++ b/src/node/Peers.cpp
@@ -8,6 +8,7 @@
 #include "node/ForwardFlow.h"
 #include "node/Groups.h"
 #include "node/LeaderFlow.h"
+#include "node/LoadHubs.h"
 #include "node/MovesFlow.h"
 #include "node/VersionOrders.h"
 #include "node/VoterRepair.h"
@@ -70,6 +71,12 @@
         return receiveDemand(node, envelope.sender, envelope.body);
     case FrameKind::ForwardLoad:
         return receiveForwardLoad(node, envelope.sender, envelope.body);
+    case FrameKind::HubReport:
+        return receiveHubReport(node, envelope.sender, envelope.body);
+    case FrameKind::DomainLoad:
+        return receiveDomainLoad(node, envelope.sender, envelope.body);
+    case FrameKind::FleetLoad:
+        return receiveFleetLoad(node, envelope.sender, envelope.body);
     case FrameKind::Usage:
         return receiveUsage(node, envelope.sender, envelope.body);
     case FrameKind::Leaving:
--- a/tests/node/ForwardTest.cpp
+++ b/tests/node/ForwardTest.cpp
@@ -410,6 +410,51 @@
     BOOST_CHECK_EQUAL(entry.answer().first, 200);
 }
 
+static ForwardTarget engineOf(uint64_t id)
+{
+    ForwardTarget target;
+    target.id = { id };
+    target.name = "engine-" + std::to_string(id);
+    target.backend = "lm";
+    target.engine = true;
+    return target;
+}
+
+// Load pattern: many entry nodes send to the same engines. Guards against nodes that do not see the load of the others,
+// count it twice, or count their own, when reports go through the hubs of three domains, also after a hub has died.
+BOOST_AUTO_TEST_CASE(ManyNodesSeeTheLoadOfAllThroughHubs)
+{
+    NodeFleet fleet({ .nodes = 24 });
+    for (size_t n = 3; n < fleet.nodes.size(); ++n)
+        fleet.nodes[n].settings.listeners.forward = { "127.0.0.1", static_cast<uint16_t>(9500 + n) };
+    BOOST_REQUIRE(fleet.begin());
+    BOOST_REQUIRE(fleet.runUntil([&] { return std::all_of(fleet.nodes.begin(), fleet.nodes.end(), [](const auto& it) { return it.node->membership.members.size() == 23; }); }, 20_s));
+    const auto use = [&](size_t n, double running) {
+        auto& targets = fleet.nodes[n].node->forward.targets;
+        putTarget(targets, engineOf(1)).own.running = running;
+    };
+    for (size_t n = 0; n < fleet.nodes.size(); ++n)
+        use(n, n < 3 ? 0 : static_cast<double>(n));
+    const auto check = [&](double sum) {
+        for (size_t n = 0; n < fleet.nodes.size(); ++n) {
+            if (fleet.nodes[n].stopped || !fleet.nodes[n].node)
+                continue;
+            const auto& target = *findTarget(fleet.nodes[n].node->forward.targets, { 1 });
+            BOOST_TEST(target.own.running + target.others.running == sum);
+        }
+    };
+    fleet.runFor(3_s);
+    check(273);
+    use(23, 3);
+    fleet.runFor(1_s);
+    check(253);
+    fleet.kill(0, false);
+    fleet.runFor(15_s);
+    check(253);
+    for (size_t n = 3; n < fleet.nodes.size(); ++n)
+        BOOST_TEST(fleet.nodes[n].node->forward.hubs.hub.value != 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
