--- a/src/forward/EnginePace.cpp
+++ b/src/forward/EnginePace.cpp
@@ -27,6 +27,7 @@
     if (pace.n < leastObservations || spread <= 0)
         return;
     const double slope = std::clamp((pace.n * pace.xy - pace.x * pace.y) / spread, 1 / fastest, 1 / slowest);
+    pace.learnt = true;
     pace.tokensPerMs = 1 / slope;
     pace.baseMs = std::max(0.0, (pace.y - slope * pace.x) / pace.n);
 }
--- a/src/forward/EnginePace.h
+++ b/src/forward/EnginePace.h
@@ -7,6 +7,7 @@
 struct EnginePace {
     double tokensPerMs = 40; ///< Used until enough was observed.
     double baseMs = 40;
+    bool learnt = false; ///< From enough observations.
 
     // Sums over the observations, decayed with each of them.
     double n = 0;
--- a/src/forward/FleetPlan.cpp
+++ b/src/forward/FleetPlan.cpp
@@ -1,11 +1,40 @@
 #include "forward/FleetPlan.h"
 
+#include "forward/EnginePace.h"
+
 #include <algorithm>
 #include <cmath>
 #include <vector>
 
 namespace siskinshunt {
 
+// Time constants: of the average load, which follows a burst within its length, and of the best pace.
+static constexpr double demandMemorySeconds = 3;
+static constexpr double paceMemorySeconds = 60;
+// On the Punjab days busy engines are learnt at 0.53 to 0.72 of the pace of idle ones; a lower pace is that of a queue.
+static constexpr double crowdedPace = 0.55;
+
+void stepEstimate(DemandEstimate& estimate, double tokens, double seconds)
+{
+    const double keep = std::exp(-seconds / demandMemorySeconds);
+    estimate.readPerSecond = estimate.readPerSecond * keep + tokens / seconds * (1 - keep);
+    estimate.observedSeconds = std::min(estimate.observedSeconds + seconds, demandMemorySeconds * 10);
+    estimate.bestTokensPerMs = std::max(estimate.bestTokensPerMs * std::exp(-seconds / paceMemorySeconds), estimate.tokensPerMs);
+}
+
+double readPerSecond(const DemandEstimate& estimate)
+{
+    const double weight = 1 - std::exp(-estimate.observedSeconds / demandMemorySeconds);
+    return weight > 0 ? estimate.readPerSecond / weight : 0;
+}
+
+double planPace(const DemandEstimate& estimate)
+{
+    if (estimate.tokensPerMs <= 0)
+        return EnginePace {}.tokensPerMs;
+    return std::max(estimate.tokensPerMs, estimate.bestTokensPerMs * crowdedPace);
+}
+
 double busyEngines(const FleetPlanOptions& options, const BackendRule& backend, const FleetDemand& demand)
 {
     const double reading = demand.tokensPerMs > 0 ? demand.readPerSecond / (demand.tokensPerMs * 1000) : 0;
--- a/src/forward/FleetPlan.h
+++ b/src/forward/FleetPlan.h
@@ -22,6 +22,22 @@
     TimeMs peakMemory { 20000 }; ///< Time constant in which a former peak of the load is forgotten.
 };
 
+/// Estimate of a backend's load, from what nodes report. The pace that they learn falls when engines are crowded, and a
+/// plan that follows it down orders far too many instances.
+struct DemandEstimate {
+    double readPerSecond = 0; ///< Prompt tokens to read, moving average.
+    double observedSeconds = 0; ///< Since the first step, up to a few times the memory of the average.
+    double tokensPerMs = 0; ///< Of one engine, as learnt last; 0 before.
+    double bestTokensPerMs = 0; ///< The fastest pace seen, forgotten slowly.
+};
+
+/// Takes the tokens of a step of this many seconds into the average.
+void stepEstimate(DemandEstimate&, double tokens, double seconds);
+/// Prompt tokens per second, without the bias of an average that has just begun.
+double readPerSecond(const DemandEstimate&);
+/// Pace to plan with.
+double planPace(const DemandEstimate&);
+
 /// Load of a backend over all nodes.
 struct FleetDemand {
     double readPerSecond = 0; ///< Prompt tokens that engines have to read.
--- a/src/node/ForwardState.h
+++ b/src/node/ForwardState.h
@@ -2,6 +2,7 @@
 
 #include "base/Random.h"
 #include "forward/Allowance.h"
+#include "forward/FleetPlan.h"
 #include "forward/ForwardCall.h"
 #include "forward/ForwardTarget.h"
 #include "forward/LoadSum.h"
@@ -39,7 +40,7 @@
     std::map<NodeId, OtherHub> others;
     RisingSum spent; ///< In this domain, by client account.
     RisingSum toRead; ///< The same of prompt tokens to read, by backend.
-    float tokensPerMs = 0; ///< Pace of engines, as the last reporter has learnt it.
+    float tokensPerMs = 0; ///< Pace of engines, as the reporters have learnt it; 0 before.
     std::vector<PlacedPart> placedHere; ///< Reported in this domain since the last sum.
     std::vector<PlacedPart> placedElsewhere;
     TimeMs nextSum;
@@ -83,8 +84,7 @@
 struct BackendDemand {
     std::map<NodeId, double> totals; ///< Tokens to read since each node's start.
     double tokens = 0; ///< Since the last step.
-    double readPerSecond = 0; ///< Moving average.
-    double tokensPerMs = 0;
+    DemandEstimate estimate;
     double busy = 0; ///< Engines kept busy; a peak is forgotten slowly.
     TimeMs since; ///< First report.
     TimeMs steppedAt;
--- a/src/node/LoadHubs.cpp
+++ b/src/node/LoadHubs.cpp
@@ -116,6 +116,13 @@
     notePlaced(node, load.placed);
 }
 
+// Mean over about ten reports.
+static void notePaceOf(LoadHubState& hubs, const ForwardLoadFrame& load)
+{
+    if (load.tokensPerMs > 0)
+        hubs.tokensPerMs += (load.tokensPerMs - hubs.tokensPerMs) * (hubs.tokensPerMs > 0 ? 0.1F : 1.0F);
+}
+
 void receiveHubReport(Node& node, NodeId from, std::string_view body)
 {
     const auto frame = decodeLoad<HubReportFrame>(node, body);
@@ -125,8 +132,7 @@
     hubs.reporters[from] = { frame->number, node.now };
     addTotals(hubs.spent, from, frame->load.spent);
     addTotals(hubs.toRead, from, frame->load.toRead);
-    if (frame->load.tokensPerMs > 0)
-        hubs.tokensPerMs = frame->load.tokensPerMs;
+    notePaceOf(hubs, frame->load);
     addPlaced(hubs.placedHere, frame->load.placed);
     takeLoad(node, from, frame->load);
 }
@@ -187,8 +193,7 @@
         addTotals(hubs.spent, node.self, own.spent);
         addTotals(hubs.toRead, node.self, own.toRead);
         addPlaced(hubs.placedHere, own.placed);
-        if (own.tokensPerMs > 0)
-            hubs.tokensPerMs = own.tokensPerMs;
+        notePaceOf(hubs, own);
     }
     ForwardLoadFrame frame { .loads = {}, .placed = std::exchange(hubs.placedHere, {}), .spent = hubs.spent.sum, .toRead = hubs.toRead.sum, .tokensPerMs = hubs.tokensPerMs };
     for (const auto& [id, load] : sum)
--- a/src/node/PeerMessages.h
+++ b/src/node/PeerMessages.h
@@ -170,7 +170,7 @@
     std::vector<PlacedPart> placed;
     std::map<std::string, double> spent; ///< Of the allowances since the sender's start, by client account.
     std::map<std::string, double> toRead; ///< Prompt tokens that engines were given to read since the sender's start, by backend.
-    float tokensPerMs = 0; ///< Pace of engines that the sender has learnt.
+    float tokensPerMs = 0; ///< Pace of engines that the sender has learnt; 0 before.
 
     template <class Archive>
     void serialize(Archive& archive) { archive(loads, placed, spent, toRead, tokensPerMs); }
--- a/src/node/Scaling.cpp
+++ b/src/node/Scaling.cpp
@@ -10,7 +10,8 @@
 static constexpr TimeMs stepInterval { 1000 };
 // Load has to be known for this long before instances are given up.
 static constexpr TimeMs leastHistory { 5000 };
-static constexpr double demandMemorySeconds = 3;
+// Weight of one report's pace: the mean of about ten nodes.
+static constexpr double paceWeight = 0.1;
 static constexpr TimeMs orderPause { 200 };
 // An order that the platform could not meet is repeated after this time, and reclaimable instances count as not to be had.
 static constexpr TimeMs refusedRetry { 4000 };
@@ -29,7 +30,7 @@
             demand.tokens += total < it->second ? total : total - it->second;
         it->second = total;
         if (frame.tokensPerMs > 0)
-            demand.tokensPerMs += (static_cast<double>(frame.tokensPerMs) - demand.tokensPerMs) * (demand.tokensPerMs > 0 ? 0.1 : 1);
+            demand.estimate.tokensPerMs += (static_cast<double>(frame.tokensPerMs) - demand.estimate.tokensPerMs) * (demand.estimate.tokensPerMs > 0 ? paceWeight : 1);
     }
 }
 
@@ -74,12 +75,11 @@
     if (seconds < stepInterval.seconds())
         return;
     demand.steppedAt = node.now;
-    const double keep = std::exp(-seconds / demandMemorySeconds);
-    demand.readPerSecond = demand.readPerSecond * keep + demand.tokens / seconds * (1 - keep);
-    demand.tokens = 0;
-    const double busy = busyEngines(options, backend, { demand.readPerSecond, runningOf(node, backend.name), demand.tokensPerMs });
+    stepEstimate(demand.estimate, std::exchange(demand.tokens, 0), seconds);
+    const FleetDemand load { readPerSecond(demand.estimate), runningOf(node, backend.name), planPace(demand.estimate) };
+    const double busy = busyEngines(options, backend, load);
     addLog(node, LogLevel::Info, "load_estimated", Step::Order, backend.name, "engines kept busy by the load",
-        { { "busy", std::to_string(busy) }, { "read_per_s", std::to_string(demand.readPerSecond) }, { "running", std::to_string(runningOf(node, backend.name)) }, { "tokens_per_ms", std::to_string(demand.tokensPerMs) }, { "fleet", fleetText(present) } });
+        { { "busy", std::to_string(busy) }, { "read_per_s", std::to_string(load.readPerSecond) }, { "running", std::to_string(load.running) }, { "tokens_per_ms", std::to_string(load.tokensPerMs) }, { "learnt_tokens_per_ms", std::to_string(demand.estimate.tokensPerMs) }, { "fleet", fleetText(present) } });
     demand.busy = std::max(busy, demand.busy * std::exp(-seconds / options.peakMemory.seconds()));
 }
 
@@ -127,6 +127,13 @@
     return std::nullopt;
 }
 
+// A large fleet is given up in steps: the load may still be rising, and instances take seconds to start again.
+static uint32_t limitGivenUp(uint32_t wanted, uint32_t present)
+{
+    const uint32_t most = std::max(2U, present / 3);
+    return std::max(wanted, present > most ? present - most : 0);
+}
+
 static std::optional<ScaleOrder> dueOrderOf(Node& node, const BackendRule& backend)
 {
     static constexpr FleetPlanOptions options {};
@@ -145,8 +152,8 @@
         for (const auto& [domain, wanted] : plan) {
             const auto& fleet = present.at(domain);
             for (const bool reclaimable : { true, false }) {
-                const uint32_t n = reclaimable ? wanted.reclaimable : wanted.onDemand;
                 const uint32_t now = reclaimable ? fleet.reclaimable : fleet.onDemand;
+                const uint32_t n = limitGivenUp(reclaimable ? wanted.reclaimable : wanted.onDemand, now);
                 if ((n > now) != more || (reclaimable && !supply))
                     continue;
                 if (auto order = orderFor(node, { .backend = backend.name, .domain = domain, .reclaimable = reclaimable }, n, now))
--- a/tests/forward/FleetPlanTest.cpp
+++ b/tests/forward/FleetPlanTest.cpp
@@ -74,3 +74,32 @@
     BOOST_TEST(busyEngines({}, backend, { 80000, 64, 40 }) == 2.5);
     BOOST_TEST(busyEngines({}, backend, {}) == 0.0);
 }
+
+// Load pattern: engines are crowded, so that nodes learn a pace far below that of an idle engine. Guards against a plan
+// that orders several times the instances that the load needs, as on a day of 140 engines.
+BOOST_AUTO_TEST_CASE(crowdedEnginesDoNotInflateThePlan)
+{
+    DemandEstimate estimate;
+    BOOST_TEST(planPace(estimate) == 40);
+    estimate.tokensPerMs = 39;
+    for (int second = 0; second < 10; ++second)
+        stepEstimate(estimate, 1800000, 1);
+    BOOST_TEST(planPace(estimate) == 39);
+    estimate.tokensPerMs = 11;
+    stepEstimate(estimate, 1800000, 1);
+    BOOST_TEST(planPace(estimate) > 20);
+    // Engines that are slower than others of former days are believed after a while.
+    for (int second = 0; second < 120; ++second)
+        stepEstimate(estimate, 1800000, 1);
+    BOOST_TEST(planPace(estimate) == 11);
+}
+
+// Load pattern: the day begins. Guards against a fleet that is given up since the average of the load has just begun.
+BOOST_AUTO_TEST_CASE(beginningLoadIsNotUnderestimated)
+{
+    DemandEstimate estimate;
+    for (int second = 1; second <= 5; ++second) {
+        stepEstimate(estimate, 100000, 1);
+        BOOST_TEST(readPerSecond(estimate) == 100000, boost::test_tools::tolerance(0.001));
+    }
+}
