Add a random part to the cost of an engine where entry nodes are many

Cause: between two reports all 72 nodes see the same loads, so all requests of a hot shared prompt went to the engine that was idlest by the last report: the first of 345 lost streams waited 1.2 s at one engine and was sent again; 977 of 8,551 sends were second ones. Test: TargetChoice manyNodesBetweenReportsDoNotHerd, with the policy before as the baseline (72 of 72 at one engine, at most 18 now).

--- a/src/forward/TargetChoice.cpp
+++ b/src/forward/TargetChoice.cpp
@@ -10,6 +10,13 @@
 // Keeps requests of one session together while targets differ little, in ms.
 static constexpr double homeBonusMs = 25;
 
+// Up to this many nodes report to each other ten times a second, and few send to one engine between two reports.
+static constexpr size_t nodesWithoutSpread = 12;
+// The work that one more node adds to an engine between two reports: about a request of 100 ms in 70 intervals.
+static constexpr double spreadPerNodeMs = 1.5;
+// More would outweigh a shared prompt part of 6,000 tokens at 40 tokens/ms.
+static constexpr double mostSpreadMs = 150;
+
 namespace {
 
     struct Ranked {
@@ -45,7 +52,7 @@
     return home;
 }
 
-static Ranked rankEngine(const ForwardTarget& target, const PartMemory& memory, const ChoiceOptions& options, const ChoiceRequest& request, TimeMs now, UpstreamId home)
+static Ranked rankEngine(const ForwardTarget& target, const PartMemory& memory, const ChoiceOptions& options, const ChoiceRequest& request, TimeMs now, UpstreamId home, Random& random)
 {
     const double running = target.own.running + target.others.running;
     const double unread = std::max(0.0, static_cast<double>(request.promptTokens) - heldTokens(memory, now, request.parts, target.id));
@@ -56,7 +63,8 @@
     const double domain = target.domain == options.domain ? 0 : options.otherDomainPenalty * homeBonusMs;
     // A busier engine is slower for its streams, too, which the time to the first event does not show.
     const double crowding = running / std::max(1u, target.slots) * homeBonusMs;
-    return { wait + domain + crowding - (target.id == home ? homeBonusMs : 0), { target.id, wait, unread, before + unread, backlog } };
+    const double spread = options.spreadMs > 0 ? random.uniform() * options.spreadMs : 0;
+    return { wait + domain + crowding + spread - (target.id == home ? homeBonusMs : 0), { target.id, wait, unread, before + unread, backlog } };
 }
 
 static Ranked rankService(const ForwardTarget& target, const ChoiceOptions& options, Random& random)
@@ -68,6 +76,11 @@
     return { cost, { .target = target.id } };
 }
 
+double spreadFor(size_t nodes)
+{
+    return nodes > nodesWithoutSpread ? std::min(mostSpreadMs, spreadPerNodeMs * static_cast<double>(nodes - nodesWithoutSpread)) : 0;
+}
+
 std::optional<TargetChoice> chooseTarget(const ForwardTargets& table, const PartMemory& memory, const ChoiceOptions& options, const ChoiceRequest& request, TimeMs now, Random& random)
 {
     const auto ids = table.byBackend.find(request.backend);
@@ -88,7 +101,7 @@
     const UpstreamId home = homeOf(candidates, request.parts);
     Ranked best;
     for (const ForwardTarget* target : candidates) {
-        const Ranked ranked = target->engine ? rankEngine(*target, memory, options, request, now, home) : rankService(*target, options, random);
+        const Ranked ranked = target->engine ? rankEngine(*target, memory, options, request, now, home, random) : rankService(*target, options, random);
         if (ranked.cost < best.cost)
             best = ranked;
     }
--- a/src/forward/TargetChoice.h
+++ b/src/forward/TargetChoice.h
@@ -15,6 +15,9 @@
     std::string domain; ///< This node's failure domain, which is preferred.
     /// Share of a slot's worth that another failure domain costs: bytes between domains have a price.
     double otherDomainPenalty = 0.05;
+    /// Random part of an engine's cost, in ms. Nodes that see the same reports would all send to the same engine until the
+    /// next ones; it grows with their number.
+    double spreadMs = 0;
     EnginePace pace; ///< Learnt while running.
     TimeMs staleAfter { 6000 }; ///< A target that has been silent for longer is chosen only if all are.
 };
@@ -29,6 +32,9 @@
     std::function<bool(const ForwardTarget&)> allowed; ///< By version; null: all.
 };
 
+/// Random part of the cost for this number of entry nodes.
+double spreadFor(size_t nodes);
+
 struct TargetChoice {
     UpstreamId target;
     double waitMs = 0; ///< Expected time to the first event; 0 for targets that are no engines.
--- a/tests/forward/TargetChoiceTest.cpp
+++ b/tests/forward/TargetChoiceTest.cpp
@@ -145,3 +145,32 @@
     BOOST_TEST(pace.baseMs > 40);
     BOOST_TEST(pace.baseMs < 60);
 }
+
+// Load pattern: 72 entry nodes, each with a request of the same shared prompt, between two reports of load. Without a
+// random part (the policy before) all of them pile onto the engine that is idlest by the last report.
+BOOST_AUTO_TEST_CASE(manyNodesBetweenReportsDoNotHerd)
+{
+    const auto mostAtOneEngine = [](double spreadMs) {
+        std::map<uint64_t, int> sent;
+        for (uint64_t node = 0; node < 72; ++node) {
+            Engines engines(140);
+            engines.random = Random(node);
+            engines.options.spreadMs = spreadMs;
+            for (uint64_t holder = 1; holder <= 12; ++holder) {
+                notePart(engines.parts, engines.now, 1, UpstreamId { holder });
+                notePart(engines.parts, engines.now, 1007, UpstreamId { holder });
+                engines.at(holder).others.unread[0] = 100.0 * static_cast<double>(holder);
+            }
+            const auto choice = engines.choose({ .parts = { { 1, 2500 }, { 1007, 3700 }, { 90000 + node, 2900 } }, .promptTokens = 9100 });
+            BOOST_REQUIRE(choice);
+            ++sent[choice->target.value];
+        }
+        int most = 0;
+        for (const auto& [engine, n] : sent)
+            most = std::max(most, n);
+        return most;
+    };
+    BOOST_TEST(spreadFor(8) == 0);
+    BOOST_TEST(mostAtOneEngine(0) == 72);
+    BOOST_TEST(mostAtOneEngine(spreadFor(72)) <= 18);
+}
