--- a/src/forward/FleetPlan.cpp
+++ b/src/forward/FleetPlan.cpp
@@ -65,6 +65,14 @@
     return wanted;
 }
 
+// The factor for this many busy engines, between its value for few and its least one.
+static double evenedOut(const FleetPlanOptions& options, double factor, double least, double busy)
+{
+    if (busy <= options.unevenUpTo || factor <= least)
+        return factor;
+    return least + (factor - least) * std::sqrt(options.unevenUpTo / busy);
+}
+
 std::map<std::string, DomainPlan> planFleet(const FleetPlanOptions& options, const BackendRule& backend, double busy, const std::map<std::string, DomainFleet>& present, bool supply)
 {
     std::vector<std::string> domains;
@@ -74,9 +82,9 @@
         reclaimablePresent += fleet.reclaimable;
     }
     std::stable_sort(domains.begin(), domains.end(), [&](const auto& a, const auto& b) { return priceOf(backend, a) < priceOf(backend, b); });
-    const auto total = static_cast<uint32_t>(std::ceil(busy * options.comfort)) + options.spare;
+    const auto total = static_cast<uint32_t>(std::ceil(busy * evenedOut(options, options.comfort, options.leastComfort, busy))) + options.spare;
     const uint32_t least = backend.minInstances * static_cast<uint32_t>(domains.size());
-    uint32_t onDemand = std::max(least, static_cast<uint32_t>(std::ceil(busy * options.safety)));
+    uint32_t onDemand = std::max(least, static_cast<uint32_t>(std::ceil(busy * evenedOut(options, options.safety, options.leastSafety, busy))));
     const uint32_t loosePlanned = total > onDemand ? total - onDemand : 0;
     if (!supply) {
         const auto needed = std::min(total, static_cast<uint32_t>(std::ceil(busy * options.without)) + options.spare);
--- a/tests/forward/FleetPlanTest.cpp
+++ b/tests/forward/FleetPlanTest.cpp
@@ -103,3 +103,17 @@
         BOOST_TEST(readPerSecond(estimate) == 100000, boost::test_tools::tolerance(0.001));
     }
 }
+
+// Load pattern: a load of a hundred engines. Guards against a fleet that is three times as large, although the bursts of
+// so many callers even out, and against one that cannot carry the load without its reclaimable instances.
+BOOST_AUTO_TEST_CASE(largeLoadNeedsLessRoomInProportion)
+{
+    auto backend = backendOf();
+    backend.maxInstances = 400;
+    const auto sum = sumOf(planFleet({}, backend, 100, present, true));
+    BOOST_TEST(sum.onDemand >= 100U);
+    BOOST_TEST(sum.onDemand + sum.reclaimable >= 190U);
+    BOOST_TEST(sum.onDemand + sum.reclaimable <= 230U);
+    const auto small = sumOf(planFleet({}, backend, 3, present, true));
+    BOOST_TEST(small.onDemand + small.reclaimable == 10U);
+}
