--- a/src/forward/EnginePace.cpp
+++ b/src/forward/EnginePace.cpp
@@ -7,6 +7,8 @@
 // Observations that the sums remember.
 static constexpr double memory = 300;
 static constexpr double leastObservations = 30;
+// Observations in which the best pace is forgotten: a few minutes of one node's requests.
+static constexpr double bestMemory = 5000;
 // Bounds of what an engine can be: far slower and far faster than any that is known.
 static constexpr double slowest = 2;
 static constexpr double fastest = 1000;
@@ -28,8 +30,9 @@
         return;
     const double slope = std::clamp((pace.n * pace.xy - pace.x * pace.y) / spread, 1 / fastest, 1 / slowest);
     pace.learnt = true;
-    pace.tokensPerMs = 1 / slope;
-    pace.baseMs = std::max(0.0, (pace.y - slope * pace.x) / pace.n);
+    pace.bestTokensPerMs = std::max(pace.bestTokensPerMs * (1 - 1 / bestMemory), 1 / slope);
+    pace.tokensPerMs = std::max(1 / slope, pace.bestTokensPerMs * crowdedPace);
+    pace.baseMs = std::max(0.0, (pace.y - pace.x / pace.tokensPerMs) / pace.n);
 }
 
 }
--- a/src/forward/EnginePace.h
+++ b/src/forward/EnginePace.h
@@ -2,12 +2,18 @@
 
 namespace siskinshunt {
 
+/// Part of the best pace below which a learnt one is not believed: it is that of a queue that the observations do not show,
+/// and a node that believes it waits at the engines that hold a shared part. On the Punjab days busy engines are learnt at
+/// 0.53 to 0.72 of the pace of idle ones.
+constexpr double crowdedPace = 0.6;
+
 /// How long engines take to the first event, learnt from what was observed: a fixed time plus a time per prompt token
 /// that had to be read before it. Decayed least squares, so that it follows engines that change.
 struct EnginePace {
     double tokensPerMs = 40; ///< Used until enough was observed.
     double baseMs = 40;
     bool learnt = false; ///< From enough observations.
+    double bestTokensPerMs = 0; ///< The fastest pace learnt, forgotten slowly.
 
     // Sums over the observations, decayed with each of them.
     double n = 0;
--- a/src/forward/FleetPlan.cpp
+++ b/src/forward/FleetPlan.cpp
@@ -11,8 +11,6 @@
 // Time constants: of the average load, which follows a burst within its length, and of the best pace.
 static constexpr double demandMemorySeconds = 3;
 static constexpr double paceMemorySeconds = 60;
-// On the Punjab days busy engines are learnt at 0.53 to 0.72 of the pace of idle ones; a lower pace is that of a queue.
-static constexpr double crowdedPace = 0.55;
 
 void stepEstimate(DemandEstimate& estimate, double tokens, double seconds)
 {
--- a/tests/forward/TargetChoiceTest.cpp
+++ b/tests/forward/TargetChoiceTest.cpp
@@ -146,6 +146,24 @@
     BOOST_TEST(pace.baseMs < 60);
 }
 
+// Load pattern: engines with queues that the reports do not show yet. Guards against a learnt pace so slow that waiting
+// for a cached part always seems shorter than reading it elsewhere, which lengthens the queues further.
+BOOST_AUTO_TEST_CASE(hiddenQueuesDoNotSlowTheLearntPace)
+{
+    EnginePace pace;
+    Random random(3);
+    const auto observe = [&](double queueMsPerToken) {
+        for (int n = 0; n < 400; ++n) {
+            const double tokens = 500 + random.uniform() * 8000;
+            notePace(pace, tokens, 40 + tokens / 38 + tokens * queueMsPerToken);
+        }
+    };
+    observe(0);
+    BOOST_TEST((pace.tokensPerMs > 36 && pace.tokensPerMs < 40));
+    observe(0.06);
+    BOOST_TEST((pace.tokensPerMs > 20 && pace.tokensPerMs < 28));
+}
+
 // Load pattern: 72 entry nodes, each with a request of the same shared prompt, between two reports of load. Without a
 // random part (the policy before) all of them pile onto the engine that is idlest by the last report.
 BOOST_AUTO_TEST_CASE(manyNodesBetweenReportsDoNotHerd)
