Do not complete a stream with the failure of the engine that was to go on

Now such an answer is a failed attempt: the stream goes on elsewhere or is broken off. Test: Forward/FailureOfTheSecondEngineDoesNotCompleteTheStream (fails before, also with a failure's body among the events). Also: one function sends a request elsewhere; after an answer that this node has broken off, a stream waits the time that an engine takes to stop (Forward/StreamGoesOnAfterTheEngineHadTimeToStop); a sequence that nothing read is gone.

--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -82,7 +82,18 @@
     call.contentLength.reset();
 }
 
+// Sends the request to another upstream, at once or after a pause.
+static void goOnElsewhere(Node& node, ForwardCall& call, TimeMs pause = {})
+{
+    clearAnswer(call);
+    call.stage = ForwardStage::Waiting;
+    call.resumeAt = node.now + pause;
+    if (pause <= TimeMs {})
+        startAttempt(node, call);
+}
+
 // Goes on after an attempt without a usable answer: elsewhere, or with a refusal that says truly whether it may have run.
+// `ownCut`: this node closed the connection, so the upstream may work on for a moment.
 static void afterAttempt(Node& node, ForwardCall& call, AttemptEnd end, const std::string& reason, bool ownCut = false)
 {
     addLog(node, LogLevel::Info, "forward_attempt_failed", Step::Receive, call.targetName, reason,
@@ -93,14 +104,8 @@
         noteVersionResult(node, call, true);
     if (call.resumable())
         call.events.dropHeld();
-    if (mayTryAgain(node, call, end)) {
-        clearAnswer(call);
-        call.stage = ForwardStage::Waiting;
-        call.resumeAt = node.now + (ownCut && call.resumable() ? stopTime : TimeMs {});
-        if (call.resumeAt <= node.now)
-            startAttempt(node, call);
-        return;
-    }
+    if (mayTryAgain(node, call, end))
+        return goOnElsewhere(node, call, ownCut && call.resumable() ? stopTime : TimeMs {});
     if (end == AttemptEnd::NotSent || end == AttemptEnd::NotRun) {
         if (!call.runs)
             return refuseForward(node, call, 503, "upstream_full", reason, fullRetryAfter);
@@ -146,7 +151,12 @@
     const bool success = event.status >= 200 && event.status < 300;
     if (success && !isGoodAnswer(forward, call, event.headers)) {
         abandon(node, call);
-        return afterAttempt(node, call, AttemptEnd::Broken, "a success without the upstream's receipt and the request's id");
+        return afterAttempt(node, call, AttemptEnd::Broken, "a success without the upstream's receipt and the request's id", true);
+    }
+    if (call.headPassed && !success) {
+        // The caller has the head of a success; a failure of the upstream that was to go on must not end its stream.
+        detach(node, call);
+        return afterAttempt(node, call, AttemptEnd::Broken, "the upstream that was to go on failed: status " + std::to_string(event.status));
     }
     call.stage = ForwardStage::Answering;
     if (call.headPassed)
@@ -224,9 +234,7 @@
             addLog(node, LogLevel::Info, "forward_attempt_failed", Step::Receive, call.targetName, "the upstream reports a failure",
                 { { "request", call.requestId }, { "status", std::to_string(call.status) }, { "may_have_run", std::to_string(call.runs) } });
             releaseTarget(node, call);
-            clearAnswer(call);
-            call.stage = ForwardStage::Waiting;
-            return startAttempt(node, call);
+            return goOnElsewhere(node, call);
         }
     } else if (!stream) {
         if (ForwardTarget* target = findTarget(node.forward.targets, call.target))
@@ -321,11 +329,7 @@
     abandon(node, call);
     if (call.resumable())
         call.events.dropHeld();
-    clearAnswer(call);
-    call.stage = ForwardStage::Waiting;
-    call.resumeAt = node.now + (call.resumable() ? stopTime : TimeMs {});
-    if (call.resumeAt <= node.now)
-        startAttempt(node, call);
+    goOnElsewhere(node, call, call.resumable() ? stopTime : TimeMs {});
 }
 
 void tickForwardCalls(Node& node)
--- a/src/node/ForwardState.h
+++ b/src/node/ForwardState.h
@@ -120,7 +120,6 @@
 /// What this node does about the open version orders.
 struct VersionFollowers {
     struct Follower {
-        uint64_t sequence = 0;
         std::string target;
         bool tripped = false; ///< This node sends nothing more to the target version.
         std::map<std::pair<std::string, bool>, VersionCounts> counts; ///< By route, and whether of the target version.
--- a/src/node/VersionOrders.cpp
+++ b/src/node/VersionOrders.cpp
@@ -39,7 +39,6 @@
         if (known.state != order.state || known.target != order.target)
             addLog(node, LogLevel::Info, "version_order", Step::Order, order.backend, std::string(nameOf(order.state)), { { "target", order.target }, { "sequence", std::to_string(order.sequence) }, { "reason", order.reason } });
         known = order;
-        state.followers[order.backend].sequence = order.sequence;
     }
 }
 
--- a/tests/node/ForwardTest.cpp
+++ b/tests/node/ForwardTest.cpp
@@ -165,6 +165,49 @@
     }
 }
 
+// Guards against a stream that ends as complete since the engine that was to go on with it answers with a failure.
+BOOST_AUTO_TEST_CASE(FailureOfTheSecondEngineDoesNotCompleteTheStream)
+{
+    for (const std::string failure : { "", "failure", "id: 2\ndata: failure\n\n" }) {
+        ForwardNode entry;
+        entry.addUpstream("r1", "lm");
+        entry.addUpstream("r2", "lm");
+        entry.post("/plan/1");
+        entry.sending();
+        entry.head(200);
+        entry.body("id: 1\ndata: a\n\n");
+        entry.fail(UpstreamFailure::Closed);
+        BOOST_REQUIRE_EQUAL(entry.dispatches.size(), 2U);
+        entry.sending();
+        entry.head(500);
+        if (!failure.empty())
+            entry.body(failure);
+        entry.end();
+        const auto [status, text] = entry.answer();
+        BOOST_CHECK_EQUAL(status, 1);
+        BOOST_CHECK(text.find("failure") == std::string::npos);
+        for (const auto& it : entry.answers)
+            BOOST_CHECK(it.part != AnswerPart::End);
+    }
+}
+
+// Guards against a stream that runs at two engines at the same time: when this node itself has broken off an answer that
+// is of no use, the engine gets the time to stop before another one goes on.
+BOOST_AUTO_TEST_CASE(StreamGoesOnAfterTheEngineHadTimeToStop)
+{
+    ForwardNode entry;
+    entry.addUpstream("r1", "lm");
+    entry.addUpstream("r2", "lm");
+    entry.post("/plan/1");
+    entry.sending();
+    entry.head(200, {}, false);
+    BOOST_CHECK_EQUAL(entry.cancels.size(), 1U);
+    entry.advance(400_ms);
+    BOOST_CHECK_EQUAL(entry.dispatches.size(), 1U);
+    entry.advance(100_ms);
+    BOOST_CHECK_EQUAL(entry.dispatches.size(), 2U);
+}
+
 // Guards against a loss of requests that an upstream has not run: they may go elsewhere whatever their kind.
 BOOST_AUTO_TEST_CASE(UnsentAndUnrunRequestsGoElsewhere)
 {
