--- a/tests/node/ForwardTest.cpp
+++ b/tests/node/ForwardTest.cpp
@@ -479,10 +479,10 @@
     for (size_t n = 0; n < fleet.nodes.size(); ++n)
         use(n, n < 3 ? 0 : static_cast<double>(n));
     const auto check = [&](double sum) {
-        for (size_t n = 0; n < fleet.nodes.size(); ++n) {
-            if (fleet.nodes[n].stopped || !fleet.nodes[n].node)
+        for (const auto& process : fleet.nodes) {
+            if (process.stopped || !process.node)
                 continue;
-            const auto& target = *findTarget(fleet.nodes[n].node->forward.targets, { 1 });
+            const auto& target = *findTarget(process.node->forward.targets, { 1 });
             BOOST_TEST(target.own.running + target.others.running == sum);
         }
     };
