--- a/tests/forward/AllowanceTest.cpp
+++ b/tests/forward/AllowanceTest.cpp
@@ -189,3 +189,22 @@
     }
     BOOST_TEST(retries.size() >= 60U);
 }
+
+// Load pattern: a node refuses a request that it had let pass, and lets nothing else pass until its next report. Guards
+// against peers that take its whole spending since its start off the allowance again and refuse the account for seconds.
+BOOST_AUTO_TEST_CASE(returnedCostsDoNotBlockTheAccount)
+{
+    const auto rule = ruleOf(100000, 100000);
+    Nodes nodes(2, 110000);
+    TimeMs now { 1000 };
+    for (int n = 0; n < 200; ++n) {
+        now += 100_ms;
+        BOOST_TEST(takeAllowance(nodes.states[0], now, rule, 5000));
+        BOOST_TEST(takeAllowance(nodes.states[1], now, rule, 100));
+        nodes.exchange(now);
+    }
+    returnAllowance(nodes.states[0], "acme", 5000);
+    now += 100_ms;
+    nodes.exchange(now);
+    BOOST_TEST(takeAllowance(nodes.states[1], now, rule, 20000));
+}
--- a/tests/forward/LoadSumTest.cpp
+++ b/tests/forward/LoadSumTest.cpp
@@ -31,6 +31,18 @@
     BOOST_TEST(sum.sum["acme"] == 150);
 }
 
+// Guards against a cost that was given back and makes the whole total count as spent once more.
+BOOST_AUTO_TEST_CASE(returnedCostsDoNotRaiseTheSum)
+{
+    RisingSum sum;
+    addTotals(sum, { 1 }, { { "acme", 0 } });
+    addTotals(sum, { 1 }, { { "acme", 1000000 } });
+    addTotals(sum, { 1 }, { { "acme", 991000 } });
+    BOOST_TEST(sum.sum["acme"] == 1000000);
+    addTotals(sum, { 1 }, { { "acme", 1004000 } });
+    BOOST_TEST(sum.sum["acme"] == 1004000);
+}
+
 // Guards against a node that counts its own load twice: in its table and in the sum of all.
 BOOST_AUTO_TEST_CASE(ownReportIsTakenOffTheSum)
 {
