Keep one copy of decoding with a fallback, of rising totals and of taking a load

The same logic stood twice or more: - decode a peer's frame, or use an empty one: 19 copies in node, now decodeOr in wire/Codec.h; - by how much a reported total rose, with its limit for a new process: in Allowance.cpp and LoadSum.cpp, now RisingTotal; - taking a report of load, directly and by a hub: now takeLoad in ForwardReport. A voter no longer keeps the spending of direct reports, which it never used; - the number of entry nodes that report directly, in LoadHubs and TargetChoice: now mostDirectReporters. Its comment named a share of a processor that was not measured; it names the measured one; - the hubs of all domains came from one pass per domain over the members, now from one pass in all. Ruled out: the bound of the pace in DemandEstimate beside that of EnginePace. It hardly binds any more, but a test asserts it; left for an issue. Behaviour and tests are unchanged.

--- a/src/forward/Allowance.cpp
+++ b/src/forward/Allowance.cpp
@@ -1,13 +1,12 @@
 #include "forward/Allowance.h"
 
+#include "forward/RisingTotal.h"
+
 #include <algorithm>
 #include <cmath>
 
 namespace siskinshunt {
 
-// A total below this part of the last one was not lowered by returned costs, which are those of a few requests.
-static constexpr double newProcessPart = 0.5;
-
 // A bucket of this size passes at most rate * window + size in any window, so the platform's limit bounds the size.
 static double sizeOf(const AllowanceOptions& options, const AllowanceRule& rule)
 {
@@ -89,13 +88,9 @@
     for (const auto& [account, total] : totals) {
         const auto [known, first] = peer.accounts.try_emplace(account);
         auto& spending = known->second;
-        // The first report of a peer tells nothing of when it was spent. A total that is a little lower has been lowered
-        // by requests that did not run: the peer's next spending makes up for it. One that is much lower is that of a new
-        // process.
-        const bool newProcess = total < spending.total * newProcessPart;
-        const double spent = fresh && first ? 0 : newProcess ? std::max(total, 0.0)
-                                                             : std::max(total - spending.total, 0.0);
-        spending.total = newProcess ? total : std::max(total, spending.total);
+        const double rise = takeTotal(spending.total, total);
+        // The first report of a peer tells nothing of when it was spent.
+        const double spent = fresh && first ? 0 : rise;
         spending.rate = spending.rate * keep + spent / age.seconds() * (1 - keep);
         if (const auto bucket = state.buckets.find(account); bucket != state.buckets.end())
             bucket->second.level -= spent;
--- a/src/forward/LoadSum.cpp
+++ b/src/forward/LoadSum.cpp
@@ -1,23 +1,19 @@
 #include "forward/LoadSum.h"
 
+#include "forward/RisingTotal.h"
+
 #include <algorithm>
 
 namespace siskinshunt {
 
-// A total below this part of the last one is that of a node that has started again.
-static constexpr double newProcessPart = 0.5;
-
 void addTotals(RisingSum& state, NodeId node, const std::map<std::string, double>& totals)
 {
-    const auto [known, first] = state.last.try_emplace(node);
+    const auto [known, first] = state.highest.try_emplace(node);
     for (const auto& [name, total] : totals) {
-        auto& last = known->second[name];
+        const double rise = takeTotal(known->second[name], total);
         auto& sum = state.sum[name];
-        // Costs that were given back lower a total a little; what is spent next makes up for it.
-        const bool newProcess = total < last * newProcessPart;
         if (!first)
-            sum += newProcess ? std::max(total, 0.0) : std::max(total - last, 0.0);
-        last = newProcess ? total : std::max(total, last);
+            sum += rise;
     }
 }
 
--- a/src/forward/TargetChoice.cpp
+++ b/src/forward/TargetChoice.cpp
@@ -1,5 +1,7 @@
 #include "forward/TargetChoice.h"
 
+#include "forward/LoadSum.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -10,8 +12,6 @@
 // Keeps requests of one session together while targets differ little, in ms.
 static constexpr double homeBonusMs = 25;
 
-// Up to this many nodes report to each other ten times a second, and few send to one engine between two reports.
-static constexpr size_t nodesWithoutSpread = 12;
 // The work that one more node adds to an engine between two reports: about a request of 100 ms in 70 intervals.
 static constexpr double spreadPerNodeMs = 1.5;
 // More would outweigh a shared prompt part of 6,000 tokens at 40 tokens/ms.
@@ -78,7 +78,7 @@
 
 double spreadFor(size_t nodes)
 {
-    return nodes > nodesWithoutSpread ? std::min(mostSpreadMs, spreadPerNodeMs * static_cast<double>(nodes - nodesWithoutSpread)) : 0;
+    return nodes > mostDirectReporters ? std::min(mostSpreadMs, spreadPerNodeMs * static_cast<double>(nodes - mostDirectReporters)) : 0;
 }
 
 std::optional<TargetChoice> chooseTarget(const ForwardTargets& table, const PartMemory& memory, const ChoiceOptions& options, const ChoiceRequest& request, TimeMs now, Random& random)
--- a/src/forward/TargetChoice.h
+++ b/src/forward/TargetChoice.h
@@ -32,7 +32,7 @@
     std::function<bool(const ForwardTarget&)> allowed; ///< By version; null: all.
 };
 
-/// Random part of the cost for this number of entry nodes.
+/// Random part of the cost for this number of entry nodes: none while they report to each other directly.
 double spreadFor(size_t nodes);
 
 struct TargetChoice {
--- a/src/node/ControlCalls.cpp
+++ b/src/node/ControlCalls.cpp
@@ -135,7 +135,7 @@
 
 void receiveLeaving(Node& node, NodeId from, std::string_view body)
 {
-    const auto frame = handle([&]() -> Result<LeavingFrame> { return decode<LeavingFrame>(body, 64); }, [](const Error&) { return LeavingFrame {}; });
+    const auto frame = decodeOr<LeavingFrame>(body, 64);
     if (!frame.upstream)
         return countDrop(node, DropReason::BadBody);
     if (!isNotedLeaving(node, frame.upstream, frame.incarnation)) {
@@ -154,7 +154,7 @@
 
 void receiveLeavingNoted(Node& node, std::string_view body)
 {
-    const auto frame = handle([&]() -> Result<LeavingFrame> { return decode<LeavingFrame>(body, 64); }, [](const Error&) { return LeavingFrame {}; });
+    const auto frame = decodeOr<LeavingFrame>(body, 64);
     const auto it = node.controlCalls.leaves.find(frame.request);
     if (it == node.controlCalls.leaves.end())
         return;
--- a/src/node/ControlFlow.cpp
+++ b/src/node/ControlFlow.cpp
@@ -189,7 +189,7 @@
 
 void receiveFetchView(Node& node, NodeId from, std::string_view body)
 {
-    const auto frame = handle([&]() -> Result<FetchViewFrame> { return decode<FetchViewFrame>(body, 64); }, [](const Error&) { return FetchViewFrame { UINT64_MAX }; });
+    const auto frame = decodeOr<FetchViewFrame>(body, 64, FetchViewFrame { UINT64_MAX });
     if (frame.have >= node.view.index)
         return;
     sendFrame(node, from, FrameKind::View, {}, encode(node.view));
@@ -200,7 +200,7 @@
 
 void receiveViewNotice(Node& node, NodeId from, std::string_view body)
 {
-    const auto frame = handle([&]() -> Result<FetchViewFrame> { return decode<FetchViewFrame>(body, 64); }, [](const Error&) { return FetchViewFrame {}; });
+    const auto frame = decodeOr<FetchViewFrame>(body, 64);
     if (frame.have <= std::max(node.view.index, node.fetchedIndex))
         return;
     node.fetchedIndex = frame.have;
@@ -209,7 +209,7 @@
 
 void receiveView(Node& node, std::string_view body)
 {
-    auto view = handle([&]() -> Result<ControlView> { return decode<ControlView>(body, maxViewBytes); }, [](const Error&) { return ControlView {}; });
+    auto view = decodeOr<ControlView>(body, maxViewBytes);
     if (!view.index)
         return countDrop(node, DropReason::BadBody);
     offerView(node, std::move(view));
--- a/src/node/DemandFlow.cpp
+++ b/src/node/DemandFlow.cpp
@@ -99,7 +99,7 @@
 
 void receiveDemand(Node& node, NodeId from, std::string_view body)
 {
-    auto frame = handle([&]() -> Result<DemandFrame> { return decode<DemandFrame>(body, maxDemandBytes); }, [](const Error&) { return DemandFrame {}; });
+    auto frame = decodeOr<DemandFrame>(body, maxDemandBytes);
     if (!node.leadsDecisions || frame.items.size() > maxRows || !std::all_of(frame.items.begin(), frame.items.end(), isValid))
         return;
     node.leader.capacity.demand[from] = { node.now, std::move(frame.items) };
--- a/src/node/Duties.cpp
+++ b/src/node/Duties.cpp
@@ -1,5 +1,6 @@
 #include "node/Duties.h"
 
+#include "node/ForwardReport.h"
 #include "node/Groups.h"
 #include "node/LeaderFlow.h"
 #include "node/Peers.h"
@@ -25,7 +26,7 @@
 
 static void sendUsage(Node& node)
 {
-    if (node.now < node.duties.nextUsageReport || !node.options.settings.listeners.forward.port)
+    if (node.now < node.duties.nextUsageReport || !takesCallers(node))
         return;
     node.duties.nextUsageReport = node.now + usageInterval;
     const NodeId leader = decisionLeader(node);
@@ -40,7 +41,7 @@
 
 void receiveUsage(Node& node, NodeId from, std::string_view body)
 {
-    auto frame = handle([&]() -> Result<UsageFrame> { return decode<UsageFrame>(body, maxUsageBytes); }, [](const Error&) { return UsageFrame {}; });
+    auto frame = decodeOr<UsageFrame>(body, maxUsageBytes);
     if (!frame.current)
         return countDrop(node, DropReason::BadBody);
     node.duties.reportedTo[from] = frame.current;
--- a/src/node/ExplainFlow.cpp
+++ b/src/node/ExplainFlow.cpp
@@ -109,7 +109,7 @@
 
 void receiveExplain(Node& node, NodeId from, std::string_view body)
 {
-    const auto frame = handle([&]() -> Result<ExplainFrame> { return decode<ExplainFrame>(body, maxIdBytes + 64); }, [](const Error&) { return ExplainFrame {}; });
+    const auto frame = decodeOr<ExplainFrame>(body, maxIdBytes + 64);
     if (!frame.request)
         return countDrop(node, DropReason::BadBody);
     sendFrame(node, from, FrameKind::ExplainReply, {}, encode(ExplainReplyFrame { frame.request, node.decisions.find(frame.id, recordsPerNode) }));
@@ -117,7 +117,7 @@
 
 void receiveExplainReply(Node& node, NodeId from, std::string_view body)
 {
-    auto frame = handle([&]() -> Result<ExplainReplyFrame> { return decode<ExplainReplyFrame>(body, maxReplyBytes); }, [](const Error&) { return ExplainReplyFrame {}; });
+    auto frame = decodeOr<ExplainReplyFrame>(body, maxReplyBytes);
     const auto it = node.explainQueries.find(frame.request);
     if (it == node.explainQueries.end() || !it->second.waiting.erase(from))
         return;
--- a/src/node/ForwardReport.cpp
+++ b/src/node/ForwardReport.cpp
@@ -90,19 +90,20 @@
     }
 }
 
-void receiveForwardLoad(Node& node, NodeId from, std::string_view body)
+void takeLoad(Node& node, NodeId from, const ForwardLoadFrame& load)
 {
-    auto frame = handle([&]() -> Result<ForwardLoadFrame> { return decode<ForwardLoadFrame>(body, maxForwardLoadBytes); },
-        [&](const Error& error) {
-            addLog(node, LogLevel::Warning, "bad_load_report", Step::Decode, error.peer, error.detail);
-            return ForwardLoadFrame {};
-        });
-    takeReport(node.forward.targets, node.now, from, loadsOf(frame.loads));
-    takeSpending(node.forward.allowances, node.now, from, frame.spent);
-    takeBackendDemand(node, from, frame);
+    takeReport(node.forward.targets, node.now, from, loadsOf(load.loads));
+    takeBackendDemand(node, from, load);
     if (!takesCallers(node))
         return;
-    notePlaced(node, frame.placed);
+    takeSpending(node.forward.allowances, node.now, from, load.spent);
+    notePlaced(node, load.placed);
+}
+
+void receiveForwardLoad(Node& node, NodeId from, std::string_view body)
+{
+    // A report that does not decode counts as one without load.
+    takeLoad(node, from, decodeLoad<ForwardLoadFrame>(node, body).value_or(ForwardLoadFrame {}));
 }
 
 static void expireForward(Node& node)
--- a/src/node/Groups.cpp
+++ b/src/node/Groups.cpp
@@ -233,8 +233,7 @@
     const auto it = node.groups.find(id);
     if (it == node.groups.end())
         return countDrop(node, DropReason::BadGroup);
-    const auto frame = handle([&]() -> Result<ProposeFrame> { return decode<ProposeFrame>(body, maxCommandBytes + 64); },
-        [](const Error&) { return ProposeFrame {}; });
+    const auto frame = decodeOr<ProposeFrame>(body, maxCommandBytes + 64);
     if (!frame.request || frame.command.empty())
         return countDrop(node, DropReason::BadBody);
     Group& group = it->second;
@@ -249,8 +248,7 @@
 
 void receiveProposeReply(Node& node, GroupId, std::string_view body)
 {
-    const auto frame = handle([&]() -> Result<ProposeReplyFrame> { return decode<ProposeReplyFrame>(body, maxCommandBytes + 64); },
-        [](const Error&) { return ProposeReplyFrame {}; });
+    const auto frame = decodeOr<ProposeReplyFrame>(body, maxCommandBytes + 64);
     const auto it = node.commands.find(frame.request);
     if (it == node.commands.end())
         return;
@@ -263,7 +261,7 @@
 void receiveLookUp(Node& node, NodeId from, GroupId id, std::string_view body)
 {
     const auto it = node.groups.find(id);
-    const auto frame = handle([&]() -> Result<LookUpFrame> { return decode<LookUpFrame>(body, 1024); }, [](const Error&) { return LookUpFrame {}; });
+    const auto frame = decodeOr<LookUpFrame>(body, 1024);
     if (it == node.groups.end() || !it->second.ledger || !frame.request)
         return countDrop(node, DropReason::BadGroup);
     Group& group = it->second;
@@ -275,8 +273,7 @@
 
 void receiveLookUpReply(Node& node, GroupId, std::string_view body)
 {
-    const auto frame = handle([&]() -> Result<LookUpReplyFrame> { return decode<LookUpReplyFrame>(body, maxCommandBytes); },
-        [](const Error&) { return LookUpReplyFrame {}; });
+    const auto frame = decodeOr<LookUpReplyFrame>(body, maxCommandBytes);
     const auto it = node.commands.find(frame.request);
     if (it == node.commands.end())
         return;
--- a/src/node/LeaderFlow.cpp
+++ b/src/node/LeaderFlow.cpp
@@ -342,8 +342,7 @@
 
 void receiveLeaseRequests(Node& node, NodeId from, std::string_view body)
 {
-    const auto items = handle([&]() -> Result<std::vector<LeaseRequestItem>> { return decode<std::vector<LeaseRequestItem>>(body, maxLeaseBytes); },
-        [](const Error&) { return std::vector<LeaseRequestItem> {}; });
+    const auto items = decodeOr<std::vector<LeaseRequestItem>>(body, maxLeaseBytes);
     if (!node.leadsDecisions)
         return;
     std::vector<LeaseGrantItem> grants;
@@ -358,8 +357,7 @@
 
 void receiveLeaseGrants(Node& node, std::string_view body)
 {
-    const auto items = handle([&]() -> Result<std::vector<LeaseGrantItem>> { return decode<std::vector<LeaseGrantItem>>(body, maxLeaseBytes); },
-        [](const Error&) { return std::vector<LeaseGrantItem> {}; });
+    const auto items = decodeOr<std::vector<LeaseGrantItem>>(body, maxLeaseBytes);
     for (const auto& item : items)
         takeLeaseGrant(node.limiter, { .key = item.key, .sequence = item.sequence, .share = item.share, .validity = item.validity, .nodes = item.nodes }, node.now);
 }
--- a/src/node/LoadHubs.cpp
+++ b/src/node/LoadHubs.cpp
@@ -13,8 +13,6 @@
 
 namespace siskinshunt {
 
-// Up to this many entry nodes tell each other directly: a node of a quarter of a core spends 1% of it on that.
-static constexpr size_t mostWithoutHubs = 12;
 // Between reports and between sums, for a domain of up to `nodesPerInterval` nodes; larger ones take longer, so that the
 // cost at the hub stays the same.
 static constexpr TimeMs hubInterval { 150 };
@@ -31,32 +29,37 @@
 
 bool usesLoadHubs(const Node& node)
 {
-    return forwardNodes(node) > mostWithoutHubs;
+    return forwardNodes(node) > mostDirectReporters;
 }
 
-// The hub of a failure domain: a voter if there is one, since voters take no callers. All nodes that know the same members
-// choose the same.
-static NodeId hubOf(const Node& node, const std::string& domain)
+// The hub of each failure domain: a voter if there is one, since voters take no callers. All nodes that know the same
+// members choose the same.
+static std::map<std::string, NodeId> hubsByDomain(const Node& node)
 {
-    std::pair<bool, uint64_t> best { true, UINT64_MAX };
-    const auto consider = [&](NodeId id, bool voter) { best = std::min(best, std::pair(!voter, id.value)); };
-    if (node.options.settings.failureDomain == domain && !node.draining)
-        consider(node.self, static_cast<bool>(node.options.voter));
+    std::map<std::string, std::pair<bool, uint64_t>> best;
+    const auto consider = [&best](const std::string& domain, NodeId id, bool voter) {
+        const std::pair rank(!voter, id.value);
+        const auto [it, fresh] = best.try_emplace(domain, rank);
+        if (!fresh)
+            it->second = std::min(it->second, rank);
+    };
+    if (!node.draining)
+        consider(node.options.settings.failureDomain, node.self, static_cast<bool>(node.options.voter));
     for (const auto& [id, member] : node.membership.members) {
-        if (member.identity.domain == domain && isAlive(node.membership, id) && !member.status.draining)
-            consider(id, static_cast<bool>(member.status.voter));
+        if (isAlive(node.membership, id) && !member.status.draining)
+            consider(member.identity.domain, id, static_cast<bool>(member.status.voter));
     }
-    return best.second == UINT64_MAX ? NodeId {} : NodeId { best.second };
+    std::map<std::string, NodeId> out;
+    for (const auto& [domain, rank] : best)
+        out[domain] = NodeId { rank.second };
+    return out;
 }
 
-static std::set<std::string> domainsOf(const Node& node)
+static NodeId ownHub(const Node& node)
 {
-    std::set<std::string> out { node.options.settings.failureDomain };
-    for (const auto& [id, member] : node.membership.members) {
-        if (isAlive(node.membership, id))
-            out.insert(member.identity.domain);
-    }
-    return out;
+    const auto hubs = hubsByDomain(node);
+    const auto it = hubs.find(node.options.settings.failureDomain);
+    return it == hubs.end() ? NodeId {} : it->second;
 }
 
 static size_t nodesOfDomain(const Node& node)
@@ -71,7 +74,7 @@
     auto& forward = node.forward;
     auto& hubs = forward.hubs;
     forward.nextReport = node.now + intervalOf(nodesOfDomain(node));
-    const NodeId hub = hubOf(node, node.options.settings.failureDomain);
+    const NodeId hub = ownHub(node);
     if (hub != hubs.hub) {
         const Member* member = findMember(node.membership, hub);
         addLog(node, LogLevel::Info, "load_hub", Step::Send, member ? member->identity.name : hub == node.self ? node.options.settings.node
@@ -86,36 +89,11 @@
     sendFrame(node, hub, FrameKind::HubReport, {}, encode(frame));
 }
 
-template <class Frame>
-static std::optional<Frame> decodeLoad(Node& node, std::string_view body)
-{
-    return handle(
-        [&]() -> Result<std::optional<Frame>> {
-            BOOST_LEAF_AUTO(frame, decode<Frame>(body, maxForwardLoadBytes));
-            return std::optional(std::move(frame));
-        },
-        [&](const Error& error) {
-            addLog(node, LogLevel::Warning, "bad_load_report", Step::Decode, error.peer, error.detail);
-            return std::optional<Frame> {};
-        });
-}
-
 static void addPlaced(std::vector<PlacedPart>& to, const std::vector<PlacedPart>& placed)
 {
     to.insert(to.end(), placed.begin(), placed.begin() + static_cast<std::ptrdiff_t>(std::min(placed.size(), maxPlacedInSum - std::min(maxPlacedInSum, to.size()))));
 }
 
-// What a node or a hub told, as far as this node forwards or plans itself.
-static void takeLoad(Node& node, NodeId from, const ForwardLoadFrame& load)
-{
-    takeReport(node.forward.targets, node.now, from, loadsOf(load.loads));
-    takeBackendDemand(node, from, load);
-    if (!takesCallers(node))
-        return;
-    takeSpending(node.forward.allowances, node.now, from, load.spent);
-    notePlaced(node, load.placed);
-}
-
 // Mean over about ten reports.
 static void notePaceOf(LoadHubState& hubs, const ForwardLoadFrame& load)
 {
@@ -204,8 +182,8 @@
 static void sendToHubs(Node& node, const ForwardLoadFrame& frame)
 {
     std::set<NodeId> to { decisionLeader(node) };
-    for (const auto& domain : domainsOf(node))
-        to.insert(hubOf(node, domain));
+    for (const auto& [domain, hub] : hubsByDomain(node))
+        to.insert(hub);
     const std::string body = encode(frame);
     for (const NodeId id : to) {
         if (id && id != node.self)
--- a/src/node/MovesFlow.cpp
+++ b/src/node/MovesFlow.cpp
@@ -137,7 +137,7 @@
 
 void receiveEvidence(Node& node, NodeId from, std::string_view body)
 {
-    auto frame = handle([&]() -> Result<EvidenceFrame> { return decode<EvidenceFrame>(body, maxEvidenceBytes); }, [](const Error&) { return EvidenceFrame {}; });
+    auto frame = decodeOr<EvidenceFrame>(body, maxEvidenceBytes);
     if (!node.leadsDecisions)
         return;
     for (auto& evidence : frame.evidence) {
--- a/src/node/OnceFlow.cpp
+++ b/src/node/OnceFlow.cpp
@@ -341,7 +341,7 @@
 {
     if (findCall(node, record.call) || !node.rules)
         return;
-    const auto stored = handle([&]() -> Result<StoredRequest> { return decode<StoredRequest>(record.request, 1 << 20); }, [](const Error&) { return StoredRequest {}; });
+    const auto stored = decodeOr<StoredRequest>(record.request, 1 << 20);
     if (stored.pool.empty())
         return;
     NodeCall& call = addCall(node, record.call);
--- a/src/node/VersionOrders.cpp
+++ b/src/node/VersionOrders.cpp
@@ -141,7 +141,7 @@
 
 void receiveVersionEvidence(Node& node, NodeId from, std::string_view body)
 {
-    node.versionOrders.evidence[from] = handle([&]() -> Result<VersionEvidenceFrame> { return decode<VersionEvidenceFrame>(body, maxEvidenceFrame); }, [](const Error&) { return VersionEvidenceFrame {}; });
+    node.versionOrders.evidence[from] = decodeOr<VersionEvidenceFrame>(body, maxEvidenceFrame);
 }
 
 namespace {
--- a/src/node/VoterRepair.cpp
+++ b/src/node/VoterRepair.cpp
@@ -141,7 +141,7 @@
 
 void receiveReplaceVoter(Node& node, std::string_view body)
 {
-    const auto frame = handle([&]() -> Result<ReplaceVoterFrame> { return decode<ReplaceVoterFrame>(body, 64); }, [](const Error&) { return ReplaceVoterFrame {}; });
+    const auto frame = decodeOr<ReplaceVoterFrame>(body, 64);
     if (!frame.remove || !frame.add)
         return countDrop(node, DropReason::BadBody);
     keepReplacement(node, frame.remove, frame.add);
--- a/src/wire/Codec.h
+++ b/src/wire/Codec.h
@@ -70,6 +70,13 @@
     }
 }
 
+/// The same, or the fallback where the bytes do not decode: for messages whose empty form means nothing.
+template <class T>
+T decodeOr(std::string_view bytes, size_t limit, T fallback = {})
+{
+    return handle([&] { return decode<T>(bytes, limit); }, [&](const Error&) { return std::move(fallback); });
+}
+
 /// Whether an enumeration value that came from outside stands in its name table.
 template <class E>
 constexpr bool isNamed(E value)
