Log what forbade a further attempt, and count broken answers

It now names it, with the address that was used and the age of the last announcement; a silent attempt that waits for a permit is logged once. forward_answers_broken counts answers that the caller has received in part, and forward_ended tells how many bytes it has.

FailedAttemptLogsWhatForbadeAnother fails without the new fields.

--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -57,6 +57,7 @@
     double prefillTokens = 0; ///< Prompt tokens that count as load of the target until the first event.
     double tokensBeforeFirstEvent = 0; ///< Prompt tokens to prefill before the first event, estimated when the request was sent.
     bool usageRecorded = false;
+    bool silenceLogged = false; ///< The attempt has been logged as silent.
     TimeMs lastByteAt;
     TimeMs resumeAt; ///< In stage Waiting: start of the next attempt.
 
--- a/src/forward/ForwardTarget.h
+++ b/src/forward/ForwardTarget.h
@@ -57,6 +57,7 @@
     bool engine = false; ///< Serves a language model: prefills prompts and generates tokens.
     bool reclaimable = false;
     bool leaving = false; ///< Accepts no new requests.
+    bool local = false; ///< Announces itself to this node.
     TimeMs lastSeen; ///< Last announcement, to this or another node.
 
     TargetLoad own;
--- a/src/node/ControlCalls.cpp
+++ b/src/node/ControlCalls.cpp
@@ -117,10 +117,20 @@
     }
 }
 
+// Logged once per incarnation. Before `recordLeaving`.
+static void logLeaving(Node& node, LogLevel level, UpstreamId upstream, uint64_t incarnation)
+{
+    if (isRecordedLeaving(node, upstream, incarnation))
+        return;
+    const ForwardTarget* target = findTarget(node.forward.targets, upstream);
+    addLog(node, level, "upstream_leaving", Step::Receive, target ? target->name : std::string {}, "the upstream accepts no new work");
+}
+
 // Tells all nodes that the upstream accepts no more work. The request is acknowledged only after the decision leader has
 // told them as well, since a partitioned node cannot guarantee that the others are informed.
 static void propagateLeaving(Node& node, ExchangeId exchange, UpstreamId upstream, uint64_t incarnation)
 {
+    logLeaving(node, LogLevel::Info, upstream, incarnation);
     recordLeaving(node, upstream, incarnation);
     LeavingFrame frame { ++node.controlCalls.lastRequest, upstream, incarnation };
     broadcastLeaving(node, frame);
@@ -139,10 +149,7 @@
     const auto frame = decodeOr<LeavingFrame>(body, 64);
     if (!frame.upstream)
         return countDrop(node, DropReason::BadBody);
-    if (!isRecordedLeaving(node, frame.upstream, frame.incarnation)) {
-        const ForwardTarget* target = findTarget(node.forward.targets, frame.upstream);
-        addLog(node, LogLevel::Info, "upstream_leaving", Step::Receive, target ? target->name : std::string {}, "the upstream accepts no new work");
-    }
+    logLeaving(node, LogLevel::Debug, frame.upstream, frame.incarnation);
     recordLeaving(node, frame.upstream, frame.incarnation);
     if (!frame.request)
         return;
--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -31,8 +31,26 @@
         Broken, ///< The request may have run.
     };
 
+    // Whether a request may be sent to a further upstream, or what forbids it.
+    enum class ResendDecision : uint8_t {
+        Allowed,
+        NotRepeatable, ///< The request may have run and must not run again.
+        AttemptsUsed, ///< As many upstreams as the route allows may have run it.
+        NoPermit, ///< This node's share of the retry limit is used up.
+        TooManyTries, ///< Too many upstreams could not be reached.
+    };
+
 }
 
+template <>
+inline constexpr auto enumNames<ResendDecision> = std::to_array<EnumName<ResendDecision>>({
+    { ResendDecision::Allowed, "allowed" },
+    { ResendDecision::NotRepeatable, "not_repeatable" },
+    { ResendDecision::AttemptsUsed, "attempts_used" },
+    { ResendDecision::NoPermit, "no_permit" },
+    { ResendDecision::TooManyTries, "too_many_tries" },
+});
+
 static TargetOutcome outcomeOf(AttemptEnd end)
 {
     switch (end) {
@@ -60,19 +78,24 @@
     releaseTarget(node, call);
 }
 
-static bool isRetryAllowed(Node& node, const ForwardCall& call, AttemptEnd end)
+static bool takePermit(Node& node, const ForwardCall& call)
 {
-    if (end != AttemptEnd::NotSent && end != AttemptEnd::NotRun) {
-        if (!call.canRetry() || call.possibleExecutions >= call.rule->attempts)
-            return false;
-    }
-    // An attempt of which no byte was sent adds no load to an upstream, so it is not charged to the retry limit.
-    if (end == AttemptEnd::NotSent)
-        return call.tried.size() < 6;
     auto& forward = node.forward;
     return consumeRetry(forward.retries[call.backend], forward.retryLimit, node.now, forwardNodeCount(node));
 }
 
+static ResendDecision decideResend(Node& node, const ForwardCall& call, AttemptEnd end)
+{
+    if (end == AttemptEnd::Broken && !call.canRetry())
+        return ResendDecision::NotRepeatable;
+    if (end == AttemptEnd::Broken && call.possibleExecutions >= call.rule->attempts)
+        return ResendDecision::AttemptsUsed;
+    // An attempt of which no byte was sent adds no load to an upstream, so it is not charged to the retry limit.
+    if (end == AttemptEnd::NotSent)
+        return call.tried.size() < 6 ? ResendDecision::Allowed : ResendDecision::TooManyTries;
+    return takePermit(node, call) ? ResendDecision::Allowed : ResendDecision::NoPermit;
+}
+
 static void clearAnswer(ForwardCall& call)
 {
     if (call.headForwarded)
@@ -97,15 +120,19 @@
 // run. `closedLocally`: this node closed the connection, so the upstream can continue its run for a moment.
 static void handleAttemptEnd(Node& node, ForwardCall& call, AttemptEnd end, const std::string& reason, bool closedLocally = false)
 {
+    ForwardTarget* target = findTarget(node.forward.targets, call.target);
+    const ResendDecision decision = decideResend(node, call, end);
     addLog(node, LogLevel::Info, "forward_attempt_failed", Step::Receive, call.targetName, reason,
-        { { "request", call.requestId }, { "stage", std::string(nameOf(call.stage)) }, { "status", std::to_string(call.status) }, { "may_have_run", std::to_string(call.possibleExecutions) }, { "sent_ms_ago", std::to_string((node.now - call.sentAt).value) } });
-    if (ForwardTarget* target = findTarget(node.forward.targets, call.target))
+        { { "request", call.requestId }, { "stage", std::string(nameOf(call.stage)) }, { "status", std::to_string(call.status) }, { "may_have_run", std::to_string(call.possibleExecutions) }, { "sent_ms_ago", std::to_string((node.now - call.sentAt).value) },
+            { "retry", std::string(nameOf(decision)) }, { "address", target ? target->address : std::string("-") }, { "announced_ms_ago", target ? std::to_string((node.now - target->lastSeen).value) : std::string("-") } });
+    node.counters.add("forward_retry_" + std::string(nameOf(decision)));
+    if (target)
         recordOutcome(*target, node.now, outcomeOf(end));
     if (end != AttemptEnd::NotSent && end != AttemptEnd::NotRun)
         recordVersionResult(node, call, true);
     if (call.canResume())
         call.events.discardBuffer();
-    if (isRetryAllowed(node, call, end))
+    if (decision == ResendDecision::Allowed)
         return retryElsewhere(node, call, closedLocally && call.canResume() ? upstreamStopDelay : TimeMs {});
     if (end == AttemptEnd::NotSent || end == AttemptEnd::NotRun) {
         if (!call.possibleExecutions)
@@ -232,7 +259,7 @@
         ForwardTarget* target = findTarget(node.forward.targets, call.target);
         if (target)
             recordOutcome(*target, node.now, TargetOutcome::Failed);
-        if (canSendAgain && consumeRetry(node.forward.retries[call.backend], node.forward.retryLimit, node.now, forwardNodeCount(node))) {
+        if (canSendAgain && takePermit(node, call)) {
             addLog(node, LogLevel::Info, "forward_attempt_failed", Step::Receive, call.targetName, "the upstream answered with an error status; retrying at another upstream",
                 { { "request", call.requestId }, { "status", std::to_string(call.status) }, { "may_have_run", std::to_string(call.possibleExecutions) } });
             releaseTarget(node, call);
@@ -319,10 +346,14 @@
         return;
     // The current attempt is cancelled only if a retry is allowed: a late answer is better than none.
     auto& forward = node.forward;
-    if (!consumeRetry(forward.retries[call.backend], forward.retryLimit, node.now, forwardNodeCount(node)))
+    const bool hasPermit = takePermit(node, call);
+    if (hasPermit || !call.silenceLogged) {
+        addLog(node, LogLevel::Info, "forward_attempt_silent", Step::Receive, call.targetName, hasPermit ? "no data received within the timeout; retrying at another upstream" : "no data received within the timeout; waiting for a retry permit",
+            { { "request", call.requestId }, { "sent_ms_ago", std::to_string((node.now - call.sentAt).value) }, { "last_byte_ms_ago", std::to_string((node.now - std::max(call.lastByteAt, call.sentAt)).value) }, { "retry", std::string(nameOf(hasPermit ? ResendDecision::Allowed : ResendDecision::NoPermit)) } });
+        call.silenceLogged = true;
+    }
+    if (!hasPermit)
         return;
-    addLog(node, LogLevel::Info, "forward_attempt_silent", Step::Receive, call.targetName, "no data received within the timeout; retrying at another upstream",
-        { { "request", call.requestId }, { "sent_ms_ago", std::to_string((node.now - call.sentAt).value) }, { "last_byte_ms_ago", std::to_string((node.now - std::max(call.lastByteAt, call.sentAt)).value) } });
     if (ForwardTarget* target = findTarget(forward.targets, call.target)) {
         recordOutcome(*target, node.now, TargetOutcome::Failed);
         node.out.discardedPools.push_back(target->address);
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -74,6 +74,12 @@
     return it != node.forward.leaving.end() && incarnation <= it->second.first;
 }
 
+// One line per upstream is enough for the fleet: the node to which it announces itself writes it.
+static LogLevel upstreamLogLevel(const ForwardTarget& target)
+{
+    return target.local ? LogLevel::Info : LogLevel::Debug;
+}
+
 void updateForwardTarget(Node& node, const Upstream& upstream)
 {
     const auto& announced = upstream.announced;
@@ -88,6 +94,7 @@
     target.slots = std::max<uint32_t>(1, announced.load.capacity);
     target.reclaimable = announced.reclaimable;
     target.lastSeen = upstream.lastSeen;
+    target.local = upstream.local;
     target.leaving = announced.leaving || isRecordedLeaving(node, upstream.id, announced.incarnation);
     const BackendRule* backend = node.forward.routes ? findBackend(*node.forward.routes, announced.model) : nullptr;
     target.engine = backend && backend->slots > 0;
@@ -95,14 +102,14 @@
     if (known && known->incarnation != announced.incarnation)
         forgetUpstream(node.forward.parts, upstream.id);
     if (!known)
-        addLog(node, LogLevel::Info, "upstream_known", Step::Announce, announced.name, "a new upstream accepts requests", { { "backend", target.backend }, { "address", target.address }, { "version", target.version } });
+        addLog(node, upstreamLogLevel(target), "upstream_known", Step::Announce, announced.name, "a new upstream accepts requests", { { "backend", target.backend }, { "address", target.address }, { "version", target.version } });
     upsertTarget(node.forward.targets, target);
 }
 
 void removeForwardTarget(Node& node, UpstreamId id)
 {
     if (const ForwardTarget* target = findTarget(node.forward.targets, id))
-        addLog(node, LogLevel::Info, "upstream_forgotten", Step::Announce, target->name, "removed: no announcement from the upstream for too long");
+        addLog(node, upstreamLogLevel(*target), "upstream_forgotten", Step::Announce, target->name, "removed: no announcement from the upstream for too long");
     removeTarget(node.forward.targets, id);
     forgetUpstream(node.forward.parts, id);
 }
@@ -144,7 +151,7 @@
         { { "request", call.requestId }, { "route", call.rule->name }, { "account", call.account ? call.account->name : "" }, { "backend", call.backend },
             { "status", std::to_string(call.status) }, { "stage", std::string(nameOf(call.stage)) }, { "sends", std::to_string(call.sendCount) }, { "may_have_run", std::to_string(call.possibleExecutions) },
             { "sent_ms", elapsedText(call.sentAt) }, { "expected_wait_ms", std::to_string(call.expectedWait.value) }, { "last_byte_ms", elapsedText(call.lastByteAt) }, { "took_ms", std::to_string((node.now - call.arrivedAt).value) },
-            { "left_ms", std::to_string((call.deadline - node.now).value) }, { "rules", std::to_string(call.routes->rules->revision) } });
+            { "left_ms", std::to_string((call.deadline - node.now).value) }, { "forwarded_bytes", std::to_string(call.forwardedBytes) }, { "rules", std::to_string(call.routes->rules->revision) } });
     node.counters.add("forward_" + std::string(outcome));
     recordHistogram(node, call, outcome);
     releaseTarget(node, call);
@@ -177,6 +184,7 @@
 {
     if (call.headForwarded) {
         // The caller already has part of the answer; only closing the connection tells it that the answer is incomplete.
+        node.counters.add("forward_answers_broken");
         node.out.answers.push_back({ .exchange = call.exchange, .part = AnswerPart::Abort });
         return endForward(node, call, code);
     }
@@ -223,6 +231,7 @@
     call.prefillTokens = choice.prefillTokens;
     call.tokensBeforeFirstEvent = choice.tokensBeforeFirstEvent;
     call.expectedWait = { static_cast<int64_t>(choice.waitMs) };
+    call.silenceLogged = false;
     call.sentAt = node.now;
     call.tried.push_back(target.id);
     known.own.running += 1;
--- a/tests/node/ForwardTest.cpp
+++ b/tests/node/ForwardTest.cpp
@@ -71,6 +71,20 @@
             for (auto& it : outputs.answers)
                 answers.push_back(std::move(it));
             cancels.insert(cancels.end(), outputs.cancels.begin(), outputs.cancels.end());
+            logs.insert(logs.end(), outputs.log.begin(), outputs.log.end());
+        }
+
+        // Permits that this node has in a window, besides those that its requests bring.
+        void allowRetries(double permits) { node->forward.retryLimit = { .window = 10_s, .ratio = 0, .extra = permits / 0.85 }; }
+
+        // Value of a field in the last line with this code; empty if there is none.
+        std::string logged(std::string_view code, std::string_view field) const
+        {
+            const auto line = std::find_if(logs.rbegin(), logs.rend(), [&](const auto& it) { return it.code == code; });
+            if (line == logs.rend())
+                return {};
+            const auto it = std::find_if(line->fields.begin(), line->fields.end(), [&](const auto& candidate) { return candidate.first == field; });
+            return it == line->fields.end() ? std::string {} : it->second;
         }
 
         void advance(TimeMs time)
@@ -140,6 +154,7 @@
         std::vector<UpstreamDispatch> dispatches;
         std::vector<Answer> answers;
         std::vector<DispatchId> cancels;
+        std::vector<LogRecord> logs;
     };
 
 }
@@ -164,6 +179,32 @@
     }
 }
 
+// Guards against lines of failed attempts that do not tell why no further upstream was tried.
+BOOST_AUTO_TEST_CASE(FailedAttemptLogsWhatForbadeAnother)
+{
+    ForwardNode entry;
+    entry.addUpstream("d1", "desk");
+    entry.addUpstream("d2", "desk");
+    entry.allowRetries(1);
+    entry.post("/book/1");
+    entry.sending();
+    entry.fail(UpstreamFailure::Closed);
+    BOOST_CHECK_EQUAL(entry.logged("forward_attempt_failed", "retry"), "not_repeatable");
+    entry.post("/look/1");
+    entry.sending();
+    entry.fail(UpstreamFailure::Closed);
+    BOOST_CHECK_EQUAL(entry.logged("forward_attempt_failed", "retry"), "allowed");
+    entry.sending();
+    entry.fail(UpstreamFailure::Closed);
+    BOOST_CHECK_EQUAL(entry.logged("forward_attempt_failed", "retry"), "attempts_used");
+    entry.post("/book/2");
+    entry.sending();
+    entry.head(421, {}, false);
+    BOOST_CHECK_EQUAL(entry.logged("forward_attempt_failed", "retry"), "no_permit");
+    BOOST_CHECK_EQUAL(entry.logged("forward_attempt_failed", "address"), entry.last().address);
+    BOOST_CHECK_EQUAL(entry.logged("forward_attempt_failed", "announced_ms_ago"), "0");
+}
+
 // Guards against a stream that ends as if it were complete because the engine that should resume it answers with an error.
 BOOST_AUTO_TEST_CASE(FailureOfTheSecondEngineDoesNotCompleteTheStream)
 {
