--- a/tests/node/ForwardTest.cpp
+++ b/tests/node/ForwardTest.cpp
@@ -185,7 +185,7 @@
     ForwardNode entry;
     entry.addUpstream("d1", "desk");
     entry.addUpstream("d2", "desk");
-    entry.allowRetries(1);
+    entry.allowRetries(1.5);
     entry.post("/book/1");
     entry.sending();
     entry.fail(UpstreamFailure::Closed);
@@ -380,6 +380,174 @@
     BOOST_CHECK_EQUAL(entry.dispatches.size(), 2U);
 }
 
+// Guards against cutting a stream, of which the caller already has a part, because its resumption was refused at a moment when
+// the node's share of the retry limit was used up.
+BOOST_AUTO_TEST_CASE(StreamWaitsForAPermitAfterARefusedResumption)
+{
+    ForwardNode entry;
+    for (const std::string name : { "r1", "r2", "r3" })
+        entry.addUpstream(name, "lm");
+    entry.allowRetries(1);
+    entry.post("/plan/1");
+    entry.sending();
+    entry.head(200);
+    entry.body("id: 1\ndata: a\n\n");
+    entry.advance(1500_ms);
+    BOOST_REQUIRE_EQUAL(entry.dispatches.size(), 2U);
+    entry.sending();
+    entry.head(421, {}, false);
+    entry.advance(300_ms);
+    BOOST_CHECK_EQUAL(entry.dispatches.size(), 2U);
+    BOOST_REQUIRE_EQUAL(entry.answer().first, 200);
+    entry.allowRetries(2);
+    entry.advance(200_ms);
+    BOOST_REQUIRE_EQUAL(entry.dispatches.size(), 3U);
+    BOOST_CHECK_EQUAL(findHeader(entry.last().request.headers, entry.names.lastEvent), "1");
+    entry.sending();
+    entry.head(200);
+    entry.body("id: 2\ndata: b\n\n");
+    entry.end();
+    BOOST_CHECK(entry.answer() == std::pair(200, std::string("id: 1\ndata: a\n\nid: 2\ndata: b\n\n")));
+}
+
+// Guards against retries of requests without an answer that use up the permits which streams in progress need.
+BOOST_AUTO_TEST_CASE(RequestsWithoutAnswerLeavePermitsForStreams)
+{
+    ForwardNode entry;
+    for (const std::string name : { "r1", "r2", "r3", "r4" })
+        entry.addUpstream(name, "lm");
+    entry.allowRetries(8);
+    entry.post("/plan/1");
+    const ExchangeId stream = entry.exchange;
+    const DispatchId streamRun = entry.last().dispatch;
+    entry.sending();
+    entry.head(200);
+    entry.body("id: 1\ndata: a\n\n");
+    for (int n = 0; n < 6; ++n) {
+        entry.post("/ask/1");
+        while (entry.node->forward.calls.contains(entry.exchange)) {
+            entry.sending();
+            entry.head(421, {}, false);
+        }
+        BOOST_CHECK_EQUAL(entry.answer().first, 503);
+    }
+    const size_t before = entry.dispatches.size();
+    Inputs inputs;
+    inputs.events.push_back({ .dispatch = streamRun, .kind = UpstreamEventKind::Failed, .failure = UpstreamFailure::Closed });
+    entry.run(std::move(inputs));
+    BOOST_CHECK_EQUAL(entry.dispatches.size(), before + 1);
+    BOOST_CHECK(entry.node->forward.calls.contains(stream));
+}
+
+// Guards against partial events and a wrong resumption point where an upstream refuses to resume a stream and a third one does.
+BOOST_AUTO_TEST_CASE(EventsStayWholeAfterARefusedResumption)
+{
+    ForwardNode entry;
+    for (const std::string name : { "r1", "r2", "r3" })
+        entry.addUpstream(name, "lm");
+    entry.post("/plan/1");
+    entry.sending();
+    entry.head(200);
+    entry.body("id: 1\ndata: a\n\n");
+    entry.fail(UpstreamFailure::Closed);
+    entry.sending();
+    entry.head(503, { { entry.names.notRun, "1" } }, false);
+    BOOST_REQUIRE_EQUAL(entry.dispatches.size(), 3U);
+    entry.sending();
+    entry.head(200);
+    entry.body("id: 2\ndata: b\n\nid: 3\nda");
+    BOOST_CHECK(entry.answer() == std::pair(200, std::string("id: 1\ndata: a\n\nid: 2\ndata: b\n\n")));
+}
+
+// Guards against closing the run of a silent stream when no other upstream could resume it.
+BOOST_AUTO_TEST_CASE(SilentStreamIsKeptWhileNothingElseCanResumeIt)
+{
+    ForwardNode entry;
+    entry.addUpstream("r1", "lm");
+    entry.post("/plan/1");
+    entry.sending();
+    entry.head(200);
+    entry.body("id: 1\ndata: a\n\n");
+    entry.advance(2500_ms);
+    BOOST_CHECK(entry.cancels.empty());
+    entry.body("id: 2\ndata: b\n\n");
+    entry.end();
+    BOOST_CHECK(entry.answer() == std::pair(200, std::string("id: 1\ndata: a\n\nid: 2\ndata: b\n\n")));
+}
+
+// Guards against cutting a broken stream at once when the upstream that can resume it becomes known a moment later.
+BOOST_AUTO_TEST_CASE(BrokenStreamWaitsForAnUpstream)
+{
+    ForwardNode entry;
+    entry.addUpstream("r1", "lm");
+    entry.post("/plan/1");
+    entry.sending();
+    entry.head(200);
+    entry.body("id: 1\ndata: a\n\n");
+    entry.node->forward.targets.entries.begin()->second.leaving = true;
+    entry.fail(UpstreamFailure::Closed);
+    entry.advance(100_ms);
+    BOOST_REQUIRE_EQUAL(entry.answer().first, 200);
+    entry.addUpstream("r2", "lm");
+    entry.advance(200_ms);
+    BOOST_REQUIRE_EQUAL(entry.dispatches.size(), 2U);
+    BOOST_CHECK_EQUAL(findHeader(entry.last().request.headers, entry.names.target), "r2");
+}
+
+// Guards against cutting a stream because several upstreams in a row could not be reached.
+BOOST_AUTO_TEST_CASE(UnreachableUpstreamsDoNotEndAStream)
+{
+    ForwardNode entry;
+    for (int n = 1; n <= 9; ++n)
+        entry.addUpstream("r" + std::to_string(n), "lm");
+    entry.post("/plan/1");
+    entry.sending();
+    entry.head(200);
+    entry.body("id: 1\ndata: a\n\n");
+    entry.fail(UpstreamFailure::Closed);
+    for (size_t n = 2; n <= 8; ++n) {
+        BOOST_REQUIRE_EQUAL(entry.answer().first, 200);
+        BOOST_REQUIRE_EQUAL(entry.dispatches.size(), n);
+        entry.fail(UpstreamFailure::ConnectFailed);
+        entry.advance(120_ms);
+    }
+    entry.sending();
+    entry.head(200);
+    entry.body("id: 2\ndata: b\n\n");
+    entry.end();
+    BOOST_CHECK(entry.answer() == std::pair(200, std::string("id: 1\ndata: a\n\nid: 2\ndata: b\n\n")));
+}
+
+// Guards against sending requests for an upstream that is gone to the address that another one has taken over.
+BOOST_AUTO_TEST_CASE(AddressBelongsToTheLatestUpstream)
+{
+    ForwardNode entry;
+    entry.addUpstream("d1", "desk", 1);
+    --entry.announcements;
+    entry.addUpstream("d2", "desk", 2);
+    for (int n = 0; n < 8; ++n) {
+        entry.post("/book/1");
+        BOOST_CHECK_EQUAL(findHeader(entry.last().request.headers, entry.names.target), "d2");
+    }
+}
+
+// Guards against sending to an upstream again, after another one has answered at its address, before it announces itself again.
+BOOST_AUTO_TEST_CASE(MisdirectedUpstreamGetsNoWorkUntilItIsAnnounced)
+{
+    ForwardNode entry;
+    entry.addUpstream("d1", "desk", 1);
+    entry.post("/book/1");
+    entry.sending();
+    entry.head(421, {}, false);
+    BOOST_CHECK_EQUAL(entry.answer().first, 503);
+    entry.advance(2_s);
+    entry.post("/book/2");
+    BOOST_CHECK_EQUAL(entry.dispatches.size(), 1U);
+    entry.addUpstream("d1", "desk", 1);
+    entry.post("/book/3");
+    BOOST_CHECK_EQUAL(entry.dispatches.size(), 2U);
+}
+
 // Guards against requests that outlive their deadline, and against telling an upstream more time than is left.
 BOOST_AUTO_TEST_CASE(TimeOfTheRequestBoundsEverySend)
 {
