Keep the status of an answer in progress when its resumption is refused

What callers saw: after a refused resumption (421, or 503 that states it was not run) and a third upstream, bytes of a stream arrived raw: part of an event could end it, and the point of a later resumption was wrong.

Cause: handleHead stored the status of the refusal in the call, and isStreaming asks for a 2xx status to split events. The class is state of one attempt that leaks into the next.

--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -170,7 +170,9 @@
     if (notRun) {
         const bool wrongUpstream = event.status == 421;
         --call.possibleExecutions;
-        call.status = event.status;
+        // The status of an answer in progress stays: it decides how the rest of the answer is forwarded.
+        if (!call.headForwarded)
+            call.status = event.status;
         drainDispatch(node, call);
         if (ForwardTarget* target = findTarget(forward.targets, call.target); target && wrongUpstream)
             recordOutcome(*target, node.now, TargetOutcome::Unreachable);
