Let a stream in progress wait instead of cutting it

What callers saw (LOST): a stream of which they had a part was reset in the middle while seconds of its time were left.

Cause: an attempt that nobody ran was handled like a request without an answer: without a free retry permit, without another upstream at that moment, or after six unreachable ones, the request was refused at once. A refusal of an answer in progress is a reset. The class: a temporary shortage ends an obligation that has already been taken on.

Now such a stream stays in the waiting stage and asks for the permit, or chooses again, until its time is up or its caller leaves. Requests without an answer are refused at once as before, with the time to come back.

--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -60,6 +60,7 @@
     bool silenceLogged = false; ///< The attempt has been logged as silent.
     TimeMs lastByteAt;
     TimeMs resumeAt; ///< In stage Waiting: start of the next attempt.
+    bool needsPermit = false; ///< In stage Waiting: the next attempt also needs a retry permit.
 
     // All attempts.
     int sendCount = 0;
--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -19,6 +19,8 @@
 // regular pause between its bytes.
 static constexpr int silenceGapCount = 4;
 static constexpr TimeMs minStreamSilence { 1000 };
+// A request that waits for its first answer is refused after as many unreachable upstreams; a stream in progress pauses.
+static constexpr size_t maxUnreachableInRow = 6;
 // An upstream that refuses requests because it is full usually accepts them again after about this time.
 static constexpr TimeMs fullRetryAfter { 300 };
 
@@ -92,7 +94,7 @@
         return ResendDecision::AttemptsUsed;
     // An attempt of which no byte was sent adds no load to an upstream, so it is not charged to the retry limit.
     if (end == AttemptEnd::NotSent)
-        return call.tried.size() < 6 ? ResendDecision::Allowed : ResendDecision::TooManyTries;
+        return call.tried.size() % maxUnreachableInRow ? ResendDecision::Allowed : ResendDecision::TooManyTries;
     return takePermit(node, call) ? ResendDecision::Allowed : ResendDecision::NoPermit;
 }
 
@@ -134,6 +136,8 @@
         call.events.discardBuffer();
     if (decision == ResendDecision::Allowed)
         return retryElsewhere(node, call, closedLocally && call.canResume() ? upstreamStopDelay : TimeMs {});
+    if (call.headForwarded && (decision == ResendDecision::NoPermit || decision == ResendDecision::TooManyTries))
+        return waitToResume(node, call, decision == ResendDecision::NoPermit);
     if (end == AttemptEnd::NotSent || end == AttemptEnd::NotRun) {
         if (!call.possibleExecutions)
             return refuseForward(node, call, 503, "upstream_full", reason, fullRetryAfter);
@@ -342,8 +346,10 @@
             cancelDispatch(node, call);
         return refuseForward(node, call, possiblyExecuted ? 504 : 503, "out_of_time", "no answer within the time of the request");
     }
-    if (call.stage == ForwardStage::Waiting && node.now >= call.resumeAt)
+    if (call.stage == ForwardStage::Waiting && node.now >= call.resumeAt && (!call.needsPermit || takePermit(node, call))) {
+        call.needsPermit = false;
         return startAttempt(node, call);
+    }
     if (!isSilent(node, call))
         return;
     // The current attempt is cancelled only if a retry is allowed: a late answer is better than none.
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -30,6 +30,8 @@
 // exceeds the second.
 static constexpr double overloadBacklogRatio = 1.0;
 static constexpr double overloadWaitRatio = 1.4;
+// A stream in progress that can be sent nowhere is tried again after this time.
+static constexpr TimeMs resumeInterval { 100 };
 static constexpr size_t maxHistograms = 512;
 
 ForwardState makeForwardState(const NodeOptions& options)
@@ -265,6 +267,13 @@
     return !call.possibleExecutions && choice.backlogMs > target * overloadBacklogRatio && choice.waitMs > target * overloadWaitRatio;
 }
 
+void waitToResume(Node& node, ForwardCall& call, bool needsPermit)
+{
+    call.stage = ForwardStage::Waiting;
+    call.resumeAt = node.now + resumeInterval;
+    call.needsPermit = needsPermit;
+}
+
 void startAttempt(Node& node, ForwardCall& call)
 {
     auto& forward = node.forward;
@@ -276,6 +285,10 @@
         request.allowed = [&node](const ForwardTarget& target) { return !isVersionExcluded(node, target); };
         choice = chooseTarget(forward.targets, forward.parts, forward.choice, request, node.now, node.random);
     }
+    if (!choice && call.headForwarded) {
+        call.tried.clear();
+        return waitToResume(node, call, false);
+    }
     if (!choice)
         return refuseForward(node, call, call.possibleExecutions ? 502 : 503, "no_upstream", "no upstream of " + call.backend + " takes requests", call.possibleExecutions ? TimeMs {} : noTargetRetryAfter);
     const ForwardTarget& target = *findTarget(forward.targets, choice->target);
--- a/src/node/ForwardFlow.h
+++ b/src/node/ForwardFlow.h
@@ -29,6 +29,8 @@
 
 /// Sends the request to the best upstream, or refuses it if there is none.
 void startAttempt(Node&, ForwardCall&);
+/// Lets a stream in progress wait for an upstream or, with `needsPermit`, for a retry permit. Its time bounds the wait.
+void waitToResume(Node&, ForwardCall&, bool needsPermit);
 /// Subtracts the pending prefill tokens of the attempt from its target, once the prompt has been read or the attempt has ended.
 void clearPendingPrefill(ForwardTarget&, ForwardCall&);
 /// Subtracts the load of the attempt from its target.
--- a/tests/node/ForwardTest.cpp
+++ b/tests/node/ForwardTest.cpp
@@ -484,7 +484,7 @@
     entry.sending();
     entry.head(200);
     entry.body("id: 1\ndata: a\n\n");
-    entry.node->forward.targets.entries.begin()->second.leaving = true;
+    recordLeaving(*entry.node, idOfName<UpstreamId>("r1"), 1);
     entry.fail(UpstreamFailure::Closed);
     entry.advance(100_ms);
     BOOST_REQUIRE_EQUAL(entry.answer().first, 200);
