Reserve a part of the retry limit for answers in progress

What callers saw: while upstreams refused or misdirected many requests, streams that broke in the middle could not be resumed for seconds.

Cause: requests without an answer and answers in progress shared one limit, first come first served. A wave of refused first sends uses it up, although those requests can be refused truthfully with a time to come back, and the streams can't. The class: a shared budget without priority for what has already been promised.

Requests without an answer now use at most 70% of a node's share; the sum over all nodes stays below the platform's limit as before.

--- a/src/forward/RetryLimit.cpp
+++ b/src/forward/RetryLimit.cpp
@@ -7,6 +7,8 @@
 // Fraction of its share that a node uses. The rest is a margin, because requests are counted where they arrive and the
 // window slides.
 static constexpr double usableRetryFraction = 0.85;
+// Fraction of the usable share that is left to answers in progress.
+static constexpr double answerRetryFraction = 0.3;
 
 static RetryUsage::Slice& sliceAt(RetryUsage& usage, const RetryLimit& limit, TimeMs now)
 {
@@ -23,7 +25,7 @@
     ++sliceAt(usage, limit, now).requests;
 }
 
-bool consumeRetry(RetryUsage& usage, const RetryLimit& limit, TimeMs now, size_t nodes)
+bool consumeRetry(RetryUsage& usage, const RetryLimit& limit, RetryPurpose purpose, TimeMs now, size_t nodes)
 {
     auto& current = sliceAt(usage, limit, now);
     double requests = 0;
@@ -35,7 +37,8 @@
         retries += slice.retries;
     }
     const double allowed = (limit.ratio * requests + limit.extra / static_cast<double>(std::max<size_t>(nodes, 1))) * usableRetryFraction;
-    if (retries + 1 > allowed)
+    const double reserved = purpose == RetryPurpose::Answer ? 0 : allowed * answerRetryFraction;
+    if (retries + 1 > allowed - reserved)
         return false;
     ++current.retries;
     return true;
--- a/src/forward/RetryLimit.h
+++ b/src/forward/RetryLimit.h
@@ -26,8 +26,15 @@
     std::array<Slice, slices> ring {};
 };
 
+/// What a retry is for.
+enum class RetryPurpose : uint8_t {
+    Request, ///< A request of which the caller has no answer yet: it can be refused, and the caller told when to come back.
+    Answer, ///< An answer that the caller already has in part: without a retry it is broken.
+};
+
 void recordFirstSend(RetryUsage&, const RetryLimit&, TimeMs now);
-/// Returns whether one more retry is within this node's share of the limit, and counts it if so.
-bool consumeRetry(RetryUsage&, const RetryLimit&, TimeMs now, size_t nodes);
+/// Returns whether one more retry is within this node's share of the limit, and counts it if so. A part of the share is
+/// reserved for answers in progress.
+bool consumeRetry(RetryUsage&, const RetryLimit&, RetryPurpose, TimeMs now, size_t nodes);
 
 }
--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -83,7 +83,8 @@
 static bool takePermit(Node& node, const ForwardCall& call)
 {
     auto& forward = node.forward;
-    return consumeRetry(forward.retries[call.backend], forward.retryLimit, node.now, forwardNodeCount(node));
+    const auto purpose = call.headForwarded ? RetryPurpose::Answer : RetryPurpose::Request;
+    return consumeRetry(forward.retries[call.backend], forward.retryLimit, purpose, node.now, forwardNodeCount(node));
 }
 
 static ResendDecision decideResend(Node& node, const ForwardCall& call, AttemptEnd end)
--- a/tests/forward/AllowanceTest.cpp
+++ b/tests/forward/AllowanceTest.cpp
@@ -178,7 +178,7 @@
         recordFirstSend(use, limit, now);
         requests.push_back(now);
         for (int n = 0; n < 2; ++n) {
-            if (consumeRetry(use, limit, now, count))
+            if (consumeRetry(use, limit, n ? RetryPurpose::Answer : RetryPurpose::Request, now, count))
                 retries.push_back(now);
         }
         while (now - requests.front() > limit.window)
