Close a silent run only when another upstream can take over

What callers saw: a stream whose engine paused was cut, although its engine could have gone on and no other one was there.

Cause: the node closed the silent run first and then looked for another upstream. The class: an irrevocable step before the means for the next one are secured. A healthy upstream that was not tried yet is now required first, then the permit. forward_attempt_silent names what is missing.

--- a/src/forward/TargetChoice.cpp
+++ b/src/forward/TargetChoice.cpp
@@ -33,6 +33,11 @@
     return !request.allowed || request.allowed(target);
 }
 
+static bool isHealthy(const ForwardTarget& target, const ChoiceOptions& options, TimeMs now)
+{
+    return now >= target.backoffUntil && now - target.lastSeen <= options.staleAfter;
+}
+
 // Chooses a target for the request's session by rendezvous hashing, so that all nodes choose the same one without
 // communication. The key is the last prompt part that other requests may share: with several parts, the last one is
 // specific to the request.
@@ -82,6 +87,15 @@
     return nodes > maxDirectReporters ? std::min(maxJitterMs, jitterMsPerNode * static_cast<double>(nodes - maxDirectReporters)) : 0;
 }
 
+bool hasHealthyTarget(const ForwardTargets& table, const ChoiceOptions& options, const ChoiceRequest& request, TimeMs now)
+{
+    const auto ids = table.byBackend.find(request.backend);
+    return ids != table.byBackend.end() && std::any_of(ids->second.begin(), ids->second.end(), [&](UpstreamId id) {
+        const auto it = table.entries.find(id);
+        return it != table.entries.end() && isEligible(it->second, request) && isHealthy(it->second, options, now);
+    });
+}
+
 std::optional<TargetChoice> chooseTarget(const ForwardTargets& table, const PromptPartIndex& index, const ChoiceOptions& options, const ChoiceRequest& request, TimeMs now, Random& random)
 {
     const auto ids = table.byBackend.find(request.backend);
@@ -93,8 +107,7 @@
         const auto it = table.entries.find(id);
         if (it == table.entries.end() || !isEligible(it->second, request))
             continue;
-        const bool isHealthy = now >= it->second.backoffUntil && now - it->second.lastSeen <= options.staleAfter;
-        (isHealthy ? healthy : unhealthy).push_back(&it->second);
+        (isHealthy(it->second, options, now) ? healthy : unhealthy).push_back(&it->second);
     }
     const auto& candidates = healthy.empty() ? unhealthy : healthy;
     if (candidates.empty())
--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -40,6 +40,7 @@
         AttemptsUsed, ///< As many upstreams as the route allows may have run it.
         NoPermit, ///< This node's share of the retry limit is used up.
         TooManyTries, ///< Too many upstreams could not be reached.
+        NoUpstream, ///< No other upstream is healthy.
     };
 
 }
@@ -51,6 +52,7 @@
     { ResendDecision::AttemptsUsed, "attempts_used" },
     { ResendDecision::NoPermit, "no_permit" },
     { ResendDecision::TooManyTries, "too_many_tries" },
+    { ResendDecision::NoUpstream, "no_upstream" },
 });
 
 static TargetOutcome outcomeOf(AttemptEnd end)
@@ -99,6 +101,13 @@
     return takePermit(node, call) ? ResendDecision::Allowed : ResendDecision::NoPermit;
 }
 
+static ResendDecision decideSilent(Node& node, const ForwardCall& call)
+{
+    if (!canSendElsewhere(node, call))
+        return ResendDecision::NoUpstream;
+    return takePermit(node, call) ? ResendDecision::Allowed : ResendDecision::NoPermit;
+}
+
 static void clearAnswer(ForwardCall& call)
 {
     if (call.headForwarded)
@@ -353,15 +362,15 @@
     }
     if (!isSilent(node, call))
         return;
-    // The current attempt is cancelled only if a retry is allowed: a late answer is better than none.
+    // The current attempt is cancelled only if another one can replace it: a late answer is better than none.
     auto& forward = node.forward;
-    const bool hasPermit = takePermit(node, call);
-    if (hasPermit || !call.silenceLogged) {
-        addLog(node, LogLevel::Info, "forward_attempt_silent", Step::Receive, call.targetName, hasPermit ? "no data received within the timeout; retrying at another upstream" : "no data received within the timeout; waiting for a retry permit",
-            { { "request", call.requestId }, { "sent_ms_ago", std::to_string((node.now - call.sentAt).value) }, { "last_byte_ms_ago", std::to_string((node.now - std::max(call.lastByteAt, call.sentAt)).value) }, { "retry", std::string(nameOf(hasPermit ? ResendDecision::Allowed : ResendDecision::NoPermit)) } });
+    const ResendDecision decision = decideSilent(node, call);
+    if (decision == ResendDecision::Allowed || !call.silenceLogged) {
+        addLog(node, LogLevel::Info, "forward_attempt_silent", Step::Receive, call.targetName, "no data received within the timeout",
+            { { "request", call.requestId }, { "sent_ms_ago", std::to_string((node.now - call.sentAt).value) }, { "last_byte_ms_ago", std::to_string((node.now - std::max(call.lastByteAt, call.sentAt)).value) }, { "retry", std::string(nameOf(decision)) } });
         call.silenceLogged = true;
     }
-    if (!hasPermit)
+    if (decision != ResendDecision::Allowed)
         return;
     if (ForwardTarget* target = findTarget(forward.targets, call.target)) {
         recordOutcome(*target, node.now, TargetOutcome::Failed);
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -267,6 +267,12 @@
     return !call.possibleExecutions && choice.backlogMs > target * overloadBacklogRatio && choice.waitMs > target * overloadWaitRatio;
 }
 
+bool canSendElsewhere(const Node& node, const ForwardCall& call)
+{
+    const ChoiceRequest request { .backend = call.backend, .tried = call.tried, .allowed = [&node](const ForwardTarget& target) { return !isVersionExcluded(node, target); } };
+    return hasHealthyTarget(node.forward.targets, node.forward.choice, request, node.now);
+}
+
 void waitToResume(Node& node, ForwardCall& call, bool needsPermit)
 {
     call.stage = ForwardStage::Waiting;
--- a/src/node/ForwardFlow.h
+++ b/src/node/ForwardFlow.h
@@ -29,6 +29,8 @@
 
 /// Sends the request to the best upstream, or refuses it if there is none.
 void startAttempt(Node&, ForwardCall&);
+/// Whether a healthy upstream is left to which the request was not sent yet.
+bool canSendElsewhere(const Node&, const ForwardCall&);
 /// Lets a stream in progress wait for an upstream or, with `needsPermit`, for a retry permit. Its time bounds the wait.
 void waitToResume(Node&, ForwardCall&, bool needsPermit);
 /// Subtracts the pending prefill tokens of the attempt from its target, once the prompt has been read or the attempt has ended.
