Send no requests for an upstream to an address that another one holds

What callers saw: after a wave of lost instances whose addresses were used again, requests went to the new instances under the names of the lost ones, were refused with 421 and came back as 503; resumptions of streams were lost, too.

Cause: a target was known by its name only. That another upstream announces the same address, or answers there, said nothing about it, so each of 72 nodes tried each of the 52 lost ones again after 0.5, 1, 2 and 4 s. The class: two records of one exclusive resource, both believed.

Of targets with one address, those with an earlier incarnation are no longer healthy, so they are chosen only if no other one is. A target at whose address another upstream has answered gets nothing until it announces itself again.

RequestsWithoutAnswerLeavePermitsForStreams has its first sends refused with 503 instead of 421, since a 421 now excludes the upstream; the number of permits that they ask for is the same.

--- a/src/forward/ForwardTarget.cpp
+++ b/src/forward/ForwardTarget.cpp
@@ -24,6 +24,26 @@
     return sum;
 }
 
+// Of upstreams that announce the same address, the one that started last listens there. Incarnations that are equal do not tell
+// which one that is.
+static void updateAddressOwner(ForwardTargets& table, const std::string& address)
+{
+    uint64_t latest = 0;
+    for (const auto& [id, target] : table.entries) {
+        if (target.address == address && !isMisdirected(target))
+            latest = std::max(latest, target.incarnation);
+    }
+    for (auto& [id, target] : table.entries) {
+        if (target.address == address)
+            target.addressTaken = target.incarnation < latest;
+    }
+}
+
+bool isMisdirected(const ForwardTarget& target)
+{
+    return target.misdirectedSequence && target.sequence <= *target.misdirectedSequence;
+}
+
 ForwardTarget& upsertTarget(ForwardTargets& table, const ForwardTarget& announced)
 {
     auto& entry = table.entries[announced.id];
@@ -36,8 +56,12 @@
     if (!entry.id)
         entry.others = totalReportedLoad(table, announced.id);
     const bool known = entry.id && entry.incarnation == announced.incarnation;
+    const std::string formerAddress = entry.address;
+    const bool changed = !known || formerAddress != announced.address;
     ForwardTarget next = announced;
     if (known) {
+        next.misdirectedSequence = entry.misdirectedSequence;
+        next.addressTaken = entry.addressTaken;
         next.lastByteAt = entry.lastByteAt;
         next.failuresInRow = entry.failuresInRow;
         next.failureRate = entry.failureRate;
@@ -47,7 +71,12 @@
     }
     next.own = entry.own;
     next.others = entry.others;
+    const bool wasMisdirected = isMisdirected(entry);
     entry = std::move(next);
+    if (changed || wasMisdirected != isMisdirected(entry)) {
+        updateAddressOwner(table, formerAddress);
+        updateAddressOwner(table, entry.address);
+    }
     return entry;
 }
 
@@ -57,7 +86,9 @@
     if (it == table.entries.end())
         return;
     std::erase(table.byBackend[it->second.backend], id);
+    const std::string address = it->second.address;
     table.entries.erase(it);
+    updateAddressOwner(table, address);
 }
 
 ForwardTarget* findTarget(ForwardTargets& table, UpstreamId id)
@@ -134,4 +165,11 @@
         target.backoffDuration = {};
 }
 
+void recordMisdirected(ForwardTargets& table, ForwardTarget& target, TimeMs now)
+{
+    target.misdirectedSequence = target.sequence;
+    recordOutcome(target, now, TargetOutcome::Unreachable);
+    updateAddressOwner(table, target.address);
+}
+
 }
--- a/src/forward/ForwardTarget.h
+++ b/src/forward/ForwardTarget.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -57,12 +58,15 @@
     bool engine = false; ///< Serves a language model: prefills prompts and generates tokens.
     bool reclaimable = false;
     bool leaving = false; ///< Accepts no new requests.
+    uint64_t sequence = 0; ///< Of its last known announcement.
     bool local = false; ///< Announces itself to this node.
     TimeMs lastSeen; ///< Last announcement, to this or another node.
 
     TargetLoad own;
     TargetLoad others;
 
+    bool addressTaken = false; ///< Another upstream with a later incarnation has announced the address.
+    std::optional<uint64_t> misdirectedSequence; ///< Of its last announcement when another upstream answered at its address.
     TimeMs lastByteAt; ///< Of any response to this node.
     int failuresInRow = 0;
     double failureRate = 0; ///< Moving average over its responses.
@@ -85,6 +89,10 @@
 void removeTarget(ForwardTargets&, UpstreamId);
 ForwardTarget* findTarget(ForwardTargets&, UpstreamId);
 
+/// Records that another upstream has answered at its address. The target gets no requests until it announces itself again.
+void recordMisdirected(ForwardTargets&, ForwardTarget&, TimeMs now);
+bool isMisdirected(const ForwardTarget&);
+
 /// Replaces the load that a node reported.
 void applyLoadReport(ForwardTargets&, TimeMs now, NodeId, const std::map<UpstreamId, TargetLoad>&);
 /// Replaces all reports by one that sums the load of all other nodes.
--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -189,7 +189,7 @@
             call.status = event.status;
         drainDispatch(node, call);
         if (ForwardTarget* target = findTarget(forward.targets, call.target); target && wrongUpstream)
-            recordOutcome(*target, node.now, TargetOutcome::Unreachable);
+            recordMisdirected(forward.targets, *target, node.now);
         return handleAttemptEnd(node, call, AttemptEnd::NotRun, "the upstream did not run the request: status " + std::to_string(event.status));
     }
     const bool success = event.status >= 200 && event.status < 300;
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -93,6 +93,7 @@
     target.version = announced.version;
     target.backend = announced.model;
     target.incarnation = announced.incarnation;
+    target.sequence = announced.sequence;
     target.slots = std::max<uint32_t>(1, announced.load.capacity);
     target.reclaimable = announced.reclaimable;
     target.lastSeen = upstream.lastSeen;
