Check forwarded requests only when all received bytes are read

What callers saw: streams that resumed after a pause, or ended when no permit was left, although their engines kept sending; requests answered 504 whose answer had arrived.

Cause: every event of a socket is a step of the node, and a step ran the periodic tasks when they were due. After a stall of the process (a freeze, its processor time used up, a long step) the first event therefore compared the times of all other requests with the new time, while their bytes still waited in the sockets. All of them looked silent at once, and each cost a permit of the retry limit. The class: a timeout that is judged before the input which refutes it is read.

Now forwarded requests are checked only in a step without inputs, which the daemon makes from its timer. A poll of the event loop queues ready sockets before expired timers; when the timer runs more than a tick late, it may have been queued before the stall, and the sockets are polled once more first. One poll returns at most 128 sockets, so with more ready ones the rest can still be judged early.

--- a/src/entry/Daemon.cpp
+++ b/src/entry/Daemon.cpp
@@ -6,6 +6,7 @@
 #include "entry/HttpServer.h"
 #include "entry/Log.h"
 #include "entry/PeerTransport.h"
+#include "entry/ToChrono.h"
 #include "entry/UpstreamClient.h"
 #include "node/Node.h"
 #include "storage/FileDisk.h"
@@ -70,6 +71,7 @@
         void writeDisk(std::vector<DiskRequest>);
         void handleDiskCompletion(Inputs);
         void tick();
+        void waitForTick(TimeMs delay, bool isRepeat);
         void waitForSignal();
         void addServer(const Endpoint&, ListenerKind);
         HttpServer& serverForExchange(ExchangeId);
@@ -249,13 +251,23 @@
 
 void Daemon::tick()
 {
-    m_timer.expires_after(std::chrono::milliseconds(m_settings.timings.tick.value));
-    m_timer.async_wait([this](boost::system::error_code ec) {
+    apply({});
+    checkSettingsFile();
+    flushLog();
+    waitForTick(m_settings.timings.tick, false);
+}
+
+// A poll of the event loop queues ready sockets before expired timers, so the bytes that had arrived at the poll are passed to the
+// node before the tick. A timer that runs late may have been queued before a stall; then the sockets are polled once more.
+void Daemon::waitForTick(TimeMs delay, bool isRepeat)
+{
+    const TimeMs due = m_clock.now() + delay;
+    m_timer.expires_after(toChrono(delay));
+    m_timer.async_wait([this, due, isRepeat](boost::system::error_code ec) {
         if (ec)
             return;
-        apply({});
-        checkSettingsFile();
-        flushLog();
+        if (!isRepeat && m_clock.now() - due > m_settings.timings.tick)
+            return waitForTick({}, true);
         tick();
     });
 }
@@ -294,7 +306,9 @@
         inputs.seeds.push_back(toString(seed));
     setLogLevel(reloaded->logLevel);
     writeLog({ LogLevel::Info, "settings_read", Step::ReadSettings, m_options.settingsFile, "applied the seeds and the log level", { { "seeds", std::to_string(inputs.seeds.size()) } } });
-    apply(std::move(inputs));
+    // A step without inputs would state that all sockets have been read.
+    if (!inputs.seeds.empty())
+        apply(std::move(inputs));
 }
 
 void Daemon::waitForSignal()
@@ -325,7 +339,7 @@
         server->start();
     m_transport.start();
     waitForSignal();
-    tick();
+    waitForTick(m_settings.timings.tick, false);
     writeLog({ LogLevel::Info, "started", Step::Accept, toString(m_settings.http), "serving", { { "peer_address", toString(m_settings.peer) }, { "data_folder", m_settings.dataFolder } } });
     m_context.run();
     writeLog({ LogLevel::Info, "exiting", Step::Command, {}, "the process exits", {} });
--- a/src/node/ForwardFlow.h
+++ b/src/node/ForwardFlow.h
@@ -21,8 +21,11 @@
 bool handleForwardCallerDisconnect(Node&, ExchangeId);
 /// Handles an event of a dispatch. Returns false if the dispatch does not belong to a forwarded request.
 bool handleForwardEvent(Node&, UpstreamEvent&);
-/// Ends requests whose deadline has passed, retries or resumes failed ones, and reports load to the other nodes.
+/// Expires old state of forwarding and reports load to the other nodes.
 void tickForward(Node&);
+/// Ends requests whose deadline has passed, and retries or resumes silent and waiting ones. Must not be called while bytes that
+/// arrived wait to be passed on: after a stall of the process, every upstream would look silent.
+void tickForwardCalls(Node&);
 void receiveForwardLoad(Node&, NodeId from, std::string_view body);
 
 // Internal to forwarding.
@@ -39,8 +42,6 @@
 void refuseForward(Node&, ForwardCall&, uint16_t status, const std::string& code, const std::string& text, TimeMs retryAfter = {});
 /// Number of entry nodes that share the limits, including this one.
 size_t forwardNodeCount(const Node&);
-/// Checks the deadlines and retries of the requests in flight.
-void tickForwardCalls(Node&);
 /// Logs and counts the end of a request, and frees it.
 void endForward(Node&, ForwardCall&, std::string_view outcome);
 
--- a/src/node/ForwardReport.cpp
+++ b/src/node/ForwardReport.cpp
@@ -125,7 +125,6 @@
     tickLoadHub(node);
     if (!acceptsCallers(node))
         return;
-    tickForwardCalls(node);
     if (node.now < forward.nextReport)
         return;
     forward.allowances.nodes = forwardNodeCount(node);
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -10,6 +10,7 @@
 #include "node/ExplainFlow.h"
 #include "node/FleetFlow.h"
 #include "node/ForwardFlow.h"
+#include "node/ForwardReport.h"
 #include "node/Groups.h"
 #include "node/LeaderFlow.h"
 #include "node/MovesFlow.h"
@@ -213,7 +214,10 @@
     INVARIANT(now >= node.now, "the time of a node is monotonic", "now", now.value, "was", node.now.value);
     node.now = now;
     std::swap(node.out, out);
+    const bool allInputPassed = inputs.isEmpty();
     processInputs(node, std::move(inputs));
+    if (allInputPassed && acceptsCallers(node))
+        tickForwardCalls(node);
     if (now >= node.nextTick) {
         node.nextTick = now + node.options.settings.timings.tick;
         tickAll(node);
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -38,6 +38,8 @@
     std::vector<GroupId> pinning; ///< Groups that prevent the deletion of old log segments and should take a snapshot.
     std::vector<std::string> seeds; ///< New seed addresses, "IP:PORT", after a reload of the settings.
     bool drain = false; ///< Shut down gracefully: first leave the entry addresses, then end the process.
+
+    bool isEmpty() const { return requests.empty() && disconnected.empty() && events.empty() && datagrams.empty() && frames.empty() && completions.empty() && pinning.empty() && seeds.empty() && !drain; }
 };
 
 /// The complete state and logic of one daemon. It has no sockets, files, threads or clock of its own: the daemon, tests and
@@ -53,7 +55,8 @@
 Result<NodePtr> makeNode(NodeOptions, TimeMs now);
 
 /// Processes the inputs, runs the periodic tasks that are due, and appends the resulting actions to the outputs. Must be
-/// called for each input and at least once per tick interval of the settings.
+/// called for each input and, without inputs, at least once per tick interval of the settings. A step without inputs states
+/// that the bytes which had arrived have been passed on: only then are forwarded requests checked for silence and deadlines.
 void step(Node&, TimeMs now, Inputs&&, Outputs&);
 
 }
