Show that a draining node can stop before its last answer is written

The stop is put out in the same step as the end of the last stream. The end is buffered while the write of the last event is in progress, and the stopped event loop never writes it.

--- a/tests/node/ForwardChangesTest.cpp
+++ b/tests/node/ForwardChangesTest.cpp
@@ -222,6 +222,42 @@
     BOOST_CHECK_EQUAL(entry.answers.front().status, 200);
 }
 
+// Guards against a draining node whose process ends in the step of its last answer, before all bytes of it are written: the end of
+// a stream is buffered while its last event is being written.
+BOOST_AUTO_TEST_CASE(DrainingNodeStopsAfterItsLastAnswerIsWritten)
+{
+    ForwardNode entry;
+    entry.node->options.settings.timings.entryValid = TimeMs { 1000 };
+    entry.addUpstream("r1", "lm");
+    Inputs inputs;
+    inputs.drain = true;
+    entry.run(std::move(inputs));
+    entry.advance(2000_ms);
+    BOOST_CHECK(entry.node->left);
+    entry.post("/plan/1");
+    entry.sending();
+    entry.head(200);
+    for (int n = 0; n < 10; ++n) {
+        entry.advance(200_ms);
+        entry.body("id: " + std::to_string(n) + "\ndata: x\n\n");
+    }
+    const auto stops = [&](Inputs more) {
+        entry.now += 20_ms;
+        Outputs outputs;
+        step(*entry.node, entry.now, std::move(more), outputs);
+        return outputs.stop;
+    };
+    inputs = {};
+    inputs.events.push_back({ .dispatch = entry.last().dispatch, .kind = UpstreamEventKind::End });
+    BOOST_CHECK(!stops(std::move(inputs)));
+    BOOST_CHECK(entry.node->forward.calls.empty());
+    TimeMs waited;
+    while (waited < 1_s && !stops({}))
+        waited += 20_ms;
+    BOOST_CHECK(waited >= 100_ms);
+    BOOST_CHECK(waited < 500_ms);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
