Write the last answer of a draining node before its process ends

What callers could see after a SIGTERM: the last stream of a node without its final chunk.

Cause: the node stopped in the step in which its last request ended, if a tick was due there. The end of a stream is buffered while the write of its last event is in progress, and the stopped event loop drops it. The class: work counts as done when it is handed over rather than when it is written.

The node now stops 200 ms after the last tick with a request in progress. The drain limit bounds the wait as before.

--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -28,6 +28,8 @@
 
 // Gossip needs this long to spread the record that the node is leaving.
 static constexpr TimeMs leaveSpreadTime { 2000 };
+// Time to write the buffered end of the last answer to a caller that reads slowly.
+static constexpr TimeMs answerFlushTime { 200 };
 
 void NodeDeleter::operator()(Node* node) const
 {
@@ -181,7 +183,9 @@
     }
     const bool late = node.now - node.drainSince >= timings.drainLimit;
     // Requests can arrive until the process ends, because callers cache the address.
-    const bool answered = node.calls.empty() && node.forward.calls.empty();
+    if (!node.calls.empty() || !node.forward.calls.empty())
+        node.lastBusyAt = node.now;
+    const bool answered = node.now - node.lastBusyAt >= answerFlushTime;
     if (node.left && (late || (answered && node.now - node.leftAt >= leaveSpreadTime)))
         node.out.stop = true;
 }
--- a/src/node/NodeState.h
+++ b/src/node/NodeState.h
@@ -210,6 +210,7 @@
     TimeMs drainSince;
     bool left = false;
     TimeMs leftAt;
+    TimeMs lastBusyAt; ///< While draining: last tick at which a request was in progress.
 
     explicit Node(NodeOptions);
 };
