Test lowered limits while a request is being answered

The test passes: while a request is being answered, no limit of the listener applies to its connection.

--- a/tests/entry/HttpServerTest.cpp
+++ b/tests/entry/HttpServerTest.cpp
@@ -72,6 +72,16 @@
             m_server->answer({ .exchange = arrived.exchange, .part = AnswerPart::Body, .body = "part" });
             return m_server->answer({ .exchange = arrived.exchange, .part = AnswerPart::Abort });
         }
+        if (request.target == "/limits-lowered") {
+            m_server->setLimits({ .headerBytes = 256, .bodyBytes = 256, .headerTimeout = TimeMs { 100 }, .bodyTimeout = TimeMs { 100 }, .idleTimeout = TimeMs { 100 } });
+            m_server->answer({ .exchange = arrived.exchange, .part = AnswerPart::Head, .status = 200 });
+            m_timer.expires_after(std::chrono::milliseconds(500));
+            m_timer.async_wait([this, exchange = arrived.exchange](const error_code&) {
+                m_server->answer({ .exchange = exchange, .part = AnswerPart::Body, .body = std::string(1024, 'x') });
+                m_server->answer({ .exchange = exchange, .part = AnswerPart::End });
+            });
+            return;
+        }
         if (request.target == "/stream") {
             m_server->answer({ .exchange = arrived.exchange, .part = AnswerPart::Head, .status = 200, .headers = { { "X-A", "1" }, { "X-A", "2" } } });
             m_server->answer({ .exchange = arrived.exchange, .part = AnswerPart::Body, .body = "one" });
@@ -82,6 +92,7 @@
     }
 
     asio::io_context m_context { 1 };
+    asio::steady_timer m_timer { m_context };
     asio::executor_work_guard<asio::io_context::executor_type> m_work { m_context.get_executor() };
     uint16_t m_port = 0;
     std::unique_ptr<HttpServer> m_server;
@@ -151,3 +162,14 @@
     BOOST_TEST(server.exchange("GET /a HTTP/1.1\r\nHost:").empty());
     BOOST_TEST(server.arrivals == 0);
 }
+// Guards against lowered limits that end a connection while its request is being answered.
+BOOST_AUTO_TEST_CASE(LoweredLimitsKeepARequestThatIsBeingAnswered)
+{
+    EchoServer server;
+    const std::string out = server.exchange("POST /limits-lowered HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n" + std::string(1000, 'b'), "0\r\n\r\n");
+    BOOST_CHECK(out.starts_with("HTTP/1.1 200"));
+    BOOST_CHECK(out.find(std::string(1024, 'x')) != std::string::npos);
+    BOOST_CHECK(out.ends_with("\r\n0\r\n\r\n"));
+    BOOST_CHECK(!server.wasReset);
+    BOOST_CHECK_EQUAL(server.disconnects.load(), 0);
+}
