--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -10,6 +10,7 @@
 #include "node/ExplainFlow.h"
 #include "node/FleetFlow.h"
 #include "node/ForwardFlow.h"
+#include "node/ForwardReport.h"
 #include "node/Groups.h"
 #include "node/LeaderFlow.h"
 #include "node/MovesFlow.h"
@@ -27,6 +28,8 @@
 
 // Gossip needs this long to spread the record that the node is leaving.
 static constexpr TimeMs leaveSpreadTime { 2000 };
+// Time to write the buffered end of the last answer to a caller that reads slowly.
+static constexpr TimeMs answerFlushTime { 200 };
 
 void NodeDeleter::operator()(Node* node) const
 {
@@ -180,7 +183,9 @@
     }
     const bool late = node.now - node.drainSince >= timings.drainLimit;
     // Requests can arrive until the process ends, because callers cache the address.
-    const bool answered = node.calls.empty() && node.forward.calls.empty();
+    if (!node.calls.empty() || !node.forward.calls.empty())
+        node.lastBusyAt = node.now;
+    const bool answered = node.now - node.lastBusyAt >= answerFlushTime;
     if (node.left && (late || (answered && node.now - node.leftAt >= leaveSpreadTime)))
         node.out.stop = true;
 }
@@ -213,7 +218,10 @@
     INVARIANT(now >= node.now, "the time of a node is monotonic", "now", now.value, "was", node.now.value);
     node.now = now;
     std::swap(node.out, out);
+    const bool allInputPassed = inputs.isEmpty();
     processInputs(node, std::move(inputs));
+    if (allInputPassed && acceptsCallers(node))
+        tickForwardCalls(node);
     if (now >= node.nextTick) {
         node.nextTick = now + node.options.settings.timings.tick;
         tickAll(node);
