--- a/tests/entry/HttpServerTest.cpp
+++ b/tests/entry/HttpServerTest.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+// More than the socket buffers of both sides hold.
+constexpr size_t largeBodyBytes = 11 << 20;
+
 // Server on the loopback interface that echoes the method, target and body of each request.
 class EchoServer {
 public:
@@ -34,12 +37,13 @@
 
     // Sends `bytes` and reads until the server closes or `until` has been received; then does the same with `rest` and
     // `restUntil`. Returns everything received.
-    std::string exchange(const std::string& bytes, const std::string& until = {}, const std::string& rest = {}, const std::string& restUntil = {})
+    std::string exchange(const std::string& bytes, const std::string& until = {}, const std::string& rest = {}, const std::string& restUntil = {}, std::chrono::milliseconds pauseBeforeRead = {})
     {
         asio::io_context context;
         tcp::socket socket(context);
         socket.connect({ asio::ip::make_address("127.0.0.1"), m_port });
         asio::write(socket, asio::buffer(bytes));
+        std::this_thread::sleep_for(pauseBeforeRead);
         std::string out;
         error_code ec;
         const auto readUntil = [&](const std::string& text) {
@@ -78,6 +82,8 @@
             m_server->answer({ .exchange = arrived.exchange, .part = AnswerPart::Body, .body = "two" });
             return m_server->answer({ .exchange = arrived.exchange, .part = AnswerPart::End });
         }
+        if (request.target == "/large")
+            return m_server->answer({ .exchange = arrived.exchange, .part = AnswerPart::Whole, .status = 200, .body = std::string(largeBodyBytes, 'x') });
         m_server->answer({ .exchange = arrived.exchange, .part = AnswerPart::Whole, .status = 200, .body = request.method + " " + request.target + " [" + request.body + "]" });
     }
 
@@ -151,3 +157,15 @@
     BOOST_TEST(server.exchange("GET /a HTTP/1.1\r\nHost:").empty());
     BOOST_TEST(server.arrivals == 0);
 }
+
+// Guards against taking the time in which a client reads its response for idle time of the connection, which would cut the response.
+BOOST_AUTO_TEST_CASE(responseBeingWrittenIsNotIdle)
+{
+    InputLimits limits;
+    limits.idleTimeout = TimeMs { 200 };
+    EchoServer server(limits);
+    const auto answer = server.exchange("GET /large HTTP/1.1\r\nHost: h\r\n\r\n", {}, {}, {}, std::chrono::milliseconds(700));
+    BOOST_TEST(answer.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(!server.wasReset);
+    BOOST_TEST(answer.size() > largeBodyBytes);
+}
--- a/tests/entry/UpstreamClientTest.cpp
+++ b/tests/entry/UpstreamClientTest.cpp
@@ -18,6 +18,8 @@
         std::vector<std::string> responses;
         bool closes = false; ///< After the last response.
         bool resets = false; ///< After the last response.
+        std::chrono::milliseconds pause { 0 }; ///< Before the unsolicited bytes and the end of the connection.
+        std::string unsolicited; ///< Sent after the last response.
     };
 
     explicit ScriptedUpstream(std::vector<ConnectionScript> scripts)
@@ -64,6 +66,9 @@
             error_code ec;
             asio::write(socket, asio::buffer(response), ec);
         }
+        std::this_thread::sleep_for(script.pause);
+        error_code ec;
+        asio::write(socket, asio::buffer(script.unsolicited), ec);
     }
 
     template <class Operation>
@@ -194,3 +199,26 @@
     }
     BOOST_TEST(client.sendRequest(upstream.address(), "b") == "200 two end");
 }
+
+// Guards against sending a request on an idle connection whose end has arrived but was not read yet, as on a busy node: a request
+// that must not run twice would be lost.
+BOOST_AUTO_TEST_CASE(unreadCloseOfAnIdleConnectionIsDetected)
+{
+    ScriptedUpstream upstream({ { .responses = { makeResponse("a", "one") }, .closes = true, .pause = std::chrono::milliseconds(50) }, { { makeResponse("b", "two") } } });
+    Client client;
+    BOOST_TEST(client.sendRequest(upstream.address(), "a") == "200 one end");
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    BOOST_TEST(client.sendRequest(upstream.address(), "b") == "200 two end");
+    BOOST_TEST(client.client.connectionsOpened() == 2U);
+}
+
+// Guards against taking bytes that an upstream sent after a complete response for the response to the next request.
+BOOST_AUTO_TEST_CASE(unreadBytesOfAnIdleConnectionAreNoResponse)
+{
+    const std::string stray = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\nstray";
+    ScriptedUpstream upstream({ { .responses = { makeResponse("a", "one") }, .pause = std::chrono::milliseconds(50), .unsolicited = stray }, { { makeResponse("b", "two") } } });
+    Client client;
+    BOOST_TEST(client.sendRequest(upstream.address(), "a") == "200 one end");
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    BOOST_TEST(client.sendRequest(upstream.address(), "b") == "200 two end");
+}
--- a/tests/node/ForwardFixture.h
+++ b/tests/node/ForwardFixture.h
@@ -71,6 +71,8 @@
         for (auto& it : outputs.answers)
             answers.push_back(std::move(it));
         cancels.insert(cancels.end(), outputs.cancels.begin(), outputs.cancels.end());
+        discardedPools.insert(discardedPools.end(), outputs.discardedPools.begin(), outputs.discardedPools.end());
+        stopped = stopped || outputs.stop;
         logs.insert(logs.end(), outputs.log.begin(), outputs.log.end());
     }
 
@@ -128,12 +130,14 @@
     }
 
     // Status and body of the answer to the last request; status 0 if there is none, 1 if it was aborted.
-    std::pair<int, std::string> answer() const
+    std::pair<int, std::string> answer() const { return answerTo(exchange); }
+
+    std::pair<int, std::string> answerTo(ExchangeId wanted) const
     {
         int status = 0;
         std::string text;
         for (const auto& it : answers) {
-            if (it.exchange != exchange)
+            if (it.exchange != wanted)
                 continue;
             if (it.part == AnswerPart::Abort)
                 return { 1, text };
@@ -154,6 +158,8 @@
     std::vector<UpstreamDispatch> dispatches;
     std::vector<Answer> answers;
     std::vector<DispatchId> cancels;
+    std::vector<std::string> discardedPools;
+    bool stopped = false; ///< The node has said that the process can end.
     std::vector<LogRecord> logs;
 };
 
