Check a pooled connection for unread input before it is reused

What callers saw: a request that must not run twice ended with 502, and one that may be repeated lost an attempt and a retry permit, because its upstream had closed the idle connection. Or the caller got a response that answers no request: bytes that the upstream had sent after the response before.

Cause: the close or the bytes had arrived, but the read of the idle connection completes only in a later turn of the event loop than the dispatch that was posted before it. On a node with little processor time a turn takes long.

A poll without waiting, directly before the request is written, shows both; the connection is closed and the next one of the pool is tried. A close that is still on its way can't be seen by it. Cost: one system call for each reuse.

--- a/src/entry/UpstreamClient.cpp
+++ b/src/entry/UpstreamClient.cpp
@@ -49,14 +49,20 @@
 ConnectionPtr UpstreamClient::Impl::acquirePooled(const UpstreamDispatch& dispatch)
 {
     const auto it = idle.find(dispatch.address);
-    if (dispatch.freshConnection || it == idle.end() || it->second.empty())
+    if (dispatch.freshConnection || it == idle.end())
         return {};
-    const auto age = Clock::now() - it->second.back()->idleSince();
-    if (age > toChrono(std::min(dispatch.maxIdle, options.idleReuse)) || age > it->second.back()->idleLimit())
-        return {};
-    ConnectionPtr connection = std::move(it->second.back());
-    it->second.pop_back();
-    return connection;
+    const auto maxAge = toChrono(std::min(dispatch.maxIdle, options.idleReuse));
+    while (!it->second.empty()) {
+        const auto age = Clock::now() - it->second.back()->idleSince();
+        if (age > maxAge || age > it->second.back()->idleLimit())
+            return {};
+        ConnectionPtr connection = std::move(it->second.back());
+        it->second.pop_back();
+        if (!connection->hasUnreadInput())
+            return connection;
+        connection->close();
+    }
+    return {};
 }
 
 void UpstreamClient::Impl::start(const UpstreamDispatch& dispatch)
--- a/src/entry/UpstreamConnection.cpp
+++ b/src/entry/UpstreamConnection.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <charconv>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace siskinshunt {
@@ -302,4 +303,10 @@
     m_socket.close(ec);
 }
 
+bool UpstreamConnection::hasUnreadInput()
+{
+    pollfd socket { .fd = m_socket.native_handle(), .events = POLLIN, .revents = 0 };
+    return ::poll(&socket, 1, 0) != 0;
+}
+
 }
--- a/src/entry/UpstreamConnection.h
+++ b/src/entry/UpstreamConnection.h
@@ -39,6 +39,8 @@
     void forbidReuse() { m_reuseForbidden = true; }
     /// Closes the connection without reporting anything.
     void close();
+    /// Whether a close by the upstream or unsolicited bytes have arrived on the idle connection and were not read yet.
+    bool hasUnreadInput();
 
     const std::string& address() const { return m_address; }
     DispatchId dispatch() const { return m_dispatch; }
