Count the idle time of a connection from the end of its response

What callers saw: a caller that reads a long response slowly got only its start, once the idle timeout had passed.

Cause: the idle phase started when the last part of the response had been handed over, although its bytes were still being written.

The phase now starts again when the output has been written, and a connection is not idle while a write is active; the write timeout bounds that.

--- a/src/entry/HttpConnection.cpp
+++ b/src/entry/HttpConnection.cpp
@@ -289,6 +289,9 @@
     if (m_writeActive || m_phase == Phase::Closed)
         return;
     if (m_out.empty()) {
+        // The idle time of the connection starts when its response has been written.
+        if (m_phase == Phase::Idle)
+            setPhase(Phase::Idle);
         if (m_phase != Phase::Flushing)
             return;
         error_code ec;
@@ -316,7 +319,7 @@
         return close();
     switch (m_phase) {
     case Phase::Idle:
-        if (age > toChrono(limits.idleTimeout))
+        if (!m_writeActive && age > toChrono(limits.idleTimeout))
             close();
         return;
     case Phase::Header:
