Answer open requests when the drain limit ends the process

What callers saw (LOST): the connection of a request that was still open at the drain limit closed without an answer when the process ended.

Cause: the node asked the process to stop and left its requests open.

Before it stops, the node now ends them: 503 if no upstream can have run the request, else 504; a response that has begun is aborted, as before by the end of the process. Their dispatches are cancelled.

--- a/src/node/ForwardFlow.h
+++ b/src/node/ForwardFlow.h
@@ -23,6 +23,8 @@
 bool handleForwardEvent(Node&, UpstreamEvent&);
 /// Ends requests whose deadline has passed, retries or resumes failed ones, and reports load to the other nodes.
 void tickForward(Node&);
+/// Ends all requests that are being forwarded, before the process ends.
+void endForwards(Node&);
 void receiveForwardLoad(Node&, NodeId from, std::string_view body);
 
 // Internal to forwarding.
--- a/src/node/ForwardReport.cpp
+++ b/src/node/ForwardReport.cpp
@@ -136,4 +136,21 @@
         reportToAll(node);
 }
 
+void endForwards(Node& node)
+{
+    auto& forward = node.forward;
+    std::vector<ExchangeId> ids;
+    for (const auto& [id, call] : forward.calls)
+        ids.push_back(id);
+    std::sort(ids.begin(), ids.end());
+    for (const ExchangeId id : ids) {
+        ForwardCall& call = *forward.calls.at(id);
+        if (call.dispatch) {
+            forward.dispatches.erase(call.dispatch);
+            node.out.cancels.push_back(call.dispatch);
+        }
+        refuseForward(node, call, call.possibleExecutions ? 504 : 503, "leaving", "this node has reached its drain limit");
+    }
+}
+
 }
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -181,8 +181,11 @@
     const bool late = node.now - node.drainSince >= timings.drainLimit;
     // Requests can arrive until the process ends, because callers cache the address.
     const bool answered = node.calls.empty() && node.forward.calls.empty();
-    if (node.left && (late || (answered && node.now - node.leftAt >= leaveSpreadTime)))
-        node.out.stop = true;
+    if (!node.left || (!late && !(answered && node.now - node.leftAt >= leaveSpreadTime)))
+        return;
+    // An answer tells callers more than the close of their connections would.
+    endForwards(node);
+    node.out.stop = true;
 }
 
 static void tickAll(Node& node)
