--- a/src/node/ForwardFlow.h
+++ b/src/node/ForwardFlow.h
@@ -26,6 +26,8 @@
 /// Ends requests whose deadline has passed, and retries or resumes silent and waiting ones. Must not be called while bytes that
 /// arrived wait to be passed on: after a stall of the process, every upstream would look silent.
 void tickForwardCalls(Node&);
+/// Ends all requests that are being forwarded, before the process ends.
+void endForwards(Node&);
 void receiveForwardLoad(Node&, NodeId from, std::string_view body);
 
 // Internal to forwarding.
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -172,8 +172,12 @@
     if (!node.draining)
         return;
     const auto& timings = node.options.settings.timings;
-    const bool idle = node.now - node.drainSince >= timings.entryValid && node.calls.empty() && node.forward.calls.empty();
-    if (!node.left && (idle || node.now - node.drainSince >= timings.drainLimit)) {
+    const TimeMs drainingFor = node.now - node.drainSince;
+    // An answer tells callers more than the close of their connections would.
+    if (drainingFor >= timings.drainLimit - answerFlushTime)
+        endForwards(node);
+    const bool idle = drainingFor >= timings.entryValid && node.calls.empty() && node.forward.calls.empty();
+    if (!node.left && (idle || drainingFor >= timings.drainLimit)) {
         node.left = true;
         node.leftAt = node.now;
         for (auto& [id, group] : node.groups)
@@ -181,12 +185,11 @@
         leave(node.membership, node.now, node.membershipOutputs);
         addLog(node, LogLevel::Info, "node_left", Step::Command, {}, idle ? "all calls have completed" : "the drain limit has expired", { { "forwarded_cut", std::to_string(node.forward.calls.size()) } });
     }
-    const bool late = node.now - node.drainSince >= timings.drainLimit;
     // Requests can arrive until the process ends, because callers cache the address.
     if (!node.calls.empty() || !node.forward.calls.empty())
         node.lastBusyAt = node.now;
     const bool answered = node.now - node.lastBusyAt >= answerFlushTime;
-    if (node.left && (late || (answered && node.now - node.leftAt >= leaveSpreadTime)))
+    if (node.left && (drainingFor >= timings.drainLimit || (answered && node.now - node.leftAt >= leaveSpreadTime)))
         node.out.stop = true;
 }
 
--- a/tests/node/ForwardTest.cpp
+++ b/tests/node/ForwardTest.cpp
@@ -497,7 +497,7 @@
     entry.post("/book/1");
     entry.sending();
     entry.advance(600_ms);
-    BOOST_CHECK(!entry.node->out.stop);
+    BOOST_CHECK(!entry.stopped);
     BOOST_REQUIRE_EQUAL(entry.dispatches.size(), 1U);
     entry.head(200);
     entry.end();
