Never join an answer from two runs

What callers saw: a repeatable answer larger than 1 MiB that broke, or went silent, after its start had been forwarded was followed by the whole body of another run (MIXED).

Cause: decideResend and isSilent asked whether the request may be repeated, not whether the answer that the caller has can be continued. Only streams that can be resumed can.

LargeAnswerIsNeverJoinedFromTwoRuns failed before and passes now.

--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -89,9 +89,15 @@
     return consumeRetry(forward.retries[call.backend], forward.retryLimit, purpose, node.now, forwardNodeCount(node));
 }
 
+// Whether the caller has a part of an answer that no other run can continue.
+static bool isBoundToItsRun(const ForwardCall& call)
+{
+    return call.headForwarded && !call.canResume();
+}
+
 static ResendDecision decideResend(Node& node, const ForwardCall& call, AttemptEnd end)
 {
-    if (end == AttemptEnd::Broken && !call.canRetry())
+    if ((end == AttemptEnd::Broken && !call.canRetry()) || isBoundToItsRun(call))
         return ResendDecision::NotRepeatable;
     if (end == AttemptEnd::Broken && call.possibleExecutions >= call.rule->attempts)
         return ResendDecision::AttemptsUsed;
@@ -336,7 +342,7 @@
 
 static bool isSilent(const Node& node, const ForwardCall& call)
 {
-    if (!call.canRetry() || call.possibleExecutions >= call.rule->attempts || !call.dispatch || call.stage == ForwardStage::Connecting)
+    if (!call.canRetry() || isBoundToItsRun(call) || call.possibleExecutions >= call.rule->attempts || !call.dispatch || call.stage == ForwardStage::Connecting)
         return false;
     if (call.headForwarded)
         return node.now - call.lastByteAt > std::max(call.rule->gap * silenceGapCount, minStreamSilence);
