Repeat attempts on fresh connections

What callers saw: a stream in progress was cut because its resumption took a pooled connection that its upstream had dropped; the reset counts as a run, and it was often the last one that the route allows.

RepeatedAttemptUsesAFreshConnection failed before and passes now. The price is one new connection for each such repeat.

--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -251,6 +251,8 @@
     dispatch.address = target.address;
     dispatch.request = call.request;
     addAttemptHeaders(dispatch.request, forward.headers, target.name, call.deadline - node.now, call.events.lastEventId());
+    // A repeated attempt is often the last one that the route allows, so it must not be lost on a stale connection.
+    dispatch.freshConnection = call.possibleExecutions > 0;
     dispatch.maxIdle = call.canRetry() ? TimeMs { 60000 } : onceMaxIdle;
     dispatch.connectTimeout = std::min(connectTimeout, call.deadline - node.now);
     dispatch.firstByteTimeout = dispatch.progressTimeout = call.deadline - node.now + 1_s;
