Let the engine stop after this node has closed an unreadable answer

What callers saw: nothing; an engine could run a stream while the next one resumed it (TWICE).

Cause: malformed and silent answers are closed by this node, but only some of these closes waited for the engine to stop.

StreamWaitsForTheEngineAfterAnUnreadableAnswer failed before and passes now.

--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -333,7 +333,7 @@
         if (event.failure == UpstreamFailure::Silent)
             node.out.discardedPools.push_back(findTarget(forward.targets, call.target) ? findTarget(forward.targets, call.target)->address : std::string {});
         releaseTarget(node, call);
-        handleAttemptEnd(node, call, sent ? AttemptEnd::Broken : AttemptEnd::NotSent, std::string(nameOf(event.failure)) + ": " + event.detail);
+        handleAttemptEnd(node, call, sent ? AttemptEnd::Broken : AttemptEnd::NotSent, std::string(nameOf(event.failure)) + ": " + event.detail, sent && event.failure != UpstreamFailure::Closed);
         break;
     }
     }
