Keep an upstream's error answer when nothing else can be tried

What callers saw: a 502 of the node in place of the upstream's own 500, and a permit of the retry limit was spent on it.

ErrorAnswerIsKeptWhenNothingElseIsLeft failed before and passes now.

--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -281,7 +281,7 @@
         ForwardTarget* target = findTarget(node.forward.targets, call.target);
         if (target)
             recordOutcome(*target, node.now, TargetOutcome::Failed);
-        if (canSendAgain && takePermit(node, call)) {
+        if (canSendAgain && canSendElsewhere(node, call) && takePermit(node, call)) {
             addLog(node, LogLevel::Info, "forward_attempt_failed", Step::Receive, call.targetName, "the upstream answered with an error status; retrying at another upstream",
                 { { "request", call.requestId }, { "status", std::to_string(call.status) }, { "may_have_run", std::to_string(call.possibleExecutions) } });
             releaseTarget(node, call);
