Drop idle connections to an earlier incarnation of an upstream

What callers saw: 502 for requests that must not run twice, sent on a pooled connection to a process that had ended.

NewIncarnationDiscardsThePoolOfItsAddress failed before and passes now.

--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -102,8 +102,12 @@
     const BackendRule* backend = node.forward.routes ? findBackend(*node.forward.routes, announced.model) : nullptr;
     target.engine = backend && backend->slots > 0;
     const ForwardTarget* known = findTarget(node.forward.targets, upstream.id);
-    if (known && known->incarnation != announced.incarnation)
+    if (known && known->incarnation != announced.incarnation) {
         forgetUpstream(node.forward.parts, upstream.id);
+        node.out.discardedPools.push_back(known->address);
+        if (announced.address != known->address)
+            node.out.discardedPools.push_back(announced.address);
+    }
     if (!known)
         addLog(node, upstreamLogLevel(target), "upstream_known", Step::Announce, announced.name, "a new upstream accepts requests", { { "backend", target.backend }, { "address", target.address }, { "version", target.version } });
     upsertTarget(node.forward.targets, target);
