Choose no upstream that is silent for 3 s while another is free

Callers got 421 and 503 for requests to upstreams that no node observed any more. A withdrawal sets the time of the last sign of an upstream to 3.001 s ago, but the choice counted a target as stale only after 6 s, so that all nodes went on to use it for 3 s after its last observer had withdrawn. The choice now has the limit of the upstream table. Stale targets are still chosen if there is no other. The plan of the fleet keeps its 6 s, because a replacement costs money.

SilentUpstream/WithdrawnUpstreamGetsNoWork and SilentUpstreamGetsNoWork failed before: half of 8 requests went there.

--- a/src/forward/TargetChoice.h
+++ b/src/forward/TargetChoice.h
@@ -19,7 +19,9 @@
     /// engine until the next reports. It grows with the number of nodes.
     double jitterMs = 0;
     PrefillEstimator prefillEstimator; ///< Updated from observations while running.
-    TimeMs staleAfter { 6000 }; ///< A target that was not seen for longer is chosen only if there is no healthy one.
+    /// A target that was not seen for longer is chosen only if there is no healthy one. As UpstreamTableOptions::noNewWorkAfter,
+    /// so that a target counts as stale as soon as its last observer withdraws its observation.
+    TimeMs staleAfter { 3000 };
 };
 
 /// One request that needs a target.
--- a/src/node/Scaling.cpp
+++ b/src/node/Scaling.cpp
@@ -17,6 +17,8 @@
 static constexpr TimeMs refusedRetryDelay { 4000 };
 // Time for the instances started by an order to announce themselves.
 static constexpr TimeMs settleDelay { 4000 };
+// Silence after which an instance counts as lost. Longer than for new work, since the instance that replaces it costs money.
+static constexpr TimeMs replaceAfter { 6000 };
 
 void recordBackendDemand(Node& node, NodeId from, const ForwardLoadFrame& frame)
 {
@@ -44,7 +46,7 @@
     for (const UpstreamId id : ids->second) {
         const ForwardTarget& target = targets.entries.at(id);
         auto& fleet = out[target.domain];
-        if (!target.leaving && node.now - target.lastSeen < node.forward.choice.staleAfter)
+        if (!target.leaving && node.now - target.lastSeen < replaceAfter)
             ++(target.reclaimable ? fleet.reclaimable : fleet.onDemand);
     }
     return out;
