Do not observe upstreams that are only known from before a restart

A restarted voter announced each stored upstream to itself: it held an observation of it, spread it by gossip, and withdrew it only after 3 s of silence. The other nodes counted the upstream as seen until then.

A restored upstream now has no observation. It gets new work for 2 s, enough for its next announcement, and is the last resort afterwards. Observations from before the restart, which other nodes still hold, are withdrawn after these 2 s and not at once: otherwise an upstream that runs would go out of use everywhere until it is announced. Nodes that join get restored upstreams in records without an active observation, so that they have upstreams after the loss of all power.

--- a/src/fleet/Upstream.h
+++ b/src/fleet/Upstream.h
@@ -93,6 +93,8 @@
     std::optional<TimeMs> reclaimAt; ///< Local clock.
     std::optional<TimeMs> leavingSince; ///< Local clock; first notice of reclaim or leaving.
     bool local = false; ///< The upstream announces itself to this node.
+    /// Local clock. Until then, an upstream known only from before a restart is expected to announce itself again.
+    std::optional<TimeMs> restoredUntil;
     uint64_t localSequence = 0; ///< Highest sequence that this node received directly.
     uint64_t contentSequence = 0; ///< Last announcement with a change other than the load.
     std::array<Observation, 4> observations; ///< Unused slots have no observer.
--- a/src/fleet/UpstreamTable.cpp
+++ b/src/fleet/UpstreamTable.cpp
@@ -208,6 +208,9 @@
     known->local = true;
     known->localSequence = announced.sequence;
     known->lastSeen = now;
+    // A restored record was not sent to the other nodes.
+    if (std::exchange(known->restoredUntil, std::nullopt))
+        appendChange(table, { UpstreamChangeKind::Record, id, {}, false });
     const bool changed = applyAnnouncedContent(table, *known, now, announced);
     const bool observationChanged = mergeObservation(*known, observation);
     if (observationChanged)
@@ -220,6 +223,22 @@
     return changed || observationChanged ? UpsertResult::Changed : UpsertResult::LoadOnly;
 }
 
+UpsertResult restoreUpstream(UpstreamTable& table, TimeMs now, const Announcement& announced)
+{
+    if (!fitsRecord(announced))
+        return UpsertResult::TooLarge;
+    const auto id = idOfName<UpstreamId>(announced.name);
+    Upstream* known = nullptr;
+    const UpsertResult found = findOrReject(table, id, announced.name, known);
+    if (found != UpsertResult::Added)
+        return known ? UpsertResult::Stale : found;
+    insertRecord(table, now, id, { announced, announced.sequence, {}, {} }, false);
+    auto& upstream = table.entries[id];
+    upstream.lastSeen = now - table.options.silenceWhenRestored;
+    upstream.restoredUntil = upstream.lastSeen + table.options.noNewWorkAfter;
+    return UpsertResult::Added;
+}
+
 static bool withdrawOwnObservation(UpstreamTable& table, Upstream& upstream, uint64_t sequence)
 {
     upstream.local = false;
@@ -237,6 +256,9 @@
     if (observation.observer == table.self) {
         if (upstream.local || !observation.active)
             return false;
+        // The upstream may announce itself to this node again, and a withdrawal would take it out of use at all nodes.
+        if (upstream.restoredUntil && now <= *upstream.restoredUntil)
+            return false;
         // Sent again even if it was withdrawn before, because the sender of the record has missed the withdrawal.
         if (!withdrawOwnObservation(table, upstream, observation.sequence))
             appendChange(table, { UpstreamChangeKind::Observation, upstream.id, table.self, true });
@@ -263,6 +285,8 @@
     if (found == UpsertResult::Collision || found == UpsertResult::Full)
         return found;
     const bool hasObserver = std::any_of(record.observations.begin(), record.observations.end(), [](const auto& it) { return it.active; });
+    if (!hasObserver && !record.observations.empty())
+        return known ? UpsertResult::Stale : restoreUpstream(table, now, record.announced);
     if (!known && !hasObserver)
         return UpsertResult::Stale;
     if (!known || record.announced.incarnation > known->announced.incarnation) {
@@ -350,6 +374,13 @@
     return record;
 }
 
+UpstreamRecord restoredRecordOf(const Upstream& upstream, TimeMs now, NodeId sender)
+{
+    UpstreamRecord record = recordOf(upstream, now);
+    record.observations = { { sender, upstream.contentSequence, false } };
+    return record;
+}
+
 UpstreamNotice noticeOf(const Upstream& upstream, TimeMs now, NodeId observer)
 {
     return { .id = upstream.id,
--- a/src/fleet/UpstreamTable.h
+++ b/src/fleet/UpstreamTable.h
@@ -15,6 +15,9 @@
 struct UpstreamTableOptions {
     TimeMs noNewWorkAfter { 3000 }; ///< Silence after which an upstream gets no new work.
     TimeMs removeAfter { 10000 }; ///< Silence after which its record is removed.
+    /// Silence at which a restored upstream starts. What is left until noNewWorkAfter is enough for its next announcement. The
+    /// clock of the earlier process is not compared: it can have jumped, and the upstream may have run while this node did not.
+    TimeMs silenceWhenRestored { 1000 };
     size_t maxUpstreams = 4096;
     size_t maxJournal = 8192; ///< Maximum number of journal entries; load changes are dropped first.
 };
@@ -114,9 +117,14 @@
 /// Applies an announcement that an upstream sent to this node. Ordered by (incarnation, sequence): a resend is Stale.
 UpsertResult upsertAnnouncement(UpstreamTable&, TimeMs now, const Announcement&);
 
+/// Adds an upstream that was known before a restart, unless it is known. It gets new work at once, but this node does not
+/// observe it, so that it expires without an announcement or an observation of another node.
+UpsertResult restoreUpstream(UpstreamTable&, TimeMs now, const Announcement&);
+
 /// Applies a record that another node sent. Content, load and each observation are ordered separately, so that any order
 /// of arrival results in the same record. Stale for an unknown upstream if the record has no active observation: otherwise
-/// two nodes that remove it at different times would send it to each other forever.
+/// two nodes that remove it at different times would send it to each other forever. A record of restoredRecordOf() restores
+/// the upstream here, too.
 UpsertResult upsertRecord(UpstreamTable&, TimeMs now, const UpstreamRecord&);
 /// Stale if the upstream or its incarnation is unknown; the caller then requests the record.
 UpsertResult applyNotice(UpstreamTable&, TimeMs now, const UpstreamNotice&);
@@ -124,6 +132,8 @@
 
 /// Converts an entry to a message, with times relative to now.
 UpstreamRecord recordOf(const Upstream&, TimeMs now);
+/// Record of a restored upstream: its only observation is an inactive one of `sender`.
+UpstreamRecord restoredRecordOf(const Upstream&, TimeMs now, NodeId sender);
 /// Includes the observation of `observer`, or none if `observer` is null.
 UpstreamNotice noticeOf(const Upstream&, TimeMs now, NodeId observer);
 LoadDelta loadOf(const Upstream&);
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -79,6 +79,12 @@
     return result;
 }
 
+void restore(Membership& m, TimeMs now, const Announcement& announced, MembershipOutputs& out)
+{
+    restoreUpstream(m.upstreams, now, announced);
+    drainJournal(m, now, { 0, m.self }, out);
+}
+
 void learnMembers(Membership& m, TimeMs now, const std::vector<MemberRecord>& records, MembershipOutputs& out)
 {
     for (const auto& record : records)
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -205,6 +205,9 @@
 /// Handles an announcement that an upstream sent to this node.
 UpsertResult announce(Membership&, TimeMs now, const Announcement&, MembershipOutputs&);
 
+/// Restores an upstream known before a restart; gossip does not send it to the other nodes.
+void restore(Membership&, TimeMs now, const Announcement&, MembershipOutputs&);
+
 /// Sets this node's own record; rulesRevision and directive must not decrease.
 void setOwnStatus(Membership&, TimeMs now, const OwnStatus&);
 
--- a/src/node/StoredUpstreams.cpp
+++ b/src/node/StoredUpstreams.cpp
@@ -64,9 +64,10 @@
     // Half of the frame limit, since the record sizes are only estimates.
     const size_t maxRecordBytes = node.membership.options.tableFrameLimit() / 2;
     for (const auto& [id, upstream] : node.membership.upstreams.entries) {
-        if (!isObserved(node.membership.upstreams, upstream, alive))
+        const bool observed = isObserved(node.membership.upstreams, upstream, alive);
+        if (!observed && (!upstream.restoredUntil || node.now > *upstream.restoredUntil))
             continue;
-        auto record = recordOf(upstream, node.now);
+        auto record = observed ? recordOf(upstream, node.now) : restoredRecordOf(upstream, node.now, node.self);
         if (records.upstreams.size() >= recordsPerFrame || bytes + wireSize(record) > maxRecordBytes)
             flush();
         bytes += wireSize(record);
@@ -86,7 +87,7 @@
             return StoredUpstreams {};
         });
     for (const auto& announced : stored.announced)
-        announce(node.membership, node.now, announced, node.membershipOutputs);
+        restore(node.membership, node.now, announced, node.membershipOutputs);
     addLog(node, LogLevel::Info, "upstreams_restored", Step::Recover, {}, "restored the upstreams known before the restart", { { "upstreams", std::to_string(stored.announced.size()) } });
 }
 
--- a/src/node/StoredUpstreams.h
+++ b/src/node/StoredUpstreams.h
@@ -8,10 +8,10 @@
 void tickStoredUpstreams(Node&);
 /// Handles the completion of the storage; returns false if the completion belongs to another request.
 bool handleUpstreamsStored(Node&, const DiskCompletion&);
-/// Restores the upstreams stored by an earlier process as if they were announced just now; those that no longer exist
-/// expire when no announcement follows.
+/// Restores the upstreams stored by an earlier process, for requests to this node only: those that no longer exist expire when
+/// no announcement follows, and no other node is told that this one observes them.
 void restoreUpstreams(Node&);
-/// Sends the observed entries of the upstream table to a node.
+/// Sends the observed and the restored entries of the upstream table to a node.
 void sendUpstreams(Node&, NodeId to);
 
 }
--- a/tests/fleet/UpstreamTableTest.cpp
+++ b/tests/fleet/UpstreamTableTest.cpp
@@ -217,3 +217,64 @@
     BOOST_TEST((upsertAnnouncement(table, 0_s, runner(2)) == UpsertResult::Collision));
     BOOST_TEST((upsertRecord(table, 0_s, { runner(2), 2, {}, { { peer, 2, true } } }) == UpsertResult::Collision));
 }
+
+// Guards against a restarted node that claims to observe an upstream that it only knows from its storage, and against one that
+// does not use the upstream until it announces itself.
+BOOST_AUTO_TEST_CASE(restoredUpstreamExpiresUnlessAnnounced)
+{
+    UpstreamTable table = makeTable();
+    BOOST_TEST((restoreUpstream(table, 10_s, runner(5)) == UpsertResult::Added));
+    BOOST_TEST(!isObserved(table, *findUpstream(table, id), always));
+    BOOST_TEST(acceptsWork(table, 12_s));
+    expireUpstreams(table, 12_s + 1_ms, always);
+    BOOST_TEST(!acceptsWork(table, 12_s + 1_ms));
+    BOOST_TEST((restoreUpstream(table, 13_s, runner(5)) == UpsertResult::Stale));
+    BOOST_TEST(!acceptsWork(table, 13_s));
+    expireUpstreams(table, 20_s, always);
+    BOOST_TEST(!findUpstream(table, id));
+    // An announcement replaces the restored record, and the whole record is sent to the other nodes.
+    restoreUpstream(table, 30_s, runner(5));
+    consumeJournal(table);
+    upsertAnnouncement(table, 31_s, runner(6));
+    BOOST_TEST(isObserved(table, *findUpstream(table, id), never));
+    const auto journal = consumeJournal(table);
+    BOOST_TEST(std::any_of(journal.begin(), journal.end(), [](const auto& it) { return it.kind == UpstreamChangeKind::Record && !it.notice; }));
+}
+
+// Guards against restarted nodes that take all upstreams out of use before these had time to announce themselves, and against
+// observations from before a restart that are never withdrawn, also if two restarted nodes hold each other's.
+BOOST_AUTO_TEST_CASE(restartedNodeWithdrawsRestoredUpstreamsLater)
+{
+    UpstreamTable table = makeTable();
+    restoreUpstream(table, 10_s, runner(5));
+    const UpstreamRecord beforeRestart { runner(5), 5, {}, { { self, 1, true }, { peer, 1, true } } };
+    const auto withdrawals = [&] {
+        const auto journal = consumeJournal(table);
+        return std::count_if(journal.begin(), journal.end(), [](const auto& it) { return it.kind == UpstreamChangeKind::Observation && it.observer == self; });
+    };
+    upsertRecord(table, 11_s, beforeRestart);
+    BOOST_TEST(withdrawals() == 0);
+    expireUpstreams(table, 12_s, always);
+    upsertRecord(table, 12_s + 1_ms, beforeRestart);
+    BOOST_TEST(withdrawals() == 1);
+}
+
+// Guards against new nodes that know no upstream after the loss of all power, and against a restored record that changes what
+// the receiver knows itself.
+BOOST_AUTO_TEST_CASE(restoredRecordIsUsedOnlyWhereTheUpstreamIsUnknown)
+{
+    UpstreamTable restarted = makeTable(peer);
+    restoreUpstream(restarted, 10_s, runner(5));
+    const auto record = restoredRecordOf(*findUpstream(restarted, id), 10_s, peer);
+    UpstreamTable table = makeTable();
+    BOOST_TEST((upsertRecord(table, 10_s, record) == UpsertResult::Added));
+    BOOST_TEST(acceptsWork(table, 12_s));
+    BOOST_TEST(!isObserved(table, *findUpstream(table, id), always));
+    const auto second = restoredRecordOf(*findUpstream(restarted, id), 11_s, NodeId { 3 });
+    BOOST_TEST((upsertRecord(table, 11_s, second) == UpsertResult::Stale));
+    BOOST_TEST(acceptsWork(table, 12_s));
+    BOOST_TEST(!acceptsWork(table, 12_s + 1_ms));
+    upsertRecord(table, 12_s, { runner(6), 5, {}, { { peer, 4, true } } });
+    BOOST_TEST((upsertRecord(table, 12_s, record) == UpsertResult::Stale));
+    BOOST_TEST(acceptsWork(table, 15_s));
+}
