--- a/tests/node/SilentUpstreamTest.cpp
+++ b/tests/node/SilentUpstreamTest.cpp
@@ -146,6 +146,19 @@
         BOOST_CHECK(process.node->membership.upstreams.entries.empty());
 }
 
+// Guards against restored upstreams that the node had removed before its restart.
+BOOST_AUTO_TEST_CASE(RemovedUpstreamIsNotRestored)
+{
+    const auto fleet = makeFleet();
+    fleet->upstream("runner-0").up = false;
+    BOOST_REQUIRE(fleet->runUntil([&] { return !upstreamAt(*fleet, 0, "runner-0"); }, 16_s));
+    fleet->runFor(2_s);
+    fleet->kill(0, false);
+    fleet->start(0);
+    BOOST_CHECK(!upstreamAt(*fleet, 0, "runner-0"));
+    BOOST_CHECK(upstreamAt(*fleet, 0, "runner-1"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
