Store the upstreams again after one was removed

A voter restored upstreams that it had removed before its restart, because a removal alone did not cause the known upstreams to be stored again. SilentUpstream/RemovedUpstreamIsNotRestored failed before.

--- a/src/node/FleetFlow.cpp
+++ b/src/node/FleetFlow.cpp
@@ -76,6 +76,7 @@
 {
     removeTarget(node.router, id);
     removeForwardTarget(node, id);
+    node.upstreamsChanged = true;
 }
 
 void refreshTargets(Node& node)
