Withdraw observations from before a restart by gossip

A restarted voter withdrew an observation that other nodes still held only when it received a record with it, which comes by the comparison of tables. The storage now says which upstreams the voter observed, and the voter withdraws these observations if no announcement follows within 2 s.

A file of an earlier version is not decoded: its upstreams are not restored once, with the warning upstreams_not_restored.

The case restartedNodeWithdrawsWhatItObserved of tests/fleet did not exist before; it needs the new argument to compile.

--- a/src/fleet/UpstreamTable.cpp
+++ b/src/fleet/UpstreamTable.cpp
@@ -223,7 +223,7 @@
     return changed || observationChanged ? UpsertResult::Changed : UpsertResult::LoadOnly;
 }
 
-UpsertResult restoreUpstream(UpstreamTable& table, TimeMs now, const Announcement& announced)
+UpsertResult restoreUpstream(UpstreamTable& table, TimeMs now, const Announcement& announced, bool observed)
 {
     if (!fitsRecord(announced))
         return UpsertResult::TooLarge;
@@ -234,6 +234,7 @@
         return known ? UpsertResult::Stale : found;
     insertRecord(table, now, id, { announced, announced.sequence, {}, {} }, false);
     auto& upstream = table.entries[id];
+    upstream.localSequence = observed ? announced.sequence : 0;
     upstream.lastSeen = now - table.options.silenceWhenRestored;
     upstream.restoredUntil = upstream.lastSeen + table.options.noNewWorkAfter;
     return UpsertResult::Added;
@@ -286,7 +287,7 @@
         return found;
     const bool hasObserver = std::any_of(record.observations.begin(), record.observations.end(), [](const auto& it) { return it.active; });
     if (!hasObserver && !record.observations.empty())
-        return known ? UpsertResult::Stale : restoreUpstream(table, now, record.announced);
+        return known ? UpsertResult::Stale : restoreUpstream(table, now, record.announced, false);
     if (!known && !hasObserver)
         return UpsertResult::Stale;
     if (!known || record.announced.incarnation > known->announced.incarnation) {
@@ -420,6 +421,11 @@
         const TimeMs silence = now - upstream.lastSeen;
         if (upstream.local && silence > table.options.noNewWorkAfter)
             withdrawOwnObservation(table, upstream, upstream.localSequence);
+        if (upstream.restoredUntil && now > *upstream.restoredUntil) {
+            upstream.restoredUntil.reset();
+            if (upstream.localSequence)
+                withdrawOwnObservation(table, upstream, upstream.localSequence);
+        }
         if (!upstream.local && isObserved(table, upstream, isAlive))
             upstream.lastSeen = now;
         if (now - upstream.lastSeen <= table.options.removeAfter) {
--- a/src/fleet/UpstreamTable.h
+++ b/src/fleet/UpstreamTable.h
@@ -118,8 +118,9 @@
 UpsertResult upsertAnnouncement(UpstreamTable&, TimeMs now, const Announcement&);
 
 /// Adds an upstream that was known before a restart, unless it is known. It gets new work at once, but this node does not
-/// observe it, so that it expires without an announcement or an observation of another node.
-UpsertResult restoreUpstream(UpstreamTable&, TimeMs now, const Announcement&);
+/// observe it, so that it expires without an announcement or an observation of another node. With `observed`, this node observed
+/// it before the restart and withdraws that observation if no announcement follows.
+UpsertResult restoreUpstream(UpstreamTable&, TimeMs now, const Announcement&, bool observed);
 
 /// Applies a record that another node sent. Content, load and each observation are ordered separately, so that any order
 /// of arrival results in the same record. Stale for an unknown upstream if the record has no active observation: otherwise
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -79,9 +79,9 @@
     return result;
 }
 
-void restore(Membership& m, TimeMs now, const Announcement& announced, MembershipOutputs& out)
+void restore(Membership& m, TimeMs now, const Announcement& announced, bool observed, MembershipOutputs& out)
 {
-    restoreUpstream(m.upstreams, now, announced);
+    restoreUpstream(m.upstreams, now, announced, observed);
     drainJournal(m, now, { 0, m.self }, out);
 }
 
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -206,7 +206,7 @@
 UpsertResult announce(Membership&, TimeMs now, const Announcement&, MembershipOutputs&);
 
 /// Restores an upstream known before a restart; gossip does not send it to the other nodes.
-void restore(Membership&, TimeMs now, const Announcement&, MembershipOutputs&);
+void restore(Membership&, TimeMs now, const Announcement&, bool observed, MembershipOutputs&);
 
 /// Sets this node's own record; rulesRevision and directive must not decrease.
 void setOwnStatus(Membership&, TimeMs now, const OwnStatus&);
--- a/src/node/StoredUpstreams.cpp
+++ b/src/node/StoredUpstreams.cpp
@@ -4,6 +4,8 @@
 #include "node/Peers.h"
 #include "wire/Codec.h"
 
+#include <set>
+
 namespace siskinshunt {
 
 // Stored upstreams only speed up a restart, so they can be out of date by this interval.
@@ -16,9 +18,10 @@
 
     struct StoredUpstreams {
         std::vector<Announcement> announced;
+        std::vector<uint64_t> observed; ///< Ids of those that announced themselves to this node.
 
         template <class Archive>
-        void serialize(Archive& archive) { archive(announced); }
+        void serialize(Archive& archive) { archive(announced, observed); }
     };
 
 }
@@ -31,8 +34,11 @@
     node.nextStoreUpstreams = node.now + storeInterval;
     StoredUpstreams stored;
     for (const auto& [id, upstream] : node.membership.upstreams.entries) {
-        if (!upstream.announced.leaving)
-            stored.announced.push_back(upstream.announced);
+        if (upstream.announced.leaving)
+            continue;
+        stored.announced.push_back(upstream.announced);
+        if (upstream.local)
+            stored.observed.push_back(id.value);
     }
     DiskRequest request { .id = ++node.upstreamsRequest, .group = upstreamsGroup, .hardState = {}, .snapshot = {}, .entries = {} };
     request.snapshot = Snapshot { .meta = { .index = static_cast<uint64_t>(node.now.value), .term = 1, .members = {} }, .bytes = std::make_shared<const std::string>(encode(stored)) };
@@ -86,8 +92,9 @@
             addLog(node, LogLevel::Warning, "upstreams_not_restored", Step::Recover, error.peer, error.detail);
             return StoredUpstreams {};
         });
+    const std::set<uint64_t> observed(stored.observed.begin(), stored.observed.end());
     for (const auto& announced : stored.announced)
-        restore(node.membership, node.now, announced, node.membershipOutputs);
+        restore(node.membership, node.now, announced, observed.contains(idOfName<UpstreamId>(announced.name).value), node.membershipOutputs);
     addLog(node, LogLevel::Info, "upstreams_restored", Step::Recover, {}, "restored the upstreams known before the restart", { { "upstreams", std::to_string(stored.announced.size()) } });
 }
 
--- a/tests/fleet/UpstreamTableTest.cpp
+++ b/tests/fleet/UpstreamTableTest.cpp
@@ -223,17 +223,17 @@
 BOOST_AUTO_TEST_CASE(restoredUpstreamExpiresUnlessAnnounced)
 {
     UpstreamTable table = makeTable();
-    BOOST_TEST((restoreUpstream(table, 10_s, runner(5)) == UpsertResult::Added));
+    BOOST_TEST((restoreUpstream(table, 10_s, runner(5), false) == UpsertResult::Added));
     BOOST_TEST(!isObserved(table, *findUpstream(table, id), always));
     BOOST_TEST(acceptsWork(table, 12_s));
     expireUpstreams(table, 12_s + 1_ms, always);
     BOOST_TEST(!acceptsWork(table, 12_s + 1_ms));
-    BOOST_TEST((restoreUpstream(table, 13_s, runner(5)) == UpsertResult::Stale));
+    BOOST_TEST((restoreUpstream(table, 13_s, runner(5), false) == UpsertResult::Stale));
     BOOST_TEST(!acceptsWork(table, 13_s));
     expireUpstreams(table, 20_s, always);
     BOOST_TEST(!findUpstream(table, id));
     // An announcement replaces the restored record, and the whole record is sent to the other nodes.
-    restoreUpstream(table, 30_s, runner(5));
+    restoreUpstream(table, 30_s, runner(5), false);
     consumeJournal(table);
     upsertAnnouncement(table, 31_s, runner(6));
     BOOST_TEST(isObserved(table, *findUpstream(table, id), never));
@@ -246,7 +246,7 @@
 BOOST_AUTO_TEST_CASE(restartedNodeWithdrawsRestoredUpstreamsLater)
 {
     UpstreamTable table = makeTable();
-    restoreUpstream(table, 10_s, runner(5));
+    restoreUpstream(table, 10_s, runner(5), false);
     const UpstreamRecord beforeRestart { runner(5), 5, {}, { { self, 1, true }, { peer, 1, true } } };
     const auto withdrawals = [&] {
         const auto journal = consumeJournal(table);
@@ -259,12 +259,31 @@
     BOOST_TEST(withdrawals() == 1);
 }
 
+// Guards against an observation from before a restart that stays at nodes whose records do not reach the restarted node: they
+// used lost upstreams for more than 13 s.
+BOOST_AUTO_TEST_CASE(restartedNodeWithdrawsWhatItObserved)
+{
+    UpstreamTable table = makeTable();
+    restoreUpstream(table, 10_s, runner(5), true);
+    consumeJournal(table);
+    expireUpstreams(table, 12_s, always);
+    BOOST_TEST(consumeJournal(table).empty());
+    expireUpstreams(table, 12_s + 1_ms, always);
+    const auto journal = consumeJournal(table);
+    BOOST_REQUIRE(journal.size() == 1U);
+    BOOST_TEST((journal[0].kind == UpstreamChangeKind::Observation && journal[0].observer == self));
+    UpstreamTable other = makeTable(peer);
+    upsertRecord(other, 0_s, { runner(4), 4, {}, { { self, 4, true } } });
+    BOOST_TEST((applyNotice(other, 13_s, noticeOf(*findUpstream(table, id), 13_s, self)) == UpsertResult::Changed));
+    BOOST_TEST(!acceptsWork(other, 13_s));
+}
+
 // Guards against new nodes that know no upstream after the loss of all power, and against a restored record that changes what
 // the receiver knows itself.
 BOOST_AUTO_TEST_CASE(restoredRecordIsUsedOnlyWhereTheUpstreamIsUnknown)
 {
     UpstreamTable restarted = makeTable(peer);
-    restoreUpstream(restarted, 10_s, runner(5));
+    restoreUpstream(restarted, 10_s, runner(5), false);
     const auto record = restoredRecordOf(*findUpstream(restarted, id), 10_s, peer);
     UpstreamTable table = makeTable();
     BOOST_TEST((upsertRecord(table, 10_s, record) == UpsertResult::Added));
