Announce the second engine again after the stall in its test

StallOfTheProcessIsNotSilenceOfUpstreams failed after the merge of the shorter staleness of targets: after a stall of 3 s the other engine, which the test never announces again, counts as stale, and a silent run is closed only for a healthy one. The engine now announces itself after the stall, as live ones do; all checks stay.

--- a/tests/node/ForwardChangesTest.cpp
+++ b/tests/node/ForwardChangesTest.cpp
@@ -196,6 +196,7 @@
             entry.advance(100_ms);
             BOOST_CHECK(entry.cancels.empty());
             BOOST_CHECK_EQUAL(entry.dispatches.size(), 3U);
+            entry.addUpstream("r2", "lm");
             entry.advance(1100_ms);
             BOOST_CHECK_EQUAL(entry.cancels.size(), 1U);
         }
