--- a/src/soak/ForwardUpstreams.cpp
+++ b/src/soak/ForwardUpstreams.cpp
@@ -187,7 +187,9 @@
     UpstreamEvent out { .kind = UpstreamEventKind::Head, .status = result.status, .headers = { { schedule.names.requestId, id } } };
     if (fault != RunFault::NoReceipt)
         out.headers.emplace_back(schedule.names.receipt, result.receipt);
-    if (schedule.callers[send.exchange].route.kind != "stream" && schedule.random.chance(0.7))
+    if (schedule.callers[send.exchange].route.kind == "stream")
+        out.headers.emplace_back("Content-Type", "text/event-stream");
+    else if (schedule.random.chance(0.7))
         out.contentLength = result.body.size();
     return out;
 }
--- a/tests/node/ForwardSoakCasesTest.cpp
+++ b/tests/node/ForwardSoakCasesTest.cpp
@@ -55,7 +55,7 @@
     entry.addUpstream("r1", "lm");
     entry.post("/ask/1");
     entry.sending();
-    entry.head(200);
+    entry.head(200, { { "Content-Type", "text/event-stream" } });
     entry.body("id: 1\ndata: a\n\nid: 2\nda");
     BOOST_CHECK(entry.answer() == std::pair(200, std::string("id: 1\ndata: a\n\nid: 2\nda")));
     entry.end();
