Give a resumed stream its own time to answer

A stream that was silent at one engine was closed at the next one 20 to 40 ms after it was sent there, and again at the one after that, until its attempts were used up and the caller's connection was cut; each time cost a retry permit. isSilent compared the time of the last byte, which is of the former run, with the limit. It affects routes with three or more attempts. The pause now counts from the sending of the current attempt if that is later. ForwardSoakCases/ResumedStreamHasItsOwnTimeToAnswer failed before.

--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -339,7 +339,7 @@
     if (!call.canRetry() || call.possibleExecutions >= call.rule->attempts || !call.dispatch || call.stage == ForwardStage::Connecting)
         return false;
     if (call.headForwarded)
-        return node.now - call.lastByteAt > std::max(call.rule->gap * silenceGapCount, minStreamSilence);
+        return node.now - std::max(call.lastByteAt, call.sentAt) > std::max(call.rule->gap * silenceGapCount, minStreamSilence);
     const TimeMs target { static_cast<int64_t>(static_cast<double>(call.rule->target.value) * silenceTargetRatio) };
     const TimeMs limit = std::max({ target, call.expectedWait * 3, minSilenceTimeout });
     // An upstream that answers other requests is slow rather than silent; sending the request elsewhere would only add load.
