Never join a long answer of a repeatable request with another run's

Callers of repeatable routes got a body that began with the bytes of one run and went on with those of another when an answer above 1 MB, of which the head had been forwarded, broke off or paused: canRetry allowed another run, whose body was appended. Such an answer is now cut when it breaks off and is waited for when it pauses. ForwardSoakCases/PartOfALongAnswerIsNotContinuedByAnotherRun failed before.

--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -76,7 +76,8 @@
     uint64_t forwardedBytes = 0;
     EventStreamSplitter events; ///< For a stream that can be resumed.
 
-    bool canRetry() const { return rule->kind == ForwardKind::Repeatable || (rule->kind == ForwardKind::Stream && rule->resume); }
+    /// Whether another run may replace one that may have begun. Bytes of two runs of a repeatable request must not be joined.
+    bool canRetry() const { return (rule->kind == ForwardKind::Repeatable && !headForwarded) || canResume(); }
     bool canResume() const { return rule->kind == ForwardKind::Stream && rule->resume; }
 };
 
