Cut a stream that stops inside an event if it may not resume

Such a stream ended as if it were complete when its upstream closed the connection in the middle of an event: only streams that may resume were split into events. Event streams are now split on all stream routes, their bytes are still forwarded as they arrive, and an end inside an event is handled like a break. Responses of another content type are forwarded as before.

--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -167,6 +167,11 @@
     return call.rule->kind == ForwardKind::Stream && call.status >= 200 && call.status < 300;
 }
 
+static bool isEventStream(const ForwardCall& call)
+{
+    return findHeader(call.headers, "Content-Type").starts_with("text/event-stream");
+}
+
 // Counted once per request, in the usage window in which its run began.
 static void recordUsageOnce(Node& node, ForwardCall& call)
 {
@@ -250,7 +255,10 @@
     if (isStreaming(call)) {
         if (call.prefillTokens > 0 || !call.usageRecorded)
             recordFirstEvent(node, call);
-        return forwardBody(node, call, call.canResume() ? call.events.push(event.bytes) : std::move(event.bytes));
+        if (!call.canResume() && !isEventStream(call))
+            return forwardBody(node, call, std::move(event.bytes));
+        std::string events = call.events.push(event.bytes);
+        return forwardBody(node, call, call.canResume() ? std::move(events) : std::move(event.bytes));
     }
     if (call.headForwarded)
         return forwardBody(node, call, std::move(event.bytes));
