--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -89,9 +89,15 @@
     return consumeRetry(forward.retries[call.backend], forward.retryLimit, purpose, node.now, forwardNodeCount(node));
 }
 
+// Whether the caller has a part of an answer that no other run can continue.
+static bool isBoundToItsRun(const ForwardCall& call)
+{
+    return call.headForwarded && !call.canResume();
+}
+
 static ResendDecision decideResend(Node& node, const ForwardCall& call, AttemptEnd end)
 {
-    if (end == AttemptEnd::Broken && !call.canRetry())
+    if ((end == AttemptEnd::Broken && !call.canRetry()) || isBoundToItsRun(call))
         return ResendDecision::NotRepeatable;
     if (end == AttemptEnd::Broken && call.possibleExecutions >= call.rule->attempts)
         return ResendDecision::AttemptsUsed;
@@ -194,7 +200,7 @@
             call.status = event.status;
         drainDispatch(node, call);
         if (ForwardTarget* target = findTarget(forward.targets, call.target); target && wrongUpstream)
-            recordOutcome(*target, node.now, TargetOutcome::Unreachable);
+            recordMisdirected(forward.targets, *target, node.now);
         return handleAttemptEnd(node, call, AttemptEnd::NotRun, "the upstream did not run the request: status " + std::to_string(event.status));
     }
     const bool success = event.status >= 200 && event.status < 300;
@@ -283,7 +289,7 @@
         ForwardTarget* target = findTarget(node.forward.targets, call.target);
         if (target)
             recordOutcome(*target, node.now, TargetOutcome::Failed);
-        if (canSendAgain && takePermit(node, call)) {
+        if (canSendAgain && canSendElsewhere(node, call) && takePermit(node, call)) {
             addLog(node, LogLevel::Info, "forward_attempt_failed", Step::Receive, call.targetName, "the upstream answered with an error status; retrying at another upstream",
                 { { "request", call.requestId }, { "status", std::to_string(call.status) }, { "may_have_run", std::to_string(call.possibleExecutions) } });
             releaseTarget(node, call);
@@ -335,7 +341,7 @@
         if (event.failure == UpstreamFailure::Silent)
             node.out.discardedPools.push_back(findTarget(forward.targets, call.target) ? findTarget(forward.targets, call.target)->address : std::string {});
         releaseTarget(node, call);
-        handleAttemptEnd(node, call, sent ? AttemptEnd::Broken : AttemptEnd::NotSent, std::string(nameOf(event.failure)) + ": " + event.detail);
+        handleAttemptEnd(node, call, sent ? AttemptEnd::Broken : AttemptEnd::NotSent, std::string(nameOf(event.failure)) + ": " + event.detail, sent && event.failure != UpstreamFailure::Closed);
         break;
     }
     }
@@ -344,7 +350,7 @@
 
 static bool isSilent(const Node& node, const ForwardCall& call)
 {
-    if (!call.canRetry() || call.possibleExecutions >= call.rule->attempts || !call.dispatch || call.stage == ForwardStage::Connecting)
+    if (!call.canRetry() || isBoundToItsRun(call) || call.possibleExecutions >= call.rule->attempts || !call.dispatch || call.stage == ForwardStage::Connecting)
         return false;
     if (call.headForwarded)
         return node.now - std::max(call.lastByteAt, call.sentAt) > std::max(call.rule->gap * silenceGapCount, minStreamSilence);
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -93,6 +93,7 @@
     target.version = announced.version;
     target.backend = announced.model;
     target.incarnation = announced.incarnation;
+    target.sequence = announced.sequence;
     target.slots = std::max<uint32_t>(1, announced.load.capacity);
     target.reclaimable = announced.reclaimable;
     target.lastSeen = upstream.lastSeen;
@@ -101,8 +102,12 @@
     const BackendRule* backend = node.forward.routes ? findBackend(*node.forward.routes, announced.model) : nullptr;
     target.engine = backend && backend->slots > 0;
     const ForwardTarget* known = findTarget(node.forward.targets, upstream.id);
-    if (known && known->incarnation != announced.incarnation)
+    if (known && known->incarnation != announced.incarnation) {
         forgetUpstream(node.forward.parts, upstream.id);
+        node.out.discardedPools.push_back(known->address);
+        if (announced.address != known->address)
+            node.out.discardedPools.push_back(announced.address);
+    }
     if (!known)
         addLog(node, upstreamLogLevel(target), "upstream_known", Step::Announce, announced.name, "a new upstream accepts requests", { { "backend", target.backend }, { "address", target.address }, { "version", target.version } });
     upsertTarget(node.forward.targets, target);
@@ -250,6 +255,8 @@
     dispatch.address = target.address;
     dispatch.request = call.request;
     addAttemptHeaders(dispatch.request, forward.headers, target.name, call.deadline - node.now, call.events.lastEventId());
+    // A repeated attempt is often the last one that the route allows, so it must not be lost on a stale connection.
+    dispatch.freshConnection = call.possibleExecutions > 0;
     dispatch.maxIdle = call.canRetry() ? TimeMs { 60000 } : onceMaxIdle;
     dispatch.connectTimeout = std::min(connectTimeout, call.deadline - node.now);
     dispatch.firstByteTimeout = dispatch.progressTimeout = call.deadline - node.now + 1_s;
--- a/src/node/ForwardReport.cpp
+++ b/src/node/ForwardReport.cpp
@@ -125,7 +125,6 @@
     tickLoadHub(node);
     if (!acceptsCallers(node))
         return;
-    tickForwardCalls(node);
     if (node.now < forward.nextReport)
         return;
     forward.allowances.nodes = forwardNodeCount(node);
@@ -136,4 +135,21 @@
         reportToAll(node);
 }
 
+void endForwards(Node& node)
+{
+    auto& forward = node.forward;
+    std::vector<ExchangeId> ids;
+    for (const auto& [id, call] : forward.calls)
+        ids.push_back(id);
+    std::sort(ids.begin(), ids.end());
+    for (const ExchangeId id : ids) {
+        ForwardCall& call = *forward.calls.at(id);
+        if (call.dispatch) {
+            forward.dispatches.erase(call.dispatch);
+            node.out.cancels.push_back(call.dispatch);
+        }
+        refuseForward(node, call, call.possibleExecutions ? 504 : 503, "leaving", "the drain limit of this node ends the request");
+    }
+}
+
 }
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -10,6 +10,7 @@
 #include "node/ExplainFlow.h"
 #include "node/FleetFlow.h"
 #include "node/ForwardFlow.h"
+#include "node/ForwardReport.h"
 #include "node/Groups.h"
 #include "node/LeaderFlow.h"
 #include "node/MovesFlow.h"
@@ -27,6 +28,8 @@
 
 // Gossip needs this long to spread the record that the node is leaving.
 static constexpr TimeMs leaveSpreadTime { 2000 };
+// Time to write the buffered end of the last answer to a caller that reads slowly.
+static constexpr TimeMs answerFlushTime { 200 };
 
 void NodeDeleter::operator()(Node* node) const
 {
@@ -169,8 +172,12 @@
     if (!node.draining)
         return;
     const auto& timings = node.options.settings.timings;
-    const bool idle = node.now - node.drainSince >= timings.entryValid && node.calls.empty() && node.forward.calls.empty();
-    if (!node.left && (idle || node.now - node.drainSince >= timings.drainLimit)) {
+    const TimeMs drainingFor = node.now - node.drainSince;
+    // An answer tells callers more than the close of their connections would.
+    if (drainingFor >= timings.drainLimit - answerFlushTime)
+        endForwards(node);
+    const bool idle = drainingFor >= timings.entryValid && node.calls.empty() && node.forward.calls.empty();
+    if (!node.left && (idle || drainingFor >= timings.drainLimit)) {
         node.left = true;
         node.leftAt = node.now;
         for (auto& [id, group] : node.groups)
@@ -178,10 +185,11 @@
         leave(node.membership, node.now, node.membershipOutputs);
         addLog(node, LogLevel::Info, "node_left", Step::Command, {}, idle ? "all calls have completed" : "the drain limit has expired", { { "forwarded_cut", std::to_string(node.forward.calls.size()) } });
     }
-    const bool late = node.now - node.drainSince >= timings.drainLimit;
     // Requests can arrive until the process ends, because callers cache the address.
-    const bool answered = node.calls.empty() && node.forward.calls.empty();
-    if (node.left && (late || (answered && node.now - node.leftAt >= leaveSpreadTime)))
+    if (!node.calls.empty() || !node.forward.calls.empty())
+        node.lastBusyAt = node.now;
+    const bool answered = node.now - node.lastBusyAt >= answerFlushTime;
+    if (node.left && (drainingFor >= timings.drainLimit || (answered && node.now - node.leftAt >= leaveSpreadTime)))
         node.out.stop = true;
 }
 
@@ -213,7 +221,10 @@
     INVARIANT(now >= node.now, "the time of a node is monotonic", "now", now.value, "was", node.now.value);
     node.now = now;
     std::swap(node.out, out);
+    const bool allInputPassed = inputs.isEmpty();
     processInputs(node, std::move(inputs));
+    if (allInputPassed && acceptsCallers(node))
+        tickForwardCalls(node);
     if (now >= node.nextTick) {
         node.nextTick = now + node.options.settings.timings.tick;
         tickAll(node);
