Follow the drain and the timer of the node in the schedules of forwarding

The node now checks its requests only in a step without input and ends those that are left when the drain limit is near, so the deadlines are checked after such a step and a cut at that time is allowed. A dispatch that is cancelled in the step that made it is never sent, and an upstream that has sent an error status works no more on the request.

--- a/src/soak/ForwardSoak.cpp
+++ b/src/soak/ForwardSoak.cpp
@@ -14,6 +14,8 @@
     static constexpr TimeMs answerSlack { 500 };
     // With less time left the node sends a request nowhere.
     static constexpr TimeMs minAttemptTime { 10 };
+    // A node that drains answers the requests that are left this long before its limit.
+    static constexpr TimeMs drainEndTime { 200 };
     // An upstream that has not answered for less than this is not silent.
     static constexpr TimeMs minSilence { 200 };
 
@@ -131,7 +133,9 @@
 
     static void checkAbort(ForwardSchedule& schedule, const Caller& caller, uint64_t exchange)
     {
-        const bool late = caller.deadline - schedule.now <= minAttemptTime;
+        const Node& node = *schedule.node;
+        const bool leaving = node.draining && schedule.now - node.drainSince >= node.options.settings.timings.drainLimit - drainEndTime;
+        const bool late = leaving || caller.deadline - schedule.now <= minAttemptTime;
         if (!late && caller.route.resume && caller.mayHaveRun < caller.route.attempts)
             violate(schedule, exchange, "an answer that can be resumed is cut");
         ++schedule.result.faults[late ? "answers cut by time" : "answers cut"];
@@ -179,11 +183,14 @@
         if (schedule.stopped)
             return;
         Outputs out;
+        const bool timer = inputs.isEmpty();
         step(*schedule.node, schedule.now, std::move(inputs), out);
         for (const auto& it : out.answers)
             handleAnswer(schedule, it);
-        for (auto& it : out.dispatches)
-            addSend(schedule, std::move(it));
+        for (auto& it : out.dispatches) {
+            if (std::find(out.cancels.begin(), out.cancels.end(), it.dispatch) == out.cancels.end())
+                addSend(schedule, std::move(it));
+        }
         for (const DispatchId id : out.cancels) {
             const auto it = schedule.sends.find(id);
             if (it == schedule.sends.end() || it->second.closed)
@@ -194,7 +201,7 @@
         }
         schedule.stopped = out.stop;
         for (auto& [exchange, caller] : schedule.callers) {
-            if (!caller.ended && schedule.now > caller.deadline + answerSlack)
+            if (timer && !caller.ended && schedule.now > caller.deadline + answerSlack)
                 violate(schedule, exchange, "no end after its time");
         }
     }
@@ -214,6 +221,8 @@
             }
         }
         runNode(schedule, std::move(inputs));
+        // The timer of the daemon, after all that was received.
+        runNode(schedule, {});
     }
 
     static void sendRequest(ForwardSchedule& schedule)
--- a/src/soak/ForwardUpstreams.cpp
+++ b/src/soak/ForwardUpstreams.cpp
@@ -199,6 +199,7 @@
     const bool stream = schedule.callers[send.exchange].route.kind == "stream";
     TimeMs at = schedule.now + TimeMs { schedule.random.between(5, 250) };
     appendScript(send, at, makeHead(schedule, send, result, fault));
+    const TimeMs headAt = at;
     const bool early = fault == RunFault::Reset || fault == RunFault::Malformed || (fault == RunFault::EndInsideEvent && stream);
     const auto made = std::string_view(result.body).substr(0, early ? schedule.random.below(result.body.size()) : std::string::npos);
     at = appendBody(schedule, send, at, made, stream);
@@ -210,7 +211,9 @@
     if (fault == RunFault::BytesAfterEnd)
         appendScript(send, at, { .kind = UpstreamEventKind::Body, .bytes = "id: 999\ndata: extra\n\n" });
     send.runSince = schedule.now;
-    send.runUntil = send.closed ? schedule.now : at;
+    // An upstream that has sent an error status works no more on the request.
+    const TimeMs doneAt = fault == RunFault::ErrorStatus ? headAt : at;
+    send.runUntil = send.closed ? schedule.now : doneAt;
 }
 
 // Starts a run, which fails in one of several ways if the upstream is in trouble.
