--- a/src/soak/ForwardSoak.cpp
+++ b/src/soak/ForwardSoak.cpp
@@ -53,7 +53,7 @@
             + "allowance gold priority=0" + author + "allowance tin rate=2 burst=4" + author;
         for (const auto& [key, inForce] : schedule.keys) {
             if (inForce)
-                out += "caller-key " + key + " account=" + (key == "tin" ? "tin" : "gold") + " token-sha256=" + sha256Hex(key) + author;
+                out.append("caller-key ").append(key).append(key == "tin" ? " account=tin" : " account=gold").append(" token-sha256=").append(sha256Hex(key)).append(author);
         }
         for (const auto& it : schedule.routes) {
             if (it.dropped)
