Show that a long step makes upstreams look silent to the client

The check of the timeouts can be queued before a long handler and runs after it, before the sockets are polled. The daemon's tick polls once more in this case; the check of UpstreamClient does not.

--- a/tests/entry/UpstreamClientTest.cpp
+++ b/tests/entry/UpstreamClientTest.cpp
@@ -222,3 +222,18 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(200));
     BOOST_TEST(client.sendRequest(upstream.address(), "b") == "200 two end");
 }
+
+// Guards against treating an upstream as silent after a long step although its response waits in the socket: the check of the
+// timeouts was queued before the step.
+BOOST_AUTO_TEST_CASE(responseThatArrivedDuringALongStepIsRead)
+{
+    ScriptedUpstream upstream({ { .responses = { "" }, .pause = std::chrono::milliseconds(150), .unsolicited = makeResponse("a", "late") } });
+    Client client;
+    asio::steady_timer timer(client.context, std::chrono::milliseconds(30));
+    timer.async_wait([&](const error_code&) {
+        // The next check becomes due meanwhile, so it is queued behind the long step.
+        std::this_thread::sleep_for(std::chrono::milliseconds(60));
+        asio::post(client.context, [] { std::this_thread::sleep_for(std::chrono::milliseconds(400)); });
+    });
+    BOOST_TEST(client.sendRequest(upstream.address(), "a", TimeMs { 250 }) == "200 late end");
+}
