Show that a taken address is still tried under the name of its lost holder

A request that the holder of an address has refused as not run is sent to the same address again, for the upstream that had it before, and spends a permit of the retry limit.

--- a/tests/node/ForwardReviewTest.cpp
+++ b/tests/node/ForwardReviewTest.cpp
@@ -110,6 +110,20 @@
     BOOST_CHECK_EQUAL(entry.dispatches.size(), before + 1);
 }
 
+// Guards against retries that can only fail: the holder of an address has just refused the request, and it is sent to the same
+// address again in the name of the lost upstream that had it before.
+BOOST_AUTO_TEST_CASE(TakenAddressIsNoLastResort)
+{
+    ForwardNode entry;
+    announceAt(entry, "d1", "127.0.0.2:9500", 1);
+    announceAt(entry, "d2", "127.0.0.2:9500", 2);
+    entry.post("/look/1");
+    BOOST_REQUIRE_EQUAL(findHeader(entry.last().request.headers, entry.names.target), "d2");
+    entry.sending();
+    entry.head(503, { { entry.names.notRun, "1" } }, false);
+    BOOST_CHECK_EQUAL(entry.dispatches.size(), 1U);
+}
+
 // Guards against permits that nothing can use: a backend without resumable streams has no answers in progress to reserve them for.
 BOOST_AUTO_TEST_CASE(NothingIsReservedWithoutResumableStreams)
 {
