Read what has arrived before upstream timeouts are checked

What callers saw: after a long step of the node, a response that had arrived was dropped and its upstream counted as silent.

The class: a stall of the process is taken for silence of its peers.

--- a/src/entry/UpstreamClient.cpp
+++ b/src/entry/UpstreamClient.cpp
@@ -43,6 +43,7 @@
     void finished(UpstreamConnection&, bool reusable);
     void lost(UpstreamConnection&);
     void sweep();
+    void scheduleSweep(std::chrono::milliseconds delay, bool isRepeat);
     void closeExpired(Clock::time_point now);
 };
 
@@ -143,11 +144,22 @@
     sweeping = !active.empty() || !idle.empty();
     if (!sweeping)
         return;
-    timer.expires_after(active.empty() ? idleSweepInterval : sweepInterval);
-    timer.async_wait([self = weak_from_this()](const boost::system::error_code& ec) {
+    scheduleSweep(active.empty() ? idleSweepInterval : sweepInterval, false);
+}
+
+// A timer that runs late may have been queued before a stall. The sockets are then polled once more, so that bytes that have
+// arrived are read before the timeouts are checked.
+void UpstreamClient::Impl::scheduleSweep(std::chrono::milliseconds delay, bool isRepeat)
+{
+    const auto due = Clock::now() + delay;
+    timer.expires_after(delay);
+    timer.async_wait([self = weak_from_this(), due, isRepeat](const boost::system::error_code& ec) {
         const auto impl = self.lock();
-        if (!ec && impl)
-            impl->sweep();
+        if (ec || !impl)
+            return;
+        if (!isRepeat && Clock::now() - due > sweepInterval)
+            return impl->scheduleSweep(std::chrono::milliseconds(0), true);
+        impl->sweep();
     });
 }
 
