Do not withdraw observations after a stall of the process

What callers saw: after a node had stood still for some seconds, all its upstreams counted as silent at once, at every node.

Cause: the compensation for a pause covered members, but not the upstreams that announce themselves to this node; their announcements can wait to be read.

StallOfTheProcessIsNotSilenceOfAnnouncements failed before and passes now.

--- a/src/membership/Gossip.cpp
+++ b/src/membership/Gossip.cpp
@@ -271,7 +271,8 @@
         sendPing(m, now, {}, candidates[m.random.below(candidates.size())], {}, out);
     }
 
-    /// After a pause of this process its timers expire late, so expired probes are no evidence against other members.
+    /// After a pause of this process its timers expire late, so expired probes are no evidence against other members, and
+    /// announcements that arrived meanwhile can be unread.
     static void compensateForPause(Membership& m, TimeMs now)
     {
         const TimeMs gap = now - m.lastTick;
@@ -283,6 +284,10 @@
             if (member.status.state == MemberState::Suspect)
                 member.since += gap;
         }
+        for (auto& [id, upstream] : m.upstreams.entries) {
+            if (upstream.local)
+                upstream.lastSeen = std::min(now, upstream.lastSeen + gap);
+        }
     }
 
 }
