--- a/src/forward/RetryLimit.cpp
+++ b/src/forward/RetryLimit.cpp
@@ -20,8 +20,10 @@
     return slice;
 }
 
-void recordFirstSend(RetryUsage& usage, const RetryLimit& limit, TimeMs now)
+void recordFirstSend(RetryUsage& usage, const RetryLimit& limit, TimeMs now, bool canResume)
 {
+    if (canResume)
+        usage.lastResumableAt = now;
     ++sliceAt(usage, limit, now).requests;
 }
 
@@ -37,7 +39,8 @@
         retries += slice.retries;
     }
     const double allowed = (limit.ratio * requests + limit.extra / static_cast<double>(std::max<size_t>(nodes, 1))) * usableRetryFraction;
-    const double reserved = purpose == RetryPurpose::Answer ? 0 : allowed * answerRetryFraction;
+    const bool reserves = usage.lastResumableAt.value && now - usage.lastResumableAt <= limit.window;
+    const double reserved = purpose == RetryPurpose::Request && reserves ? allowed * answerRetryFraction : 0;
     if (retries + 1 > allowed - reserved)
         return false;
     ++current.retries;
--- a/src/forward/RetryLimit.h
+++ b/src/forward/RetryLimit.h
@@ -24,6 +24,7 @@
         uint32_t retries = 0;
     };
     std::array<Slice, slices> ring {};
+    TimeMs lastResumableAt; ///< Last first send of a stream that can be resumed.
 };
 
 /// What a retry is for.
@@ -32,9 +33,9 @@
     Answer, ///< An answer that the caller already has in part: without a retry it is broken.
 };
 
-void recordFirstSend(RetryUsage&, const RetryLimit&, TimeMs now);
+void recordFirstSend(RetryUsage&, const RetryLimit&, TimeMs now, bool canResume = false);
 /// Returns whether one more retry is within this node's share of the limit, and counts it if so. A part of the share is
-/// reserved for answers in progress.
+/// reserved for answers in progress while streams that can be resumed are being sent.
 bool consumeRetry(RetryUsage&, const RetryLimit&, RetryPurpose, TimeMs now, size_t nodes);
 
 }
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -358,7 +358,7 @@
         return refuseArrival(node, arrived, 429, "over_allowance", "the account has used its allowance", std::max(timeUntilAllowance(forward.allowances, node.now, *account, cost), 100_ms), account->name);
     ForwardCall& call = addCall(node, std::move(arrived), *rule, account, std::move(metadata), cost);
     call.backend = pickBackend(node, call);
-    recordFirstSend(forward.retries[call.backend], forward.retryLimit, node.now);
+    recordFirstSend(forward.retries[call.backend], forward.retryLimit, node.now, call.canResume());
     startAttempt(node, call);
 }
 
