Judge the holder of an address by what was sent and seen

Cause, in: a 421 excluded an upstream that had restarted since the request was sent; an upstream that had fallen silent held its address against one that is seen; and an upstream whose address is taken was still the last resort, so that a request which the holder had refused went there again.

A 421 now concerns the incarnation and the announcement that the request was sent by, a holder must have been seen as lately as the other one, and a target whose address is taken gets nothing.

--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -51,6 +51,8 @@
     uint64_t dispatch = 0;
     UpstreamId target;
     std::string targetName;
+    uint64_t targetIncarnation = 0;
+    uint64_t targetSequence = 0; ///< Of the target's last announcement when the request was sent.
     std::string backend;
     TimeMs sentAt;
     TimeMs expectedWait; ///< Until the first event, estimated when the request was sent.
--- a/src/forward/ForwardTarget.cpp
+++ b/src/forward/ForwardTarget.cpp
@@ -13,6 +13,8 @@
 static constexpr double maxFailureRateWeight = 20;
 static constexpr double backoffFailureRate = 0.3;
 static constexpr double minWeightForBackoff = 8;
+// Silence after which an upstream gets no new work.
+static constexpr TimeMs maxHolderSilence { 3000 };
 
 static TargetLoad totalReportedLoad(const ForwardTargets& table, UpstreamId id)
 {
@@ -24,18 +26,21 @@
     return sum;
 }
 
-// Of upstreams that announce the same address, the one that started last listens there. Incarnations that are equal do not tell
-// which one that is.
+// Of upstreams that announce the same address, the one that started last listens there, unless it is silent while the other is
+// seen. Incarnations that are equal do not tell which one that is.
+static bool isAddressTaken(const ForwardTargets& table, const ForwardTarget& target)
+{
+    return std::any_of(table.entries.begin(), table.entries.end(), [&](const auto& it) {
+        const ForwardTarget& other = it.second;
+        return other.incarnation > target.incarnation && other.address == target.address && !isMisdirected(other) && target.lastSeen - other.lastSeen <= maxHolderSilence;
+    });
+}
+
 static void updateAddressOwner(ForwardTargets& table, const std::string& address)
 {
-    uint64_t latest = 0;
-    for (const auto& [id, target] : table.entries) {
-        if (target.address == address && !isMisdirected(target))
-            latest = std::max(latest, target.incarnation);
-    }
     for (auto& [id, target] : table.entries) {
         if (target.address == address)
-            target.addressTaken = target.incarnation < latest;
+            target.addressTaken = isAddressTaken(table, target);
     }
 }
 
@@ -73,7 +78,7 @@
     next.others = entry.others;
     const bool wasMisdirected = isMisdirected(entry);
     entry = std::move(next);
-    if (changed || wasMisdirected != isMisdirected(entry)) {
+    if (changed || entry.addressTaken || wasMisdirected != isMisdirected(entry)) {
         updateAddressOwner(table, formerAddress);
         updateAddressOwner(table, entry.address);
     }
@@ -97,6 +102,11 @@
     return it == table.entries.end() ? nullptr : &it->second;
 }
 
+bool isAddressKnown(const ForwardTargets& table, const std::string& address)
+{
+    return std::any_of(table.entries.begin(), table.entries.end(), [&](const auto& it) { return it.second.address == address; });
+}
+
 static void recomputeReportedLoads(ForwardTargets& table)
 {
     for (auto& [id, target] : table.entries)
@@ -165,9 +175,9 @@
         target.backoffDuration = {};
 }
 
-void recordMisdirected(ForwardTargets& table, ForwardTarget& target, TimeMs now)
+void recordMisdirected(ForwardTargets& table, ForwardTarget& target, uint64_t sequence, TimeMs now)
 {
-    target.misdirectedSequence = target.sequence;
+    target.misdirectedSequence = sequence;
     recordOutcome(target, now, TargetOutcome::Unreachable);
     updateAddressOwner(table, target.address);
 }
--- a/src/forward/ForwardTarget.h
+++ b/src/forward/ForwardTarget.h
@@ -65,8 +65,8 @@
     TargetLoad own;
     TargetLoad others;
 
-    bool addressTaken = false; ///< Another upstream with a later incarnation has announced the address.
-    std::optional<uint64_t> misdirectedSequence; ///< Of its last announcement when another upstream answered at its address.
+    bool addressTaken = false; ///< An upstream with a later incarnation holds the address; the target gets no requests.
+    std::optional<uint64_t> misdirectedSequence; ///< Last announcement before another upstream answered at its address.
     TimeMs lastByteAt; ///< Of any response to this node.
     int failuresInRow = 0;
     double failureRate = 0; ///< Moving average over its responses.
@@ -88,9 +88,12 @@
 ForwardTarget& upsertTarget(ForwardTargets&, const ForwardTarget& announced);
 void removeTarget(ForwardTargets&, UpstreamId);
 ForwardTarget* findTarget(ForwardTargets&, UpstreamId);
+/// Whether any target has this address.
+bool isAddressKnown(const ForwardTargets&, const std::string& address);
 
-/// Records that another upstream has answered at its address. The target gets no requests until it announces itself again.
-void recordMisdirected(ForwardTargets&, ForwardTarget&, TimeMs now);
+/// Records that another upstream has answered at its address. The target gets no requests before an announcement with a higher
+/// sequence, which is that of the last one when the request was sent.
+void recordMisdirected(ForwardTargets&, ForwardTarget&, uint64_t sequence, TimeMs now);
 bool isMisdirected(const ForwardTarget&);
 
 /// Replaces the load that a node reported.
--- a/src/forward/TargetChoice.cpp
+++ b/src/forward/TargetChoice.cpp
@@ -28,14 +28,14 @@
 
 static bool isEligible(const ForwardTarget& target, const ChoiceRequest& request)
 {
-    if (target.leaving || isMisdirected(target) || std::find(request.tried.begin(), request.tried.end(), target.id) != request.tried.end())
+    if (target.leaving || target.addressTaken || isMisdirected(target) || std::find(request.tried.begin(), request.tried.end(), target.id) != request.tried.end())
         return false;
     return !request.allowed || request.allowed(target);
 }
 
 static bool isHealthy(const ForwardTarget& target, const ChoiceOptions& options, TimeMs now)
 {
-    return !target.addressTaken && now >= target.backoffUntil && now - target.lastSeen <= options.staleAfter;
+    return now >= target.backoffUntil && now - target.lastSeen <= options.staleAfter;
 }
 
 // Chooses a target for the request's session by rendezvous hashing, so that all nodes choose the same one without
--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -199,8 +199,8 @@
         if (!call.headForwarded)
             call.status = event.status;
         drainDispatch(node, call);
-        if (ForwardTarget* target = findTarget(forward.targets, call.target); target && wrongUpstream)
-            recordMisdirected(forward.targets, *target, node.now);
+        if (ForwardTarget* target = findTarget(forward.targets, call.target); target && wrongUpstream && target->incarnation == call.targetIncarnation)
+            recordMisdirected(forward.targets, *target, call.targetSequence, node.now);
         return handleAttemptEnd(node, call, AttemptEnd::NotRun, "the upstream did not run the request: status " + std::to_string(event.status));
     }
     const bool success = event.status >= 200 && event.status < 300;
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -235,6 +235,8 @@
     call.dispatch = ++node.lastDispatch;
     call.target = target.id;
     call.targetName = target.name;
+    call.targetIncarnation = target.incarnation;
+    call.targetSequence = target.sequence;
     call.prefillTokens = choice.prefillTokens;
     call.tokensBeforeFirstEvent = choice.tokensBeforeFirstEvent;
     call.expectedWait = { static_cast<int64_t>(choice.waitMs) };
