Keep the time to stop and drop old connections in two more cases

Idle connections are also dropped when an upstream of another name takes an address. The second condition for answers that no other run can continue goes, since canRetry states it.

WaitForAPermitIncludesTheTimeToStop and NewHolderOfAnAddressDiscardsItsPool failed before and pass now.

--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -89,15 +89,9 @@
     return consumeRetry(forward.retries[call.backend], forward.retryLimit, purpose, node.now, forwardNodeCount(node));
 }
 
-// Whether the caller has a part of an answer that no other run can continue.
-static bool isBoundToItsRun(const ForwardCall& call)
-{
-    return call.headForwarded && !call.canResume();
-}
-
 static ResendDecision decideResend(Node& node, const ForwardCall& call, AttemptEnd end)
 {
-    if ((end == AttemptEnd::Broken && !call.canRetry()) || isBoundToItsRun(call))
+    if (end == AttemptEnd::Broken && !call.canRetry())
         return ResendDecision::NotRepeatable;
     if (end == AttemptEnd::Broken && call.possibleExecutions >= call.rule->attempts)
         return ResendDecision::AttemptsUsed;
@@ -150,10 +144,11 @@
         recordVersionResult(node, call, true);
     if (call.canResume())
         call.events.discardBuffer();
+    const TimeMs pause = closedLocally && call.canResume() ? upstreamStopDelay : TimeMs {};
     if (decision == ResendDecision::Allowed)
-        return retryElsewhere(node, call, closedLocally && call.canResume() ? upstreamStopDelay : TimeMs {});
+        return retryElsewhere(node, call, pause);
     if (call.headForwarded && (decision == ResendDecision::NoPermit || decision == ResendDecision::TooManyTries))
-        return waitToResume(node, call, decision == ResendDecision::NoPermit);
+        return waitToResume(node, call, decision == ResendDecision::NoPermit, pause);
     if (end == AttemptEnd::NotSent || end == AttemptEnd::NotRun) {
         if (!call.possibleExecutions)
             return refuseForward(node, call, 503, "upstream_full", reason, fullRetryAfter);
@@ -350,7 +345,7 @@
 
 static bool isSilent(const Node& node, const ForwardCall& call)
 {
-    if (!call.canRetry() || isBoundToItsRun(call) || call.possibleExecutions >= call.rule->attempts || !call.dispatch || call.stage == ForwardStage::Connecting)
+    if (!call.canRetry() || call.possibleExecutions >= call.rule->attempts || !call.dispatch || call.stage == ForwardStage::Connecting)
         return false;
     if (call.headForwarded)
         return node.now - std::max(call.lastByteAt, call.sentAt) > std::max(call.rule->gap * silenceGapCount, minStreamSilence);
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -108,6 +108,8 @@
         if (announced.address != known->address)
             node.out.discardedPools.push_back(announced.address);
     }
+    if (!known && isAddressKnown(node.forward.targets, announced.address))
+        node.out.discardedPools.push_back(announced.address);
     if (!known)
         addLog(node, upstreamLogLevel(target), "upstream_known", Step::Announce, announced.name, "a new upstream accepts requests", { { "backend", target.backend }, { "address", target.address }, { "version", target.version } });
     upsertTarget(node.forward.targets, target);
@@ -282,10 +284,10 @@
     return hasHealthyTarget(node.forward.targets, node.forward.choice, request, node.now);
 }
 
-void waitToResume(Node& node, ForwardCall& call, bool needsPermit)
+void waitToResume(Node& node, ForwardCall& call, bool needsPermit, TimeMs pause)
 {
     call.stage = ForwardStage::Waiting;
-    call.resumeAt = node.now + resumeInterval;
+    call.resumeAt = node.now + std::max(resumeInterval, pause);
     call.needsPermit = needsPermit;
 }
 
--- a/src/node/ForwardFlow.h
+++ b/src/node/ForwardFlow.h
@@ -36,8 +36,9 @@
 void startAttempt(Node&, ForwardCall&);
 /// Whether a healthy upstream is left to which the request was not sent yet.
 bool canSendElsewhere(const Node&, const ForwardCall&);
-/// Lets a stream in progress wait for an upstream or, with `needsPermit`, for a retry permit. Its time bounds the wait.
-void waitToResume(Node&, ForwardCall&, bool needsPermit);
+/// Lets a stream in progress wait for an upstream or, with `needsPermit`, for a retry permit, and at least for `pause`. Its time
+/// bounds the wait.
+void waitToResume(Node&, ForwardCall&, bool needsPermit, TimeMs pause = {});
 /// Subtracts the pending prefill tokens of the attempt from its target, once the prompt has been read or the attempt has ended.
 void clearPendingPrefill(ForwardTarget&, ForwardCall&);
 /// Subtracts the load of the attempt from its target.
