--- a/tests/node/SilentUpstreamTest.cpp
+++ b/tests/node/SilentUpstreamTest.cpp
@@ -1,5 +1,8 @@
 #include "ForwardFixture.h"
 
+#include "membership/Messages.h"
+#include "wire/Codec.h"
+
 #include <algorithm>
 
 namespace siskinshunt {
@@ -33,6 +36,14 @@
         return static_cast<size_t>(std::count_if(entry.dispatches.begin(), entry.dispatches.end(), [&](const auto& it) { return findHeader(it.request.headers, entry.names.target) == name; }));
     }
 
+    /// Format in which earlier builds stored the upstreams.
+    struct EarlierStoredUpstreams {
+        std::vector<Announcement> announced;
+
+        template <class Archive>
+        void serialize(Archive& archive) { archive(announced); }
+    };
+
     const Upstream* upstreamAt(const NodeFleet& fleet, size_t node, const std::string& name)
     {
         return findUpstream(fleet.nodes[node].node->membership.upstreams, idOfName<UpstreamId>(name));
@@ -146,6 +157,22 @@
         BOOST_CHECK(process.node->membership.upstreams.entries.empty());
 }
 
+// Guards against a node that does not start, or that restores damaged entries, from the upstreams that an earlier build stored.
+BOOST_AUTO_TEST_CASE(UpstreamsStoredByAnEarlierBuildAreLeftOut)
+{
+    Announcement announced;
+    announced.name = "d1";
+    announced.address = "127.0.0.4:9000";
+    announced.domain = "a";
+    announced.model = "desk";
+    NodeOptions options = ForwardNode().node->options;
+    options.recovered[upstreamsGroup].snapshot = { .meta = { .index = 1, .term = 1, .members = {} }, .bytes = std::make_shared<const std::string>(encode(EarlierStoredUpstreams { { announced } })) };
+    const TimeMs now = options.startedAtUtc;
+    const NodePtr node = handle([&] { return makeNode(std::move(options), now); }, [](const Error&) { return NodePtr {}; });
+    BOOST_REQUIRE(node);
+    BOOST_CHECK(node->membership.upstreams.entries.empty());
+}
+
 // Guards against restored upstreams that the node had removed before its restart.
 BOOST_AUTO_TEST_CASE(RemovedUpstreamIsNotRestored)
 {
