Let only a stream continue a stream

What callers saw: a second response head, with status 400, in the middle of their stream when the engine that was to resume it refused to.

Cause: the head of a resumed attempt was taken for that of the whole call, so its answer was sent as a complete one. Any answer but an event stream is a failed attempt now and is repeated at another engine or ends the stream with an error event.

CallReview/RefusedResumptionIsNoSecondAnswer failed before and passes now.

--- a/src/node/CallEvents.cpp
+++ b/src/node/CallEvents.cpp
@@ -115,9 +115,15 @@
         failAndCancel(node, call, UpstreamFailure::Closed, "status " + std::to_string(event.status));
         return;
     }
+    const bool streaming = event.status == 200 && isEventStream(event.headers);
+    if (call.headForwarded && !streaming) {
+        // The caller already has the head of a successful stream, so only a stream can continue it.
+        failAndCancel(node, call, UpstreamFailure::Malformed, "the engine that was to go on answered without a stream: status " + std::to_string(event.status));
+        return;
+    }
     call.answerHeaders = std::move(event.headers);
     call.stage = CallStage::Answering;
-    call.streaming = event.status == 200 && isEventStream(call.answerHeaders);
+    call.streaming = streaming;
     if (!call.streaming || call.headForwarded || !call.exchange)
         return;
     call.headForwarded = true;
