Keep in mind that an earlier attempt of a call may have run

What callers saw: a refusal with run=not-run for a call whose first attempt had run at an upstream that then closed the connection.

Cause: each retry of a repeatable call reset the state that the run status of a refusal is derived from. It stays now; a dispatch of a once call, whose state decides whether it can be sent again, is reset only after the ledger has committed its return.

CallReview/RefusalAfterARunDoesNotSayNotRun failed before and passes now.

--- a/src/node/CallEvents.cpp
+++ b/src/node/CallEvents.cpp
@@ -69,7 +69,7 @@
     node.counters.add(uncharged ? "retries_after_reclaim" : "retries");
     if (call.repeat == Repeat::Once)
         return returnToReserved(node, call);
-    call.dispatchState = DispatchState::NothingSent;
+    // The dispatch state stays: an earlier attempt may have run whatever becomes of the next one.
     call.stage = CallStage::Waiting;
     call.retryAt = node.now + delay;
 }
