Let a stream in progress wait for the retry budget

What callers saw: the error event of a broken stream although another engine could have continued it, because other calls of the route had used the retry budget up.

Cause: an empty budget ended every call at once. It protects upstreams from a storm of repeated requests, for which waiting serves as well as refusing, and a stream of which the caller has a part is lost with its refusal. Such a call now waits until the budget has a retry again or its deadline passes.

CallReview/StreamWaitsForTheRetryBudget failed before and passes now.

--- a/src/limits/Retry.cpp
+++ b/src/limits/Retry.cpp
@@ -25,9 +25,8 @@
     const TimeMs delay = backoffDelay(rule, failed.attempts, random);
     if (now + delay + failed.service > failed.deadline)
         return { RetryVerdict::PastDeadline, {} };
-    if (budget.retries < 1)
-        return { RetryVerdict::NoBudget, {} };
-    budget.retries -= 1;
+    if (!tryConsumeRetry(budget))
+        return { RetryVerdict::NoBudget, delay };
     return { RetryVerdict::Retry, delay };
 }
 
@@ -38,7 +37,7 @@
     return firstTokenP95;
 }
 
-bool tryConsumeHedge(RetryBudget& budget)
+bool tryConsumeRetry(RetryBudget& budget)
 {
     if (budget.retries < 1)
         return false;
--- a/src/limits/Retry.h
+++ b/src/limits/Retry.h
@@ -45,7 +45,7 @@
 
 struct RetryDecision {
     RetryVerdict verdict = RetryVerdict::Retry;
-    TimeMs delay; ///< Backoff delay before the retry.
+    TimeMs delay; ///< Backoff delay before the retry; also set for NoBudget, as the call can wait for the budget.
 };
 
 /// Adds the credit of one first attempt to the budget.
@@ -61,7 +61,7 @@
 /// hedging is disabled or the budget is empty. `firstTokenP95` is the 95th percentile of the time to first token.
 std::optional<TimeMs> hedgeDelay(const RetryBudget&, const RetryRule&, Repeat, TimeMs firstTokenP95);
 
-/// Consumes one retry from the budget for a hedge. Returns false if the budget is empty.
-bool tryConsumeHedge(RetryBudget&);
+/// Consumes one retry from the budget, for a hedge or a call that waits for the budget. Returns false if the budget is empty.
+bool tryConsumeRetry(RetryBudget&);
 
 }
--- a/src/node/CallEvents.cpp
+++ b/src/node/CallEvents.cpp
@@ -56,12 +56,15 @@
     // call nor to the retry budget.
     const bool uncharged = isReclaimAnnounced(node, call.upstream) && call.unchargedRetries < maxUnchargedRetries;
     TimeMs delay { 10 };
+    call.needsRetry = false;
     if (uncharged)
         ++call.unchargedRetries;
     else {
         const FailedAttempt failed { .repeat = call.repeat, .possiblySent = possiblySent, .attempts = static_cast<int>(call.attempts - call.unchargedRetries), .deadline = call.deadline, .service = {} };
         const auto decision = decideRetry(node.retryBudgets[call.route], findRetry(*node.rules, call.route), failed, node.now, node.random);
-        if (decision.verdict != RetryVerdict::Retry)
+        // A caller that already has a part of its stream can wait for the budget.
+        call.needsRetry = call.headForwarded && decision.verdict == RetryVerdict::NoBudget;
+        if (decision.verdict != RetryVerdict::Retry && !call.needsRetry)
             return refuseCall(node, call, RefusalCode::UpstreamFailed, reason + " (" + std::string(nameOf(decision.verdict)) + ")", retryAfterOf(node, call));
         delay = decision.delay;
     }
--- a/src/node/CallFlow.cpp
+++ b/src/node/CallFlow.cpp
@@ -413,6 +413,15 @@
     return true;
 }
 
+static void tickWaiting(Node& node, NodeCall& call)
+{
+    if (node.now < call.retryAt || (call.needsRetry && !tryConsumeRetry(node.retryBudgets[call.route])))
+        return;
+    call.needsRetry = false;
+    if (!tryDispatch(node, call, false))
+        call.retryAt = node.now + TimeMs { 50 };
+}
+
 void tickCalls(Node& node)
 {
     for (auto& [pool, queue] : node.queues) {
@@ -436,8 +445,8 @@
             refuseForEmptyPool(node, *call);
             continue;
         }
-        if (call->stage == CallStage::Waiting && node.now >= call->retryAt && !tryDispatch(node, *call, false))
-            call->retryAt = node.now + TimeMs { 50 };
+        if (call->stage == CallStage::Waiting)
+            tickWaiting(node, *call);
         else if (call->stage == CallStage::Joining || call->stage == CallStage::Recording)
             tickOnceCall(node, *call);
     }
--- a/src/node/NodeCall.h
+++ b/src/node/NodeCall.h
@@ -79,6 +79,7 @@
     std::vector<UpstreamId> avoid; ///< Upstreams that failed this call.
     UpstreamId silentUpstream; ///< Upstream whose connection went silent; it is tried once more on a new connection.
     TimeMs retryAt;
+    bool needsRetry = false; ///< In stage Waiting: also waits for the retry budget of its route.
     TimeMs dispatchedAt;
     TimeMs nextPoll; ///< In stage Joining: when the outcome is polled next.
     uint64_t queuedBytes = 0; ///< Bytes counted against the node's queue limit.
