Keep a stream in progress while its pool has no engine

What callers saw: the error event of a stream 3 s after the last engine had gone, with most of its time left, although engines came back soon after.

Cause: the limit on waiting for an empty pool, which tells new calls early to go elsewhere, ended streams as well, whose callers cannot go elsewhere without losing what they have. Such a call now waits until its deadline.

CallReview/StreamWaitsForAnEngine failed before and passes now.

--- a/src/node/CallFlow.cpp
+++ b/src/node/CallFlow.cpp
@@ -440,7 +440,8 @@
         NodeCall* call = findCall(node, id);
         if (!call || handleDeadline(node, *call))
             continue;
-        const bool waits = call->stage == CallStage::Waiting || call->stage == CallStage::Queued;
+        // The caller of a stream in progress can wait for an engine until the deadline.
+        const bool waits = !call->headForwarded && (call->stage == CallStage::Waiting || call->stage == CallStage::Queued);
         if (waits && poolEmptyTime(node, call->pool) >= emptyPoolTimeout) {
             refuseForEmptyPool(node, *call);
             continue;
