Let the simulated upstream close its connections when it is reclaimed

A reclaimed upstream of the simulated fleet took no new requests but went on to send its open streams. Tests of what callers see when an engine stops passed or failed by that: CallReview/StreamWaitsForAnEngine saw its stream complete as soon as it was left at an engine until the reclaim. Tests are stricter now.

--- a/src/soak/NodeFleet.cpp
+++ b/src/soak/NodeFleet.cpp
@@ -132,7 +132,7 @@
         it.disk->crash(random);
     for (auto& [number, caller] : callers)
         caller.lost = caller.lost || (!caller.done && caller.node == n && caller.generation < it.generation);
-    std::erase_if(m_open, [&](const DispatchKey& key) { return std::get<0>(key) == n; });
+    std::erase_if(m_open, [&](const auto& it) { return std::get<0>(it.first) == n; });
 }
 
 void NodeFleet::freeze(size_t n)
--- a/src/soak/NodeFleet.h
+++ b/src/soak/NodeFleet.h
@@ -158,7 +158,7 @@
     std::map<std::pair<TimeMs, uint64_t>, std::function<void()>> m_events; ///< By time and event number.
     uint64_t m_lastEvent = 0;
     uint64_t m_lastCaller = 0;
-    std::set<DispatchKey> m_open; ///< Dispatches that have neither ended nor been cancelled.
+    std::map<DispatchKey, std::string> m_open; ///< Addresses of the dispatches that have neither ended nor been cancelled.
 };
 
 }
--- a/src/soak/NodeFleetUpstreams.cpp
+++ b/src/soak/NodeFleetUpstreams.cpp
@@ -32,7 +32,14 @@
 void NodeFleet::reclaim(const std::string& name, TimeMs notice)
 {
     upstream(name).reclaimAt = now + notice;
-    scheduleAfter(notice, [this, name] { upstream(name).up = false; });
+    scheduleAfter(notice, [this, name] {
+        auto& it = upstream(name);
+        it.up = false;
+        for (const auto& [key, address] : m_open) {
+            if (address == it.announced.address)
+                fail(key, 1_ms, UpstreamFailure::Closed);
+        }
+    });
 }
 
 void NodeFleet::announceAll()
@@ -80,7 +87,7 @@
 void NodeFleet::dispatch(size_t n, UpstreamDispatch request)
 {
     const DispatchKey key { n, nodes[n].generation, request.dispatch };
-    m_open.insert(key);
+    m_open.emplace(key, request.address);
     const auto found = upstreams.find(request.address);
     const auto dispatchFault = fault ? fault(request) : DispatchFault::None;
     if (found == upstreams.end() || !found->second.up || dispatchFault == DispatchFault::Refuse)
