Leave a run where it is while no other engine can take it over

What callers saw: the error event of a stream, or a run that was done again later, although its engine would have completed it before its reclaim.

Cause: 700 ms before a reclaim, runs were cancelled without a look at where they could go. They are moved now as soon as another upstream of the pool accepts them.

CallReview/RunIsKeptBeforeAReclaimWithoutAnotherEngine failed before and passes now.

--- a/src/node/CallEvents.cpp
+++ b/src/node/CallEvents.cpp
@@ -259,12 +259,21 @@
     }
 }
 
+static bool hasOtherUpstream(Node& node, const NodeCall& call)
+{
+    const std::vector<UpstreamId> avoid { call.upstream };
+    return hasCandidate(node.router, { .pool = call.pool, .route = call.route, .avoid = avoid }, node.now);
+}
+
 void moveCall(Node& node, CallId id)
 {
     NodeCall* call = findCall(node, id);
     // A once call cannot be moved; it is expected to finish before the reclaim.
     if (!call || !call->dispatch || call->repeat == Repeat::Once)
         return;
+    // The run may end before the reclaim, and until then it is worth more than none.
+    if (!hasOtherUpstream(node, *call))
+        return;
     node.counters.add("calls_moved_before_reclaim");
     addLog(node, LogLevel::Info, "call_moved", Step::Route, call->upstreamName, "moved off an upstream that is about to be reclaimed",
         { { "call", formatCallId(id) }, { "offset", std::to_string(call->stream.offset) } });
--- a/src/node/CallFlow.h
+++ b/src/node/CallFlow.h
@@ -20,7 +20,8 @@
 void tickCalls(Node&);
 /// Dispatches queued calls of the pool while its upstreams have room.
 void pumpQueue(Node&, const std::string& pool);
-/// Cancels a running call at an upstream that is about to be reclaimed and retries it elsewhere. Once calls are left alone.
+/// Cancels a running call at an upstream that is about to be reclaimed and retries it elsewhere. Once calls and calls that no
+/// other upstream accepts are left alone.
 void moveCall(Node&, CallId);
 
 // Shared with the flow of once calls.
--- a/src/routing/Choice.cpp
+++ b/src/routing/Choice.cpp
@@ -288,19 +288,24 @@
         return std::any_of(group.members.begin(), group.members.end(), [&](uint32_t slot) { return isEligible(decision, slot); });
     }
 
+    /// Whether the group has eligible members and, if the model has version shares, a version that may be used with them.
+    bool isFallbackGroup(const Decision& decision, const VersionGroup& group)
+    {
+        const auto& split = decision.router.split;
+        if (hasShares(split, decision.request.pool) && !isFallbackVersion(split, decision.request.pool, decision.request.route, group.version))
+            return false;
+        return hasEligibleMember(decision, group);
+    }
+
     /// Chooses a group with eligible members, at random by member count, when the version pick is empty or has no eligible
     /// member. If the model has version shares, returns null rather than a version without a share.
     const VersionGroup* chooseFallbackGroup(const Decision& decision)
     {
         const auto& pool = decision.pool;
-        const auto& split = decision.router.split;
-        const bool hasSplit = hasShares(split, decision.request.pool);
         uint64_t skip = pool.members ? decision.router.random.below(pool.members) : 0;
         const VersionGroup* out = nullptr;
         for (const auto& group : pool.groups) {
-            if (hasSplit && !isFallbackVersion(split, decision.request.pool, decision.request.route, group.version))
-                continue;
-            if (!hasEligibleMember(decision, group))
+            if (!isFallbackGroup(decision, group))
                 continue;
             out = &group;
             if (skip < group.members.size())
@@ -330,6 +335,16 @@
     }
 }
 
+bool hasCandidate(Router& router, const RouteRequest& request, TimeMs now)
+{
+    const auto it = router.pools.find(request.pool);
+    if (it == router.pools.end())
+        return false;
+    refreshPool(router, it->second);
+    const Decision decision { router, it->second, request, now };
+    return std::any_of(it->second.groups.begin(), it->second.groups.end(), [&](const auto& group) { return isFallbackGroup(decision, group); });
+}
+
 Choice choose(Router& router, const RouteRequest& request, TimeMs now)
 {
     const auto it = router.pools.find(request.pool);
--- a/src/routing/Router.h
+++ b/src/routing/Router.h
@@ -217,6 +217,9 @@
 /// call as sent.
 Choice choose(Router&, const RouteRequest&, TimeMs now);
 
+/// Whether an upstream accepts the call, except those that it avoids. Consumes neither probes nor version credit.
+bool hasCandidate(Router&, const RouteRequest&, TimeMs now);
+
 /// Records a dispatched call, which counts as load until recordEnd().
 void recordSent(Router&, const SentCall&, TimeMs now);
 
