Repeat attempts of a call on fresh connections

What callers saw: a call whose attempts were all lost, one after the other, on pooled connections that their upstreams had closed.

Cause: only once calls and attempts after a silence opened a new connection. Each attempt after the first one does now.

CallReview/RepeatedAttemptOfACallUsesAFreshConnection failed before and passes now.

--- a/src/node/CallFlow.cpp
+++ b/src/node/CallFlow.cpp
@@ -385,7 +385,7 @@
     dispatch.address = call.address;
     dispatch.request = { call.request.method, call.request.target, dispatchHeaders(call),
         call.stream.offset ? withResume(call.request.body, call.stream.offset, forwardedText(call)) : call.request.body };
-    dispatch.freshConnection = call.repeat == Repeat::Once || call.silentUpstream == call.upstream;
+    dispatch.freshConnection = call.repeat == Repeat::Once || call.attempts > 1;
     dispatch.connectTimeout = node.options.settings.timings.connectTimeout;
     dispatch.firstByteTimeout = firstByteTimeout(node, call);
     dispatch.progressTimeout = node.options.settings.timings.progressTimeout;
