Keep the error answer of an upstream when a call cannot be repeated

What callers saw: a 502 of the node in place of the upstream's own 500 or 429 when neither attempts nor the retry budget were left.

Cause: the attempt was cancelled at its response head, before it was known whether another one is possible. The answer is read to its end now, as for forwarded requests, and sent to the caller if there is no retry. Its Retry-After header is kept, and its run status is unknown, as an upstream that answers 429 need not have run the call.

--- a/src/node/CallEvents.cpp
+++ b/src/node/CallEvents.cpp
@@ -45,31 +45,26 @@
     return !upstream || upstream->leavingSince.has_value();
 }
 
-void retryCall(Node& node, NodeCall& call, std::string reason)
+// Takes a retry for a call whose attempt has failed.
+static RetryDecision takeRetry(Node& node, NodeCall& call)
 {
-    const bool possiblySent = call.dispatchState != DispatchState::NothingSent;
-    if (call.repeat == Repeat::Once && possiblySent)
-        return recordUnknown(node, call, std::move(reason));
-    if (call.headForwarded && !canResume(call.stream))
-        return refuseCall(node, call, RefusalCode::UpstreamFailed, "the stream broke and its engine does not number its events: " + reason, retryAfterOf(node, call));
     // The system itself is responsible for calls interrupted by a reclaim, so such a retry is charged neither to the attempts of the
     // call nor to the retry budget.
-    const bool uncharged = isReclaimAnnounced(node, call.upstream) && call.unchargedRetries < maxUnchargedRetries;
-    TimeMs delay { 10 };
-    call.needsRetry = false;
-    if (uncharged)
+    if (isReclaimAnnounced(node, call.upstream) && call.unchargedRetries < maxUnchargedRetries) {
         ++call.unchargedRetries;
-    else {
-        const FailedAttempt failed { .repeat = call.repeat, .possiblySent = possiblySent, .attempts = static_cast<int>(call.attempts - call.unchargedRetries), .deadline = call.deadline, .service = {} };
-        const auto decision = decideRetry(node.retryBudgets[call.route], findRetry(*node.rules, call.route), failed, node.now, node.random);
-        // A caller that already has a part of its stream can wait for the budget.
-        call.needsRetry = call.headForwarded && decision.verdict == RetryVerdict::NoBudget;
-        if (decision.verdict != RetryVerdict::Retry && !call.needsRetry)
-            return refuseCall(node, call, RefusalCode::UpstreamFailed, reason + " (" + std::string(nameOf(decision.verdict)) + ")", retryAfterOf(node, call));
-        delay = decision.delay;
+        node.counters.add("retries_after_reclaim");
+        return { RetryVerdict::Retry, TimeMs { 10 } };
     }
+    const FailedAttempt failed { .repeat = call.repeat, .possiblySent = call.dispatchState != DispatchState::NothingSent, .attempts = static_cast<int>(call.attempts - call.unchargedRetries), .deadline = call.deadline, .service = {} };
+    const auto decision = decideRetry(node.retryBudgets[call.route], findRetry(*node.rules, call.route), failed, node.now, node.random);
+    if (decision.verdict == RetryVerdict::Retry)
+        node.counters.add("retries");
+    return decision;
+}
+
+static void waitForRetry(Node& node, NodeCall& call, TimeMs delay, const std::string& reason)
+{
     explainCall(node, call.stream.offset ? DecisionCode::Resume : DecisionCode::Retry, call, reason + ", after " + std::to_string(call.stream.offset) + " tokens");
-    node.counters.add(uncharged ? "retries_after_reclaim" : "retries");
     if (call.repeat == Repeat::Once)
         return returnToReserved(node, call);
     // The dispatch state stays: an earlier attempt may have run whatever becomes of the next one.
@@ -77,6 +72,30 @@
     call.retryAt = node.now + delay;
 }
 
+void retryCall(Node& node, NodeCall& call, std::string reason)
+{
+    const bool possiblySent = call.dispatchState != DispatchState::NothingSent;
+    if (call.repeat == Repeat::Once && possiblySent)
+        return recordUnknown(node, call, std::move(reason));
+    if (call.headForwarded && !canResume(call.stream))
+        return refuseCall(node, call, RefusalCode::UpstreamFailed, "the stream broke and its engine does not number its events: " + reason, retryAfterOf(node, call));
+    const auto decision = takeRetry(node, call);
+    // A caller that already has a part of its stream can wait for the budget.
+    call.needsRetry = call.headForwarded && decision.verdict == RetryVerdict::NoBudget;
+    if (decision.verdict != RetryVerdict::Retry && !call.needsRetry)
+        return refuseCall(node, call, RefusalCode::UpstreamFailed, reason + " (" + std::string(nameOf(decision.verdict)) + ")", retryAfterOf(node, call));
+    waitForRetry(node, call, decision.delay, reason);
+}
+
+static void recordFailedAttempt(Node& node, NodeCall& call, UpstreamFailure failure, const std::string& detail)
+{
+    addLog(node, LogLevel::Info, "dispatch_failed", Step::Receive, call.upstreamName, std::string(nameOf(failure)) + ": " + detail,
+        { { "call", formatCallId(call.id) }, { "attempt", std::to_string(call.attempts) }, { "rule_line", std::to_string(call.origin.line) } });
+    if (call.isModel)
+        recordMoveOutcome(node, call, true);
+    detachDispatch(node, call, CallEnd::Failed, false);
+}
+
 static void failDispatch(Node& node, NodeCall& call, UpstreamFailure failure, const std::string& detail)
 {
     const bool silent = failure == UpstreamFailure::Silent;
@@ -84,11 +103,7 @@
         node.counters.add("silent_connections");
         node.out.discardedPools.push_back(call.address);
     }
-    addLog(node, LogLevel::Info, "dispatch_failed", Step::Receive, call.upstreamName, std::string(nameOf(failure)) + ": " + detail,
-        { { "call", formatCallId(call.id) }, { "attempt", std::to_string(call.attempts) }, { "rule_line", std::to_string(call.origin.line) } });
-    if (call.isModel)
-        recordMoveOutcome(node, call, true);
-    detachDispatch(node, call, CallEnd::Failed, false);
+    recordFailedAttempt(node, call, failure, detail);
     // A silent connection can be caused by the network path, so the same upstream is tried once more on a new connection.
     if (silent && call.silentUpstream != call.upstream)
         call.silentUpstream = call.upstream;
@@ -113,11 +128,6 @@
         return;
     }
     call.status = event.status;
-    const bool retryable = call.repeat == Repeat::Yes && (event.status >= 500 || event.status == 429);
-    if (retryable) {
-        failAndCancel(node, call, UpstreamFailure::Closed, "status " + std::to_string(event.status));
-        return;
-    }
     const bool streaming = event.status == 200 && isEventStream(event.headers);
     if (call.headForwarded && !streaming) {
         // The caller already has the head of a successful stream, so only a stream can continue it.
@@ -211,8 +221,29 @@
     recordMoveOutcome(node, call, false);
 }
 
+static bool isRetryableError(const NodeCall& call)
+{
+    return call.repeat == Repeat::Yes && !call.streaming && (call.status >= 500 || call.status == 429);
+}
+
+// Repeats the call, or sends the upstream's own answer if that is not possible.
+static void handleErrorAnswer(Node& node, NodeCall& call)
+{
+    const std::string status = "status " + std::to_string(call.status);
+    recordFailedAttempt(node, call, UpstreamFailure::Closed, status);
+    call.avoid.push_back(call.upstream);
+    const auto decision = takeRetry(node, call);
+    if (decision.verdict == RetryVerdict::Retry)
+        return waitForRetry(node, call, decision.delay, call.upstreamName + " failed: " + status);
+    explainCall(node, DecisionCode::Refuse, call, call.upstreamName + " answered with " + status + " (" + std::string(nameOf(decision.verdict)) + ")");
+    answerWhole(node, call, call.status, call.answerHeaders, std::move(call.body));
+    endCall(node, call, nameOf(RefusalCode::UpstreamFailed));
+}
+
 static void handleEnd(Node& node, NodeCall& call)
 {
+    if (isRetryableError(call))
+        return handleErrorAnswer(node, call);
     call.dispatchState = DispatchState::Answered;
     if (call.streaming && !call.stream.done) {
         call.dispatchState = DispatchState::PossiblySent;
--- a/src/node/CallFlow.cpp
+++ b/src/node/CallFlow.cpp
@@ -138,11 +138,11 @@
         return;
     HttpHeaders out;
     for (const auto& [name, value] : headers) {
-        if (equalHeaderNames(name, headers::contentType) || equalHeaderNames(name, "Location") || equalHeaderNames(name, "ETag"))
+        if (equalHeaderNames(name, headers::contentType) || equalHeaderNames(name, "Location") || equalHeaderNames(name, "ETag") || equalHeaderNames(name, headers::retryAfter))
             out.emplace_back(name, value);
     }
     out.emplace_back(headers::call, formatCallId(publicCallId(call)));
-    out.emplace_back(headers::run, std::string(nameOf(RunStatus::Ran)));
+    out.emplace_back(headers::run, std::string(nameOf(runStatusOf(call.dispatchState))));
     if (stored)
         out.emplace_back("Siskinshunt-Stored", "true");
     node.out.answers.push_back({ call.exchange, AnswerPart::Whole, status, std::move(out), std::move(body) });
@@ -415,9 +415,14 @@
 
 static void tickWaiting(Node& node, NodeCall& call)
 {
-    if (node.now < call.retryAt || (call.needsRetry && !tryConsumeRetry(node.retryBudgets[call.route])))
+    if (node.now < call.retryAt)
         return;
-    call.needsRetry = false;
+    if (call.needsRetry) {
+        if (!tryConsumeRetry(node.retryBudgets[call.route]))
+            return;
+        node.counters.add("retries");
+        call.needsRetry = false;
+    }
     if (!tryDispatch(node, call, false))
         call.retryAt = node.now + TimeMs { 50 };
 }
