Check calls only when all received bytes are read

What callers saw: after a stall of the process, 504 for a call whose answer had arrived in time and waited in its socket.

Cause: each event of a socket is a step of the node and ran the periodic tasks when they were due, so the first event after a stall compared the deadlines of all other calls with the new time. Calls are checked now in a step without inputs, which the daemon makes from its timer, as forwarded requests are.

--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -203,7 +203,6 @@
     tickLeader(node);
     tickReclaims(node);
     tickStoredUpstreams(node);
-    tickCalls(node);
     tickForward(node);
     tickControlCalls(node);
     tickDuties(node);
@@ -229,6 +228,9 @@
         node.nextTick = now + node.options.settings.timings.tick;
         tickAll(node);
     }
+    // Deadlines are checked only when all received answers have been processed.
+    if (allInputPassed)
+        tickCalls(node);
     flushGroups(node);
     tickControl(node);
     flushMembership(node);
