--- a/src/node/CallFlow.cpp
+++ b/src/node/CallFlow.cpp
@@ -138,11 +138,11 @@
         return;
     HttpHeaders out;
     for (const auto& [name, value] : headers) {
-        if (equalHeaderNames(name, headers::contentType) || equalHeaderNames(name, "Location") || equalHeaderNames(name, "ETag"))
+        if (equalHeaderNames(name, headers::contentType) || equalHeaderNames(name, "Location") || equalHeaderNames(name, "ETag") || equalHeaderNames(name, headers::retryAfter))
             out.emplace_back(name, value);
     }
     out.emplace_back(headers::call, formatCallId(publicCallId(call)));
-    out.emplace_back(headers::run, std::string(nameOf(RunStatus::Ran)));
+    out.emplace_back(headers::run, std::string(nameOf(runStatusOf(call.dispatchState))));
     if (stored)
         out.emplace_back("Siskinshunt-Stored", "true");
     node.out.answers.push_back({ call.exchange, AnswerPart::Whole, status, std::move(out), std::move(body) });
@@ -385,7 +385,7 @@
     dispatch.address = call.address;
     dispatch.request = { call.request.method, call.request.target, dispatchHeaders(call),
         call.stream.offset ? withResume(call.request.body, call.stream.offset, forwardedText(call)) : call.request.body };
-    dispatch.freshConnection = call.repeat == Repeat::Once || call.silentUpstream == call.upstream;
+    dispatch.freshConnection = call.repeat == Repeat::Once || call.attempts > 1;
     dispatch.connectTimeout = node.options.settings.timings.connectTimeout;
     dispatch.firstByteTimeout = firstByteTimeout(node, call);
     dispatch.progressTimeout = node.options.settings.timings.progressTimeout;
@@ -413,6 +413,20 @@
     return true;
 }
 
+static void tickWaiting(Node& node, NodeCall& call)
+{
+    if (node.now < call.retryAt)
+        return;
+    if (call.needsRetry) {
+        if (!tryConsumeRetry(node.retryBudgets[call.route]))
+            return;
+        node.counters.add("retries");
+        call.needsRetry = false;
+    }
+    if (!tryDispatch(node, call, false))
+        call.retryAt = node.now + TimeMs { 50 };
+}
+
 void tickCalls(Node& node)
 {
     for (auto& [pool, queue] : node.queues) {
@@ -431,13 +445,14 @@
         NodeCall* call = findCall(node, id);
         if (!call || handleDeadline(node, *call))
             continue;
-        const bool waits = call->stage == CallStage::Waiting || call->stage == CallStage::Queued;
+        // The caller of a stream in progress can wait for an engine until the deadline.
+        const bool waits = !call->headForwarded && (call->stage == CallStage::Waiting || call->stage == CallStage::Queued);
         if (waits && poolEmptyTime(node, call->pool) >= emptyPoolTimeout) {
             refuseForEmptyPool(node, *call);
             continue;
         }
-        if (call->stage == CallStage::Waiting && node.now >= call->retryAt && !tryDispatch(node, *call, false))
-            call->retryAt = node.now + TimeMs { 50 };
+        if (call->stage == CallStage::Waiting)
+            tickWaiting(node, *call);
         else if (call->stage == CallStage::Joining || call->stage == CallStage::Recording)
             tickOnceCall(node, *call);
     }
--- a/tests/node/OnceCallTest.cpp
+++ b/tests/node/OnceCallTest.cpp
@@ -77,6 +77,19 @@
     checkFleet(*fleet);
 }
 
+// Guards against a stored answer that is labelled as not run because the request that asked for it ran nothing itself.
+BOOST_AUTO_TEST_CASE(StoredAnswerSaysThatTheCallRan)
+{
+    const auto fleet = makeFleet();
+    for (const size_t n : { 3, 1 }) {
+        const auto caller = fleet->postBooking(n, "stored");
+        BOOST_REQUIRE(waitFor(*fleet, caller, 5_s));
+        BOOST_CHECK_EQUAL(fleet->caller(caller).status, 200);
+        BOOST_CHECK_EQUAL(runStatusOf(fleet->caller(caller)), "ran");
+    }
+    BOOST_CHECK_EQUAL(fleet->executionCount("stored"), 1);
+}
+
 // Guards against answering a reused key with the result of a different request body.
 BOOST_AUTO_TEST_CASE(SameKeyWithAnotherBodyIsRefused)
 {
