--- a/src/forward/ForwardTarget.h
+++ b/src/forward/ForwardTarget.h
@@ -94,6 +94,7 @@
 /// Records that another upstream has answered at its address. The target gets no requests before an announcement with a higher
 /// sequence, which is that of the last one when the request was sent.
 void recordMisdirected(ForwardTargets&, ForwardTarget&, uint64_t sequence, TimeMs now);
+/// Whether recordMisdirected() excludes it.
 bool isMisdirected(const ForwardTarget&);
 
 /// Replaces the load that a node reported.
--- a/src/forward/RetryLimit.h
+++ b/src/forward/RetryLimit.h
@@ -24,7 +24,7 @@
         uint32_t retries = 0;
     };
     std::array<Slice, slices> ring {};
-    TimeMs lastResumableAt; ///< Last first send of a stream that can be resumed.
+    TimeMs lastResumableAt; ///< When a stream that can be resumed was last sent for the first time; 0 if none was.
 };
 
 /// What a retry is for.
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -28,7 +28,7 @@
 
 // Gossip needs this long to spread the record that the node is leaving.
 static constexpr TimeMs leaveSpreadTime { 2000 };
-// Time to write the buffered end of the last answer to a caller that reads slowly.
+// Time before the process ends in which the last answers are written to callers that read slowly.
 static constexpr TimeMs answerFlushTime { 200 };
 
 void NodeDeleter::operator()(Node* node) const
