Use one way to cancel an attempt and one test for event streams

endForwards and handleForwardCallerDisconnect repeated the body of cancelDispatch, and ForwardEvents had a copy of isEventStream of CallEvents. Both now are one function each. No behaviour changes: an attempt's load is released by either order of the same two calls.

--- a/src/node/Answers.cpp
+++ b/src/node/Answers.cpp
@@ -49,4 +49,9 @@
     return found;
 }
 
+bool isEventStream(const HttpHeaders& headers)
+{
+    return findHeader(headers, headers::contentType).starts_with("text/event-stream");
+}
+
 }
--- a/src/node/Answers.h
+++ b/src/node/Answers.h
@@ -15,6 +15,8 @@
 bool tokenMatches(const HttpRequest&, std::string_view sha256);
 /// The bearer token of the request; empty if it has none.
 std::string_view bearerToken(const HttpRequest&);
+/// Whether these are the headers of a stream of events.
+bool isEventStream(const HttpHeaders&);
 /// The operator whose token the request carries; empty if none.
 std::string operatorOf(const Node&, const HttpRequest&);
 
--- a/src/node/CallEvents.cpp
+++ b/src/node/CallEvents.cpp
@@ -14,11 +14,6 @@
 static constexpr uint32_t maxUnchargedRetries = 20;
 static constexpr size_t maxAnswerBytes = 16 << 20;
 
-static bool isEventStream(const HttpHeaders& headers)
-{
-    return findHeader(headers, headers::contentType).starts_with("text/event-stream");
-}
-
 // Whether the answer names another call or attempt than the one that was sent, so that it belongs to another request.
 static bool isCrossed(const NodeCall& call, const HttpHeaders& headers)
 {
--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -1,3 +1,4 @@
+#include "node/Answers.h"
 #include "node/ForwardFlow.h"
 #include "node/VersionOrders.h"
 
@@ -75,8 +76,10 @@
     releaseTarget(node, call);
 }
 
-static void cancelDispatch(Node& node, ForwardCall& call)
+void cancelDispatch(Node& node, ForwardCall& call)
 {
+    if (!call.dispatch)
+        return;
     node.forward.dispatches.erase(call.dispatch);
     node.out.cancels.push_back(call.dispatch);
     releaseTarget(node, call);
@@ -168,11 +171,6 @@
     return call.rule->kind == ForwardKind::Stream && call.status >= 200 && call.status < 300;
 }
 
-static bool isEventStream(const ForwardCall& call)
-{
-    return findHeader(call.headers, "Content-Type").starts_with("text/event-stream");
-}
-
 // Counted once per request, in the usage window in which its run began.
 static void recordUsageOnce(Node& node, ForwardCall& call)
 {
@@ -256,7 +254,7 @@
     if (isStreaming(call)) {
         if (call.prefillTokens > 0 || !call.usageRecorded)
             recordFirstEvent(node, call);
-        if (!call.canResume() && !isEventStream(call))
+        if (!call.canResume() && !isEventStream(call.headers))
             return forwardBody(node, call, std::move(event.bytes));
         std::string events = call.events.push(event.bytes);
         return forwardBody(node, call, call.canResume() ? std::move(events) : std::move(event.bytes));
@@ -361,8 +359,7 @@
 {
     if (node.now >= call.deadline) {
         const bool possiblyExecuted = call.possibleExecutions > 0;
-        if (call.dispatch)
-            cancelDispatch(node, call);
+        cancelDispatch(node, call);
         return refuseForward(node, call, possiblyExecuted ? 504 : 503, "out_of_time", "no answer within the time of the request");
     }
     if (call.stage == ForwardStage::Waiting && node.now >= call.resumeAt && (!call.needsPermit || takePermit(node, call))) {
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -372,10 +372,7 @@
     if (it == node.forward.calls.end())
         return false;
     ForwardCall& call = *it->second;
-    if (call.dispatch) {
-        node.forward.dispatches.erase(call.dispatch);
-        node.out.cancels.push_back(call.dispatch);
-    }
+    cancelDispatch(node, call);
     endForward(node, call, "caller_gone");
     return true;
 }
--- a/src/node/ForwardFlow.h
+++ b/src/node/ForwardFlow.h
@@ -43,6 +43,8 @@
 void clearPendingPrefill(ForwardTarget&, ForwardCall&);
 /// Subtracts the load of the attempt from its target.
 void releaseTarget(Node&, ForwardCall&);
+/// Closes the connection of the attempt, if there is one.
+void cancelDispatch(Node&, ForwardCall&);
 /// Ends the request with an error response of this node. Statuses 503 and 429 state that the request was not run.
 void refuseForward(Node&, ForwardCall&, uint16_t status, const std::string& code, const std::string& text, TimeMs retryAfter = {});
 /// Number of entry nodes that share the limits, including this one.
--- a/src/node/ForwardReport.cpp
+++ b/src/node/ForwardReport.cpp
@@ -144,10 +144,7 @@
     std::sort(ids.begin(), ids.end());
     for (const ExchangeId id : ids) {
         ForwardCall& call = *forward.calls.at(id);
-        if (call.dispatch) {
-            forward.dispatches.erase(call.dispatch);
-            node.out.cancels.push_back(call.dispatch);
-        }
+        cancelDispatch(node, call);
         refuseForward(node, call, call.possibleExecutions ? 504 : 503, "leaving", "the drain limit of this node ends the request");
     }
 }
