--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -82,6 +82,14 @@
     return target.local ? LogLevel::Info : LogLevel::Debug;
 }
 
+// A leaving notice reaches a node directly; by gossip alone it can be late.
+static void logLeavingByGossip(Node& node, const Upstream& upstream)
+{
+    node.counters.add("leaving_learned_by_gossip");
+    addLog(node, LogLevel::Info, "upstream_leaving", Step::Announce, upstream.announced.name, "learned by gossip that the upstream accepts no new work",
+        { { "leaving_ms_ago", upstream.leavingSince ? std::to_string((node.now - *upstream.leavingSince).value) : std::string("-") } });
+}
+
 void updateForwardTarget(Node& node, const Upstream& upstream)
 {
     const auto& announced = upstream.announced;
@@ -108,6 +116,8 @@
         if (announced.address != known->address)
             node.out.discardedPools.push_back(announced.address);
     }
+    if (target.leaving && !target.local && known && !known->leaving)
+        logLeavingByGossip(node, upstream);
     if (!known && isAddressKnown(node.forward.targets, announced.address))
         node.out.discardedPools.push_back(announced.address);
     if (!known)
