--- a/src/soak/NodeFleet.cpp
+++ b/src/soak/NodeFleet.cpp
@@ -47,10 +47,13 @@
         settings.announceTokenSha256 = sha256Hex(announceToken);
         settings.timings.tick = options.tick;
         settings.timings.entryValid = options.entryValid;
+        settings.ledgerGroups = options.ledgerGroups;
         if (n < static_cast<size_t>(options.disks)) {
             settings.dataFolder = "data";
             nodes[n].disk = std::make_unique<FakeDisk>();
             nodes[n].voter = VoterId { 1000 + n };
+        } else if (options.forwards) {
+            settings.listeners.forward = { "127.0.0.1", static_cast<uint16_t>(6000 + n) };
         }
     }
 }
@@ -101,7 +104,7 @@
 void NodeFleet::start(size_t n)
 {
     auto& it = nodes[n];
-    NodeOptions made { .settings = it.settings, .startedAtUtc = now, .seed = random.next(), .voter = it.voter, .recovered = {} };
+    NodeOptions made { .settings = it.settings, .startedAtUtc = now, .seed = random.next(), .voter = it.voter, .recovered = {}, .dialect = options.dialect };
     if (it.disk) {
         it.storage = handle([&] { return Storage::open(*it.disk, { .cluster = hash64(it.settings.cluster) }); },
             [&](const Error& error) { violations.push_back(toString(error)); return std::unique_ptr<Storage>(); });
@@ -229,6 +232,8 @@
     const size_t to = peer.port - firstPeerPort;
     if (peer.port < firstPeerPort || to >= nodes.size() || blockedLinks[from][to] || (datagram && random.chance(loss)))
         return;
+    if (!datagram && losesFrame && losesFrame(from, to, bytes))
+        return;
     Inputs inputs;
     if (datagram)
         inputs.datagrams.push_back({ toString(nodes[from].settings.peer), std::move(bytes) });
@@ -272,7 +277,7 @@
     });
 }
 
-uint64_t NodeFleet::post(size_t n, HttpRequest request)
+uint64_t NodeFleet::post(size_t n, HttpRequest request, ListenerKind listener)
 {
     const uint64_t number = ++m_lastCaller;
     auto& it = callers[number];
@@ -282,7 +287,7 @@
     it.postedAt = now;
     it.lost = !nodes[n].node;
     Inputs inputs;
-    inputs.requests.push_back({ number, std::move(request), "127.0.0.1:9" });
+    inputs.requests.push_back({ number, std::move(request), "127.0.0.1:9", listener });
     scheduleAfter(1_ms, [this, n, generation = it.generation, inputs = std::move(inputs)]() mutable { deliver(n, generation, std::move(inputs)); });
     return number;
 }
--- a/src/soak/NodeFleet.h
+++ b/src/soak/NodeFleet.h
@@ -35,6 +35,10 @@
     uint64_t seed = 1;
     TimeMs tick { 50 };
     TimeMs entryValid { 3000 };
+    uint32_t ledgerGroups = 4;
+    bool forwards = false; ///< The nodes without a data folder accept callers whose requests are forwarded.
+    size_t announceNodes = 0; ///< Upstreams announce themselves to as many nodes, the first ones; 0: to all.
+    std::shared_ptr<const Dialect> dialect;
 };
 
 /// Simulates a fleet in virtual time: real nodes driven by step(), with in-memory links, fake disks and simulated upstreams
@@ -105,7 +109,7 @@
     void reclaim(const std::string& name, TimeMs notice);
 
     /// Posts a request and returns the number of its caller.
-    uint64_t post(size_t node, HttpRequest);
+    uint64_t post(size_t node, HttpRequest, ListenerKind = ListenerKind::Main);
     uint64_t postBooking(size_t node, const std::string& key, const std::string& body = "sound for the main square");
     uint64_t postCompletion(size_t node, bool stream, int tokens);
     uint64_t apply(size_t node, const std::string& requestId, uint64_t expected, const std::string& text, const std::string& operatorName);
@@ -133,6 +137,7 @@
     std::map<std::string, Upstream> upstreams; ///< By address.
     std::map<std::string, Run> runs; ///< Executions by idempotency key.
     std::function<DispatchFault(const UpstreamDispatch&)> fault;
+    std::function<bool(size_t from, size_t to, const std::string& frame)> losesFrame; ///< Frames that are lost with their connection.
     int streamFaultAfter = 2;
     std::map<uint64_t, Caller> callers;
     std::vector<std::string> discardedPools;
--- a/src/soak/NodeFleetUpstreams.cpp
+++ b/src/soak/NodeFleetUpstreams.cpp
@@ -49,10 +49,11 @@
             continue;
         ++it.announced.sequence;
         it.announced.reclaimIn = it.reclaimAt ? std::optional(*it.reclaimAt - now) : std::nullopt;
-        const size_t first = std::stoul(address.substr(address.find(':') + 1)) % nodes.size();
+        const size_t candidates = options.announceNodes ? options.announceNodes : nodes.size();
+        const size_t first = std::stoul(address.substr(address.find(':') + 1)) % candidates;
         int told = 0;
-        for (size_t n = 0; n < nodes.size() && told < 2; ++n) {
-            const size_t to = (first + n) % nodes.size();
+        for (size_t n = 0; n < candidates && told < 2; ++n) {
+            const size_t to = (first + n) % candidates;
             if (!nodes[to].node || nodes[to].frozen)
                 continue;
             ++told;
--- /dev/null
+++ b/tests/node/LeavingNoticeTest.cpp
@@ -0,0 +1,99 @@
+#include "FleetFixture.h"
+
+#include "api/AnnouncementJson.h"
+#include "node/ForwardFlow.h"
+
+namespace siskinshunt {
+
+namespace {
+
+    // Shortest time within which a leaving upstream must get no further requests, on any deployment.
+    constexpr TimeMs drainBound { 2000 };
+
+    // Upstreams announce themselves by POST; DELETE /NAME announces a shutdown.
+    std::shared_ptr<const Dialect> makeTestDialect()
+    {
+        Dialect dialect;
+        dialect.decode = [](const HttpRequest& request, const std::string&) -> ControlCall {
+            if (request.method == "DELETE")
+                return LeaveCall { request.target.substr(1) };
+            return handle([&]() -> Result<ControlCall> {
+                BOOST_LEAF_AUTO(announced, parseAnnouncement(request.body));
+                return ControlCall(AnnounceCall { std::move(announced) }); },
+                [](const Error& error) { return ControlCall(BadCall { 400, error.detail }); });
+        };
+        return std::make_shared<const Dialect>(std::move(dialect));
+    }
+
+    struct EntryFleet {
+        EntryFleet(int entries, int controls, int upstreams)
+            : fleet({ .nodes = controls + entries, .voters = std::min(controls, 7), .disks = controls, .ledgerGroups = 0, .forwards = true, .announceNodes = static_cast<size_t>(controls), .dialect = makeTestDialect() })
+            , controls(static_cast<size_t>(controls))
+        {
+            for (int n = 0; n < upstreams; ++n)
+                fleet.addUpstream("desk-" + std::to_string(n), UpstreamKind::Service, "hire-desk", "lhr-depot");
+            BOOST_REQUIRE(fleet.startCluster());
+            BOOST_REQUIRE(fleet.runUntil([&] { return unaware("desk-0").size() == fleet.nodes.size() - this->controls; }, 20_s));
+            fleet.runFor(5_s);
+        }
+
+        // Entry nodes that would still send to the upstream.
+        std::vector<std::string> unaware(const std::string& name)
+        {
+            std::vector<std::string> out;
+            for (size_t n = controls; n < fleet.nodes.size(); ++n) {
+                const auto& node = fleet.nodes[n].node;
+                const ForwardTarget* target = node ? findTarget(node->forward.targets, idOfName<UpstreamId>(name)) : nullptr;
+                if (target && !target->leaving)
+                    out.push_back(fleet.nodes[n].settings.node);
+            }
+            return out;
+        }
+
+        // Announces that the upstream leaves, at one voter after the other until one acknowledges it, as upstreams do.
+        void leave(const std::string& name)
+        {
+            auto& announced = fleet.upstream(name).announced;
+            announced.leaving = true;
+            ++announced.sequence;
+            for (size_t n = 0; n < 3 * controls; ++n) {
+                const auto call = fleet.post(n % controls, { "POST", "/", {}, toJson(announced) }, ListenerKind::Control);
+                fleet.runUntil([&] { return fleet.caller(call).done; }, 1_s);
+                if (fleet.caller(call).done && fleet.caller(call).status == 200)
+                    return;
+            }
+            BOOST_FAIL("no voter has acknowledged that the upstream leaves");
+        }
+
+        void checkAllAware(const std::string& name)
+        {
+            fleet.runFor(drainBound - 100_ms);
+            const auto left = unaware(name);
+            BOOST_CHECK_MESSAGE(left.empty(), left.size() << " entry nodes still send to " << name << ", among them " << (left.empty() ? "" : left.front()));
+        }
+
+        NodeFleet fleet;
+        size_t controls; ///< Nodes with a data folder, the first ones; they serve the control calls.
+    };
+
+}
+
+BOOST_AUTO_TEST_SUITE(LeavingNotice)
+
+// Guards against an acknowledged leaving notice that reaches only the entry nodes which just restarted voters know of.
+BOOST_AUTO_TEST_CASE(ReachesAllEntryNodesAfterTheVotersRestarted)
+{
+    EntryFleet it(71, 9, 66);
+    for (size_t n = 0; n < it.controls; ++n)
+        it.fleet.kill(n, false);
+    it.fleet.runFor(500_ms);
+    for (size_t n = 0; n < it.controls; ++n)
+        it.fleet.start(n);
+    it.fleet.runFor(4_s);
+    it.leave("desk-0");
+    it.checkAllAware("desk-0");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
