Let entry nodes ask for the leaving notices that they have missed

Callers: on grown deployments, requests were sent to upstreams that had announced that they leave, later than the drain time after the acknowledgement (DRAIN).

Cause: the voter that receives a leaving notice and the decision leader sent it once to the members that they knew to be alive, and acknowledged it on their own word. Voters that have restarted know 18 to 26 of 79 members after half a second and 72 to 77 after 4.5 s, members under suspicion were skipped, and a frame is lost with its connection.

Whoever asks makes itself known, so that nothing depends on the membership that a restarted node has rebuilt. A reply states how old the replier's own knowledge is; a node whose hub fails or is cut off from the leader asks the leader. The broadcast stays as the fast path and includes members under suspicion.

--- /dev/null
+++ b/src/node/CatchUp.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "node/NodeState.h"
+
+namespace siskinshunt {
+
+// A node that has just started does not know all members, and a frame can be lost with its connection, so a broadcast does not
+// reach every node. Each node that forwards requests therefore asks another one several times a second for what it has missed:
+// the nodes of a large fleet ask the hub of their failure domain, the hubs and the nodes of a small fleet the decision leader.
+
+/// Asks for missed notices when it is time.
+void tickCatchUp(Node&);
+void receiveCatchUp(Node&, NodeId from, std::string_view body);
+void receiveCatchUpReply(Node&, NodeId from, std::string_view body);
+
+}
--- a/src/node/ControlCalls.cpp
+++ b/src/node/ControlCalls.cpp
@@ -106,21 +106,21 @@
     answerJson(node, arrived.exchange, 200, node.options.dialect->versionBody(it->second));
 }
 
-// Logs how many members are told, and how many known ones are not because they are not held to be alive.
+// A member under suspicion is told as well: it may only be slow to answer.
 static void broadcastLeaving(Node& node, const LeavingFrame& frame)
 {
     LeavingFrame notification = frame;
     notification.request = 0;
     const std::string body = encode(notification);
     size_t told = 0;
-    for (const NodeId id : liveMembers(node.membership)) {
-        if (id == node.self)
+    for (const auto& [id, member] : node.membership.members) {
+        if (member.status.state > MemberState::Suspect)
             continue;
         sendFrame(node, id, FrameKind::Leaving, {}, body);
         ++told;
     }
     const ForwardTarget* target = findTarget(node.forward.targets, frame.upstream);
-    addLog(node, LogLevel::Info, "leaving_broadcast", Step::Send, target ? target->name : std::string {}, "the live members are told that the upstream accepts no new work",
+    addLog(node, LogLevel::Info, "leaving_broadcast", Step::Send, target ? target->name : std::string {}, "the known members are told that the upstream accepts no new work",
         { { "told", std::to_string(told) }, { "not_alive", std::to_string(node.membership.members.size() - told) } });
 }
 
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -63,17 +63,14 @@
 
 void recordLeaving(Node& node, UpstreamId id, uint64_t incarnation)
 {
-    auto& [known, at] = node.forward.leaving[id];
-    known = std::max(known, incarnation);
-    at = node.now;
-    if (ForwardTarget* target = findTarget(node.forward.targets, id); target && target->incarnation <= known)
+    recordNotice(node.forward.leaving, node.now, { id, incarnation });
+    if (ForwardTarget* target = findTarget(node.forward.targets, id); target && isRecordedLeaving(node, id, target->incarnation))
         target->leaving = true;
 }
 
 bool isRecordedLeaving(const Node& node, UpstreamId id, uint64_t incarnation)
 {
-    const auto it = node.forward.leaving.find(id);
-    return it != node.forward.leaving.end() && incarnation <= it->second.first;
+    return isNoticeRecorded(node.forward.leaving, id, incarnation);
 }
 
 // One line per upstream is enough for the fleet: the node to which it announces itself writes it.
--- a/src/node/ForwardReport.cpp
+++ b/src/node/ForwardReport.cpp
@@ -114,7 +114,7 @@
     expirePeers(forward.allowances, node.now);
     expireParts(forward.parts, node.now);
     expireUsage(forward.usage, node.now);
-    std::erase_if(forward.leaving, [&](const auto& it) { return node.now - it.second.second > leavingRetention; });
+    expireNotices(forward.leaving, node.now, leavingRetention);
 }
 
 void tickForward(Node& node)
--- a/src/node/ForwardState.h
+++ b/src/node/ForwardState.h
@@ -5,6 +5,7 @@
 #include "forward/FleetPlan.h"
 #include "forward/ForwardCall.h"
 #include "forward/ForwardTarget.h"
+#include "forward/LeavingNotices.h"
 #include "forward/LoadSum.h"
 #include "forward/RetryLimit.h"
 #include "forward/TargetChoice.h"
@@ -65,8 +66,7 @@
     LoadHubState hubs;
     TimeMs nextReport;
     TimeMs nextExpiry;
-    /// Upstreams that are leaving, with the last incarnation that this applies to and the time when it was recorded.
-    std::map<UpstreamId, std::pair<uint64_t, TimeMs>> leaving;
+    LeavingNotices leaving;
 };
 
 /// A leave call that waits for the acknowledgement of the decision leader.
@@ -75,6 +75,17 @@
     TimeMs until;
 };
 
+/// What this node has asked other nodes for.
+struct CatchUpState {
+    struct Position {
+        uint64_t process = 0; ///< Process of the other node that numbers its notices.
+        uint64_t number = 0; ///< Its last notice that this node has.
+    };
+    std::map<NodeId, Position> positions;
+    TimeMs currentAt; ///< When this node was last known to have all notices of the decision leader.
+    TimeMs nextAsk;
+};
+
 struct ControlCallState {
     uint64_t lastRequest = 0;
     std::map<uint64_t, PendingLeave> leaves; ///< Waiting for the decision leader, by request number.
--- a/src/node/LoadHubs.cpp
+++ b/src/node/LoadHubs.cpp
@@ -55,7 +55,7 @@
     return out;
 }
 
-static NodeId ownHub(const Node& node)
+NodeId domainHub(const Node& node)
 {
     const auto hubs = hubsByDomain(node);
     const auto it = hubs.find(node.options.settings.failureDomain);
@@ -74,7 +74,7 @@
     auto& forward = node.forward;
     auto& hubs = forward.hubs;
     forward.nextReport = node.now + hubIntervalFor(domainNodeCount(node));
-    const NodeId hub = ownHub(node);
+    const NodeId hub = domainHub(node);
     if (hub != hubs.hub) {
         const Member* member = findMember(node.membership, hub);
         addLog(node, LogLevel::Info, "load_hub", Step::Send, member ? member->identity.name : hub == node.self ? node.options.settings.node
--- a/src/node/LoadHubs.h
+++ b/src/node/LoadHubs.h
@@ -10,6 +10,8 @@
 
 /// Whether there are enough entry nodes to report through hubs.
 bool usesLoadHubs(const Node&);
+/// Returns the hub of this node's failure domain; it can be this node.
+NodeId domainHub(const Node&);
 /// Reports the load of this node to the hub of its failure domain.
 void reportToHub(Node&);
 /// If this node is a hub, sends the sums when they are due.
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -4,6 +4,7 @@
 #include "node/AdminFlow.h"
 #include "node/Bootstrap.h"
 #include "node/CallFlow.h"
+#include "node/CatchUp.h"
 #include "node/ControlCalls.h"
 #include "node/ControlFlow.h"
 #include "node/Duties.h"
@@ -205,6 +206,7 @@
     tickStoredUpstreams(node);
     tickForward(node);
     tickControlCalls(node);
+    tickCatchUp(node);
     tickDuties(node);
     tickVersionOrders(node);
     tickEvidence(node);
--- a/src/node/NodeState.h
+++ b/src/node/NodeState.h
@@ -202,6 +202,7 @@
 
     ForwardState forward;
     ControlCallState controlCalls;
+    CatchUpState catchUp;
     DutyState duties;
     VersionFollowers versionOrders;
 
--- a/src/node/PeerMessages.h
+++ b/src/node/PeerMessages.h
@@ -4,6 +4,7 @@
 #include "base/Ids.h"
 #include "base/TimeMs.h"
 #include "control/DecisionLog.h"
+#include "forward/LeavingNotices.h"
 #include "versions/Evidence.h"
 #include "versions/MoveTypes.h"
 
@@ -42,6 +43,8 @@
     HubReport, ///< A HubReportFrame.
     DomainLoad, ///< A ForwardLoadFrame: the sum over the sender's failure domain.
     FleetLoad, ///< A FleetLoadFrame.
+    CatchUp, ///< A CatchUpFrame.
+    CatchUpReply, ///< A CatchUpReplyFrame.
 };
 
 template <>
@@ -71,6 +74,8 @@
     { FrameKind::HubReport, "hub_report" },
     { FrameKind::DomainLoad, "domain_load" },
     { FrameKind::FleetLoad, "fleet_load" },
+    { FrameKind::CatchUp, "catch_up" },
+    { FrameKind::CatchUpReply, "catch_up_reply" },
 });
 
 /// Asks a voter to propose a command; resent with the same request number until answered.
@@ -215,6 +220,26 @@
     void serialize(Archive& archive) { archive(request, upstream, incarnation); }
 };
 
+/// Asks another node for the leaving notices that it has recorded after those it has sent before.
+struct CatchUpFrame {
+    uint64_t process = 0; ///< The receiver's process that sent the last notice; 0 if none.
+    uint64_t number = 0; ///< Number of that notice.
+    std::string sender; ///< Encoded MemberRecord of the sender, if the receiver may not know it; otherwise empty.
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(process, number, sender); }
+};
+
+struct CatchUpReplyFrame {
+    uint64_t process = 0; ///< Identifies the process that numbers the notices.
+    uint64_t number = 0; ///< Number of the last notice below, or as asked if there is none.
+    TimeMs age; ///< Time since the sender was known to have all notices of the decision leader; 0 at the leader.
+    std::vector<LeavingNotice> notices;
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(process, number, age, notices); }
+};
+
 /// Results of a version on one node and route since the start of the version order.
 struct VersionCounts {
     std::string backend;
--- a/src/node/Peers.cpp
+++ b/src/node/Peers.cpp
@@ -1,5 +1,6 @@
 #include "node/Peers.h"
 
+#include "node/CatchUp.h"
 #include "node/ControlCalls.h"
 #include "node/ControlFlow.h"
 #include "node/Duties.h"
@@ -77,6 +78,10 @@
         return receiveDomainLoad(node, envelope.sender, envelope.body);
     case FrameKind::FleetLoad:
         return receiveFleetLoad(node, envelope.sender, envelope.body);
+    case FrameKind::CatchUp:
+        return receiveCatchUp(node, envelope.sender, envelope.body);
+    case FrameKind::CatchUpReply:
+        return receiveCatchUpReply(node, envelope.sender, envelope.body);
     case FrameKind::Usage:
         return receiveUsage(node, envelope.sender, envelope.body);
     case FrameKind::Leaving:
--- a/src/soak/NodeFleet.cpp
+++ b/src/soak/NodeFleet.cpp
@@ -52,6 +52,8 @@
             settings.dataFolder = "data";
             nodes[n].disk = std::make_unique<FakeDisk>();
             nodes[n].voter = VoterId { 1000 + n };
+            if (options.forwards)
+                settings.listeners.control = { "127.0.0.1", static_cast<uint16_t>(5000 + n) };
         } else if (options.forwards) {
             settings.listeners.forward = { "127.0.0.1", static_cast<uint16_t>(6000 + n) };
         }
--- a/tests/node/LeavingNoticeTest.cpp
+++ b/tests/node/LeavingNoticeTest.cpp
@@ -78,7 +78,7 @@
 
 }
 
-BOOST_AUTO_TEST_SUITE(LeavingNotice)
+BOOST_AUTO_TEST_SUITE(Leaving)
 
 // Guards against an acknowledged leaving notice that reaches only the entry nodes which just restarted voters know of.
 BOOST_AUTO_TEST_CASE(ReachesAllEntryNodesAfterTheVotersRestarted)
@@ -94,6 +94,52 @@
     it.checkAllAware("desk-0");
 }
 
+// Guards against a leaving notice that is lost with the connections to some entry nodes, which nobody tells again: gossip may take
+// longer than the drain time. Datagrams are lost, too, so that gossip does not hide it.
+static void checkLostBroadcast(int entries)
+{
+    EntryFleet it(entries, 3, 6);
+    it.fleet.loss = 1;
+    const size_t first = it.fleet.nodes.size() - 2;
+    it.fleet.losesFrame = [&](size_t, size_t to, const std::string&) { return to >= first; };
+    it.leave("desk-0");
+    it.fleet.runFor(100_ms);
+    BOOST_CHECK_EQUAL(it.unaware("desk-0").size(), 2U);
+    it.fleet.losesFrame = nullptr;
+    it.checkAllAware("desk-0");
+}
+
+BOOST_AUTO_TEST_CASE(ReachesNodesOfASmallFleetThatLoseTheBroadcast)
+{
+    checkLostBroadcast(4);
+}
+
+BOOST_AUTO_TEST_CASE(ReachesNodesOfALargeFleetThatLoseTheBroadcast)
+{
+    checkLostBroadcast(20);
+}
+
+// Guards against entry nodes that rely on a hub which is alive but cut off from the decision leader.
+BOOST_AUTO_TEST_CASE(ReachesNodesWhoseHubIsCutOffFromTheLeader)
+{
+    EntryFleet it(20, 3, 6);
+    const size_t leader = it.fleet.decisionLeader();
+    BOOST_REQUIRE_LT(leader, it.controls);
+    const size_t hub = (leader + 1) % it.controls;
+    for (size_t n = 0; n < it.controls; ++n) {
+        it.fleet.setLinkBlocked(hub, n, true);
+        it.fleet.setLinkBlocked(n, hub, true);
+    }
+    it.fleet.runFor(5_s);
+    it.fleet.loss = 1;
+    it.fleet.losesFrame = [&](size_t from, size_t to, const std::string&) { return from < it.controls && to >= it.controls && from != hub; };
+    it.leave("desk-0");
+    it.fleet.runFor(100_ms);
+    BOOST_CHECK_EQUAL(it.unaware("desk-0").size(), 20U);
+    it.fleet.losesFrame = nullptr;
+    it.checkAllAware("desk-0");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
