Acknowledge a resent leaving notice only with the decision leader

Callers: requests could reach an upstream after its leaving notice was acknowledged.

Cause: an announcement whose sequence the voter had already received was taken for a delayed one and answered with 200 at once. An upstream that got 503, because the leader had not confirmed its notice, sends the same notice again, and the second answer claimed what the first one had denied.

The notice is now passed on each time. A delayed one is harmless: it applies to the incarnation that it names and to earlier ones.

Evidence: ResentNoticeIsNotAcknowledgedWithoutTheLeader got 200 instead of 503 for the second announcement before, and passes now.

--- a/src/node/ControlCalls.cpp
+++ b/src/node/ControlCalls.cpp
@@ -196,7 +196,6 @@
     const auto id = idOfName<UpstreamId>(announced.name);
     const Upstream* known = findUpstream(node.membership.upstreams, id);
     const bool wasLeaving = isRecordedLeaving(node, id, announced.incarnation) || (known && known->announced.incarnation == announced.incarnation && known->announced.leaving);
-    const bool outdated = known && (announced.incarnation < known->announced.incarnation || (announced.incarnation == known->announced.incarnation && announced.sequence <= known->localSequence));
     // A delayed announcement does not cancel the leaving state of an upstream.
     const bool announcesLeaving = announced.leaving;
     announced.leaving = announced.leaving || wasLeaving;
@@ -205,7 +204,8 @@
         return handleCall(node, arrived, BadCall { 400, "the announcement was refused: " + std::string(nameOf(upsert)) });
     if (const Upstream* upstream = findUpstream(node.membership.upstreams, id))
         updateForwardTarget(node, *upstream);
-    if (announcesLeaving && !outdated)
+    // An upstream resends a notice that was not acknowledged; a delayed one still applies to its incarnation.
+    if (announcesLeaving)
         return propagateLeaving(node, arrived.exchange, id, announced.incarnation);
     answerJson(node, arrived.exchange, 200, "{}");
 }
--- a/tests/node/LeavingNoticeTest.cpp
+++ b/tests/node/LeavingNoticeTest.cpp
@@ -50,6 +50,14 @@
             return out;
         }
 
+        // Status of the announcement's answer; 0 if there is none within a second, after which upstreams try another node.
+        uint16_t announceAt(size_t node, const Announcement& announced)
+        {
+            const auto call = fleet.post(node, { "POST", "/", {}, toJson(announced) }, ListenerKind::Control);
+            fleet.runUntil([&] { return fleet.caller(call).done; }, 1_s);
+            return fleet.caller(call).done ? fleet.caller(call).status : uint16_t {};
+        }
+
         // Announces that the upstream leaves, at one voter after the other until one acknowledges it, as upstreams do.
         void leave(const std::string& name)
         {
@@ -57,9 +65,7 @@
             announced.leaving = true;
             ++announced.sequence;
             for (size_t n = 0; n < 3 * controls; ++n) {
-                const auto call = fleet.post(n % controls, { "POST", "/", {}, toJson(announced) }, ListenerKind::Control);
-                fleet.runUntil([&] { return fleet.caller(call).done; }, 1_s);
-                if (fleet.caller(call).done && fleet.caller(call).status == 200)
+                if (announceAt(n % controls, announced) == 200)
                     return;
             }
             BOOST_FAIL("no voter has acknowledged that the upstream leaves");
@@ -140,6 +146,23 @@
     it.checkAllAware("desk-0");
 }
 
+// Guards against a leaving notice that is acknowledged because it was sent before, although the decision leader has not heard of it.
+BOOST_AUTO_TEST_CASE(ResentNoticeIsNotAcknowledgedWithoutTheLeader)
+{
+    EntryFleet it(4, 3, 2);
+    const size_t leader = it.fleet.decisionLeader();
+    BOOST_REQUIRE_LT(leader, it.controls);
+    const size_t other = (leader + 1) % it.controls;
+    auto& announced = it.fleet.upstream("desk-0").announced;
+    announced.leaving = true;
+    ++announced.sequence;
+    it.fleet.losesFrame = [&](size_t from, size_t to, const std::string&) { return from == other && to == leader; };
+    BOOST_CHECK_EQUAL(it.announceAt(other, announced), 503U);
+    BOOST_CHECK_EQUAL(it.announceAt(other, announced), 503U);
+    it.fleet.losesFrame = nullptr;
+    BOOST_CHECK_EQUAL(it.announceAt(other, announced), 200U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
