Tell entry nodes of a newer view when they ask for missed notices

The notice of a new view goes to the entry nodes that its voter knows; the others had gossip only. A requested view whose frame was lost was requested again only after gossip showed the newer index.

The reply to a node that asks for missed leaving notices now also names the index of the view, and a view that has not arrived 700 ms after it was requested is requested again.

--- a/src/node/CatchUp.cpp
+++ b/src/node/CatchUp.cpp
@@ -1,6 +1,7 @@
 #include "node/CatchUp.h"
 
 #include "membership/Messages.h"
+#include "node/ControlFlow.h"
 #include "node/ForwardFlow.h"
 #include "node/ForwardReport.h"
 #include "node/LeaderFlow.h"
@@ -68,7 +69,7 @@
     const uint64_t after = frame.process == node.owner.incarnation ? frame.number : 0;
     auto range = noticesAfter(node.forward.leaving, after, maxNotices);
     const TimeMs age = node.leadsDecisions ? TimeMs {} : node.now - node.catchUp.currentAt;
-    const CatchUpReplyFrame reply { node.owner.incarnation, range.lastNumber, age, std::move(range.notices) };
+    const CatchUpReplyFrame reply { node.owner.incarnation, range.lastNumber, age, std::move(range.notices), node.view.index };
     sendFrame(node, from, FrameKind::CatchUpReply, {}, encode(reply));
 }
 
@@ -80,6 +81,7 @@
     auto& catchUp = node.catchUp;
     catchUp.currentAt = std::max(catchUp.currentAt, node.now - std::max(frame.age, TimeMs {}));
     catchUp.positions[from] = { frame.process, frame.number };
+    fetchNewerView(node, from, frame.viewIndex);
     for (const auto& notice : frame.notices) {
         if (isRecordedLeaving(node, notice.upstream, notice.incarnation))
             continue;
--- a/src/node/ControlFlow.cpp
+++ b/src/node/ControlFlow.cpp
@@ -18,6 +18,8 @@
 
 // Interval between requests to a member that holds a newer view.
 static constexpr TimeMs fetchInterval { 300 };
+// A view that was requested and has not arrived after this time is requested again.
+static constexpr TimeMs viewTimeout { 700 };
 
 static void recordDirective(Node& node, uint64_t index, const MoveDirective& directive)
 {
@@ -184,6 +186,7 @@
     if (node.viewBeingStored && member->status.directive <= node.viewBeingStored->index)
         return;
     node.requestedIndex = member->status.directive;
+    node.requestedAt = node.now;
     sendFrame(node, id, FrameKind::FetchView, {}, encode(FetchViewFrame { node.view.index }));
 }
 
@@ -200,10 +203,16 @@
 
 void receiveViewNotice(Node& node, NodeId from, std::string_view body)
 {
-    const auto frame = decodeOr<FetchViewFrame>(body, 64);
-    if (frame.viewIndex <= std::max(node.view.index, node.requestedIndex))
+    fetchNewerView(node, from, decodeOr<FetchViewFrame>(body, 64).viewIndex);
+}
+
+void fetchNewerView(Node& node, NodeId from, uint64_t index)
+{
+    const bool isRequested = index <= node.requestedIndex && node.now - node.requestedAt < viewTimeout;
+    if (index <= node.view.index || isRequested || (node.viewBeingStored && index <= node.viewBeingStored->index))
         return;
-    node.requestedIndex = frame.viewIndex;
+    node.requestedIndex = index;
+    node.requestedAt = node.now;
     sendFrame(node, from, FrameKind::FetchView, {}, encode(FetchViewFrame { node.view.index }));
 }
 
--- a/src/node/NodeState.h
+++ b/src/node/NodeState.h
@@ -150,6 +150,7 @@
     std::shared_ptr<const RuleSet> rules; ///< Rules in force; null until a view has been adopted.
     ControlView view;
     uint64_t requestedIndex = 0; ///< Highest view index requested from other nodes.
+    TimeMs requestedAt; ///< When it was requested.
     TimeMs nextFetch;
     std::optional<ControlView> viewToStore; ///< A newer view that waits until `viewBeingStored` is on disk.
     std::optional<ControlView> viewBeingStored;
--- a/src/node/PeerMessages.h
+++ b/src/node/PeerMessages.h
@@ -220,7 +220,7 @@
     void serialize(Archive& archive) { archive(request, upstream, incarnation); }
 };
 
-/// Asks another node for the leaving notices that it has recorded after those it has sent before.
+/// Asks another node for the leaving notices that it has recorded after those it has sent before, and for the index of its view.
 struct CatchUpFrame {
     uint64_t process = 0; ///< The receiver's process that sent the last notice; 0 if none.
     uint64_t number = 0; ///< Number of that notice.
@@ -235,9 +235,10 @@
     uint64_t number = 0; ///< Number of the last notice below, or as asked if there is none.
     TimeMs age; ///< Time since the sender was known to have all notices of the decision leader; 0 at the leader.
     std::vector<LeavingNotice> notices;
+    uint64_t viewIndex = 0; ///< Index of the sender's control view.
 
     template <class Archive>
-    void serialize(Archive& archive) { archive(process, number, age, notices); }
+    void serialize(Archive& archive) { archive(process, number, age, notices, viewIndex); }
 };
 
 /// Results of a version on one node and route since the start of the version order.
--- a/tests/node/LeavingNoticeTest.cpp
+++ b/tests/node/LeavingNoticeTest.cpp
@@ -163,6 +163,22 @@
     BOOST_CHECK_EQUAL(it.announceAt(other, announced), 200U);
 }
 
+// Guards against rules that are acknowledged and not in force on an entry node for which its voter's notice was lost, with the
+// connection, while gossip is slow.
+BOOST_AUTO_TEST_CASE(RulesReachNodesThatLoseTheNotice)
+{
+    EntryFleet it(20, 3, 2);
+    it.fleet.loss = 1;
+    const size_t first = it.fleet.nodes.size() - 2;
+    it.fleet.losesFrame = [&](size_t, size_t to, const std::string&) { return to >= first; };
+    const auto applied = it.fleet.apply(0, "next", 1, NodeFleet::rulesText("next"), "omar");
+    BOOST_REQUIRE(waitFor(it.fleet, applied, 3_s));
+    it.fleet.runFor(100_ms);
+    BOOST_REQUIRE(!it.fleet.agreeOnRevision(2));
+    it.fleet.losesFrame = nullptr;
+    BOOST_CHECK(it.fleet.runUntil([&] { return it.fleet.agreeOnRevision(2); }, drainBound - 100_ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
