--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace siskinshunt {
 
@@ -15,6 +16,12 @@
     return n;
 }
 
+std::optional<double> parseRateLimit(std::string_view text)
+{
+    const auto rate = parseNumber<double>(text);
+    return rate && std::isfinite(*rate) && *rate >= 0 ? rate : std::nullopt;
+}
+
 static void parseTokenCounts(std::string_view text, ForwardMetadata& metadata)
 {
     const auto comma = text.find(',');
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -92,6 +92,9 @@
     std::vector<PromptPart> parts;
 };
 
+/// Parses a number of requests per second; none if the text is not a decimal number of at least 0.
+std::optional<double> parseRateLimit(std::string_view text);
+
 ForwardMetadata parseForwardMetadata(const HttpHeaders&, const HeaderNames&);
 
 /// Returns the request as sent to upstreams: without the caller's key, hop-by-hop headers and headers that only the system
--- a/src/forward/ForwardTarget.cpp
+++ b/src/forward/ForwardTarget.cpp
@@ -73,6 +73,7 @@
         next.failureRateWeight = entry.failureRateWeight;
         next.backoffUntil = entry.backoffUntil;
         next.backoffDuration = entry.backoffDuration;
+        next.limit = entry.limit;
     }
     next.own = entry.own;
     next.others = entry.others;
--- a/src/forward/ForwardTarget.h
+++ b/src/forward/ForwardTarget.h
@@ -45,6 +45,12 @@
     }
 };
 
+/// Limit of the requests that an upstream takes, as it names it in its answers.
+struct TargetLimit {
+    std::optional<double> perSecond; ///< From all nodes together; none while its answers name no limit.
+    TimeMs changedAt; ///< Arrival of the first answer with this limit, or of the first without one.
+};
+
 /// An upstream as the target of forwarded requests: its announcement, the load sent to it, and its health.
 struct ForwardTarget {
     UpstreamId id;
@@ -73,6 +79,7 @@
     double failureRateWeight = 0; ///< Number of responses in the average, limited to its time constant.
     TimeMs backoffUntil; ///< Gets no requests before, unless all other targets are backed off, too.
     TimeMs backoffDuration; ///< Length of the last backoff; doubles each time.
+    TargetLimit limit;
 };
 
 /// All upstreams of the forwarding rules.
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -252,6 +252,8 @@
     call.silenceLogged = false;
     call.sentAt = node.now;
     call.tried.push_back(target.id);
+    if (known.limit.perSecond)
+        node.counters.add("forward_sent_to_limited");
     known.own.running += 1;
     known.own.prefillTokens[static_cast<size_t>(call.urgency)] += choice.prefillTokens;
     if (known.engine)
