Show that an upstream's limit does not hold over the entry nodes

A fleet of 8 and one of 72 entry nodes, the most of any deployment, send to an upstream that names 2.1 requests a second.

--- a/src/soak/NodeFleet.h
+++ b/src/soak/NodeFleet.h
@@ -138,6 +138,8 @@
     std::map<std::string, Run> runs; ///< Executions by idempotency key.
     std::function<DispatchFault(const UpstreamDispatch&)> fault;
     std::function<bool(size_t from, size_t to, const std::string& frame)> losesFrame; ///< Frames that are lost with their connection.
+    /// Headers of the answer to a forwarded request; without a value, the dispatch is one of the fleet's own calls.
+    std::function<std::optional<HttpHeaders>(size_t node, const UpstreamDispatch&)> forwardAnswer;
     int streamFaultAfter = 2;
     std::map<uint64_t, Caller> callers;
     std::vector<std::string> discardedPools;
--- a/src/soak/NodeFleetUpstreams.cpp
+++ b/src/soak/NodeFleetUpstreams.cpp
@@ -95,6 +95,11 @@
         return fail(key, 1_ms, UpstreamFailure::ConnectFailed);
     found->second.dispatches.emplace_back(now, findHeader(request.request.headers, headers::call));
     report(key, 1_ms, { .kind = UpstreamEventKind::Sending });
+    if (const auto headers = forwardAnswer ? forwardAnswer(n, request) : std::nullopt) {
+        report(key, found->second.latency, { .kind = UpstreamEventKind::Head, .status = 200, .headers = *headers });
+        report(key, found->second.latency, { .kind = UpstreamEventKind::Body, .bytes = "done" });
+        return report(key, found->second.latency, { .kind = UpstreamEventKind::End });
+    }
     scheduleAfter(2_ms, [this, key, request = std::move(request), dispatchFault] { runDispatch(key, request, dispatchFault); });
 }
 
--- /dev/null
+++ b/tests/node/UpstreamLimitTest.cpp
@@ -0,0 +1,133 @@
+#include "FleetFixture.h"
+#include "ForwardFixture.h"
+
+#include <cmath>
+#include <deque>
+
+namespace siskinshunt {
+
+namespace {
+
+    const std::string rateLimitHeader = "Siskinshunt-Rate-Limit";
+
+    // Time from the first answer that names a limit until the limit binds, on the deployment with the shortest one.
+    constexpr TimeMs limitBindsAfter { 3000 };
+    // A node counts from this time after its first answer that names the limit.
+    constexpr TimeMs nodeCountsAfter { 500 };
+    constexpr TimeMs limitWindow { 4000 };
+
+    double allowedInWindow(double perSecond)
+    {
+        return 1.5 * perSecond * limitWindow.seconds() + 5;
+    }
+
+    // A fleet of entry nodes, each with callers; the upstream "desk-0" names a limit in its answers.
+    struct LimitFleet {
+        LimitFleet(int entries, int controls, int upstreams)
+            : fleet({ .nodes = controls + entries, .voters = std::min(controls, 7), .disks = controls, .ledgerGroups = 0, .forwards = true, .announceNodes = static_cast<size_t>(controls) })
+            , controls(static_cast<size_t>(controls))
+        {
+            for (int n = 0; n < upstreams; ++n)
+                fleet.addUpstream("desk-" + std::to_string(n), UpstreamKind::Service, "desk", "lhr-depot");
+            BOOST_REQUIRE(fleet.startCluster());
+            const auto applied = fleet.apply(0, "forwards", 1, ForwardNode::rulesText(), "omar");
+            BOOST_REQUIRE(waitFor(fleet, applied, 6_s));
+            BOOST_REQUIRE(fleet.runUntil([&] { return fleet.agreeOnRevision(2); }, 5_s));
+            fleet.forwardAnswer = [this](size_t node, const UpstreamDispatch& dispatch) { return answer(node, dispatch); };
+            fleet.runFor(5_s);
+        }
+
+        std::optional<HttpHeaders> answer(size_t node, const UpstreamDispatch& dispatch)
+        {
+            HttpHeaders headers { { names.requestId, dispatch.idValue }, { names.receipt, "proof" } };
+            if (dispatch.address != fleet.upstream("desk-0").announced.address)
+                return headers;
+            ++arrivals;
+            if (!perSecond)
+                return headers;
+            headers.emplace_back(rateLimitHeader, *perSecond);
+            if (const auto told = toldAt.find(node); told != toldAt.end() && fleet.now - told->second >= nodeCountsAfter && fleet.now - namedAt >= limitBindsAfter)
+                countArrival();
+            toldAt.try_emplace(node, fleet.now + fleet.upstream("desk-0").latency);
+            return headers;
+        }
+
+        void countArrival()
+        {
+            window.push_back(fleet.now);
+            while (fleet.now - window.front() > limitWindow)
+                window.pop_front();
+            most = std::max(most, window.size());
+        }
+
+        // Each entry node gets a request every `interval` on average.
+        void sendRequests(TimeMs duration, TimeMs interval)
+        {
+            for (const TimeMs end = fleet.now + duration; fleet.now < end; fleet.runFor(10_ms)) {
+                for (size_t n = controls; n < fleet.nodes.size(); ++n) {
+                    if (fleet.nodes[n].node && fleet.random.chance(10 / static_cast<double>(interval.value)))
+                        callers.push_back(fleet.post(n, { "GET", "/look/1", { { "Host", "h" }, { names.requestId, "r" + std::to_string(++requests) } }, {} }, ListenerKind::Forward));
+                }
+            }
+        }
+
+        void nameLimit(const std::string& rate)
+        {
+            perSecond = rate;
+            namedAt = fleet.now;
+            toldAt.clear();
+            window.clear();
+            most = 0;
+            arrivals = 0;
+        }
+
+        size_t refusals()
+        {
+            return static_cast<size_t>(std::count_if(callers.begin(), callers.end(), [&](uint64_t it) { return fleet.caller(it).done && fleet.caller(it).status != 200; }));
+        }
+
+        HeaderNames names;
+        NodeFleet fleet;
+        size_t controls;
+        std::optional<std::string> perSecond;
+        TimeMs namedAt;
+        std::map<size_t, TimeMs> toldAt; ///< By node: its first answer that named the limit.
+        std::deque<TimeMs> window; ///< Arrivals that count, of the last window.
+        size_t most = 0; ///< Highest number of arrivals in a window.
+        size_t arrivals = 0;
+        uint64_t requests = 0;
+        std::vector<uint64_t> callers;
+    };
+
+}
+
+BOOST_AUTO_TEST_SUITE(UpstreamLimit)
+
+// Guards against an upstream that names a limit in its answers and goes on to get its share of all requests, on a fleet as
+// large as the largest deployment: each node alone sends little, all together far too much.
+static void checkLimit(int entries, int controls, int upstreams, const std::string& rate, TimeMs interval)
+{
+    LimitFleet it(entries, controls, upstreams);
+    it.sendRequests(2_s, interval);
+    it.nameLimit(rate);
+    it.sendRequests(20_s, interval);
+    const double perSecond = std::stod(rate);
+    BOOST_CHECK_LE(static_cast<double>(it.most), allowedInWindow(perSecond));
+    // What the limit allows is used, and the requests that it keeps away go to the other upstreams.
+    BOOST_CHECK_GE(static_cast<double>(it.arrivals), perSecond * 20 / 2);
+    BOOST_CHECK_EQUAL(it.refusals(), 0U);
+}
+
+BOOST_AUTO_TEST_CASE(HoldsForASmallFleet)
+{
+    checkLimit(8, 5, 6, "2.1", 50_ms);
+}
+
+BOOST_AUTO_TEST_CASE(HoldsForALargeFleet)
+{
+    checkLimit(72, 9, 20, "2.1", 150_ms);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
