Share the limit that an upstream names among the entry nodes

Callers and upstreams: an upstream in need that named how many requests a second it takes went on to get its share of all requests (LIMIT; 26 and 27 in 4 s at 2.1 a second, allowed 18).

Class: a limit over all nodes that no node knows, or that each would apply alone. A share of 2.1 requests a second for each of 72 nodes would not help either: with one request each they send 72 at once.

A node that gets an answer with a limit tells the others with its load reports, the newest answer wins, and an answer without a limit ends it. As many nodes as the limit allows requests in a second, and two more, share it as token buckets; all nodes choose the same ones by rendezvous hashing over the entry nodes, different ones for each upstream, and the others send nothing. Every attempt counts, also retries and resumed streams. What only such upstreams could take is refused at once, with the time until this node may send again.

Evidence: UpstreamLimit/HoldsForASmallFleet and HoldsForALargeFleet (72 entry nodes, as on the largest deployment) got 120 and 126 requests in a window of 4 s before, allowed 17, and pass now with no request refused and at least half of the limit used.

--- a/src/forward/ForwardTarget.h
+++ b/src/forward/ForwardTarget.h
@@ -2,6 +2,7 @@
 
 #include "base/Ids.h"
 #include "base/TimeMs.h"
+#include "forward/TargetLimit.h"
 
 #include <algorithm>
 #include <array>
@@ -45,12 +46,6 @@
     }
 };
 
-/// Limit of the requests that an upstream takes, as it names it in its answers.
-struct TargetLimit {
-    std::optional<double> perSecond; ///< From all nodes together; none while its answers name no limit.
-    TimeMs changedAt; ///< Arrival of the first answer with this limit, or of the first without one.
-};
-
 /// An upstream as the target of forwarded requests: its announcement, the load sent to it, and its health.
 struct ForwardTarget {
     UpstreamId id;
--- a/src/forward/TargetChoice.cpp
+++ b/src/forward/TargetChoice.cpp
@@ -26,9 +26,9 @@
 
 }
 
-static bool isEligible(const ForwardTarget& target, const ChoiceRequest& request)
+static bool isEligible(const ForwardTarget& target, const ChoiceRequest& request, TimeMs now)
 {
-    if (target.leaving || target.addressTaken || isMisdirected(target) || std::find(request.tried.begin(), request.tried.end(), target.id) != request.tried.end())
+    if (target.leaving || !canSend(target.limit, now) || target.addressTaken || isMisdirected(target) || std::find(request.tried.begin(), request.tried.end(), target.id) != request.tried.end())
         return false;
     return !request.allowed || request.allowed(target);
 }
@@ -92,10 +92,24 @@
     const auto ids = table.byBackend.find(request.backend);
     return ids != table.byBackend.end() && std::any_of(ids->second.begin(), ids->second.end(), [&](UpstreamId id) {
         const auto it = table.entries.find(id);
-        return it != table.entries.end() && isEligible(it->second, request) && isHealthy(it->second, options, now);
+        return it != table.entries.end() && isEligible(it->second, request, now) && isHealthy(it->second, options, now);
     });
 }
 
+std::optional<TimeMs> timeUntilLimitedTarget(const ForwardTargets& table, const std::string& backend, TimeMs now)
+{
+    const auto ids = table.byBackend.find(backend);
+    std::optional<TimeMs> earliest;
+    for (const UpstreamId id : ids == table.byBackend.end() ? std::vector<UpstreamId> {} : ids->second) {
+        const auto it = table.entries.find(id);
+        if (it == table.entries.end() || it->second.leaving || !it->second.limit.perSecond)
+            continue;
+        if (const auto wait = timeUntilSend(it->second.limit, now))
+            earliest = std::min(earliest.value_or(*wait), *wait);
+    }
+    return earliest;
+}
+
 std::optional<TargetChoice> chooseTarget(const ForwardTargets& table, const PromptPartIndex& index, const ChoiceOptions& options, const ChoiceRequest& request, TimeMs now, Random& random)
 {
     const auto ids = table.byBackend.find(request.backend);
@@ -105,7 +119,7 @@
     std::vector<const ForwardTarget*> unhealthy;
     for (const UpstreamId id : ids->second) {
         const auto it = table.entries.find(id);
-        if (it == table.entries.end() || !isEligible(it->second, request))
+        if (it == table.entries.end() || !isEligible(it->second, request, now))
             continue;
         (isHealthy(it->second, options, now) ? healthy : unhealthy).push_back(&it->second);
     }
--- /dev/null
+++ b/src/forward/TargetLimit.cpp
@@ -0,0 +1,70 @@
+#include "forward/TargetLimit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace siskinshunt {
+
+// Requests that all nodes together may send at once: a multiple of the rate in seconds, plus a constant. The platform tolerates
+// twice the rate and 5; the rest is for nodes that do not agree for a moment on who sends.
+static constexpr double burstSeconds = 1.5;
+static constexpr double burstRequests = 2;
+// Least rate, for an upstream that names a limit of zero: without any request nobody learns that the limit has ended.
+static constexpr double minPerSecond = 0.2;
+
+static size_t sharingNodeCount(double perSecond, size_t nodes)
+{
+    return std::min(nodes, static_cast<size_t>(std::min(perSecond, 1e6) + burstRequests));
+}
+
+// Position of `self` among the nodes in the order of their hashes with the upstream.
+static size_t rankOf(UpstreamId upstream, NodeId self, const std::vector<NodeId>& nodes)
+{
+    const uint64_t own = combineHash(upstream.value, self.value);
+    return static_cast<size_t>(std::count_if(nodes.begin(), nodes.end(), [&](NodeId id) { return combineHash(upstream.value, id.value) > own; }));
+}
+
+static double levelAt(const TargetLimit& limit, TimeMs now)
+{
+    return std::min(limit.burst, limit.level + limit.share * std::max(now - limit.updatedAt, TimeMs {}).seconds());
+}
+
+void setShare(TargetLimit& limit, TimeMs now, UpstreamId upstream, NodeId self, const std::vector<NodeId>& nodes)
+{
+    limit.level = levelAt(limit, now);
+    limit.updatedAt = now;
+    limit.share = limit.burst = 0;
+    if (limit.perSecond && std::find(nodes.begin(), nodes.end(), self) != nodes.end()) {
+        const double perSecond = std::max(*limit.perSecond, minPerSecond);
+        const size_t sharing = sharingNodeCount(perSecond, nodes.size());
+        if (rankOf(upstream, self, nodes) < sharing) {
+            limit.share = perSecond / static_cast<double>(sharing);
+            limit.burst = std::max(1.0, (perSecond * burstSeconds + burstRequests) / static_cast<double>(sharing));
+        }
+    }
+    limit.level = std::min(limit.level, limit.burst);
+}
+
+bool canSend(const TargetLimit& limit, TimeMs now)
+{
+    return !limit.perSecond || levelAt(limit, now) >= 1;
+}
+
+void recordSend(TargetLimit& limit, TimeMs now)
+{
+    if (!limit.perSecond)
+        return;
+    limit.level = levelAt(limit, now) - 1;
+    limit.updatedAt = now;
+}
+
+std::optional<TimeMs> timeUntilSend(const TargetLimit& limit, TimeMs now)
+{
+    if (canSend(limit, now))
+        return TimeMs {};
+    if (limit.share <= 0)
+        return std::nullopt;
+    return TimeMs { static_cast<int64_t>(std::ceil((1 - levelAt(limit, now)) / limit.share * 1000)) };
+}
+
+}
--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -1,5 +1,6 @@
 #include "node/Answers.h"
 #include "node/ForwardFlow.h"
+#include "node/UpstreamLimits.h"
 #include "node/VersionOrders.h"
 
 #include <algorithm>
@@ -180,39 +181,13 @@
     recordUsage(node.forward.usage, node.now, call.account->name);
 }
 
-static void logLimit(Node& node, const ForwardCall& call, const std::optional<double>& perSecond)
-{
-    addLog(node, LogLevel::Info, "upstream_limit", Step::Receive, call.targetName, perSecond ? "the upstream names a limit of its requests per second" : "the upstream names no limit any more",
-        { { "request", call.requestId }, { "per_second", perSecond ? std::to_string(*perSecond) : std::string("-") } });
-}
-
-// Records the limit that the head of an answer names. An answer without one ends the limit only if its request was sent after the
-// limit was named: answers on several connections overtake each other.
-static void recordLimit(Node& node, const ForwardCall& call, const HttpHeaders& headers)
-{
-    ForwardTarget* target = findTarget(node.forward.targets, call.target);
-    if (!target || target->incarnation != call.targetIncarnation)
-        return;
-    const auto text = findHeader(headers, node.forward.headers.rateLimit);
-    const auto perSecond = parseRateLimit(text);
-    if (!perSecond && !text.empty()) {
-        addLog(node, LogLevel::Warning, "upstream_limit", Step::Decode, call.targetName, "the limit is not a decimal number; it is ignored", { { "request", call.requestId } });
-        return;
-    }
-    auto& limit = target->limit;
-    if (perSecond == limit.perSecond || (!perSecond && call.sentAt <= limit.changedAt))
-        return;
-    limit = { perSecond, node.now };
-    logLimit(node, call, perSecond);
-}
-
 static void handleHead(Node& node, ForwardCall& call, UpstreamEvent& event)
 {
     auto& forward = node.forward;
     const bool notRun = event.status == 421 || !findHeader(event.headers, forward.headers.notRun).empty();
     call.lastByteAt = node.now;
     if (event.status != 421)
-        recordLimit(node, call, event.headers);
+        recordAnsweredLimit(node, call, event.headers);
     if (notRun) {
         const bool wrongUpstream = event.status == 421;
         --call.possibleExecutions;
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -252,6 +252,7 @@
     call.silenceLogged = false;
     call.sentAt = node.now;
     call.tried.push_back(target.id);
+    recordSend(known.limit, node.now);
     if (known.limit.perSecond)
         node.counters.add("forward_sent_to_limited");
     known.own.running += 1;
@@ -315,6 +316,9 @@
         call.tried.clear();
         return waitToResume(node, call, false);
     }
+    // Only upstreams are left that take no more requests now than they already get.
+    if (const auto wait = timeUntilLimitedTarget(forward.targets, call.backend, node.now); !choice && wait && !call.possibleExecutions)
+        return refuseForward(node, call, 503, "upstream_limit", "the upstreams of " + call.backend + " take no more requests now", std::max(*wait, 1_ms));
     if (!choice)
         return refuseForward(node, call, call.possibleExecutions ? 502 : 503, "no_upstream", "no upstream of " + call.backend + " takes requests", call.possibleExecutions ? TimeMs {} : noTargetRetryAfter);
     const ForwardTarget& target = *findTarget(forward.targets, choice->target);
--- a/src/node/ForwardReport.cpp
+++ b/src/node/ForwardReport.cpp
@@ -6,6 +6,7 @@
 #include "node/LoadHubs.h"
 #include "node/Peers.h"
 #include "node/Scaling.h"
+#include "node/UpstreamLimits.h"
 #include "wire/Codec.h"
 
 #include <algorithm>
@@ -68,7 +69,7 @@
 ForwardLoadFrame collectOwnLoad(Node& node)
 {
     auto& forward = node.forward;
-    ForwardLoadFrame frame { .loads = {}, .placed = std::exchange(forward.placed, {}), .spent = localSpending(forward.allowances), .toRead = forward.assignedPrefillTokens, .tokensPerMs = forward.choice.prefillEstimator.calibrated ? static_cast<float>(forward.choice.prefillEstimator.tokensPerMs) : 0 };
+    ForwardLoadFrame frame { .loads = {}, .placed = std::exchange(forward.placed, {}), .spent = localSpending(forward.allowances), .toRead = forward.assignedPrefillTokens, .tokensPerMs = forward.choice.prefillEstimator.calibrated ? static_cast<float>(forward.choice.prefillEstimator.tokensPerMs) : 0, .limits = reportedLimits(node, std::exchange(forward.limitsToReport, {})) };
     if (frame.placed.size() > maxPlacedParts)
         frame.placed.resize(maxPlacedParts);
     for (const auto& [id, target] : forward.targets.entries) {
@@ -90,14 +91,16 @@
     }
 }
 
-void handleLoadReport(Node& node, NodeId from, const ForwardLoadFrame& load)
+std::vector<UpstreamId> handleLoadReport(Node& node, NodeId from, const ForwardLoadFrame& load)
 {
     applyLoadReport(node.forward.targets, node.now, from, loadsOf(load.loads));
     recordBackendDemand(node, from, load);
+    const auto news = applyReportedLimits(node, load.limits);
     if (!acceptsCallers(node))
-        return;
+        return news;
     applyPeerSpending(node.forward.allowances, node.now, from, load.spent);
     recordPlacedParts(node, load.placed);
+    return news;
 }
 
 void receiveForwardLoad(Node& node, NodeId from, std::string_view body)
@@ -122,6 +125,7 @@
     auto& forward = node.forward;
     if (node.now >= forward.nextExpiry)
         expireForward(node);
+    tickUpstreamLimits(node);
     tickLoadHub(node);
     if (!acceptsCallers(node))
         return;
--- a/src/node/ForwardReport.h
+++ b/src/node/ForwardReport.h
@@ -16,8 +16,9 @@
 ForwardLoadFrame collectOwnLoad(Node&);
 ReportedLoad reportedLoad(UpstreamId, const TargetLoad&);
 std::map<UpstreamId, TargetLoad> loadsOf(const std::vector<ReportedLoad>&);
-/// Applies a load report of a node or hub. Allowances and placed parts are applied only if this node accepts callers.
-void handleLoadReport(Node&, NodeId from, const ForwardLoadFrame&);
+/// Applies a load report of a node or hub. Allowances and placed parts are applied only if this node accepts callers. Returns the
+/// upstreams whose limits were news.
+std::vector<UpstreamId> handleLoadReport(Node&, NodeId from, const ForwardLoadFrame&);
 /// Records which upstreams hold the prompt parts that other nodes have sent.
 void recordPlacedParts(Node&, const std::vector<PlacedPart>&);
 
--- a/src/node/ForwardState.h
+++ b/src/node/ForwardState.h
@@ -44,6 +44,8 @@
     float tokensPerMs = 0; ///< Prefill rate of engines, averaged over the reports; 0 until one contains a rate.
     std::vector<PlacedPart> placedInDomain; ///< Reported in this failure domain since the last sum was sent.
     std::vector<PlacedPart> placedInOtherDomains;
+    std::set<UpstreamId> limitsInDomain; ///< Upstreams whose limits were reported in this failure domain since the last sum was sent.
+    std::set<UpstreamId> limitsInOtherDomains;
     TimeMs nextSum;
 };
 
@@ -67,6 +69,8 @@
     TimeMs nextReport;
     TimeMs nextExpiry;
     LeavingNotices leaving;
+    std::set<UpstreamId> limitsToReport; ///< Upstreams whose limits go into the next load report.
+    TimeMs nextShares;
 };
 
 /// A leave call that waits for the acknowledgement of the decision leader.
--- a/src/node/LoadHubs.cpp
+++ b/src/node/LoadHubs.cpp
@@ -6,6 +6,7 @@
 #include "node/LeaderFlow.h"
 #include "node/Peers.h"
 #include "node/Scaling.h"
+#include "node/UpstreamLimits.h"
 #include "wire/Codec.h"
 
 #include <algorithm>
@@ -112,7 +113,8 @@
     addTotals(hubs.assignedPrefillTokens, from, frame->load.toRead);
     recordPrefillRate(hubs, frame->load);
     appendPlacedParts(hubs.placedInDomain, frame->load.placed);
-    handleLoadReport(node, from, frame->load);
+    const auto news = handleLoadReport(node, from, frame->load);
+    hubs.limitsInDomain.insert(news.begin(), news.end());
 }
 
 void receiveDomainLoad(Node& node, NodeId from, std::string_view body)
@@ -123,7 +125,8 @@
     auto& hubs = node.forward.hubs;
     hubs.others[from] = { frame->spent, node.now };
     appendPlacedParts(hubs.placedInOtherDomains, frame->placed);
-    handleLoadReport(node, from, *frame);
+    const auto news = handleLoadReport(node, from, *frame);
+    hubs.limitsInOtherDomains.insert(news.begin(), news.end());
 }
 
 void receiveFleetLoad(Node& node, NodeId from, std::string_view body)
@@ -136,6 +139,7 @@
     const SentReport* own = included == frame->included.end() ? nullptr : findReport(forward.hubs.sent, included->second);
     applyFleetLoadReport(forward.targets, node.now, from, subtractReport(loadsOf(frame->loads), own));
     recordPlacedParts(node, frame->placed);
+    applyReportedLimits(node, frame->limits);
     for (const auto& [hub, totals] : frame->spent) {
         if (hub != from) {
             applyPeerSpending(forward.allowances, node.now, hub, totals);
@@ -172,8 +176,10 @@
         addTotals(hubs.assignedPrefillTokens, node.self, own.toRead);
         appendPlacedParts(hubs.placedInDomain, own.placed);
         recordPrefillRate(hubs, own);
+        for (const auto& limit : own.limits)
+            hubs.limitsInDomain.insert(limit.upstream);
     }
-    ForwardLoadFrame frame { .loads = {}, .placed = std::exchange(hubs.placedInDomain, {}), .spent = hubs.spent.sum, .toRead = hubs.assignedPrefillTokens.sum, .tokensPerMs = hubs.tokensPerMs };
+    ForwardLoadFrame frame { .loads = {}, .placed = std::exchange(hubs.placedInDomain, {}), .spent = hubs.spent.sum, .toRead = hubs.assignedPrefillTokens.sum, .tokensPerMs = hubs.tokensPerMs, .limits = reportedLimits(node, hubs.limitsInDomain) };
     for (const auto& [id, load] : sum)
         frame.loads.push_back(reportedLoad(id, load));
     return frame;
@@ -195,7 +201,7 @@
 {
     auto& forward = node.forward;
     auto& hubs = forward.hubs;
-    FleetLoadFrame frame { .loads = {}, .placed = std::move(own.placed), .spent = { { node.self, std::move(own.spent) } }, .included = {} };
+    FleetLoadFrame frame { .loads = {}, .placed = std::move(own.placed), .spent = { { node.self, std::move(own.spent) } }, .included = {}, .limits = {} };
     frame.placed.insert(frame.placed.end(), hubs.placedInOtherDomains.begin(), hubs.placedInOtherDomains.end());
     hubs.placedInOtherDomains.clear();
     for (const auto& [hub, known] : hubs.others)
@@ -208,6 +214,8 @@
     }
     for (const auto& [id, known] : hubs.reporters)
         frame.included[id] = known.number;
+    hubs.limitsInOtherDomains.merge(std::exchange(hubs.limitsInDomain, {}));
+    frame.limits = reportedLimits(node, std::exchange(hubs.limitsInOtherDomains, {}));
     const std::string body = encode(frame);
     for (const auto& [id, known] : hubs.reporters)
         sendFrame(node, id, FrameKind::FleetLoad, {}, body);
--- a/src/node/PeerMessages.h
+++ b/src/node/PeerMessages.h
@@ -5,6 +5,7 @@
 #include "base/TimeMs.h"
 #include "control/DecisionLog.h"
 #include "forward/LeavingNotices.h"
+#include "forward/TargetLimit.h"
 #include "versions/Evidence.h"
 #include "versions/MoveTypes.h"
 
@@ -176,9 +177,10 @@
     std::map<std::string, double> spent; ///< Allowance consumed since the start of the sender, by client account.
     std::map<std::string, double> toRead; ///< Prompt tokens sent to engines for prefill since the start of the sender, by backend.
     float tokensPerMs = 0; ///< Prefill rate of the engines as measured by the sender; 0 if unknown.
+    std::vector<ReportedLimit> limits; ///< Named by upstreams since the last report.
 
     template <class Archive>
-    void serialize(Archive& archive) { archive(loads, placed, spent, toRead, tokensPerMs); }
+    void serialize(Archive& archive) { archive(loads, placed, spent, toRead, tokensPerMs, limits); }
 };
 
 /// Load report that an entry node sends to the hub of its failure domain.
@@ -196,9 +198,10 @@
     std::vector<PlacedPart> placed; ///< Placed by any node since the last frame.
     std::map<NodeId, std::map<std::string, double>> spent; ///< Allowance consumed by hub and client account; the sums never decrease.
     std::map<NodeId, uint64_t> included; ///< By reporting node: number of the last report that the sums include.
+    std::vector<ReportedLimit> limits; ///< Named by upstreams, to any node, since the last frame.
 
     template <class Archive>
-    void serialize(Archive& archive) { archive(loads, placed, spent, included); }
+    void serialize(Archive& archive) { archive(loads, placed, spent, included, limits); }
 };
 
 /// Usage report to the decision leader: counts of requests that started on a node, by time window.
--- /dev/null
+++ b/src/node/UpstreamLimits.cpp
@@ -0,0 +1,103 @@
+#include "node/UpstreamLimits.h"
+
+#include "node/ForwardReport.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace siskinshunt {
+
+static constexpr TimeMs shareInterval { 200 };
+// A limit that does not change is reported again after this time, for nodes that have started since.
+static constexpr TimeMs repeatInterval { 1000 };
+
+// Entry nodes that can send to upstreams. A suspect one counts, since it may still send; all nodes soon agree on who is draining.
+static std::vector<NodeId> sendingNodes(const Node& node)
+{
+    std::vector<NodeId> out;
+    if (acceptsCallers(node) && !node.draining)
+        out.push_back(node.self);
+    for (const auto& [id, member] : node.membership.members) {
+        if (!member.status.voter && !member.status.draining && member.status.state <= MemberState::Suspect)
+            out.push_back(id);
+    }
+    return out;
+}
+
+static void changeLimit(Node& node, ForwardTarget& target, const std::optional<double>& perSecond, TimeMs namedAt, LogLevel level, const std::string& source)
+{
+    auto& limit = target.limit;
+    const bool changed = perSecond != limit.perSecond;
+    limit.perSecond = perSecond;
+    limit.namedAt = namedAt;
+    if (!changed)
+        return;
+    setShare(limit, node.now, target.id, node.self, sendingNodes(node));
+    addLog(node, level, "upstream_limit", Step::Receive, target.name, perSecond ? "the upstream names a limit of its requests per second" : "the upstream names no limit any more",
+        { { "per_second", perSecond ? std::to_string(*perSecond) : std::string("-") }, { "share", std::to_string(limit.share) }, { "source", source } });
+}
+
+void recordAnsweredLimit(Node& node, const ForwardCall& call, const HttpHeaders& headers)
+{
+    ForwardTarget* target = findTarget(node.forward.targets, call.target);
+    if (!target || target->incarnation != call.targetIncarnation)
+        return;
+    const auto text = findHeader(headers, node.forward.headers.rateLimit);
+    const auto perSecond = parseRateLimit(text);
+    if (!perSecond && !text.empty()) {
+        addLog(node, LogLevel::Warning, "upstream_limit", Step::Decode, call.targetName, "the limit is not a decimal number; it is ignored", { { "request", call.requestId } });
+        return;
+    }
+    auto& limit = target->limit;
+    // Answers on several connections overtake each other, so one without a limit counts only if its request was sent later.
+    if (!perSecond && (!limit.perSecond || call.sentAt <= limit.namedAt))
+        return;
+    if (perSecond != limit.perSecond || node.now - limit.reportedAt >= repeatInterval) {
+        limit.reportedAt = node.now;
+        node.forward.limitsToReport.insert(target->id);
+    }
+    changeLimit(node, *target, perSecond, node.now, LogLevel::Info, "request " + call.requestId);
+}
+
+std::vector<UpstreamId> applyReportedLimits(Node& node, const std::vector<ReportedLimit>& reported)
+{
+    std::vector<UpstreamId> news;
+    for (const auto& it : reported) {
+        ForwardTarget* target = findTarget(node.forward.targets, it.upstream);
+        const TimeMs namedAt = node.now - std::max(it.age, TimeMs {});
+        const bool valid = !it.perSecond || (std::isfinite(*it.perSecond) && *it.perSecond >= 0);
+        if (!target || !valid || target->incarnation != it.incarnation || namedAt <= target->limit.namedAt)
+            continue;
+        changeLimit(node, *target, it.perSecond, namedAt, LogLevel::Debug, "report");
+        news.push_back(it.upstream);
+    }
+    return news;
+}
+
+std::vector<ReportedLimit> reportedLimits(const Node& node, const std::set<UpstreamId>& upstreams)
+{
+    std::vector<ReportedLimit> out;
+    for (const UpstreamId id : upstreams) {
+        const auto it = node.forward.targets.entries.find(id);
+        if (it != node.forward.targets.entries.end())
+            out.push_back({ id, it->second.incarnation, it->second.limit.perSecond, node.now - it->second.limit.namedAt });
+    }
+    return out;
+}
+
+void tickUpstreamLimits(Node& node)
+{
+    if (node.now < node.forward.nextShares)
+        return;
+    node.forward.nextShares = node.now + shareInterval;
+    std::optional<std::vector<NodeId>> nodes;
+    for (auto& [id, target] : node.forward.targets.entries) {
+        if (!target.limit.perSecond)
+            continue;
+        if (!nodes)
+            nodes = sendingNodes(node);
+        setShare(target.limit, node.now, id, node.self, *nodes);
+    }
+}
+
+}
--- a/tests/node/UpstreamLimitTest.cpp
+++ b/tests/node/UpstreamLimitTest.cpp
@@ -128,6 +128,55 @@
     checkLimit(72, 9, 20, "2.1", 150_ms);
 }
 
+// Guards against a limit that outlives the need of the upstream.
+BOOST_AUTO_TEST_CASE(EndsWhenAnswersNameItNoMore)
+{
+    LimitFleet it(8, 5, 6);
+    it.nameLimit("2.1");
+    it.sendRequests(8_s, 50_ms);
+    it.perSecond.reset();
+    it.sendRequests(4_s, 50_ms);
+    it.arrivals = 0;
+    it.sendRequests(5_s, 50_ms);
+    // A sixth of 160 requests a second.
+    BOOST_CHECK_GE(it.arrivals, 80U);
+}
+
+// Guards against a limit that is taken anew by every node that starts again.
+BOOST_AUTO_TEST_CASE(HoldsWhileNodesRestart)
+{
+    LimitFleet it(24, 5, 6);
+    it.nameLimit("2.1");
+    it.sendRequests(4_s, 60_ms);
+    for (size_t n = it.controls; n < it.fleet.nodes.size(); n += 4) {
+        it.fleet.kill(n, false);
+        it.fleet.runFor(300_ms);
+        it.fleet.start(n);
+        it.sendRequests(2_s, 60_ms);
+    }
+    BOOST_CHECK_LE(static_cast<double>(it.most), allowedInWindow(2.1));
+}
+
+// Guards against requests that wait, or are refused without a time to come back, when all upstreams name a limit.
+BOOST_AUTO_TEST_CASE(RefusesAtOnceWhatNoUpstreamTakes)
+{
+    LimitFleet it(4, 3, 1);
+    it.nameLimit("2.1");
+    it.sendRequests(10_s, 50_ms);
+    BOOST_CHECK_LE(static_cast<double>(it.most), allowedInWindow(2.1));
+    size_t refused = 0;
+    for (const uint64_t number : it.callers) {
+        const auto& caller = it.fleet.caller(number);
+        if (!caller.done || caller.status == 200)
+            continue;
+        ++refused;
+        BOOST_CHECK_EQUAL(caller.status, 503U);
+        BOOST_CHECK_GT(std::stod(std::string(findHeader(caller.headers, "Retry-After"))), 0.0);
+        BOOST_CHECK_LE((caller.answeredAt - caller.postedAt).value, 60);
+    }
+    BOOST_CHECK_GT(refused, 100U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
