Apply the shutdown of an upstream to all incarnations up to now

Callers: requests could reach an upstream that had announced its shutdown.

Cause: a shutdown names only the upstream. The voter that received it recorded the notice for the incarnation that it knew; if the upstream had restarted under its name and the voter had not heard of that yet, all nodes that had went on sending to the later incarnation. Only for an upstream that was unknown altogether did the notice cover all incarnations up to now; now it always does.

--- a/src/node/ControlCalls.cpp
+++ b/src/node/ControlCalls.cpp
@@ -214,9 +214,9 @@
 {
     const auto id = idOfName<UpstreamId>(call.name);
     const Upstream* known = findUpstream(node.membership.upstreams, id);
-    // An upstream that this node does not know may be known to others. Incarnations are start
-    // times in the dialect of the platform, so all incarnations up to now are marked as leaving.
-    const uint64_t incarnation = known ? known->announced.incarnation : static_cast<uint64_t>(std::max<int64_t>(0, node.now.value));
+    // Other nodes may know a later incarnation than this one, or only they know the upstream. Incarnations are start times in the
+    // dialect of the platform, so all incarnations up to now are marked as leaving.
+    const uint64_t incarnation = std::max(known ? known->announced.incarnation : 0, static_cast<uint64_t>(std::max<int64_t>(0, node.now.value)));
     if (known && !known->announced.leaving) {
         // The record is updated as well, so that nodes that start later receive the state by gossip.
         Announcement leavingRecord = known->announced;
--- a/tests/node/LeavingNoticeTest.cpp
+++ b/tests/node/LeavingNoticeTest.cpp
@@ -179,6 +179,24 @@
     BOOST_CHECK(it.fleet.runUntil([&] { return it.fleet.agreeOnRevision(2); }, drainBound - 100_ms));
 }
 
+// Guards against the shutdown of a restarted upstream that is taken for that of its earlier incarnation by a voter which has not
+// heard of the later one.
+BOOST_AUTO_TEST_CASE(ShutdownAppliesToAnIncarnationThatTheVoterDoesNotKnow)
+{
+    EntryFleet it(4, 3, 2);
+    it.fleet.loss = 1;
+    auto restarted = it.fleet.upstream("desk-0").announced;
+    restarted.incarnation = static_cast<uint64_t>(it.fleet.now.value);
+    restarted.sequence = 1;
+    for (size_t n = it.controls; n < it.fleet.nodes.size(); ++n)
+        it.fleet.post(n, { "POST", "/v1/announce", { { "Authorization", "Bearer announce-token" } }, toJson(restarted) });
+    it.fleet.runFor(100_ms);
+    const auto call = it.fleet.post(0, { "DELETE", "/desk-0", {}, {} }, ListenerKind::Control);
+    BOOST_REQUIRE(it.fleet.runUntil([&] { return it.fleet.caller(call).done; }, 1_s));
+    BOOST_CHECK_EQUAL(it.fleet.caller(call).status, 200U);
+    it.checkAllAware("desk-0");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
