Add randomised schedules of leaving and limited upstreams

Fleets of 8, 20 and 72 entry nodes with 5 or 9 voters: all voters or single nodes are killed, started, frozen and cut off in series, while upstreams announce that they leave, shut down, restart and name limits. Checks that nodes in touch send nothing to a leaving upstream 2 s after its acknowledgement, and that a limit holds over the nodes that the upstream has told. An upstream repeats its leaving state as the platform's do, at any voter.

--- /dev/null
+++ b/src/soak/EntrySoak.cpp
@@ -0,0 +1,361 @@
+#include "api/AnnouncementJson.h"
+#include "node/ForwardFlow.h"
+#include "soak/NodeFleet.h"
+#include "soak/Soak.h"
+
+#include <algorithm>
+#include <deque>
+
+namespace siskinshunt {
+
+// Upstreams that leave or name limits, while voters and entry nodes fail. Checks what nodes that are in touch send to them.
+
+static constexpr TimeMs contactTime { 3000 }; ///< Without a disturbance for this long, a node is in touch.
+static constexpr TimeMs drainTime { 2000 };
+static constexpr TimeMs limitWindow { 4000 };
+static constexpr TimeMs limitBindsAfter { 3000 };
+static constexpr TimeMs toldFor { 500 }; ///< A node counts this long after its first answer that names the limit.
+static constexpr TimeMs announceInterval { 1200 };
+static constexpr int cycleSteps = 50;
+static constexpr int faultSteps = 12; ///< At the start of each cycle.
+static constexpr TimeMs upstreamPause { 7000 }; ///< From the notice of a leaving upstream until it starts again.
+
+namespace {
+
+    const std::string rateLimitHeader = HeaderNames {}.rateLimit;
+
+    struct SoakUpstream {
+        std::string name;
+        uint64_t call = 0; ///< Of the leaving notice, until it is acknowledged.
+        bool shutsDown = false; ///< Announces its shutdown instead of the leaving state, and nothing after it.
+        TimeMs nextNotice; ///< Of an upstream that repeats the leaving state in its announcements.
+        size_t voter = 0; ///< To which the notice was sent.
+        std::optional<TimeMs> leftAt; ///< Arrival of the acknowledgement of a voter in touch.
+        std::optional<TimeMs> restartAt;
+        std::optional<double> perSecond;
+        TimeMs namedAt;
+        std::map<size_t, TimeMs> toldAt; ///< By node.
+        std::deque<std::pair<TimeMs, size_t>> window; ///< Arrivals that count, with their node.
+    };
+
+    class EntrySchedule {
+    public:
+        explicit EntrySchedule(uint64_t seed);
+        SoakResult run();
+
+    private:
+        static NodeFleetOptions makeOptions(Random&, uint64_t seed);
+        bool isVoter(size_t node) const { return node < m_voters; }
+        size_t randomEntry() { return m_voters + m_random.below(m_fleet.nodes.size() - m_voters); }
+        bool isInTouch(size_t node) const;
+        void disturb(size_t node);
+        void injectFault();
+        void injectNodeFault(size_t node);
+        void cutLinks();
+        void sendRequests();
+        void changeUpstream();
+        void sendNotice(SoakUpstream&);
+        void followNotice(SoakUpstream&);
+        std::optional<HttpHeaders> answer(size_t node, const UpstreamDispatch&);
+        void countLimited(SoakUpstream&, size_t node);
+        void checkAware();
+        void recoverAll();
+        void fail(const std::string&);
+
+        Random m_random;
+        size_t m_voters = 0;
+        NodeFleet m_fleet;
+        SoakResult m_result;
+        std::vector<SoakUpstream> m_upstreams;
+        std::vector<TimeMs> m_disturbedAt; ///< By node: last disturbance.
+        TimeMs m_coreDisturbedAt;
+        uint64_t m_requests = 0;
+        HeaderNames m_names;
+    };
+
+}
+
+NodeFleetOptions EntrySchedule::makeOptions(Random& random, uint64_t seed)
+{
+    // Three sizes: direct load reports, hubs, and the most entry nodes and voters of any deployment.
+    static constexpr std::array<std::pair<int, int>, 3> sizes { { { 8, 5 }, { 20, 5 }, { 72, 9 } } };
+    const auto [entries, voters] = sizes[random.below(sizes.size())];
+    Dialect dialect;
+    dialect.decode = [](const HttpRequest& request, const std::string&) -> ControlCall {
+        if (request.method == "DELETE")
+            return LeaveCall { request.target.substr(1) };
+        return handle([&]() -> Result<ControlCall> {
+            BOOST_LEAF_AUTO(announced, parseAnnouncement(request.body));
+            return ControlCall(AnnounceCall { std::move(announced) }); },
+            [](const Error& error) { return ControlCall(BadCall { 400, error.detail }); });
+    };
+    return { .nodes = entries + voters, .voters = std::min(voters, 7), .disks = voters, .seed = seed, .ledgerGroups = 0, .forwards = true, .announceNodes = static_cast<size_t>(voters), .dialect = std::make_shared<const Dialect>(std::move(dialect)) };
+}
+
+EntrySchedule::EntrySchedule(uint64_t seed)
+    : m_random(seed)
+    , m_fleet(makeOptions(m_random, seed))
+{
+    m_voters = m_fleet.options.announceNodes;
+    m_disturbedAt.resize(m_fleet.nodes.size());
+    // More upstreams keep gossip busier after a restart.
+    const size_t upstreams = static_cast<size_t>(m_random.between(4, m_fleet.nodes.size() > 50 ? 66 : 16));
+    for (size_t n = 0; n < upstreams; ++n) {
+        m_upstreams.push_back({ .name = "desk-" + std::to_string(n) });
+        m_fleet.addUpstream(m_upstreams.back().name, UpstreamKind::Service, "desk", n % 2 ? "lhr-depot" : "lhr-gulberg");
+    }
+}
+
+void EntrySchedule::fail(const std::string& text)
+{
+    if (m_result.violation.empty())
+        m_result.violation = text + " at " + std::to_string(m_fleet.now.value % 10000000) + " ms";
+}
+
+bool EntrySchedule::isInTouch(size_t node) const
+{
+    const TimeMs since = m_fleet.now - contactTime;
+    if (!m_fleet.nodes[node].node || m_fleet.nodes[node].frozen || m_disturbedAt[node] > since || m_coreDisturbedAt > since || m_fleet.loss > 0)
+        return false;
+    for (size_t n = 0; n < m_voters; ++n) {
+        if (n != node && (!m_fleet.nodes[n].node || m_fleet.nodes[n].frozen || m_fleet.blockedLinks[n][node] || m_fleet.blockedLinks[node][n]))
+            return false;
+    }
+    return true;
+}
+
+void EntrySchedule::disturb(size_t node)
+{
+    m_disturbedAt[node] = m_fleet.now;
+    if (isVoter(node))
+        m_coreDisturbedAt = m_fleet.now;
+}
+
+void EntrySchedule::injectNodeFault(size_t n)
+{
+    auto& node = m_fleet.nodes[n];
+    disturb(n);
+    if (!node.node)
+        return m_fleet.start(n);
+    if (node.frozen)
+        return m_fleet.thaw(n);
+    if (m_random.chance(0.7)) {
+        ++m_result.faults["kill"];
+        m_fleet.kill(n, false);
+    } else {
+        ++m_result.faults["freeze"];
+        m_fleet.freeze(n);
+    }
+}
+
+void EntrySchedule::cutLinks()
+{
+    const size_t entry = randomEntry();
+    const size_t voter = m_random.below(m_voters);
+    const bool blocked = m_random.chance(0.5);
+    ++m_result.faults[blocked ? "cut" : "cut healed"];
+    for (const size_t n : { entry, voter })
+        m_disturbedAt[n] = m_fleet.now;
+    m_fleet.setLinkBlocked(entry, voter, blocked);
+    if (m_random.chance(0.5) || !blocked)
+        m_fleet.setLinkBlocked(voter, entry, blocked);
+}
+
+void EntrySchedule::injectFault()
+{
+    switch (m_random.below(6)) {
+    case 0:
+        ++m_result.faults["all voters killed"];
+        for (size_t n = 0; n < m_voters; ++n) {
+            disturb(n);
+            if (m_fleet.nodes[n].node)
+                m_fleet.kill(n, false);
+        }
+        m_fleet.runFor(TimeMs { m_random.between(100, 800) });
+        for (size_t n = 0; n < m_voters; ++n) {
+            disturb(n);
+            m_fleet.start(n);
+        }
+        return;
+    case 1:
+        return injectNodeFault(m_random.below(m_voters));
+    case 2:
+    case 3:
+        return injectNodeFault(randomEntry());
+    case 4:
+        return cutLinks();
+    default:
+        m_fleet.loss = m_random.chance(0.3) ? 0.1 : 0;
+        if (m_fleet.loss > 0)
+            ++m_result.faults["loss"];
+        std::fill(m_disturbedAt.begin(), m_disturbedAt.end(), m_fleet.now);
+    }
+}
+
+void EntrySchedule::sendRequests()
+{
+    for (size_t n = m_voters; n < m_fleet.nodes.size(); ++n) {
+        if (m_fleet.nodes[n].node && m_random.chance(0.3))
+            m_fleet.post(n, { "GET", "/look/1", { { "Host", "h" }, { m_names.requestId, "r" + std::to_string(++m_requests) } }, {} }, ListenerKind::Forward);
+    }
+}
+
+void EntrySchedule::sendNotice(SoakUpstream& upstream)
+{
+    auto& announced = m_fleet.upstream(upstream.name).announced;
+    upstream.voter = m_random.below(m_voters);
+    upstream.nextNotice = m_fleet.now + announceInterval;
+    ++announced.sequence;
+    const HttpRequest request = upstream.shutsDown ? HttpRequest { "DELETE", "/" + upstream.name, {}, {} } : HttpRequest { "POST", "/", {}, toJson(announced) };
+    upstream.call = m_fleet.post(upstream.voter, request, ListenerKind::Control);
+}
+
+// Sends the notice again, to any voter, until it is acknowledged; the upstream starts again later in either case. The leaving state
+// is announced again and again.
+void EntrySchedule::followNotice(SoakUpstream& upstream)
+{
+    if (upstream.call) {
+        const auto& caller = m_fleet.caller(upstream.call);
+        if (caller.done && caller.status == 200) {
+            upstream.call = 0;
+            ++m_result.faults["acknowledged"];
+            if (!upstream.leftAt && isInTouch(upstream.voter))
+                upstream.leftAt = caller.answeredAt;
+        } else if (caller.done || caller.lost || m_fleet.now - caller.postedAt > 1_s) {
+            sendNotice(upstream);
+        }
+    } else if (upstream.restartAt && !upstream.shutsDown && m_fleet.now >= upstream.nextNotice) {
+        sendNotice(upstream);
+    }
+    if (!upstream.restartAt || m_fleet.now < *upstream.restartAt)
+        return;
+    auto& announced = m_fleet.upstream(upstream.name).announced;
+    announced.leaving = false;
+    announced.sequence = 1;
+    // Incarnations are start times, as platforms state them.
+    announced.incarnation = static_cast<uint64_t>(m_fleet.now.value);
+    m_fleet.upstream(upstream.name).announces = true;
+    upstream = { .name = upstream.name };
+}
+
+void EntrySchedule::changeUpstream()
+{
+    auto& upstream = m_upstreams[m_random.below(m_upstreams.size())];
+    if (upstream.restartAt)
+        return;
+    if (m_random.chance(0.5)) {
+        ++m_result.faults["leave"];
+        auto& announced = m_fleet.upstream(upstream.name).announced;
+        upstream.shutsDown = m_random.chance(0.3);
+        announced.leaving = !upstream.shutsDown;
+        m_fleet.upstream(upstream.name).announces = false;
+        upstream.restartAt = m_fleet.now + upstreamPause;
+        return sendNotice(upstream);
+    }
+    ++m_result.faults[upstream.perSecond ? "limit ends" : "limit"];
+    upstream.perSecond = upstream.perSecond ? std::nullopt : std::optional(0.1 * static_cast<double>(m_random.between(3, 80)));
+    upstream.namedAt = m_fleet.now;
+    upstream.toldAt.clear();
+    upstream.window.clear();
+}
+
+void EntrySchedule::countLimited(SoakUpstream& upstream, size_t node)
+{
+    const auto told = upstream.toldAt.try_emplace(node, m_fleet.now + m_fleet.upstream(upstream.name).latency).first;
+    if (m_fleet.now - told->second < toldFor || m_fleet.now - upstream.namedAt < limitBindsAfter)
+        return;
+    upstream.window.emplace_back(m_fleet.now, node);
+    while (m_fleet.now - upstream.window.front().first > limitWindow)
+        upstream.window.pop_front();
+    const auto counted = std::count_if(upstream.window.begin(), upstream.window.end(), [&](const auto& it) { return isInTouch(it.second); });
+    if (static_cast<double>(counted) > 1.5 * *upstream.perSecond * limitWindow.seconds() + 5)
+        fail(upstream.name + " named " + std::to_string(*upstream.perSecond) + " requests a second and got " + std::to_string(counted) + " in 4 s");
+}
+
+std::optional<HttpHeaders> EntrySchedule::answer(size_t node, const UpstreamDispatch& dispatch)
+{
+    HttpHeaders headers { { m_names.requestId, dispatch.idValue }, { m_names.receipt, "proof" } };
+    const auto it = std::find_if(m_upstreams.begin(), m_upstreams.end(), [&](const auto& upstream) { return m_fleet.upstream(upstream.name).announced.address == dispatch.address; });
+    if (it == m_upstreams.end())
+        return headers;
+    if (it->leftAt && m_fleet.now - *it->leftAt > drainTime && isInTouch(node))
+        fail(it->name + " got a request " + std::to_string((m_fleet.now - *it->leftAt).value) + " ms after it had announced that it leaves, from " + m_fleet.nodes[node].settings.node);
+    if (it->perSecond) {
+        headers.emplace_back(rateLimitHeader, std::to_string(*it->perSecond));
+        countLimited(*it, node);
+    }
+    return headers;
+}
+
+// A node that would send is a fault, also when no request shows it. A target that has not been seen for 3 s gets none.
+void EntrySchedule::checkAware()
+{
+    for (const auto& upstream : m_upstreams) {
+        if (!upstream.leftAt || m_fleet.now - *upstream.leftAt <= drainTime)
+            continue;
+        for (size_t n = m_voters; n < m_fleet.nodes.size(); ++n) {
+            if (!isInTouch(n))
+                continue;
+            const ForwardTarget* target = findTarget(m_fleet.nodes[n].node->forward.targets, idOfName<UpstreamId>(upstream.name));
+            if (target && !target->leaving && m_fleet.now - target->lastSeen <= ChoiceOptions {}.staleAfter)
+                fail(m_fleet.nodes[n].settings.node + " would send to " + upstream.name + " " + std::to_string((m_fleet.now - *upstream.leftAt).value) + " ms after its notice was acknowledged");
+        }
+    }
+}
+
+void EntrySchedule::recoverAll()
+{
+    m_fleet.loss = 0;
+    for (size_t n = 0; n < m_fleet.nodes.size(); ++n) {
+        m_fleet.isolate(n, false);
+        if (!m_fleet.nodes[n].node || m_fleet.nodes[n].frozen)
+            disturb(n);
+        if (!m_fleet.nodes[n].node)
+            m_fleet.start(n);
+        else if (m_fleet.nodes[n].frozen)
+            m_fleet.thaw(n);
+    }
+}
+
+SoakResult EntrySchedule::run()
+{
+    const std::string author = " # Asma: soak\n";
+    const std::string rules = "backend desk" + author + "forward look host=h prefix=/look/ kind=repeatable timeout=1s target=150ms attempts=2 anonymous=yes to=desk:1" + author;
+    if (!m_fleet.startCluster()) {
+        fail("the fleet did not start");
+        return m_result;
+    }
+    const auto applied = m_fleet.apply(0, "forwards", 1, rules, "omar");
+    if (!m_fleet.runUntil([&] { return m_fleet.caller(applied).done && m_fleet.agreeOnRevision(2); }, 15_s)) {
+        fail("the rules are not in force");
+        return m_result;
+    }
+    m_fleet.forwardAnswer = [this](size_t node, const UpstreamDispatch& dispatch) { return answer(node, dispatch); };
+    for (int step = 0; step < 200 && m_result.violation.empty(); ++step) {
+        // Faults come in series, with quiet spans between them in which all rules bind.
+        const bool quiet = step % cycleSteps >= faultSteps;
+        if (!quiet && m_random.chance(0.15))
+            injectFault();
+        if (m_random.chance(quiet ? 0.3 : 0.1))
+            changeUpstream();
+        sendRequests();
+        for (auto& upstream : m_upstreams)
+            followNotice(upstream);
+        m_fleet.runFor(TimeMs { m_random.between(50, 250) });
+        checkAware();
+        if (step % cycleSteps == faultSteps)
+            recoverAll();
+    }
+    for (const auto& text : m_fleet.violations)
+        fail(text);
+    return m_result;
+}
+
+static SoakResult runEntrySchedule(uint64_t seed)
+{
+    return EntrySchedule(seed).run();
+}
+
+static const SoakRegistration s_entrySoak("entries", runEntrySchedule);
+
+}
--- a/src/soak/NodeFleet.h
+++ b/src/soak/NodeFleet.h
@@ -63,6 +63,7 @@
     struct Upstream {
         Announcement announced;
         bool up = true;
+        bool announces = true; ///< While it is up.
         TimeMs latency { 20 }; ///< Until a service has responded.
         std::optional<TimeMs> reclaimAt;
         std::vector<std::pair<TimeMs, std::string>> dispatches; ///< Time and call id of each request whose sending started.
--- a/src/soak/NodeFleetUpstreams.cpp
+++ b/src/soak/NodeFleetUpstreams.cpp
@@ -45,7 +45,7 @@
 void NodeFleet::announceAll()
 {
     for (auto& [address, it] : upstreams) {
-        if (!it.up)
+        if (!it.up || !it.announces)
             continue;
         ++it.announced.sequence;
         it.announced.reclaimIn = it.reclaimAt ? std::optional(*it.reclaimAt - now) : std::nullopt;
