Give the limit of an upstream as reason only while it allows nothing

Callers: a request could be refused with the code upstream_limit and 1 ms to come back, although the upstream was left out for another reason, such as an earlier attempt. The time until a limited upstream takes a request counted upstreams that take one now.

Evidence: LimitIsNotNamedAsTheReasonWhileItAllowsRequests fails before (no no_upstream in the answer) and passes now.

--- a/src/forward/TargetChoice.cpp
+++ b/src/forward/TargetChoice.cpp
@@ -102,7 +102,7 @@
     std::optional<TimeMs> earliest;
     for (const UpstreamId id : ids == table.byBackend.end() ? std::vector<UpstreamId> {} : ids->second) {
         const auto it = table.entries.find(id);
-        if (it == table.entries.end() || it->second.leaving || !it->second.limit.perSecond)
+        if (it == table.entries.end() || it->second.leaving || canSend(it->second.limit, now))
             continue;
         if (const auto wait = timeUntilSend(it->second.limit, now))
             earliest = std::min(earliest.value_or(*wait), *wait);
--- a/src/forward/TargetLimit.cpp
+++ b/src/forward/TargetLimit.cpp
@@ -5,8 +5,8 @@
 
 namespace siskinshunt {
 
-// Requests that all nodes together may send at once: a multiple of the rate in seconds, plus a constant. The platform tolerates
-// twice the rate and 5; the rest is for nodes that do not agree for a moment on who sends.
+// All nodes together may send at once what the limit allows in this time, and a few requests more. The platform tolerates 2 s and 5
+// requests; the rest is for nodes that disagree for a moment on who sends.
 static constexpr double burstSeconds = 1.5;
 static constexpr double burstRequests = 2;
 // Least rate, for an upstream that names a limit of zero: without any request nobody learns that the limit has ended.
--- a/tests/node/UpstreamLimitTest.cpp
+++ b/tests/node/UpstreamLimitTest.cpp
@@ -177,6 +177,24 @@
     BOOST_CHECK_GT(refused, 100U);
 }
 
+// Guards against a time to come back that is that of a limit although the upstream was left out for another reason.
+BOOST_AUTO_TEST_CASE(LimitIsNotNamedAsTheReasonWhileItAllowsRequests)
+{
+    ForwardNode it;
+    it.addUpstream("desk-1", "desk");
+    it.allowRetries(10);
+    it.post("/look/1");
+    it.sending();
+    it.head(200, { { rateLimitHeader, "10" } });
+    it.end();
+    it.advance(2_s);
+    it.post("/look/2");
+    it.sending();
+    it.head(503, { { it.names.notRun, "full" }, { rateLimitHeader, "10" } });
+    BOOST_CHECK_EQUAL(it.answer().first, 503);
+    BOOST_CHECK(it.answer().second.find("no_upstream") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
