--- a/src/soak/EntrySoak.cpp
+++ b/src/soak/EntrySoak.cpp
@@ -80,16 +80,7 @@
     // Three sizes: direct load reports, hubs, and the most entry nodes and voters of any deployment.
     static constexpr std::array<std::pair<int, int>, 3> sizes { { { 8, 5 }, { 20, 5 }, { 72, 9 } } };
     const auto [entries, voters] = sizes[random.below(sizes.size())];
-    Dialect dialect;
-    dialect.decode = [](const HttpRequest& request, const std::string&) -> ControlCall {
-        if (request.method == "DELETE")
-            return LeaveCall { request.target.substr(1) };
-        return handle([&]() -> Result<ControlCall> {
-            BOOST_LEAF_AUTO(announced, parseAnnouncement(request.body));
-            return ControlCall(AnnounceCall { std::move(announced) }); },
-            [](const Error& error) { return ControlCall(BadCall { 400, error.detail }); });
-    };
-    return { .nodes = entries + voters, .voters = std::min(voters, 7), .disks = voters, .seed = seed, .ledgerGroups = 0, .forwards = true, .announceNodes = static_cast<size_t>(voters), .dialect = std::make_shared<const Dialect>(std::move(dialect)) };
+    return { .nodes = entries + voters, .voters = std::min(voters, 7), .disks = voters, .seed = seed, .ledgerGroups = 0, .forwards = true, .announceNodes = static_cast<size_t>(voters), .dialect = makeFleetDialect() };
 }
 
 EntrySchedule::EntrySchedule(uint64_t seed)
--- a/src/soak/NodeFleet.h
+++ b/src/soak/NodeFleet.h
@@ -41,6 +41,9 @@
     std::shared_ptr<const Dialect> dialect;
 };
 
+/// Control calls of upstreams as a platform could have them: POST announces an upstream, DELETE /NAME its shutdown.
+std::shared_ptr<const Dialect> makeFleetDialect();
+
 /// Simulates a fleet in virtual time: real nodes driven by step(), with in-memory links, fake disks and simulated upstreams
 /// and callers.
 struct NodeFleet {
--- a/src/soak/NodeFleetUpstreams.cpp
+++ b/src/soak/NodeFleetUpstreams.cpp
@@ -10,6 +10,20 @@
 
 static constexpr TimeMs tokenInterval { 20 };
 
+std::shared_ptr<const Dialect> makeFleetDialect()
+{
+    Dialect dialect;
+    dialect.decode = [](const HttpRequest& request, const std::string&) -> ControlCall {
+        if (request.method == "DELETE")
+            return LeaveCall { request.target.substr(1) };
+        return handle([&]() -> Result<ControlCall> {
+            BOOST_LEAF_AUTO(announced, parseAnnouncement(request.body));
+            return ControlCall(AnnounceCall { std::move(announced) }); },
+            [](const Error& error) { return ControlCall(BadCall { 400, error.detail }); });
+    };
+    return std::make_shared<const Dialect>(std::move(dialect));
+}
+
 void NodeFleet::addUpstream(const std::string& name, UpstreamKind kind, const std::string& pool, const std::string& domain)
 {
     const std::string address = "127.0.0.1:" + std::to_string(9000 + upstreams.size());
--- a/tests/node/LeavingNoticeTest.cpp
+++ b/tests/node/LeavingNoticeTest.cpp
@@ -10,24 +10,9 @@
     // Shortest time within which a leaving upstream must get no further requests, on any deployment.
     constexpr TimeMs drainBound { 2000 };
 
-    // Upstreams announce themselves by POST; DELETE /NAME announces a shutdown.
-    std::shared_ptr<const Dialect> makeTestDialect()
-    {
-        Dialect dialect;
-        dialect.decode = [](const HttpRequest& request, const std::string&) -> ControlCall {
-            if (request.method == "DELETE")
-                return LeaveCall { request.target.substr(1) };
-            return handle([&]() -> Result<ControlCall> {
-                BOOST_LEAF_AUTO(announced, parseAnnouncement(request.body));
-                return ControlCall(AnnounceCall { std::move(announced) }); },
-                [](const Error& error) { return ControlCall(BadCall { 400, error.detail }); });
-        };
-        return std::make_shared<const Dialect>(std::move(dialect));
-    }
-
     struct EntryFleet {
         EntryFleet(int entries, int controls, int upstreams)
-            : fleet({ .nodes = controls + entries, .voters = std::min(controls, 7), .disks = controls, .ledgerGroups = 0, .forwards = true, .announceNodes = static_cast<size_t>(controls), .dialect = makeTestDialect() })
+            : fleet({ .nodes = controls + entries, .voters = std::min(controls, 7), .disks = controls, .ledgerGroups = 0, .forwards = true, .announceNodes = static_cast<size_t>(controls), .dialect = makeFleetDialect() })
             , controls(static_cast<size_t>(controls))
         {
             for (int n = 0; n < upstreams; ++n)
