--- a/src/node/ForwardReport.cpp
+++ b/src/node/ForwardReport.cpp
@@ -95,7 +95,7 @@
 {
     applyLoadReport(node.forward.targets, node.now, from, loadsOf(load.loads));
     recordBackendDemand(node, from, load);
-    const auto news = applyReportedLimits(node, load.limits);
+    auto news = applyReportedLimits(node, load.limits);
     if (!acceptsCallers(node))
         return news;
     applyPeerSpending(node.forward.allowances, node.now, from, load.spent);
