Log transfers of the control view and frames that are lost

The logs of the incident of large configurations cannot tell repeated requests for a view from requests to too many sources, nor show that frames were lost. A node now logs from whom it asks for a view, why and whether again (view_requested), what it sends (view_sent), and when the queue to a peer is full or lost with its connection (peer_queue_full, peer_queue_open, peer_frames_lost; these frames vanished without a trace before). peer_sent_bytes_total counts the bytes to other nodes by kind of frame. No logic is changed.

--- a/src/entry/PeerTransport.cpp
+++ b/src/entry/PeerTransport.cpp
@@ -47,6 +47,7 @@
         Endpoint peer;
         std::deque<std::string> queue;
         size_t queuedBytes = 0;
+        size_t framesDropped = 0; ///< Since the queue became full; 0 while it is not.
         asio::steady_timer wakeTimer;
         tcp::socket socket;
         Clock::time_point lastReceived;
@@ -84,8 +85,14 @@
     asio::awaitable<void> runLink(LinkPtr);
     asio::awaitable<void> sendFrames(LinkPtr);
     asio::awaitable<void> receivePingReplies(LinkPtr, uint64_t generation);
+    void logLoss(const Link&, std::string code, std::string text, size_t frames) const;
 };
 
+void PeerTransport::Impl::logLoss(const Link& link, std::string code, std::string text, size_t frames) const
+{
+    handlers.log({ LogLevel::Warning, std::move(code), Step::Send, toString(link.peer), std::move(text), { { "frames", std::to_string(frames) }, { "queued_bytes", std::to_string(link.queuedBytes) } } });
+}
+
 void PeerTransport::Impl::bind()
 {
     const auto address = asio::ip::make_address(options.listen.ip);
@@ -226,6 +233,8 @@
         }
         ++link->generation;
         link->socket.close(ec);
+        if (!link->queue.empty())
+            logLoss(*link, "peer_frames_lost", "the frames that waited for the connection are lost with it", link->queue.size());
         link->queue.clear();
         link->queuedBytes = 0;
         link->wakeTimer.expires_after(toChrono(options.reconnectDelay));
@@ -274,8 +283,15 @@
         link->peer = frame.peer;
     }
     link->lastUsed = Clock::now();
-    if (frame.bytes.empty() || link->queuedBytes + frame.bytes.size() > m_impl->options.maxQueuedBytes)
+    if (frame.bytes.empty())
         return;
+    if (link->queuedBytes + frame.bytes.size() > m_impl->options.maxQueuedBytes) {
+        if (!link->framesDropped++)
+            m_impl->logLoss(*link, "peer_queue_full", "frames are dropped until the queue is shorter", 1);
+        return;
+    }
+    if (link->framesDropped)
+        m_impl->logLoss(*link, "peer_queue_open", "the queue takes frames again", std::exchange(link->framesDropped, 0));
     link->queuedBytes += frame.bytes.size();
     link->queue.push_back(std::move(frame.bytes));
     link->wakeTimer.cancel();
--- a/src/node/CatchUp.cpp
+++ b/src/node/CatchUp.cpp
@@ -83,7 +83,7 @@
     auto& catchUp = node.catchUp;
     catchUp.currentAt = std::max(catchUp.currentAt, node.now - std::max(frame.age, TimeMs {}));
     catchUp.positions[from] = { frame.process, frame.number };
-    fetchNewerView(node, from, frame.viewIndex);
+    fetchNewerView(node, from, frame.viewIndex, "catch_up");
     for (const auto& notice : frame.notices) {
         if (isRecordedLeaving(node, notice.upstream, notice.incarnation))
             continue;
--- a/src/node/ControlFlow.cpp
+++ b/src/node/ControlFlow.cpp
@@ -178,6 +178,17 @@
     }
 }
 
+// The reason tells how this node learned of the index.
+static void requestView(Node& node, NodeId from, uint64_t index, const char* reason)
+{
+    const Member* source = findMember(node.membership, from);
+    addLog(node, LogLevel::Info, "view_requested", Step::Send, source ? source->identity.name : std::string {}, "this node asks for a newer control view",
+        { { "index", std::to_string(index) }, { "have", std::to_string(node.view.index) }, { "reason", reason }, { "repeated", index <= node.requestedIndex ? "yes" : "no" }, { "last_request_ms_ago", node.requestedAt.value ? std::to_string((node.now - node.requestedAt).value) : std::string("-") } });
+    node.requestedIndex = index;
+    node.requestedAt = node.now;
+    sendFrame(node, from, FrameKind::FetchView, {}, encode(FetchViewFrame { node.view.index }));
+}
+
 void fetchViewIfNewer(Node& node, NodeId id)
 {
     const Member* member = findMember(node.membership, id);
@@ -185,9 +196,7 @@
         return;
     if (node.viewBeingStored && member->status.directive <= node.viewBeingStored->index)
         return;
-    node.requestedIndex = member->status.directive;
-    node.requestedAt = node.now;
-    sendFrame(node, id, FrameKind::FetchView, {}, encode(FetchViewFrame { node.view.index }));
+    requestView(node, id, member->status.directive, "gossip");
 }
 
 void receiveFetchView(Node& node, NodeId from, std::string_view body)
@@ -195,7 +204,11 @@
     const auto frame = decodeOr<FetchViewFrame>(body, 64, FetchViewFrame { UINT64_MAX });
     if (frame.viewIndex >= node.view.index)
         return;
-    sendFrame(node, from, FrameKind::View, {}, encode(node.view));
+    std::string bytes = encode(node.view);
+    const Member* receiver = findMember(node.membership, from);
+    addLog(node, LogLevel::Info, "view_sent", Step::Send, receiver ? receiver->identity.name : std::string {}, "another node gets the control view of this node",
+        { { "index", std::to_string(node.view.index) }, { "has", std::to_string(frame.viewIndex) }, { "bytes", std::to_string(bytes.size()) } });
+    sendFrame(node, from, FrameKind::View, {}, std::move(bytes));
     // A node without a view has just started and also needs the upstreams; gossip would take seconds to send all of them.
     if (!frame.viewIndex)
         sendUpstreams(node, from);
@@ -203,17 +216,15 @@
 
 void receiveViewNotice(Node& node, NodeId from, std::string_view body)
 {
-    fetchNewerView(node, from, decodeOr<FetchViewFrame>(body, 64).viewIndex);
+    fetchNewerView(node, from, decodeOr<FetchViewFrame>(body, 64).viewIndex, "notice");
 }
 
-void fetchNewerView(Node& node, NodeId from, uint64_t index)
+void fetchNewerView(Node& node, NodeId from, uint64_t index, const char* reason)
 {
     const bool isRequested = index <= node.requestedIndex && node.now - node.requestedAt < viewTimeout;
     if (index <= node.view.index || isRequested || (node.viewBeingStored && index <= node.viewBeingStored->index))
         return;
-    node.requestedIndex = index;
-    node.requestedAt = node.now;
-    sendFrame(node, from, FrameKind::FetchView, {}, encode(FetchViewFrame { node.view.index }));
+    requestView(node, from, index, reason);
 }
 
 void receiveView(Node& node, std::string_view body)
--- a/src/node/ControlFlow.h
+++ b/src/node/ControlFlow.h
@@ -11,8 +11,8 @@
 void tickControl(Node&);
 /// Requests the view of a member if its status reports a newer one.
 void fetchViewIfNewer(Node&, NodeId member);
-/// Requests the view of a node that holds one of this index, if it is newer and not requested already.
-void fetchNewerView(Node&, NodeId from, uint64_t index);
+/// Requests the view of a node that holds one of this index, if it is newer and not requested already. The reason goes into the log.
+void fetchNewerView(Node&, NodeId from, uint64_t index, const char* reason);
 void receiveFetchView(Node&, NodeId from, std::string_view body);
 void receiveViewNotice(Node&, NodeId from, std::string_view body);
 void receiveView(Node&, std::string_view body);
--- a/src/node/Metrics.cpp
+++ b/src/node/Metrics.cpp
@@ -44,6 +44,8 @@
         appendValue(out, name + "_total", {}, static_cast<double>(value));
     for (const auto& [reason, n] : node.droppedMessages)
         appendValue(out, "peer_messages_dropped_total", "reason=\"" + reason + "\"", static_cast<double>(n));
+    for (const auto& [kind, bytes] : node.sentBytes)
+        appendValue(out, "peer_sent_bytes_total", "kind=\"" + std::string(nameOf(kind)) + "\"", static_cast<double>(bytes));
     for (const auto& [key, histograms] : node.histograms) {
         std::string labels = "account=\"";
         labels.append(key.first).append("\",class=\"").append(key.second).append("\"");
--- a/src/node/NodeState.h
+++ b/src/node/NodeState.h
@@ -166,6 +166,7 @@
     bool leadsDecisions = false;
     LeaderState leader;
     uint64_t frameSequence = 0;
+    std::map<FrameKind, uint64_t> sentBytes; ///< Size of the frames sent to other nodes, by kind.
     ReplayWindow frameReplays;
     std::map<std::string, uint64_t> droppedMessages; ///< Number of dropped peer messages by reason.
 
--- a/src/node/Peers.cpp
+++ b/src/node/Peers.cpp
@@ -35,7 +35,9 @@
         return;
     const Envelope envelope { .cluster = node.cluster, .sender = node.self, .group = group, .sentAt = node.now, .sequence = ++node.frameSequence, .kind = static_cast<uint8_t>(kind), .body = std::move(body) };
     node.counters.add("peer_frames_sent");
-    node.out.frames.push_back({ endpointOf(member->identity.tcpAddress), seal(node.key, envelope) });
+    std::string sealed = seal(node.key, envelope);
+    node.sentBytes[kind] += sealed.size();
+    node.out.frames.push_back({ endpointOf(member->identity.tcpAddress), std::move(sealed) });
 }
 
 void receiveDatagram(Node& node, const std::string& from, std::string_view bytes)
