Show that large configurations are late on slow links

Two tests with 20 entry nodes on links of 10 Mbit/s and three voters on 1 Gbit/s, the links of the grown deployments, which the simulated fleet now models.

--- a/src/soak/NodeFleet.cpp
+++ b/src/soak/NodeFleet.cpp
@@ -229,6 +229,12 @@
     }
 }
 
+TimeMs NodeFleet::transferTime(size_t node, size_t bytes) const
+{
+    const double rate = nodes[node].disk ? options.diskNodeBytesPerMs : options.entryBytesPerMs;
+    return rate > 0 ? TimeMs { static_cast<int64_t>(static_cast<double>(bytes) / rate) } : TimeMs {};
+}
+
 void NodeFleet::send(size_t from, const Endpoint& peer, std::string bytes, bool datagram)
 {
     const size_t to = peer.port - firstPeerPort;
@@ -236,12 +242,25 @@
         return;
     if (!datagram && losesFrame && losesFrame(from, to, bytes))
         return;
+    const size_t size = bytes.size();
     Inputs inputs;
     if (datagram)
         inputs.datagrams.push_back({ toString(nodes[from].settings.peer), std::move(bytes) });
     else
         inputs.frames.push_back(std::move(bytes));
-    scheduleAfter(TimeMs { random.between(1, 4) }, [this, to, generation = nodes[to].generation, inputs = std::move(inputs)]() mutable { deliver(to, generation, std::move(inputs)); });
+    const TimeMs latency { random.between(1, 4) };
+    if (datagram)
+        return scheduleAfter(latency, [this, to, generation = nodes[to].generation, inputs = std::move(inputs)]() mutable { deliver(to, generation, std::move(inputs)); });
+    auto& sender = nodes[from];
+    auto& receiver = nodes[to];
+    sender.sentUntil = std::max(sender.sentUntil, now) + transferTime(from, size);
+    receiver.receivedUntil = std::max(receiver.receivedUntil, sender.sentUntil) + transferTime(to, size);
+    sender.bytesToSend += size;
+    sender.maxBytesToSend = std::max(sender.maxBytesToSend, sender.bytesToSend);
+    scheduleAfter(receiver.receivedUntil + latency - now, [this, from, to, size, generation = receiver.generation, inputs = std::move(inputs)]() mutable {
+        nodes[from].bytesToSend -= size;
+        deliver(to, generation, std::move(inputs));
+    });
 }
 
 // Like the daemon's disk thread: runs one write at a time; requests that arrive meanwhile go into the next one.
@@ -332,6 +351,11 @@
     return post(n, { "POST", "/v1/completions", { { "Authorization", "Bearer office" } }, json::serialize(body) });
 }
 
+uint64_t NodeFleet::putConfiguration(size_t n, uint64_t number, const std::string& rules)
+{
+    return post(n, { "PUT", "/" + std::to_string(number), {}, rules }, ListenerKind::Control);
+}
+
 uint64_t NodeFleet::apply(size_t n, const std::string& requestId, uint64_t expected, const std::string& text, const std::string& operatorName)
 {
     const json::object body { { "request_id", requestId }, { "expected_revision", expected }, { "text", text } };
--- a/src/soak/NodeFleet.h
+++ b/src/soak/NodeFleet.h
@@ -37,11 +37,16 @@
     TimeMs entryValid { 3000 };
     uint32_t ledgerGroups = 4;
     bool forwards = false; ///< The nodes without a data folder accept callers whose requests are forwarded.
+    /// Rate of the link of a node without a data folder and of one with it, in each direction; 0: unlimited. Frames queue for it, datagrams
+    /// do not.
+    double entryBytesPerMs = 0;
+    double diskNodeBytesPerMs = 0;
     size_t announceNodes = 0; ///< Upstreams announce themselves to as many nodes, the first ones; 0: to all.
     std::shared_ptr<const Dialect> dialect;
 };
 
-/// Control calls of upstreams as a platform could have them: POST announces an upstream, DELETE /NAME its shutdown.
+/// Control calls as a platform could have them: POST announces an upstream, DELETE /NAME its shutdown, PUT /NUMBER replaces the
+/// configuration by the rules in its body.
 std::shared_ptr<const Dialect> makeFleetDialect();
 
 /// Simulates a fleet in virtual time: real nodes driven by step(), with in-memory links, fake disks and simulated upstreams
@@ -61,6 +66,10 @@
         TimeMs diskDelay { 2 };
         bool stopped = false; ///< The node shut down by itself.
         uint64_t revision = 0; ///< Highest rules revision that was in force.
+        TimeMs sentUntil; ///< When its link has sent the frames that are queued for it.
+        TimeMs receivedUntil; ///< When its link has received the frames that are on their way.
+        size_t bytesToSend = 0; ///< Size of the frames that it has sent and that have not arrived.
+        size_t maxBytesToSend = 0;
     };
 
     struct Upstream {
@@ -116,6 +125,8 @@
     uint64_t post(size_t node, HttpRequest, ListenerKind = ListenerKind::Main);
     uint64_t postBooking(size_t node, const std::string& key, const std::string& body = "sound for the main square");
     uint64_t postCompletion(size_t node, bool stream, int tokens);
+    /// Sends a configuration to a node that serves control calls; see makeFleetDialect().
+    uint64_t putConfiguration(size_t node, uint64_t number, const std::string& rules);
     uint64_t apply(size_t node, const std::string& requestId, uint64_t expected, const std::string& text, const std::string& operatorName);
     void disconnectCaller(uint64_t caller);
     Caller& caller(uint64_t number) { return callers.at(number); }
@@ -157,6 +168,7 @@
     void deliver(size_t node, uint64_t generation, Inputs);
     void handleOutputs(size_t node, Outputs&);
     void send(size_t from, const Endpoint& peer, std::string bytes, bool datagram);
+    TimeMs transferTime(size_t node, size_t bytes) const;
     void writeDisk(size_t node);
     void handleAnswer(size_t node, const Answer&);
     void announceAll();
--- a/src/soak/NodeFleetUpstreams.cpp
+++ b/src/soak/NodeFleetUpstreams.cpp
@@ -16,6 +16,8 @@
     dialect.decode = [](const HttpRequest& request, const std::string&) -> ControlCall {
         if (request.method == "DELETE")
             return LeaveCall { request.target.substr(1) };
+        if (request.method == "PUT")
+            return PutConfigurationCall { .number = std::stoull(request.target.substr(1)), .rules = request.body, .original = request.body };
         return handle([&]() -> Result<ControlCall> {
             BOOST_LEAF_AUTO(announced, parseAnnouncement(request.body));
             return ControlCall(AnnounceCall { std::move(announced) }); },
--- /dev/null
+++ b/tests/node/LargeConfigurationTest.cpp
@@ -0,0 +1,85 @@
+#include "EntryFleet.h"
+
+namespace siskinshunt {
+
+namespace {
+
+    // Links of the largest deployment: 10 Mbit/s at entry nodes, 1 Gbit/s at nodes with a data folder.
+    const NodeFleetOptions slowLinks { .entryBytesPerMs = 1250, .diskNodeBytesPerMs = 125000 };
+    // Budget of a node for the work of the control plane, in bytes.
+    constexpr size_t memoryBudget = 64 << 20;
+
+    std::string rulesWithRoutes(int routes, uint64_t number)
+    {
+        const std::string comment = " # operator at 10.0.0.1: manifest version " + std::to_string(number) + "\n";
+        std::string out = "backend hire-desk health=/health connections=100" + comment;
+        Random random(7);
+        for (int n = 0; n < routes; ++n) {
+            const std::string name = std::to_string(random.below(1000000000)) + "-" + std::to_string(n);
+            out += "forward r-" + name + " host=ficu95.example prefix=/" + name + "/ kind=stream timeout=3000ms target=500ms gap=250ms priority=0 attempts=1 anonymous=no affinity=yes resume=no to=hire-desk:1" + comment;
+        }
+        return out;
+    }
+
+    size_t maxBytesToSend(const EntryFleet& it)
+    {
+        size_t out = 0;
+        for (const auto& node : it.fleet.nodes)
+            out = std::max(out, node.maxBytesToSend);
+        return out;
+    }
+
+}
+
+BOOST_AUTO_TEST_SUITE(LargeConfigurations)
+
+// Guards against views that are requested again while they are on their way, from any node, until the links of the entry nodes carry
+// nothing else: configurations are late, leaving notices wait behind them, and the frames fill the memory.
+BOOST_AUTO_TEST_CASE(AreInForceInTimeOnSlowLinks)
+{
+    EntryFleet it(20, 3, 4, slowLinks);
+    uint64_t number = 0;
+    for (const int routes : { 1400, 2800, 4200 }) {
+        for (int n = 0; n < 2; ++n) {
+            ++number;
+            it.configure(number, rulesWithRoutes(routes, number));
+        }
+        it.fleet.runFor(configurationBound);
+        it.checkInForce(1 + number);
+        it.fleet.runFor(3_s);
+    }
+    BOOST_CHECK_LT(maxBytesToSend(it), memoryBudget);
+    it.leave("desk-0");
+    it.checkAllAware("desk-0");
+    checkFleet(it.fleet);
+}
+
+// Guards against the same by a series of changes: a node that never gets a view whole before there is a newer one, and voters that hold
+// each change in memory many times.
+BOOST_AUTO_TEST_CASE(AreInForceInTimeDuringASeriesOfChanges)
+{
+    EntryFleet it(20, 3, 4, slowLinks);
+    uint64_t number = 0;
+    std::string rules = rulesWithRoutes(2800, 1);
+    it.configure(++number, rules);
+    it.fleet.runFor(3_s);
+    for (int n = 0; n < 12; ++n) {
+        const TimeMs next = it.fleet.now + 330_ms;
+        ++number;
+        it.configure(number, rulesWithRoutes(2800, number));
+        if (n == 6)
+            it.leave("desk-0");
+        it.fleet.runFor(std::max(TimeMs {}, next - it.fleet.now));
+        if (number > 8)
+            it.checkInForce(1 + number - 7);
+    }
+    it.fleet.runFor(configurationBound);
+    it.checkInForce(1 + number);
+    BOOST_CHECK(it.unaware("desk-0").empty());
+    BOOST_CHECK_LT(maxBytesToSend(it), memoryBudget);
+    checkFleet(it.fleet);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
