Transfer control views in pieces that the receiver requests

Callers saw 404 for routes that were acknowledged 3 s before, and requests to upstreams that had said that they leave (CONFIG, DENIED, DRAIN).

Cause: a node asked again for a view that was on its way. tickControl cleared the index that it had requested and asked the first member with a newer one, every 300 ms; fetchNewerView did so after 700 ms. Each reply was the whole view, 0.5 to 1 MB, which takes as long on a link of 10 Mbit/s, so copies queued behind copies and kept the links full after the change was over. Four in ten came from other entry nodes. All other messages waited behind them.

No node was short of processor time.

Now a node fetches one view at a time, in pieces of 32 KiB that it requests one after the other, so a transfer never queues more than a piece. It fetches from nodes with a data folder and resumes behind the bytes it has when a source fails; a transfer that is in progress is finished although there is a newer view. A view whose rules the receiver has goes without their text. Voters that follow the log wait for it.

--- a/src/node/CatchUp.cpp
+++ b/src/node/CatchUp.cpp
@@ -1,12 +1,12 @@
 #include "node/CatchUp.h"
 
 #include "membership/Messages.h"
-#include "node/ControlFlow.h"
 #include "node/ForwardFlow.h"
 #include "node/ForwardReport.h"
 #include "node/LeaderFlow.h"
 #include "node/LoadHubs.h"
 #include "node/Peers.h"
+#include "node/ViewTransfer.h"
 #include "wire/Codec.h"
 
 #include <algorithm>
@@ -83,7 +83,7 @@
     auto& catchUp = node.catchUp;
     catchUp.currentAt = std::max(catchUp.currentAt, node.now - std::max(frame.age, TimeMs {}));
     catchUp.positions[from] = { frame.process, frame.number };
-    fetchNewerView(node, from, frame.viewIndex, "catch_up");
+    wantView(node, from, frame.viewIndex, "catch_up");
     for (const auto& notice : frame.notices) {
         if (isRecordedLeaving(node, notice.upstream, notice.incarnation))
             continue;
--- a/src/node/ControlFlow.cpp
+++ b/src/node/ControlFlow.cpp
@@ -9,6 +9,7 @@
 #include "node/Peers.h"
 #include "node/StoredUpstreams.h"
 #include "node/VersionOrders.h"
+#include "node/ViewTransfer.h"
 #include "rules/RuleParser.h"
 #include "wire/Codec.h"
 
@@ -16,10 +17,8 @@
 
 namespace siskinshunt {
 
-// Interval between requests to a member that holds a newer view.
-static constexpr TimeMs fetchInterval { 300 };
-// A view that was requested and has not arrived after this time is requested again.
-static constexpr TimeMs viewTimeout { 700 };
+// Interval between searches of the member table for newer views.
+static constexpr TimeMs memberCheckInterval { 300 };
 
 static void recordDirective(Node& node, uint64_t index, const MoveDirective& directive)
 {
@@ -86,7 +85,7 @@
     std::sort(voters.begin(), voters.end());
     for (const NodeId other : others) {
         if (voters[other.value % voters.size()] == node.self)
-            sendFrame(node, other, FrameKind::ViewNotice, {}, encode(FetchViewFrame { node.view.index }));
+            sendFrame(node, other, FrameKind::ViewNotice, {}, encode(ViewNoticeFrame { node.view.index }));
     }
 }
 
@@ -104,8 +103,7 @@
     announceView(node);
 }
 
-// Adopts a newer view. A node with a data folder stores the view first, so that a restart never falls back to an older one.
-static void acceptView(Node& node, ControlView view)
+void acceptView(Node& node, ControlView view)
 {
     if (view.index <= node.view.index || (node.viewBeingStored && view.index <= node.viewBeingStored->index))
         return;
@@ -166,73 +164,19 @@
 {
     if (isLogCurrent(node))
         acceptView(node, buildView(node));
-    if (node.now < node.nextFetch)
+    tickViewTransfer(node);
+    if (node.now < node.viewTransfer.nextMemberCheck)
         return;
-    node.nextFetch = node.now + fetchInterval;
+    node.viewTransfer.nextMemberCheck = node.now + memberCheckInterval;
     for (const auto& [id, member] : node.membership.members) {
-        if (member.status.directive > node.view.index && isAlive(node.membership, id)) {
-            node.requestedIndex = 0;
-            fetchViewIfNewer(node, id);
-            return;
-        }
+        if (isAlive(node.membership, id))
+            wantView(node, id, member.status.directive, "gossip");
     }
 }
 
-// The reason tells how this node learned of the index.
-static void requestView(Node& node, NodeId from, uint64_t index, const char* reason)
-{
-    const Member* source = findMember(node.membership, from);
-    addLog(node, LogLevel::Info, "view_requested", Step::Send, source ? source->identity.name : std::string {}, "this node asks for a newer control view",
-        { { "index", std::to_string(index) }, { "have", std::to_string(node.view.index) }, { "reason", reason }, { "repeated", index <= node.requestedIndex ? "yes" : "no" }, { "last_request_ms_ago", node.requestedAt.value ? std::to_string((node.now - node.requestedAt).value) : std::string("-") } });
-    node.requestedIndex = index;
-    node.requestedAt = node.now;
-    sendFrame(node, from, FrameKind::FetchView, {}, encode(FetchViewFrame { node.view.index }));
-}
-
-void fetchViewIfNewer(Node& node, NodeId id)
-{
-    const Member* member = findMember(node.membership, id);
-    if (!member || member->status.directive <= std::max(node.view.index, node.requestedIndex))
-        return;
-    if (node.viewBeingStored && member->status.directive <= node.viewBeingStored->index)
-        return;
-    requestView(node, id, member->status.directive, "gossip");
-}
-
-void receiveFetchView(Node& node, NodeId from, std::string_view body)
-{
-    const auto frame = decodeOr<FetchViewFrame>(body, 64, FetchViewFrame { UINT64_MAX });
-    if (frame.viewIndex >= node.view.index)
-        return;
-    std::string bytes = encode(node.view);
-    const Member* receiver = findMember(node.membership, from);
-    addLog(node, LogLevel::Info, "view_sent", Step::Send, receiver ? receiver->identity.name : std::string {}, "another node gets the control view of this node",
-        { { "index", std::to_string(node.view.index) }, { "has", std::to_string(frame.viewIndex) }, { "bytes", std::to_string(bytes.size()) } });
-    sendFrame(node, from, FrameKind::View, {}, std::move(bytes));
-    // A node without a view has just started and also needs the upstreams; gossip would take seconds to send all of them.
-    if (!frame.viewIndex)
-        sendUpstreams(node, from);
-}
-
 void receiveViewNotice(Node& node, NodeId from, std::string_view body)
 {
-    fetchNewerView(node, from, decodeOr<FetchViewFrame>(body, 64).viewIndex, "notice");
-}
-
-void fetchNewerView(Node& node, NodeId from, uint64_t index, const char* reason)
-{
-    const bool isRequested = index <= node.requestedIndex && node.now - node.requestedAt < viewTimeout;
-    if (index <= node.view.index || isRequested || (node.viewBeingStored && index <= node.viewBeingStored->index))
-        return;
-    requestView(node, from, index, reason);
-}
-
-void receiveView(Node& node, std::string_view body)
-{
-    auto view = decodeOr<ControlView>(body, maxViewBytes);
-    if (!view.index)
-        return countDrop(node, DropReason::BadBody);
-    acceptView(node, std::move(view));
+    wantView(node, from, decodeOr<ViewNoticeFrame>(body, 64).viewIndex, "notice");
 }
 
 }
--- a/src/node/NodeState.h
+++ b/src/node/NodeState.h
@@ -134,6 +134,33 @@
     uint64_t index = 0;
 };
 
+/// A control view as sent to other nodes.
+struct EncodedView {
+    uint64_t index = 0;
+    bool withRules = true; ///< Whether it contains the text of the rules.
+    std::string bytes;
+    uint64_t checksum = 0;
+    TimeMs lastUsedAt;
+};
+
+/// Transfer of newer control views to this node, and of its own to others.
+struct ViewTransferState {
+    uint64_t wanted = 0; ///< Highest index of which this node has heard.
+    NodeId teller; ///< The node that has told of it.
+    const char* reason = ""; ///< How it has told, for the log.
+    NodeId source; ///< The node that has been asked for a piece; none between attempts.
+    NodeId failedSource; ///< The last source that did not deliver.
+    int failures = 0; ///< Sources in a row that did not deliver.
+    TimeMs nextTry;
+    TimeMs lastProgressAt;
+    TimeMs nextMemberCheck;
+    uint64_t index = 0; ///< Of the view in transfer.
+    uint64_t totalBytes = 0;
+    uint64_t checksum = 0;
+    std::string bytes; ///< The pieces received, joined.
+    std::vector<EncodedView> encoded; ///< Recently sent to other nodes.
+};
+
 struct Node {
     NodeOptions options;
     NodeId self;
@@ -149,9 +176,7 @@
     // Rules and control view.
     std::shared_ptr<const RuleSet> rules; ///< Rules in force; null until a view has been adopted.
     ControlView view;
-    uint64_t requestedIndex = 0; ///< Highest view index requested from other nodes.
-    TimeMs requestedAt; ///< When it was requested.
-    TimeMs nextFetch;
+    ViewTransferState viewTransfer;
     std::optional<ControlView> viewToStore; ///< A newer view that waits until `viewBeingStored` is on disk.
     std::optional<ControlView> viewBeingStored;
     uint64_t viewRequest = 0;
--- a/src/node/PeerMessages.h
+++ b/src/node/PeerMessages.h
@@ -25,7 +25,7 @@
     LookUp,
     LookUpReply,
     FetchView,
-    View,
+    ViewPiece, ///< A ViewPieceFrame.
     Evidence,
     LeaseRequests,
     LeaseGrants,
@@ -39,7 +39,7 @@
     Usage, ///< A UsageFrame.
     Leaving, ///< A LeavingFrame.
     LeavingAcknowledged, ///< A LeavingFrame: the reply of the decision leader.
-    ViewNotice, ///< A FetchViewFrame with the index of the sender's view.
+    ViewNotice, ///< A ViewNoticeFrame.
     VersionEvidence, ///< A VersionEvidenceFrame.
     HubReport, ///< A HubReportFrame.
     DomainLoad, ///< A ForwardLoadFrame: the sum over the sender's failure domain.
@@ -56,7 +56,7 @@
     { FrameKind::LookUp, "look_up" },
     { FrameKind::LookUpReply, "look_up_reply" },
     { FrameKind::FetchView, "fetch_view" },
-    { FrameKind::View, "view" },
+    { FrameKind::ViewPiece, "view_piece" },
     { FrameKind::Evidence, "evidence" },
     { FrameKind::LeaseRequests, "lease_requests" },
     { FrameKind::LeaseGrants, "lease_grants" },
@@ -137,13 +137,35 @@
     void serialize(Archive& archive) { archive(index, rules, moves, epoch, ledgerGroups, versionOrders); }
 };
 
-struct FetchViewFrame {
+struct ViewNoticeFrame {
     uint64_t viewIndex = 0; ///< Index of the sender's view.
 
     template <class Archive>
     void serialize(Archive& archive) { archive(viewIndex); }
 };
 
+/// Asks for a piece of a view that is newer than the sender's.
+struct FetchViewFrame {
+    uint64_t viewIndex = 0; ///< Index of the sender's view.
+    uint64_t rulesRevision = 0; ///< Its rules revision. The text of this revision is left out.
+    uint64_t checksum = 0; ///< Of the encoded view in transfer; 0, or one that the receiver does not have, for the first piece of its newest view.
+    uint64_t offset = 0; ///< Number of bytes of that view that the sender has.
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(viewIndex, rulesRevision, checksum, offset); }
+};
+
+struct ViewPieceFrame {
+    uint64_t index = 0; ///< Of the view.
+    uint64_t totalBytes = 0; ///< Size of the encoded view; 0 if the sender has none that is newer.
+    uint64_t checksum = 0; ///< hash64 of the encoded view, with its index as the seed.
+    uint64_t offset = 0;
+    std::string bytes;
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(index, totalBytes, checksum, offset, bytes); }
+};
+
 struct EvidenceFrame {
     std::vector<Evidence> evidence;
 
--- a/src/node/Peers.cpp
+++ b/src/node/Peers.cpp
@@ -12,6 +12,7 @@
 #include "node/LoadHubs.h"
 #include "node/MovesFlow.h"
 #include "node/VersionOrders.h"
+#include "node/ViewTransfer.h"
 #include "node/VoterRepair.h"
 #include "wire/Codec.h"
 #include "wire/FrameReader.h"
@@ -62,8 +63,8 @@
         return receiveLookUpReply(node, envelope.group, envelope.body);
     case FrameKind::FetchView:
         return receiveFetchView(node, envelope.sender, envelope.body);
-    case FrameKind::View:
-        return receiveView(node, envelope.body);
+    case FrameKind::ViewPiece:
+        return receiveViewPiece(node, envelope.sender, envelope.body);
     case FrameKind::Evidence:
         return receiveEvidence(node, envelope.sender, envelope.body);
     case FrameKind::LeaseRequests:
@@ -140,7 +141,9 @@
     case MembershipEventKind::HigherRevision:
     case MembershipEventKind::MemberUp:
     case MembershipEventKind::MemberChanged:
-        return fetchViewIfNewer(node, event.member);
+        if (const Member* member = findMember(node.membership, event.member))
+            wantView(node, event.member, member->status.directive, "gossip");
+        return;
     case MembershipEventKind::Replaced:
     case MembershipEventKind::Collision:
         node.out.stop = node.out.stop || node.membership.stopped;
