Compress configurations and control views

Cause: a configuration was replicated and kept in memory as received and again as rules, about 2 MB for 4,200 routes: in the proposal, in each Append, in the log of each voter, in its stored view and in every transfer to an entry node.

The lines resemble each other. SetConfiguration carries the content compressed and replaces PutConfiguration, which is still applied from logs of earlier builds. Views are compressed in transfer and on disk; those that earlier builds stored are read as before.

All voters must run this build before the first configuration is changed.

--- a/src/control/ControlCommand.cpp
+++ b/src/control/ControlCommand.cpp
@@ -1,5 +1,6 @@
 #include "control/ControlCommand.h"
 
+#include "base/Compression.h"
 #include "replica/StateCodec.h"
 
 namespace siskinshunt {
@@ -7,6 +8,23 @@
 // Exceeds the largest command: a rules text of maximum size with its other fields.
 static constexpr size_t maxControlBytes = 4 << 20;
 
+// Bounds the memory that a compressed content can take.
+static constexpr size_t maxContentBytes = 32 << 20;
+
+std::string packContent(const ConfigurationContent& content)
+{
+    return compress(encodeState(content));
+}
+
+std::optional<ConfigurationContent> unpackContent(std::string_view bytes)
+{
+    const auto encoded = decompress(bytes, maxContentBytes);
+    ConfigurationContent content;
+    if (!encoded || !decodeState(*encoded, content, maxContentBytes))
+        return std::nullopt;
+    return content;
+}
+
 std::string encodeControlCommand(const ControlCommand& command)
 {
     return encodeState(command);
--- a/src/control/DecisionLog.cpp
+++ b/src/control/DecisionLog.cpp
@@ -56,12 +56,12 @@
     }
 }
 
-static void appendRevision(DecisionLog& log, const ApplyRules& command, const std::string& digest)
+static void appendRevision(DecisionLog& log, ApplyRules command, const std::string& digest)
 {
     const uint64_t last = log.history.empty() ? 0 : log.history.back().revision;
     INVARIANT(log.revision == last, "the current revision is the last of the history", "revision", log.revision, "last", last);
     ++log.revision;
-    log.history.push_back({ log.revision, command.requestId, command.operatorName, command.now, command.text, digest });
+    log.history.push_back({ log.revision, std::move(command.requestId), std::move(command.operatorName), command.now, std::move(command.text), digest });
     INVARIANT(log.history.back().revision == last + 1, "revisions increase by one", "from", last, "to", log.revision);
     discardOldTexts(log);
     if (log.history.size() > DecisionLog::keptHistory)
@@ -213,19 +213,39 @@
     return replyOf(log, ControlOutcome::Accepted);
 }
 
-static ControlReply applyTo(DecisionLog& log, const PutConfiguration& command)
+static ControlReply applyConfiguration(DecisionLog& log, uint64_t number, ConfigurationContent content, const std::string& operatorName, TimeMs now)
 {
-    if (command.operatorName.size() > maxNameBytes || command.rules.size() > DecisionLog::maxTextBytes)
+    if (operatorName.size() > maxNameBytes || content.rules.size() > DecisionLog::maxTextBytes)
         return replyOf(log, ControlOutcome::Malformed, "the operator or the rules break their bounds");
-    if (command.number <= log.configurationNumber)
-        return replyOf(log, ControlOutcome::Accepted, "number " + std::to_string(log.configurationNumber) + " stays in force");
-    const std::string request = "configuration-" + std::to_string(command.number);
-    appendRevision(log, { request, log.revision, command.rules, command.operatorName, command.now }, sha256Hex(command.rules));
-    log.configurationNumber = command.number;
-    log.configuration = command.original;
+    const std::string digest = sha256Hex(content.rules);
+    appendRevision(log, { "configuration-" + std::to_string(number), log.revision, std::move(content.rules), operatorName, now }, digest);
+    log.configurationNumber = number;
+    log.configuration = std::move(content.original);
     return replyOf(log, ControlOutcome::Accepted);
 }
 
+static ControlReply replyToOldNumber(const DecisionLog& log)
+{
+    return replyOf(log, ControlOutcome::Accepted, "number " + std::to_string(log.configurationNumber) + " stays in force");
+}
+
+static ControlReply applyTo(DecisionLog& log, const PutConfiguration& command)
+{
+    if (command.number <= log.configurationNumber)
+        return replyToOldNumber(log);
+    return applyConfiguration(log, command.number, { command.original, command.rules }, command.operatorName, command.now);
+}
+
+static ControlReply applyTo(DecisionLog& log, const SetConfiguration& command)
+{
+    if (command.number <= log.configurationNumber)
+        return replyToOldNumber(log);
+    auto content = unpackContent(command.content);
+    if (!content)
+        return replyOf(log, ControlOutcome::Malformed, "the content cannot be decoded");
+    return applyConfiguration(log, command.number, std::move(*content), command.operatorName, command.now);
+}
+
 // Until this long after its time limit, a repeat of a rolled-back order counts as a resend instead of a new order.
 static constexpr TimeMs resendWindow { 10000 };
 
--- a/src/node/ControlFlow.cpp
+++ b/src/node/ControlFlow.cpp
@@ -1,5 +1,6 @@
 #include "node/ControlFlow.h"
 
+#include "base/Compression.h"
 #include "base/Invariant.h"
 #include "node/ExplainFlow.h"
 #include "node/FleetFlow.h"
@@ -114,7 +115,7 @@
         return;
     }
     DiskRequest request { .id = ++node.viewRequest, .group = viewGroup, .hardState = {}, .snapshot = {}, .entries = {} };
-    request.snapshot = Snapshot { .meta = { .index = view.index, .term = 1, .members = {} }, .bytes = std::make_shared<const std::string>(encode(view)) };
+    request.snapshot = Snapshot { .meta = { .index = view.index, .term = 1, .members = {} }, .bytes = std::make_shared<const std::string>(compress(encode(view))) };
     node.viewBeingStored = std::move(view);
     node.out.disk.push_back(std::move(request));
 }
@@ -144,7 +145,12 @@
     const auto it = node.options.recovered.find(viewGroup);
     if (it == node.options.recovered.end() || !it->second.snapshot.meta.index)
         return {};
-    BOOST_LEAF_AUTO(view, decode<ControlView>(*it->second.snapshot.bytes, maxViewBytes, "stored view"));
+    const std::string& stored = *it->second.snapshot.bytes;
+    // Earlier builds stored views as they are.
+    const auto encoded = isCompressed(stored) ? decompress(stored, maxViewBytes) : stored;
+    if (!encoded)
+        return fail(ErrorCode::Corrupt, Step::Recover, "stored view", "the compressed view is damaged");
+    BOOST_LEAF_AUTO(view, decode<ControlView>(*encoded, maxViewBytes, "stored view"));
     adoptView(node, std::move(view));
     return {};
 }
--- a/src/node/ViewTransfer.cpp
+++ b/src/node/ViewTransfer.cpp
@@ -1,5 +1,6 @@
 #include "node/ViewTransfer.h"
 
+#include "base/Compression.h"
 #include "base/Hash.h"
 #include "node/ControlFlow.h"
 #include "node/Groups.h"
@@ -151,7 +152,7 @@
     ControlView view = node.view;
     if (!withRules)
         view.rules.text.clear();
-    EncodedView added { .index = view.index, .withRules = withRules, .bytes = encode(view), .checksum = 0, .lastUsedAt = {} };
+    EncodedView added { .index = view.index, .withRules = withRules, .bytes = compress(encode(view)), .checksum = 0, .lastUsedAt = {} };
     added.checksum = hash64(added.bytes, added.index);
     if (encoded.size() >= maxEncodedViews)
         encoded.erase(std::min_element(encoded.begin(), encoded.end(), [](const auto& a, const auto& b) { return a.lastUsedAt < b.lastUsedAt; }));
@@ -182,7 +183,8 @@
 {
     auto& transfer = node.viewTransfer;
     const bool intact = hash64(transfer.bytes, transfer.index) == transfer.checksum;
-    auto view = intact ? decodeOr<ControlView>(transfer.bytes, maxViewBytes) : ControlView {};
+    const auto encoded = intact ? decompress(transfer.bytes, maxViewBytes) : std::nullopt;
+    auto view = encoded ? decodeOr<ControlView>(*encoded, maxViewBytes) : ControlView {};
     forgetPieces(transfer);
     if (view.index && view.rules.text.empty() && view.rules.revision == node.view.rules.revision)
         view.rules.text = node.view.rules.text;
--- a/tests/control/DecisionLogTest.cpp
+++ b/tests/control/DecisionLogTest.cpp
@@ -195,3 +195,25 @@
     BOOST_TEST(bytes <= DecisionLog::keptTextBytes);
     BOOST_TEST(!rulesText(log).empty());
 }
+
+// Guards against a damaged content that is applied, and against logs of earlier builds that lose their configurations.
+BOOST_AUTO_TEST_CASE(configurationsAreAppliedFromBothCommands)
+{
+    DecisionLog log;
+    BOOST_TEST((applyControl(log, PutConfiguration { .number = 3, .original = "old", .rules = "rules 3", .operatorName = "omar", .now = {} }).outcome == ControlOutcome::Accepted));
+    BOOST_TEST(log.configuration == "old");
+    const SetConfiguration next { .number = 5, .content = packContent({ "new", "rules 5" }), .operatorName = "omar", .now = {} };
+    SetConfiguration damaged = next;
+    damaged.content.pop_back();
+    BOOST_TEST((applyControl(log, damaged).outcome == ControlOutcome::Malformed));
+    BOOST_TEST(log.configurationNumber == 3U);
+    const auto decoded = decodeControlCommand(encodeControlCommand(next));
+    BOOST_REQUIRE(decoded);
+    BOOST_TEST((applyControl(log, *decoded).outcome == ControlOutcome::Accepted));
+    BOOST_TEST(log.configuration == "new");
+    BOOST_TEST(rulesText(log) == "rules 5");
+    BOOST_TEST(log.revision == 2U);
+    const SetConfiguration late { .number = 4, .content = packContent({ "late", "rules 4" }), .operatorName = "omar", .now = {} };
+    BOOST_TEST((applyControl(log, late).outcome == ControlOutcome::Accepted));
+    BOOST_TEST(log.configuration == "new");
+}
--- a/tests/node/LargeConfigurationTest.cpp
+++ b/tests/node/LargeConfigurationTest.cpp
@@ -80,6 +80,27 @@
     checkFleet(it.fleet);
 }
 
+// Guards against configurations that are replicated and kept in memory uncompressed, twice over: as received and as rules.
+BOOST_AUTO_TEST_CASE(AreReplicatedInAFractionOfTheirSize)
+{
+    EntryFleet it(4, 3, 2);
+    const std::string rules = rulesWithRoutes(4200, 1);
+    const auto replicatedBytes = [&] {
+        uint64_t sum = 0;
+        for (size_t n = 0; n < it.controls; ++n) {
+            const auto& sent = it.fleet.nodes[n].node->sentBytes;
+            for (const FrameKind kind : { FrameKind::Consensus, FrameKind::Propose })
+                sum += sent.contains(kind) ? sent.at(kind) : 0;
+        }
+        return sum;
+    };
+    const uint64_t before = replicatedBytes();
+    it.configure(1, rules);
+    it.fleet.runFor(1_s);
+    it.checkInForce(2);
+    BOOST_CHECK_LT(replicatedBytes() - before, rules.size());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
