Compress all large commands of the decision log the same way

SetConfiguration compressed only configurations; rules that operators apply over the product's own interface were still replicated as they are. encodeControlCommand now compresses every command of 4 KiB or more, so the new command is not needed and goes; logs of earlier builds are read as before. largeCommandsAreCompressed fails for ApplyRules without this.

--- a/src/control/ControlCommand.cpp
+++ b/src/control/ControlCommand.cpp
@@ -8,30 +8,23 @@
 // Exceeds the largest command: a rules text of maximum size with its other fields.
 static constexpr size_t maxControlBytes = 4 << 20;
 
-// Bounds the memory that a compressed content can take.
-static constexpr size_t maxContentBytes = 32 << 20;
-
-std::string packContent(const ConfigurationContent& content)
-{
-    return compress(encodeState(content));
-}
-
-std::optional<ConfigurationContent> unpackContent(std::string_view bytes)
-{
-    const auto encoded = decompress(bytes, maxContentBytes);
-    ConfigurationContent content;
-    if (!encoded || !decodeState(*encoded, content, maxContentBytes))
-        return std::nullopt;
-    return content;
-}
+static constexpr size_t minCompressedBytes = 4 << 10;
 
 std::string encodeControlCommand(const ControlCommand& command)
 {
-    return encodeState(command);
+    std::string bytes = encodeState(command);
+    return bytes.size() < minCompressedBytes ? bytes : compress(bytes);
 }
 
 std::optional<ControlCommand> decodeControlCommand(std::string_view bytes)
 {
+    std::optional<std::string> decompressed;
+    if (isCompressed(bytes)) {
+        decompressed = decompress(bytes, maxControlBytes);
+        if (!decompressed)
+            return std::nullopt;
+        bytes = *decompressed;
+    }
     ControlCommand command;
     if (!decodeState(bytes, command, maxControlBytes))
         return std::nullopt;
--- a/src/control/ControlCommand.h
+++ b/src/control/ControlCommand.h
@@ -111,7 +111,8 @@
     void serialize(Archive& archive) { archive(id, state, detail); }
 };
 
-/// The former command for SetConfiguration, with the content as it is; found in logs of earlier builds.
+/// Activates a configuration of the platform unless one with the same or a higher number is active. The caller has
+/// validated it.
 struct PutConfiguration {
     uint64_t number = 0; ///< Assigned by the platform's operator; the highest one is active.
     std::string original; ///< As received, returned to readers.
@@ -180,33 +181,7 @@
     void serialize(Archive& archive) { archive(window, counts); }
 };
 
-/// A configuration of the platform.
-struct ConfigurationContent {
-    std::string original; ///< As received, returned to readers.
-    std::string rules; ///< Translation into rule lines, each with its requester.
-
-    template <class Archive>
-    void serialize(Archive& archive) { archive(original, rules); }
-};
-
-/// Activates a configuration of the platform unless one with the same or a higher number is active. The caller has
-/// validated it.
-struct SetConfiguration {
-    uint64_t number = 0; ///< Assigned by the platform's operator; the highest one is active.
-    std::string content; ///< A ConfigurationContent, see packContent().
-    std::string operatorName;
-    TimeMs now; ///< UTC.
-
-    template <class Archive>
-    void serialize(Archive& archive) { archive(number, content, operatorName, now); }
-};
-
-/// Encodes and compresses the content: its lines resemble each other, and each voter keeps many commands in memory.
-std::string packContent(const ConfigurationContent&);
-/// Returns nullopt on malformed bytes.
-std::optional<ConfigurationContent> unpackContent(std::string_view bytes);
-
-using ControlCommand = std::variant<ApplyRules, RecordMove, BeginEpoch, OpenIntent, CloseIntent, PutConfiguration, StartVersionOrder, RecordVersionOrder, CommitUsage, SetConfiguration>;
+using ControlCommand = std::variant<ApplyRules, RecordMove, BeginEpoch, OpenIntent, CloseIntent, PutConfiguration, StartVersionOrder, RecordVersionOrder, CommitUsage>;
 
 enum class ControlOutcome : uint8_t {
     Accepted,
@@ -241,6 +216,7 @@
     void serialize(Archive& archive) { archive(outcome, revision, winner, wonAt, epoch, detail); }
 };
 
+/// Large commands are compressed: their lines resemble each other, and each voter keeps many commands in memory.
 std::string encodeControlCommand(const ControlCommand&);
 /// Returns nullopt on malformed bytes.
 std::optional<ControlCommand> decodeControlCommand(std::string_view bytes);
--- a/src/control/DecisionLog.cpp
+++ b/src/control/DecisionLog.cpp
@@ -213,37 +213,17 @@
     return replyOf(log, ControlOutcome::Accepted);
 }
 
-static ControlReply applyConfiguration(DecisionLog& log, uint64_t number, ConfigurationContent content, const std::string& operatorName, TimeMs now)
-{
-    if (operatorName.size() > maxNameBytes || content.rules.size() > DecisionLog::maxTextBytes)
-        return replyOf(log, ControlOutcome::Malformed, "the operator or the rules break their bounds");
-    const std::string digest = sha256Hex(content.rules);
-    appendRevision(log, { "configuration-" + std::to_string(number), log.revision, std::move(content.rules), operatorName, now }, digest);
-    log.configurationNumber = number;
-    log.configuration = std::move(content.original);
-    return replyOf(log, ControlOutcome::Accepted);
-}
-
-static ControlReply replyToOldNumber(const DecisionLog& log)
-{
-    return replyOf(log, ControlOutcome::Accepted, "number " + std::to_string(log.configurationNumber) + " stays in force");
-}
-
 static ControlReply applyTo(DecisionLog& log, const PutConfiguration& command)
 {
+    if (command.operatorName.size() > maxNameBytes || command.rules.size() > DecisionLog::maxTextBytes)
+        return replyOf(log, ControlOutcome::Malformed, "the operator or the rules break their bounds");
     if (command.number <= log.configurationNumber)
-        return replyToOldNumber(log);
-    return applyConfiguration(log, command.number, { command.original, command.rules }, command.operatorName, command.now);
-}
-
-static ControlReply applyTo(DecisionLog& log, const SetConfiguration& command)
-{
-    if (command.number <= log.configurationNumber)
-        return replyToOldNumber(log);
-    auto content = unpackContent(command.content);
-    if (!content)
-        return replyOf(log, ControlOutcome::Malformed, "the content cannot be decoded");
-    return applyConfiguration(log, command.number, std::move(*content), command.operatorName, command.now);
+        return replyOf(log, ControlOutcome::Accepted, "number " + std::to_string(log.configurationNumber) + " stays in force");
+    const std::string request = "configuration-" + std::to_string(command.number);
+    appendRevision(log, { request, log.revision, command.rules, command.operatorName, command.now }, sha256Hex(command.rules));
+    log.configurationNumber = command.number;
+    log.configuration = command.original;
+    return replyOf(log, ControlOutcome::Accepted);
 }
 
 // Until this long after its time limit, a repeat of a rolled-back order counts as a resend instead of a new order.
--- a/src/node/ControlCalls.cpp
+++ b/src/node/ControlCalls.cpp
@@ -79,7 +79,7 @@
     const auto parsed = parseRules(call.rules);
     if (!parsed.problems.empty())
         return handleCall(node, arrived, BadCall { 400, toString(parsed.problems.front(), "configuration") });
-    propose(node, arrived.exchange, SetConfiguration { .number = call.number, .content = packContent({ call.original, call.rules }), .operatorName = arrived.peer, .now = node.now }, "configuration " + std::to_string(call.number));
+    propose(node, arrived.exchange, PutConfiguration { .number = call.number, .original = call.original, .rules = call.rules, .operatorName = arrived.peer, .now = node.now }, "configuration " + std::to_string(call.number));
 }
 
 static void handleCall(Node& node, const RequestArrived& arrived, const ReadConfigurationCall&)
--- a/tests/control/DecisionLogTest.cpp
+++ b/tests/control/DecisionLogTest.cpp
@@ -1,5 +1,7 @@
 #include "control/DecisionLog.h"
 
+#include "replica/StateCodec.h"
+
 #include <boost/test/unit_test.hpp>
 
 using namespace siskinshunt;
@@ -196,24 +198,26 @@
     BOOST_TEST(!rulesText(log).empty());
 }
 
-// Guards against a damaged content that is applied, and against logs of earlier builds that lose their configurations.
-BOOST_AUTO_TEST_CASE(configurationsAreAppliedFromBothCommands)
+// Guards against large commands that are kept in the log of each voter as they are, and against logs of earlier builds, which do that
+// and lose their commands.
+BOOST_AUTO_TEST_CASE(largeCommandsAreCompressed)
 {
+    std::string rules;
+    for (int n = 0; n < 1000; ++n)
+        rules += "forward r-" + std::to_string(n) + " kind=stream # omar: routes\n";
+    const PutConfiguration put { .number = 3, .original = rules, .rules = rules, .operatorName = "omar", .now = {} };
+    const ApplyRules apply { .requestId = "r1", .expectedRevision = 1, .text = rules, .operatorName = "omar", .now = {} };
     DecisionLog log;
-    BOOST_TEST((applyControl(log, PutConfiguration { .number = 3, .original = "old", .rules = "rules 3", .operatorName = "omar", .now = {} }).outcome == ControlOutcome::Accepted));
-    BOOST_TEST(log.configuration == "old");
-    const SetConfiguration next { .number = 5, .content = packContent({ "new", "rules 5" }), .operatorName = "omar", .now = {} };
-    SetConfiguration damaged = next;
-    damaged.content.pop_back();
-    BOOST_TEST((applyControl(log, damaged).outcome == ControlOutcome::Malformed));
-    BOOST_TEST(log.configurationNumber == 3U);
-    const auto decoded = decodeControlCommand(encodeControlCommand(next));
-    BOOST_REQUIRE(decoded);
-    BOOST_TEST((applyControl(log, *decoded).outcome == ControlOutcome::Accepted));
-    BOOST_TEST(log.configuration == "new");
-    BOOST_TEST(rulesText(log) == "rules 5");
-    BOOST_TEST(log.revision == 2U);
-    const SetConfiguration late { .number = 4, .content = packContent({ "late", "rules 4" }), .operatorName = "omar", .now = {} };
-    BOOST_TEST((applyControl(log, late).outcome == ControlOutcome::Accepted));
-    BOOST_TEST(log.configuration == "new");
+    for (const ControlCommand& command : { ControlCommand(put), ControlCommand(apply) }) {
+        const std::string encoded = encodeControlCommand(command);
+        BOOST_TEST(encoded.size() < rules.size() / 4);
+        BOOST_TEST(!decodeControlCommand(encoded.substr(0, encoded.size() - 1)));
+        const auto decoded = decodeControlCommand(encoded);
+        BOOST_REQUIRE(decoded);
+        BOOST_TEST((applyControl(log, *decoded).outcome == ControlOutcome::Accepted));
+        BOOST_TEST(rulesText(log) == rules);
+    }
+    BOOST_TEST(log.configuration == rules);
+    const auto plain = decodeControlCommand(encodeState(ControlCommand(put)));
+    BOOST_TEST((plain && std::get<PutConfiguration>(*plain).rules == rules));
 }
