Bound the memory of the replicated log in bytes

Both limits counted entries: the same class as queues that count requests.

Without these bounds the new tests see 8,000,000 bytes on their way to a silent member and 20,000,033 bytes of log.

--- a/src/consensus/Raft.h
+++ b/src/consensus/Raft.h
@@ -43,6 +43,7 @@
     TimeMs electionMax = 1000_ms;
     TimeMs lease = 450_ms;
     size_t maxInflight = 16; ///< Unacknowledged Appends per member.
+    size_t maxInflightBytes = 1 << 20; ///< Their entry data; a further Append waits until there is less.
     TimeMs resendTimeout = 500_ms; ///< An unacknowledged Append or snapshot piece is sent again after this time.
     uint64_t maxPromotionLag = 64; ///< A learner that lags by more entries is not promoted.
 };
@@ -53,12 +54,18 @@
     Snapshot, ///< The member needs entries that were compacted.
 };
 
+/// An Append that the member has not acknowledged yet.
+struct InflightAppend {
+    uint64_t lastIndex = 0;
+    size_t bytes = 0; ///< Entry data.
+};
+
 /// Replication state of another member, kept by the leader.
 struct Progress {
     SendState state = SendState::Probe;
     uint64_t match = 0; ///< Highest index known to be durable on the member.
     uint64_t next = 1;
-    std::deque<uint64_t> inflight; ///< Last index of each unacknowledged Append.
+    std::deque<InflightAppend> inflight;
     TimeMs lastSend;
     bool awaitingReply = false; ///< A probe or snapshot piece is unacknowledged.
     TimeMs lastReply; ///< Initially the start of the leadership or of the membership.
@@ -158,8 +165,8 @@
 /// Discards a received snapshot that could not be restored and tells the leader.
 void rejectSnapshot(Raft&);
 /// Registers a snapshot of the local state and compacts the log in memory, except for the last `trailing` entries before
-/// the snapshot. The log has to be durable up to the snapshot.
-void compactLog(Raft&, const Snapshot&, uint64_t trailing);
+/// the snapshot, as far as they hold at most `trailingBytes`. The log has to be durable up to the snapshot.
+void compactLog(Raft&, const Snapshot&, uint64_t trailing, size_t trailingBytes);
 
 /// Whether the leader lease is valid: a quorum has acknowledged requests that were sent less than a lease before `now`.
 bool isLeaseValid(const Raft&, TimeMs now);
--- a/src/consensus/Replication.cpp
+++ b/src/consensus/Replication.cpp
@@ -13,19 +13,21 @@
     message.logTerm = termAt(raft.log, message.index);
     message.commit = raft.commit;
     size_t bytes = 0;
+    size_t sentBytes = 0;
     for (uint64_t index = progress.next; index <= lastIndex(raft.log); ++index) {
         const LogEntry& entry = entryAt(raft.log, index);
         bytes += entry.data.size();
         if (message.entries.size() == maxMessageEntries || (bytes > maxAppendBytes && !message.entries.empty()))
             break;
         message.entries.push_back(entry);
+        sentBytes = bytes;
     }
     progress.lastSend = raft.now;
     if (progress.state == SendState::Probe) {
         progress.awaitingReply = true;
     } else {
         progress.next += message.entries.size();
-        progress.inflight.push_back(progress.next - 1);
+        progress.inflight.push_back({ progress.next - 1, sentBytes });
     }
     send(raft, std::move(message));
 }
@@ -58,6 +60,14 @@
     progress.snapshotChecksum = hash64(*raft.latestSnapshot.bytes);
 }
 
+static bool canPipeline(const Raft& raft, const Progress& progress)
+{
+    size_t bytes = 0;
+    for (const auto& append : progress.inflight)
+        bytes += append.bytes;
+    return progress.inflight.size() < raft.options.maxInflight && bytes < raft.options.maxInflightBytes;
+}
+
 static void sendToPeer(Raft& raft, VoterId peer, Progress& progress)
 {
     if (progress.state != SendState::Snapshot && progress.next <= raft.log.baseIndex)
@@ -72,7 +82,7 @@
             sendAppend(raft, peer, progress);
         return;
     }
-    while (progress.inflight.size() < raft.options.maxInflight && progress.next <= lastIndex(raft.log))
+    while (canPipeline(raft, progress) && progress.next <= lastIndex(raft.log))
         sendAppend(raft, peer, progress);
 }
 
@@ -178,7 +188,7 @@
     progress.next = std::max(progress.next, progress.match + 1);
     progress.state = SendState::Pipeline;
     progress.awaitingReply = false;
-    while (!progress.inflight.empty() && progress.inflight.front() <= progress.match)
+    while (!progress.inflight.empty() && progress.inflight.front().lastIndex <= progress.match)
         progress.inflight.pop_front();
     advanceCommit(raft);
 }
--- a/src/consensus/SnapshotTransfer.cpp
+++ b/src/consensus/SnapshotTransfer.cpp
@@ -107,16 +107,23 @@
     advanceCommit(raft);
 }
 
-void compactLog(Raft& raft, const Snapshot& snapshot, uint64_t trailing)
+void compactLog(Raft& raft, const Snapshot& snapshot, uint64_t trailing, size_t trailingBytes)
 {
     const uint64_t index = snapshot.meta.index;
     INVARIANT(index <= raft.commit && index <= raft.log.durableIndex, "a snapshot covers only durable, committed entries", "snapshot",
         index, "commit", raft.commit, "durable", raft.log.durableIndex);
     raft.latestSnapshot = snapshot;
-    dropUpTo(raft.log, index > trailing ? index - trailing : 0);
-    const auto first = raft.memberHistory.upper_bound(raft.log.baseIndex);
-    if (first != raft.memberHistory.begin())
-        raft.memberHistory.erase(raft.memberHistory.begin(), std::prev(first));
+    const uint64_t last = index > trailing ? index - trailing : 0;
+    uint64_t first = index;
+    for (size_t bytes = 0; first > std::max(last, raft.log.baseIndex); --first) {
+        bytes += entryAt(raft.log, first).data.size();
+        if (bytes > trailingBytes)
+            break;
+    }
+    dropUpTo(raft.log, first);
+    const auto current = raft.memberHistory.upper_bound(raft.log.baseIndex);
+    if (current != raft.memberHistory.begin())
+        raft.memberHistory.erase(raft.memberHistory.begin(), std::prev(current));
 }
 
 }
--- a/src/replica/Replica.cpp
+++ b/src/replica/Replica.cpp
@@ -152,7 +152,7 @@
         .meta = { .index = index, .term = termAt(replica.raft.log, index), .members = membersAt(replica.raft, index) },
         .bytes = std::make_shared<const std::string>(replica.machine.snapshot()),
     };
-    compactLog(replica.raft, snapshot, replica.options.trailingEntries);
+    compactLog(replica.raft, snapshot, replica.options.trailingEntries, replica.options.trailingBytes);
     replica.snapshotIndex = index;
     replica.bytesSinceSnapshot = 0;
     replica.snapshotToWrite = std::move(snapshot);
--- a/src/replica/Replica.h
+++ b/src/replica/Replica.h
@@ -26,7 +26,8 @@
     // after snapshotBytes of applied entries, but not less than the size of the last snapshot.
     uint64_t snapshotEntries = 1000;
     uint64_t snapshotBytes = 4 << 20;
-    uint64_t trailingEntries = 500; ///< Entries before a snapshot that stay in memory for members that lag slightly.
+    uint64_t trailingEntries = 500; ///< Entries before a snapshot that stay in memory for members that lag slightly,
+    size_t trailingBytes = 4 << 20; ///< as far as they hold no more data than this.
     size_t maxPending = 1024; ///< Limit of proposals without an outcome; further ones are rejected as not applied.
     TimeMs proposalTimeout = 5_s; ///< A proposal without an outcome after this time ends as Unknown.
 };
--- a/tests/consensus/RaftTest.cpp
+++ b/tests/consensus/RaftTest.cpp
@@ -199,6 +199,44 @@
     BOOST_TEST((raft.progress.at(c).state == SendState::Probe));
 }
 
+// Guards against a leader whose memory fills with large entries on their way to members that do not reply.
+BOOST_AUTO_TEST_CASE(largeAppendsToAnUnresponsiveMemberAreBoundedInBytes)
+{
+    Raft raft = makeLeader();
+    sendAppends(raft);
+    receiveMessage(raft, makeFrom(raft, b, MessageKind::AppendReply, 2), 2000_ms);
+    takeSent(raft);
+    for (int n = 0; n < 40; ++n)
+        appendEntry(raft, EntryKind::Command, std::string(500000, 'x'));
+    sendAppends(raft);
+    size_t bytes = 0;
+    for (const auto& it : takeSent(raft)) {
+        for (const auto& entry : it.entries)
+            bytes += it.to == b ? entry.data.size() : 0;
+    }
+    BOOST_TEST(bytes > 0U);
+    BOOST_TEST(bytes <= raft.options.maxInflightBytes + maxCommandBytes);
+}
+
+// Guards against a log that keeps hundreds of large entries in memory behind its snapshot.
+BOOST_AUTO_TEST_CASE(compactedLogIsBoundedInBytes)
+{
+    Raft raft = makeLeader();
+    for (int n = 0; n < 40; ++n)
+        appendEntry(raft, EntryKind::Command, std::string(500000, 'x'));
+    writesDurable(raft, collectWrites(raft)->sequence);
+    const uint64_t last = lastIndex(raft.log);
+    receiveMessage(raft, makeFrom(raft, b, MessageKind::AppendReply, 2), 2000_ms);
+    BOOST_REQUIRE(raft.commit == last);
+    const Snapshot snapshot { .meta = { .index = last, .term = 2, .members = raft.members }, .bytes = std::make_shared<const std::string>("state") };
+    compactLog(raft, snapshot, 500, 4 << 20);
+    size_t bytes = 0;
+    for (const auto& entry : raft.log.entries)
+        bytes += entry.data.size();
+    BOOST_TEST(bytes > 0U);
+    BOOST_TEST(bytes <= 4U << 20);
+}
+
 // Guards against one message per entry, and against messages that exceed the size limit of the transport.
 BOOST_AUTO_TEST_CASE(entriesAreSentInBoundedBatches)
 {
