Accept configurations of thousands of routes

A valid configuration with more than about 4,500 routes was refused: its rules exceed 1 MiB, a limit meant for files that people write. The users' deployments add 1,400 to 1,900 routes at a time. Rules may have 8 MiB and 50,000 lines now; the limits of commands and views follow.

OfThousandsOfRoutesAreAccepted (12,000 routes) failed before: no control node acknowledged it. Found while looking for other limits that large configurations meet.

--- a/src/control/ControlCommand.cpp
+++ b/src/control/ControlCommand.cpp
@@ -5,8 +5,8 @@
 
 namespace siskinshunt {
 
-// Exceeds the largest command: a rules text of maximum size with its other fields.
-static constexpr size_t maxControlBytes = 4 << 20;
+// Exceeds the largest command: a configuration as received and as rules, each of maximum size, with its other fields.
+static constexpr size_t maxControlBytes = 20 << 20;
 
 static constexpr size_t minCompressedBytes = 4 << 10;
 
--- a/src/control/ControlCommand.h
+++ b/src/control/ControlCommand.h
@@ -18,7 +18,7 @@
 struct ApplyRules {
     std::string requestId; ///< 1 to 128 bytes; a resend with the same id and text gets the same reply.
     uint64_t expectedRevision = 0; ///< 0 for the first rules.
-    std::string text; ///< At most 1 MiB.
+    std::string text; ///< At most 8 MiB.
     std::string operatorName;
     TimeMs now; ///< UTC.
 
--- a/src/control/DecisionLog.h
+++ b/src/control/DecisionLog.h
@@ -38,7 +38,7 @@
     static constexpr size_t keptRequests = 5000; ///< Request ids: two days at 2,400 changes a day.
     static constexpr size_t keptMoves = 1000; ///< The oldest finished ones are evicted first.
     static constexpr size_t keptIntents = 10000; ///< The oldest closed ones are evicted first.
-    static constexpr size_t maxTextBytes = 1 << 20;
+    static constexpr size_t maxTextBytes = 8 << 20; ///< As maxRulesBytes of the parser.
     static constexpr size_t keptTextBytes = 4 << 20; ///< Total size of the kept texts; the latest text is always kept.
     static constexpr size_t keptUsageWindows = 200;
 
--- a/src/node/PeerMessages.h
+++ b/src/node/PeerMessages.h
@@ -288,7 +288,7 @@
 };
 
 constexpr size_t maxForwardLoadBytes = 512 << 10;
-constexpr size_t maxViewBytes = 3 << 20;
+constexpr size_t maxViewBytes = 12 << 20; ///< Decompressed.
 constexpr size_t maxEvidenceBytes = 1 << 20;
 
 }
--- a/src/rules/RuleParser.cpp
+++ b/src/rules/RuleParser.cpp
@@ -7,8 +7,7 @@
 
 namespace siskinshunt {
 
-static constexpr size_t maxTextBytes = 1 << 20;
-static constexpr int maxLines = 10000;
+static constexpr int maxLines = 50000;
 
 static std::string_view trim(std::string_view text)
 {
@@ -92,15 +91,15 @@
 ParsedRules parseRules(std::string_view text)
 {
     ParsedRules out;
-    out.rules.text = text.substr(0, maxTextBytes);
-    if (text.size() > maxTextBytes) {
-        out.problems.push_back({ 1, 1, "the file has " + std::to_string(text.size()) + " bytes; at most 1 MiB is allowed" });
+    out.rules.text = text.substr(0, maxRulesBytes);
+    if (text.size() > maxRulesBytes) {
+        out.problems.push_back({ 1, 1, "the file has " + std::to_string(text.size()) + " bytes; at most 8 MiB are allowed" });
         return out;
     }
     int number = 0;
     while (!text.empty()) {
         if (++number > maxLines) {
-            out.problems.push_back({ number, 1, "more than 10000 lines" });
+            out.problems.push_back({ number, 1, "more than 50000 lines" });
             return out;
         }
         const auto end = text.find('\n');
--- a/src/rules/RuleParser.h
+++ b/src/rules/RuleParser.h
@@ -10,6 +10,9 @@
 
 namespace siskinshunt {
 
+/// Maximum size of the text of a rules file: room for about 30,000 forward rules.
+constexpr size_t maxRulesBytes = 8 << 20;
+
 /// An error in a rules file.
 struct RuleProblem {
     int line = 0; ///< 1-based.
@@ -24,7 +27,7 @@
 };
 
 /// Parses and validates a rules file: the syntax of every line, then the references between rules.
-/// Reads at most 1 MiB and 10,000 lines; a longer text is reported as a single problem.
+/// Reads at most 8 MiB and 50,000 lines; a longer text is reported as a single problem.
 ParsedRules parseRules(std::string_view text);
 
 /// Parses a rules file; fails with the first problem (step read_rules, `peer` is the source).
--- a/tests/node/LargeConfigurationTest.cpp
+++ b/tests/node/LargeConfigurationTest.cpp
@@ -101,6 +101,15 @@
     BOOST_CHECK_LT(replicatedBytes() - before, rules.size());
 }
 
+// Guards against a valid configuration that is refused because its rules are longer than a limit meant for rules written by hand.
+BOOST_AUTO_TEST_CASE(OfThousandsOfRoutesAreAccepted)
+{
+    EntryFleet it(2, 3, 2);
+    it.configure(1, rulesWithRoutes(12000, 1));
+    it.fleet.runFor(configurationBound);
+    it.checkInForce(2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
