Quarantine prompt parts that crash upstreams

Cause: a broken attempt counted against its upstream only, and each node for itself. Now the entry nodes keep, by prompt part, the crashes that requests with it were part of, and the complete answers, and tell each other with their load reports. A part is quarantined when three different prompts with it have crashed three upstreams and no node has answered one.

--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -56,6 +56,7 @@
     std::string backend;
     TimeMs sentAt;
     TimeMs expectedWait; ///< Until the first event, estimated when the request was sent.
+    uint64_t eventsAtSend = 0; ///< Events of the answer before this attempt.
     double prefillTokens = 0; ///< Prompt tokens that count as load of the target until the first event.
     double tokensBeforeFirstEvent = 0; ///< Prompt tokens to prefill before the first event, estimated when the request was sent.
     bool usageRecorded = false;
--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -167,6 +167,13 @@
     return findHeader(headers, forward.headers.requestId) == call.requestId;
 }
 
+// Upstreams crash on a prompt part when they begin to write an answer, so an attempt that has got further is no evidence.
+static void recordPossibleCrash(Node& node, const ForwardCall& call)
+{
+    if (call.events.events() - call.eventsAtSend <= 1)
+        recordPartCrash(node.forward.quarantine, node.now, call.parts, call.target, call.targetIncarnation);
+}
+
 static bool isStreaming(const ForwardCall& call)
 {
     return call.rule->kind == ForwardKind::Stream && call.status >= 200 && call.status < 300;
@@ -273,6 +280,7 @@
 {
     const bool stream = isStreaming(call);
     if (stream && call.events.bufferedBytes()) {
+        recordPossibleCrash(node, call);
         releaseTarget(node, call);
         return handleAttemptEnd(node, call, AttemptEnd::Broken, "the stream ended in the middle of an event");
     }
@@ -295,6 +303,8 @@
         if (ForwardTarget* target = findTarget(node.forward.targets, call.target))
             recordOutcome(*target, node.now, TargetOutcome::Answered);
     }
+    if (call.status < 300 && !call.parts.empty())
+        recordPartAnswer(node.forward.quarantine, node.now, call.parts);
     if (call.headForwarded)
         node.out.answers.push_back({ .exchange = call.exchange, .part = AnswerPart::End });
     else
@@ -336,6 +346,8 @@
         const bool sent = call.stage != ForwardStage::Connecting;
         if (event.failure == UpstreamFailure::Silent)
             node.out.discardedPools.push_back(findTarget(forward.targets, call.target) ? findTarget(forward.targets, call.target)->address : std::string {});
+        if (sent && event.failure == UpstreamFailure::Closed)
+            recordPossibleCrash(node, call);
         releaseTarget(node, call);
         handleAttemptEnd(node, call, sent ? AttemptEnd::Broken : AttemptEnd::NotSent, std::string(nameOf(event.failure)) + ": " + event.detail, sent && event.failure != UpstreamFailure::Closed);
         break;
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Hash.h"
 #include "node/Answers.h"
+#include "node/ForwardReport.h"
 #include "node/VersionOrders.h"
 
 #include <algorithm>
@@ -32,6 +33,7 @@
 static constexpr double overloadWaitRatio = 1.4;
 // A stream in progress that can be sent nowhere is tried again after this time.
 static constexpr TimeMs resumeInterval { 100 };
+static constexpr TimeMs minQuarantineRetryAfter { 1000 };
 static constexpr size_t maxHistograms = 512;
 
 ForwardState makeForwardState(const NodeOptions& options)
@@ -250,6 +252,7 @@
     call.tokensBeforeFirstEvent = choice.tokensBeforeFirstEvent;
     call.expectedWait = { static_cast<int64_t>(choice.waitMs) };
     call.silenceLogged = false;
+    call.eventsAtSend = call.events.events();
     call.sentAt = node.now;
     call.tried.push_back(target.id);
     recordSend(known.limit, node.now);
@@ -301,9 +304,42 @@
     call.needsPermit = needsPermit;
 }
 
+// One node of the fleet tries a quarantined part again; all nodes choose the same one.
+static bool triesAgain(const Node& node, const QuarantinedPart& quarantined)
+{
+    if (node.now < quarantined.retryAt)
+        return false;
+    const auto nodes = sendingNodes(node);
+    const auto chosen = std::max_element(nodes.begin(), nodes.end(), [&](NodeId a, NodeId b) { return combineHash(quarantined.part, a.value) < combineHash(quarantined.part, b.value); });
+    return chosen != nodes.end() && *chosen == node.self;
+}
+
+// Refuses a request with a prompt part that crashes upstreams; returns false if it has none, or is the one that tries the part.
+static bool refuseQuarantined(Node& node, ForwardCall& call)
+{
+    const auto quarantined = findQuarantined(node.forward.quarantine, node.now, call.parts);
+    if (!quarantined)
+        return false;
+    char name[17];
+    std::snprintf(name, sizeof(name), "%016llx", static_cast<unsigned long long>(quarantined->part));
+    if (triesAgain(node, *quarantined)) {
+        recordPartTry(node.forward.quarantine, node.now, quarantined->part);
+        addLog(node, LogLevel::Info, "prompt_part_tried", Step::Route, name, "one request tries the quarantined prompt part again", { { "request", call.requestId } });
+        return false;
+    }
+    if (node.forward.quarantineLogged.insert(quarantined->part).second)
+        addLog(node, LogLevel::Warning, "prompt_part_quarantined", Step::Route, name, "requests with this prompt part are refused: upstreams crash on it",
+            { { "crashes", std::to_string(quarantined->crashes) }, { "request", call.requestId }, { "retry_ms", std::to_string((quarantined->retryAt - node.now).value) } });
+    const TimeMs retryAfter = std::max(quarantined->retryAt - node.now, minQuarantineRetryAfter);
+    refuseForward(node, call, call.possibleExecutions ? 502 : 503, "prompt_part_quarantined", "upstreams crash on a part of the prompt", call.possibleExecutions ? TimeMs {} : retryAfter);
+    return true;
+}
+
 void startAttempt(Node& node, ForwardCall& call)
 {
     auto& forward = node.forward;
+    if (refuseQuarantined(node, call))
+        return;
     if (call.deadline - node.now <= minAttemptTime)
         return refuseForward(node, call, call.possibleExecutions ? 504 : 503, "out_of_time", "the time for an answer is over");
     ChoiceRequest request { .backend = call.backend, .parts = call.parts, .promptTokens = call.promptTokens, .urgency = call.urgency, .tried = call.tried, .allowed = versionFilter(node, call) };
--- a/src/node/ForwardReport.cpp
+++ b/src/node/ForwardReport.cpp
@@ -36,6 +36,18 @@
     return node.options.settings.listeners.forward.port != 0;
 }
 
+std::vector<NodeId> sendingNodes(const Node& node)
+{
+    std::vector<NodeId> out;
+    if (acceptsCallers(node) && !node.draining)
+        out.push_back(node.self);
+    for (const auto& [id, member] : node.membership.members) {
+        if (!member.status.voter && !member.status.draining && member.status.state <= MemberState::Suspect)
+            out.push_back(id);
+    }
+    return out;
+}
+
 ReportedLoad reportedLoad(UpstreamId id, const TargetLoad& load)
 {
     ReportedLoad out { .upstream = id, .running = static_cast<float>(load.running), .prefillTokens = {} };
@@ -69,7 +81,7 @@
 ForwardLoadFrame collectOwnLoad(Node& node)
 {
     auto& forward = node.forward;
-    ForwardLoadFrame frame { .loads = {}, .placed = std::exchange(forward.placed, {}), .spent = localSpending(forward.allowances), .toRead = forward.assignedPrefillTokens, .tokensPerMs = forward.choice.prefillEstimator.calibrated ? static_cast<float>(forward.choice.prefillEstimator.tokensPerMs) : 0, .limits = reportedLimits(node, std::exchange(forward.limitsToReport, {})) };
+    ForwardLoadFrame frame { .loads = {}, .placed = std::exchange(forward.placed, {}), .spent = localSpending(forward.allowances), .toRead = forward.assignedPrefillTokens, .tokensPerMs = forward.choice.prefillEstimator.calibrated ? static_cast<float>(forward.choice.prefillEstimator.tokensPerMs) : 0, .limits = reportedLimits(node, std::exchange(forward.limitsToReport, {})), .parts = takePartReport(forward.quarantine, node.now) };
     if (frame.placed.size() > maxPlacedParts)
         frame.placed.resize(maxPlacedParts);
     for (const auto& [id, target] : forward.targets.entries) {
@@ -91,11 +103,12 @@
     }
 }
 
-std::vector<UpstreamId> handleLoadReport(Node& node, NodeId from, const ForwardLoadFrame& load)
+std::vector<UpstreamId> handleLoadReport(Node& node, NodeId from, const ForwardLoadFrame& load, bool relay)
 {
     applyLoadReport(node.forward.targets, node.now, from, loadsOf(load.loads));
     recordBackendDemand(node, from, load);
     auto news = applyReportedLimits(node, load.limits);
+    applyPartReport(node.forward.quarantine, node.now, load.parts, relay);
     if (!acceptsCallers(node))
         return news;
     applyPeerSpending(node.forward.allowances, node.now, from, load.spent);
@@ -106,7 +119,7 @@
 void receiveForwardLoad(Node& node, NodeId from, std::string_view body)
 {
     // A malformed report counts as a report of no load.
-    handleLoadReport(node, from, decodeLoad<ForwardLoadFrame>(node, body).value_or(ForwardLoadFrame {}));
+    handleLoadReport(node, from, decodeLoad<ForwardLoadFrame>(node, body).value_or(ForwardLoadFrame {}), false);
 }
 
 static void expireForward(Node& node)
@@ -118,6 +131,8 @@
     expireParts(forward.parts, node.now);
     expireUsage(forward.usage, node.now);
     expireNotices(forward.leaving, node.now, leavingRetention);
+    expirePartEvidence(forward.quarantine, node.now);
+    std::erase_if(forward.quarantineLogged, [&](uint64_t part) { return !forward.quarantine.suspects.contains(part); });
 }
 
 void tickForward(Node& node)
--- a/src/node/LoadHubs.cpp
+++ b/src/node/LoadHubs.cpp
@@ -113,7 +113,7 @@
     addTotals(hubs.assignedPrefillTokens, from, frame->load.toRead);
     recordPrefillRate(hubs, frame->load);
     appendPlacedParts(hubs.placedInDomain, frame->load.placed);
-    const auto news = handleLoadReport(node, from, frame->load);
+    const auto news = handleLoadReport(node, from, frame->load, true);
     hubs.limitsInDomain.insert(news.begin(), news.end());
 }
 
@@ -125,7 +125,7 @@
     auto& hubs = node.forward.hubs;
     hubs.others[from] = { frame->spent, node.now };
     appendPlacedParts(hubs.placedInOtherDomains, frame->placed);
-    const auto news = handleLoadReport(node, from, *frame);
+    const auto news = handleLoadReport(node, from, *frame, true);
     hubs.limitsInOtherDomains.insert(news.begin(), news.end());
 }
 
@@ -140,6 +140,7 @@
     applyFleetLoadReport(forward.targets, node.now, from, subtractReport(loadsOf(frame->loads), own));
     recordPlacedParts(node, frame->placed);
     applyReportedLimits(node, frame->limits);
+    applyPartReport(forward.quarantine, node.now, frame->parts, false);
     for (const auto& [hub, totals] : frame->spent) {
         if (hub != from) {
             applyPeerSpending(forward.allowances, node.now, hub, totals);
@@ -161,6 +162,7 @@
     auto& forward = node.forward;
     auto& hubs = forward.hubs;
     std::map<UpstreamId, TargetLoad> sum;
+    PartReport parts;
     for (const auto& [reporter, known] : hubs.reporters) {
         const auto it = forward.targets.reported.find(reporter);
         if (it == forward.targets.reported.end())
@@ -178,8 +180,11 @@
         recordPrefillRate(hubs, own);
         for (const auto& limit : own.limits)
             hubs.limitsInDomain.insert(limit.upstream);
+        parts = own.parts;
+    } else {
+        parts = takePartReport(forward.quarantine, node.now);
     }
-    ForwardLoadFrame frame { .loads = {}, .placed = std::exchange(hubs.placedInDomain, {}), .spent = hubs.spent.sum, .toRead = hubs.assignedPrefillTokens.sum, .tokensPerMs = hubs.tokensPerMs, .limits = reportedLimits(node, hubs.limitsInDomain) };
+    ForwardLoadFrame frame { .loads = {}, .placed = std::exchange(hubs.placedInDomain, {}), .spent = hubs.spent.sum, .toRead = hubs.assignedPrefillTokens.sum, .tokensPerMs = hubs.tokensPerMs, .limits = reportedLimits(node, hubs.limitsInDomain), .parts = std::move(parts) };
     for (const auto& [id, load] : sum)
         frame.loads.push_back(reportedLoad(id, load));
     return frame;
@@ -201,7 +206,7 @@
 {
     auto& forward = node.forward;
     auto& hubs = forward.hubs;
-    FleetLoadFrame frame { .loads = {}, .placed = std::move(own.placed), .spent = { { node.self, std::move(own.spent) } }, .included = {}, .limits = {} };
+    FleetLoadFrame frame { .loads = {}, .placed = std::move(own.placed), .spent = { { node.self, std::move(own.spent) } }, .included = {}, .limits = {}, .parts = std::move(own.parts) };
     frame.placed.insert(frame.placed.end(), hubs.placedInOtherDomains.begin(), hubs.placedInOtherDomains.end());
     hubs.placedInOtherDomains.clear();
     for (const auto& [hub, known] : hubs.others)
--- a/src/node/UpstreamLimits.cpp
+++ b/src/node/UpstreamLimits.cpp
@@ -11,19 +11,6 @@
 // A limit that does not change is reported again after this time, for nodes that have started since.
 static constexpr TimeMs repeatInterval { 1000 };
 
-// Entry nodes that can send to upstreams. A suspect one counts, since it may still send; all nodes soon agree on who is draining.
-static std::vector<NodeId> sendingNodes(const Node& node)
-{
-    std::vector<NodeId> out;
-    if (acceptsCallers(node) && !node.draining)
-        out.push_back(node.self);
-    for (const auto& [id, member] : node.membership.members) {
-        if (!member.status.voter && !member.status.draining && member.status.state <= MemberState::Suspect)
-            out.push_back(id);
-    }
-    return out;
-}
-
 static void changeLimit(Node& node, ForwardTarget& target, const std::optional<double>& perSecond, TimeMs namedAt, LogLevel level, const std::string& source)
 {
     auto& limit = target.limit;
--- a/src/soak/NodeFleet.h
+++ b/src/soak/NodeFleet.h
@@ -118,6 +118,8 @@
 
     void addUpstream(const std::string& name, UpstreamKind, const std::string& pool, const std::string& domain);
     Upstream& upstream(const std::string& name);
+    /// Stops the upstream, which closes the connections of its requests.
+    void stop(const std::string& name);
     /// Announces the reclaim of the upstream, which stops when the notice time has passed.
     void reclaim(const std::string& name, TimeMs notice);
 
--- a/src/soak/NodeFleetUpstreams.cpp
+++ b/src/soak/NodeFleetUpstreams.cpp
@@ -45,17 +45,20 @@
     throw std::out_of_range("no upstream " + name);
 }
 
+void NodeFleet::stop(const std::string& name)
+{
+    auto& it = upstream(name);
+    it.up = false;
+    for (const auto& [key, address] : m_open) {
+        if (address == it.announced.address)
+            fail(key, 1_ms, UpstreamFailure::Closed);
+    }
+}
+
 void NodeFleet::reclaim(const std::string& name, TimeMs notice)
 {
     upstream(name).reclaimAt = now + notice;
-    scheduleAfter(notice, [this, name] {
-        auto& it = upstream(name);
-        it.up = false;
-        for (const auto& [key, address] : m_open) {
-            if (address == it.announced.address)
-                fail(key, 1_ms, UpstreamFailure::Closed);
-        }
-    });
+    scheduleAfter(notice, [this, name] { stop(name); });
 }
 
 void NodeFleet::announceAll()
--- /dev/null
+++ b/tests/forward/PartQuarantineTest.cpp
@@ -0,0 +1,156 @@
+#include "forward/PartQuarantine.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace siskinshunt {
+
+namespace {
+
+    constexpr uint64_t sharedPart = 1;
+    constexpr uint64_t badPart = 66;
+
+    struct Learner {
+        // A prompt with the parts and one of its own.
+        std::vector<PromptPart> prompt(std::vector<uint64_t> hashes)
+        {
+            std::vector<PromptPart> out;
+            for (const uint64_t hash : hashes)
+                out.push_back({ hash, 100 });
+            out.push_back({ 1000 + ++prompts, 10 });
+            return out;
+        }
+
+        void crash(std::vector<uint64_t> hashes) { recordPartCrash(quarantine, now, prompt(std::move(hashes)), UpstreamId { ++upstreams }, 1); }
+
+        void answer(std::vector<uint64_t> hashes, int n = 1)
+        {
+            for (int k = 0; k < n; ++k)
+                recordPartAnswer(quarantine, now, prompt(hashes));
+        }
+
+        bool isQuarantined(uint64_t part) { return findQuarantined(quarantine, now, prompt({ part })).has_value(); }
+
+        PartQuarantine quarantine;
+        TimeMs now { 1764800000000 };
+        uint64_t prompts = 0;
+        uint64_t upstreams = 0;
+    };
+
+    void crashThreeTimes(Learner& it)
+    {
+        for (int n = 0; n < 3; ++n) {
+            it.crash({ sharedPart, badPart });
+            it.now += 300_ms;
+            it.answer({ sharedPart, 7 }, 10);
+        }
+    }
+
+}
+
+BOOST_AUTO_TEST_SUITE(Quarantine)
+
+// Guards against prompts of one kind that crash one upstream after the other, and against sound prompts that are refused for the
+// parts that they share with them.
+BOOST_AUTO_TEST_CASE(OfThePartThatOnlyCrashedPromptsShare)
+{
+    Learner it;
+    crashThreeTimes(it);
+    it.now += 1_s;
+    BOOST_CHECK(it.isQuarantined(badPart));
+    BOOST_CHECK(!it.isQuarantined(sharedPart));
+    BOOST_CHECK(!it.isQuarantined(7));
+}
+
+// Guards against a verdict about a prompt that one caller repeats, or about an upstream that fails by itself.
+BOOST_AUTO_TEST_CASE(NeedsDifferentPromptsAndUpstreams)
+{
+    Learner it;
+    const auto same = it.prompt({ badPart });
+    for (uint64_t n = 1; n <= 5; ++n)
+        recordPartCrash(it.quarantine, it.now, same, UpstreamId { n }, 1);
+    for (int n = 0; n < 5; ++n)
+        recordPartCrash(it.quarantine, it.now, it.prompt({ 67 }), UpstreamId { 1 }, 1);
+    it.now += 2_s;
+    it.answer({ 7 }, 20);
+    BOOST_CHECK(!it.isQuarantined(badPart));
+    BOOST_CHECK(!it.isQuarantined(67));
+}
+
+// Guards against an outage of all upstreams that is blamed on the prompts which were running.
+BOOST_AUTO_TEST_CASE(IsNotCausedByAnOutage)
+{
+    Learner it;
+    for (int n = 0; n < 10; ++n)
+        it.crash({ sharedPart });
+    it.now += 5_s;
+    BOOST_CHECK(!it.isQuarantined(sharedPart));
+    it.answer({ sharedPart });
+    it.answer({ 7 }, 20);
+    BOOST_CHECK(!it.isQuarantined(sharedPart));
+}
+
+// Guards against nodes that learn each for themselves: every node would crash as many upstreams.
+BOOST_AUTO_TEST_CASE(IsLearnedFromTheCrashesOfAllNodes)
+{
+    Learner a;
+    Learner b;
+    b.prompts = 500;
+    b.upstreams = 500;
+    a.crash({ sharedPart, badPart });
+    a.crash({ sharedPart, badPart });
+    b.crash({ sharedPart, badPart });
+    b.answer({ sharedPart, 7 }, 20);
+    a.answer({ 7 }, 20);
+    for (int round = 0; round < 3; ++round) {
+        const auto fromA = takePartReport(a.quarantine, a.now);
+        const auto fromB = takePartReport(b.quarantine, b.now);
+        applyPartReport(a.quarantine, a.now, fromB, false);
+        applyPartReport(b.quarantine, b.now, fromA, false);
+        a.now += 600_ms;
+        b.now += 600_ms;
+        a.answer({ 7 }, 20);
+        b.answer({ 7 }, 20);
+    }
+    BOOST_CHECK(a.isQuarantined(badPart));
+    BOOST_CHECK(b.isQuarantined(badPart));
+    // Only b has answered prompts with the shared part.
+    BOOST_CHECK(!a.isQuarantined(sharedPart));
+    BOOST_CHECK(!b.isQuarantined(sharedPart));
+}
+
+// Guards against a node that starts later and does not hear of the quarantine.
+BOOST_AUTO_TEST_CASE(IsToldToNodesThatStartLater)
+{
+    Learner a;
+    crashThreeTimes(a);
+    takePartReport(a.quarantine, a.now);
+    a.now += 5_s;
+    Learner late;
+    late.now = a.now;
+    applyPartReport(late.quarantine, late.now, takePartReport(a.quarantine, a.now), false);
+    late.now += 1500_ms;
+    late.answer({ 7 }, 20);
+    BOOST_CHECK(late.isQuarantined(badPart));
+}
+
+// Guards against a part that stays refused for ever, and against one that crashes an upstream every time that its quarantine ends.
+BOOST_AUTO_TEST_CASE(IsTriedAgainAndEndsWithAnAnswer)
+{
+    Learner it;
+    crashThreeTimes(it);
+    it.now += 1_s;
+    const auto first = findQuarantined(it.quarantine, it.now, it.prompt({ badPart }));
+    BOOST_REQUIRE(first);
+    it.now = first->retryAt;
+    recordPartTry(it.quarantine, it.now, badPart);
+    it.crash({ badPart });
+    const auto second = findQuarantined(it.quarantine, it.now, it.prompt({ badPart }));
+    BOOST_REQUIRE(second);
+    BOOST_CHECK_GE((second->retryAt - it.now).value, 2 * it.quarantine.options.firstRetry.value);
+    it.answer({ badPart });
+    BOOST_CHECK(!it.isQuarantined(badPart));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
