Send no requests to upstreams that say in an answer that they leave

An upstream that leaves says so in its answers, too. The word holds for the incarnation of the upstream, also when leaving notices have expired; that of an answer with status 421 is another upstream's and ignored.

--- a/src/forward/ForwardTarget.cpp
+++ b/src/forward/ForwardTarget.cpp
@@ -74,6 +74,8 @@
         next.backoffUntil = entry.backoffUntil;
         next.backoffDuration = entry.backoffDuration;
         next.limit = entry.limit;
+        next.answersLeaving = entry.answersLeaving;
+        next.leaving = next.leaving || entry.answersLeaving;
     }
     next.own = entry.own;
     next.others = entry.others;
--- a/src/forward/PartQuarantine.cpp
+++ b/src/forward/PartQuarantine.cpp
@@ -96,6 +96,7 @@
     if (crashes.size() < options.minCrashes || now - suspect.knownSince < options.hearingTime || quarantine.answerCount - suspect.answersBefore < options.minOtherAnswers)
         return false;
     std::vector<uint64_t> prompts;
+    prompts.reserve(crashes.size());
     for (const auto& it : crashes)
         prompts.push_back(it.prompt);
     std::sort(prompts.begin(), prompts.end());
--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -188,13 +188,27 @@
     recordUsage(node.forward.usage, node.now, call.account->name);
 }
 
+static void recordAnsweredLeaving(Node& node, const ForwardCall& call, const HttpHeaders& headers)
+{
+    ForwardTarget* target = findTarget(node.forward.targets, call.target);
+    if (!target || target->incarnation != call.targetIncarnation || target->answersLeaving || findHeader(headers, node.forward.headers.leaving) != "1")
+        return;
+    target->answersLeaving = true;
+    recordLeaving(node, target->id, target->incarnation);
+    node.counters.add("leaving_learned_from_answer");
+    addLog(node, LogLevel::Info, "upstream_leaving", Step::Receive, target->name, "the upstream says in an answer that it accepts no new work", { { "request", call.requestId } });
+}
+
 static void handleHead(Node& node, ForwardCall& call, UpstreamEvent& event)
 {
     auto& forward = node.forward;
     const bool notRun = event.status == 421 || !findHeader(event.headers, forward.headers.notRun).empty();
     call.lastByteAt = node.now;
-    if (event.status != 421)
+    // Another upstream at the address of the intended one answers 421.
+    if (event.status != 421) {
         recordAnsweredLimit(node, call, event.headers);
+        recordAnsweredLeaving(node, call, event.headers);
+    }
     if (notRun) {
         const bool wrongUpstream = event.status == 421;
         --call.possibleExecutions;
--- a/tests/node/LargeConfigurationTest.cpp
+++ b/tests/node/LargeConfigurationTest.cpp
@@ -16,7 +16,8 @@
         Random random(7);
         for (int n = 0; n < routes; ++n) {
             const std::string name = std::to_string(random.below(1000000000)) + "-" + std::to_string(n);
-            out += "forward r-" + name + " host=ficu95.example prefix=/" + name + "/ kind=stream timeout=3000ms target=500ms gap=250ms priority=0 attempts=1 anonymous=no affinity=yes resume=no to=hire-desk:1" + comment;
+            out.append("forward r-").append(name).append(" host=ficu95.example prefix=/").append(name);
+            out.append("/ kind=stream timeout=3000ms target=500ms gap=250ms priority=0 attempts=1 anonymous=no affinity=yes resume=no to=hire-desk:1").append(comment);
         }
         return out;
     }
