Send no requests to upstreams that have refused one with a time to come back

A runner that answers 503 may say in Retry-After for how long it wants nothing from the node. At most 600 s count; a value that is not a number of seconds is logged and ignored.

timeUntilTarget() now considers pauses beside limits.

--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -16,7 +16,7 @@
     return n;
 }
 
-std::optional<double> parseRateLimit(std::string_view text)
+std::optional<double> parseDecimal(std::string_view text)
 {
     const auto rate = parseNumber<double>(text);
     return rate && std::isfinite(*rate) && *rate >= 0 ? rate : std::nullopt;
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -93,8 +93,8 @@
     std::vector<PromptPart> parts;
 };
 
-/// Parses a number of requests per second; none if the text is not a decimal number of at least 0.
-std::optional<double> parseRateLimit(std::string_view text);
+/// Parses a header value; none if the text is not a decimal number of at least 0.
+std::optional<double> parseDecimal(std::string_view text);
 
 ForwardMetadata parseForwardMetadata(const HttpHeaders&, const HeaderNames&);
 
--- a/src/forward/ForwardTarget.cpp
+++ b/src/forward/ForwardTarget.cpp
@@ -75,6 +75,7 @@
         next.backoffDuration = entry.backoffDuration;
         next.limit = entry.limit;
         next.answersLeaving = entry.answersLeaving;
+        next.pausedUntil = entry.pausedUntil;
         next.leaving = next.leaving || entry.answersLeaving;
     }
     next.own = entry.own;
--- a/src/forward/ForwardTarget.h
+++ b/src/forward/ForwardTarget.h
@@ -75,6 +75,7 @@
     double failureRateWeight = 0; ///< Number of responses in the average, limited to its time constant.
     TimeMs backoffUntil; ///< Gets no requests before, unless all other targets are backed off, too.
     TimeMs backoffDuration; ///< Length of the last backoff; doubles each time.
+    TimeMs pausedUntil; ///< It has refused a request of this node and wants none before.
     TargetLimit limit;
 };
 
--- a/src/forward/TargetChoice.cpp
+++ b/src/forward/TargetChoice.cpp
@@ -28,7 +28,7 @@
 
 static bool isEligible(const ForwardTarget& target, const ChoiceRequest& request, TimeMs now)
 {
-    if (target.leaving || !canSend(target.limit, now) || target.addressTaken || isMisdirected(target) || std::find(request.tried.begin(), request.tried.end(), target.id) != request.tried.end())
+    if (target.leaving || now < target.pausedUntil || !canSend(target.limit, now) || target.addressTaken || isMisdirected(target) || std::find(request.tried.begin(), request.tried.end(), target.id) != request.tried.end())
         return false;
     return !request.allowed || request.allowed(target);
 }
@@ -96,16 +96,21 @@
     });
 }
 
-std::optional<TimeMs> timeUntilLimitedTarget(const ForwardTargets& table, const std::string& backend, TimeMs now)
+std::optional<TimeMs> timeUntilTarget(const ForwardTargets& table, const std::string& backend, TimeMs now)
 {
     const auto ids = table.byBackend.find(backend);
     std::optional<TimeMs> earliest;
     for (const UpstreamId id : ids == table.byBackend.end() ? std::vector<UpstreamId> {} : ids->second) {
         const auto it = table.entries.find(id);
-        if (it == table.entries.end() || it->second.leaving || canSend(it->second.limit, now))
+        if (it == table.entries.end() || it->second.leaving)
             continue;
-        if (const auto wait = timeUntilSend(it->second.limit, now))
-            earliest = std::min(earliest.value_or(*wait), *wait);
+        const ForwardTarget& target = it->second;
+        const TimeMs pause = std::max(TimeMs {}, target.pausedUntil - now);
+        const auto limited = canSend(target.limit, now) ? TimeMs {} : timeUntilSend(target.limit, now);
+        if (!limited || std::max(pause, *limited) <= TimeMs {})
+            continue;
+        const TimeMs wait = std::max(pause, *limited);
+        earliest = std::min(earliest.value_or(wait), wait);
     }
     return earliest;
 }
--- a/src/forward/TargetChoice.h
+++ b/src/forward/TargetChoice.h
@@ -48,9 +48,9 @@
 /// Returns the target with the lowest cost, or nothing if there is none. Targets that are backed off or stale are chosen
 /// only if there is no healthy one.
 std::optional<TargetChoice> chooseTarget(const ForwardTargets&, const PromptPartIndex&, const ChoiceOptions&, const ChoiceRequest&, TimeMs now, Random&);
-/// Time until the first of the targets that take no more requests of this node now, because of the limits that they name, takes
-/// another one; none if there is no such target.
-std::optional<TimeMs> timeUntilLimitedTarget(const ForwardTargets&, const std::string& backend, TimeMs now);
+/// Time until the first of the targets that take no more requests of this node now, because of the limits or pauses that they
+/// name, takes another one; none if there is no such target.
+std::optional<TimeMs> timeUntilTarget(const ForwardTargets&, const std::string& backend, TimeMs now);
 /// Whether any target that was not tried yet is healthy.
 bool hasHealthyTarget(const ForwardTargets&, const ChoiceOptions&, const ChoiceRequest&, TimeMs now);
 
--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -23,6 +23,8 @@
 static constexpr TimeMs minStreamSilence { 1000 };
 // A request that waits for its first answer is refused after as many unreachable upstreams; a stream in progress pauses.
 static constexpr size_t maxUnreachableInRow = 6;
+// Bounds what a faulty upstream can ask for.
+static constexpr TimeMs maxPause { 600000 };
 // An upstream that refuses requests because it is full usually accepts them again after about this time.
 static constexpr TimeMs fullRetryAfter { 300 };
 
@@ -199,6 +201,23 @@
     addLog(node, LogLevel::Info, "upstream_leaving", Step::Receive, target->name, "the upstream says in an answer that it accepts no new work", { { "request", call.requestId } });
 }
 
+static void recordPause(Node& node, const ForwardCall& call, const HttpHeaders& headers)
+{
+    ForwardTarget* target = findTarget(node.forward.targets, call.target);
+    const auto text = findHeader(headers, headers::retryAfter);
+    if (!target || target->incarnation != call.targetIncarnation || text.empty())
+        return;
+    const auto seconds = parseDecimal(text);
+    if (!seconds) {
+        addLog(node, LogLevel::Warning, "upstream_pause", Step::Decode, call.targetName, "Retry-After is not a number of seconds; it is ignored", { { "request", call.requestId } });
+        return;
+    }
+    const TimeMs pause { static_cast<int64_t>(std::min(*seconds, maxPause.seconds()) * 1000) };
+    target->pausedUntil = std::max(target->pausedUntil, node.now + pause);
+    node.counters.add("upstream_pauses");
+    addLog(node, LogLevel::Info, "upstream_pause", Step::Receive, call.targetName, "the upstream wants no requests of this node for some time", { { "request", call.requestId }, { "ms", std::to_string(pause.value) } });
+}
+
 static void handleHead(Node& node, ForwardCall& call, UpstreamEvent& event)
 {
     auto& forward = node.forward;
@@ -209,6 +228,8 @@
         recordAnsweredLimit(node, call, event.headers);
         recordAnsweredLeaving(node, call, event.headers);
     }
+    if (event.status == 503)
+        recordPause(node, call, event.headers);
     if (notRun) {
         const bool wrongUpstream = event.status == 421;
         --call.possibleExecutions;
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -353,7 +353,7 @@
         return waitToResume(node, call, false);
     }
     // Only upstreams are left that take no more requests now than they already get.
-    if (const auto wait = timeUntilLimitedTarget(forward.targets, call.backend, node.now); !choice && wait && !call.possibleExecutions)
+    if (const auto wait = timeUntilTarget(forward.targets, call.backend, node.now); !choice && wait && !call.possibleExecutions)
         return refuseForward(node, call, 503, "upstream_limit", "the upstreams of " + call.backend + " take no more requests now", std::max(*wait, 1_ms));
     if (!choice)
         return refuseForward(node, call, call.possibleExecutions ? 502 : 503, "no_upstream", "no upstream of " + call.backend + " takes requests", call.possibleExecutions ? TimeMs {} : noTargetRetryAfter);
--- a/src/node/UpstreamLimits.cpp
+++ b/src/node/UpstreamLimits.cpp
@@ -30,7 +30,7 @@
     if (!target || target->incarnation != call.targetIncarnation)
         return;
     const auto text = findHeader(headers, node.forward.headers.rateLimit);
-    const auto perSecond = parseRateLimit(text);
+    const auto perSecond = parseDecimal(text);
     if (!perSecond && !text.empty()) {
         addLog(node, LogLevel::Warning, "upstream_limit", Step::Decode, call.targetName, "the limit is not a decimal number; it is ignored", { { "request", call.requestId } });
         return;
--- a/tests/forward/PartQuarantineTest.cpp
+++ b/tests/forward/PartQuarantineTest.cpp
@@ -11,18 +11,19 @@
 
     struct Learner {
         // A prompt with the parts and one of its own.
-        std::vector<PromptPart> prompt(std::vector<uint64_t> hashes)
+        std::vector<PromptPart> prompt(const std::vector<uint64_t>& hashes)
         {
             std::vector<PromptPart> out;
+            out.reserve(hashes.size() + 1);
             for (const uint64_t hash : hashes)
                 out.push_back({ hash, 100 });
             out.push_back({ 1000 + ++prompts, 10 });
             return out;
         }
 
-        void crash(std::vector<uint64_t> hashes) { recordPartCrash(quarantine, now, prompt(std::move(hashes)), UpstreamId { ++upstreams }, 1); }
+        void crash(const std::vector<uint64_t>& hashes) { recordPartCrash(quarantine, now, prompt(hashes), UpstreamId { ++upstreams }, 1); }
 
-        void answer(std::vector<uint64_t> hashes, int n = 1)
+        void answer(const std::vector<uint64_t>& hashes, int n = 1)
         {
             for (int k = 0; k < n; ++k)
                 recordPartAnswer(quarantine, now, prompt(hashes));
--- a/tests/node/UpstreamHeadersTest.cpp
+++ b/tests/node/UpstreamHeadersTest.cpp
@@ -74,6 +74,39 @@
     BOOST_CHECK(!findTarget(it.node->forward.targets, idOfName<UpstreamId>(upstream))->leaving);
 }
 
+// Guards against requests that go on to an upstream which has turned one away with 503 and a time to come back.
+BOOST_AUTO_TEST_CASE(RetryAfterOfARefusalIsHonoured)
+{
+    TwoDesks it;
+    const std::string full = it.exchangeWith(503, { { it.names.notRun, "1" }, { "Retry-After", "4" } });
+    it.pass(1_s);
+    BOOST_CHECK_EQUAL(it.countSentTo(full), 0);
+    it.pass(2_s);
+    BOOST_CHECK_EQUAL(it.countSentTo(full), 0);
+    it.pass(2_s);
+    BOOST_CHECK_GT(it.countSentTo(full), 0);
+}
+
+// Guards against a request that is sent to an upstream which wants none only because there is no other, and against a refusal without
+// the time to come back.
+BOOST_AUTO_TEST_CASE(RequestsAreRefusedWhileAllUpstreamsWantNone)
+{
+    ForwardNode it;
+    it.addUpstream("d1", "desk");
+    it.post("/look/1", { { it.names.timeLeft, "5000" } });
+    it.sending();
+    it.head(503, { { "Retry-After", "3.5" } });
+    it.end();
+    const size_t sent = it.dispatches.size();
+    it.advance(1_s);
+    it.post("/look/1", { { it.names.timeLeft, "5000" } });
+    BOOST_CHECK_EQUAL(it.dispatches.size(), sent);
+    BOOST_CHECK_EQUAL(it.answer().first, 503);
+    const auto& headers = it.answers.back().headers;
+    const double seconds = std::stod(std::string(findHeader(headers, "Retry-After")));
+    BOOST_CHECK(seconds > 2 && seconds <= 2.6);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
