Close answers whose bytes have no end

Upstreams in trouble may send bytes that are no answer until the caller closes. Found by tests that send 16 MiB, all of which the node took before: an event stream without the end of an event grew in memory, an error was passed on until the deadline, and the body of a refusal was read to its end, which never comes, to reuse the connection.

A stream is now broken off when 1 MiB has come without the end of an event, an error longer than 1 MiB counts as no answer, and a body that nobody needs is read up to 64 KiB. A head without end was rejected before at 64 KiB; endlessHeadIsRejected shows it.

--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -9,6 +9,8 @@
 
 // Answers up to this size are buffered until they are complete, so that a broken one can be replaced by that of another upstream.
 static constexpr size_t maxBufferedBody = 1 << 20;
+// A longer answer that is not needed costs more than a new connection.
+static constexpr size_t maxUnneededBody = 64 << 10;
 // Time that an upstream can take to stop a run after this node has closed the connection.
 static constexpr TimeMs upstreamStopDelay { 450 };
 // A repeatable request without a response is sent again at the earliest after this multiple of its route's target.
@@ -291,6 +293,24 @@
     node.out.answers.push_back({ .exchange = call.exchange, .part = AnswerPart::Body, .body = std::move(bytes) });
 }
 
+// Bytes that are no answer may come without end; they would fill the memory.
+static void rejectEndlessBody(Node& node, ForwardCall& call, const char* reason)
+{
+    node.counters.add("forward_endless_bodies");
+    cancelDispatch(node, call);
+    handleAttemptEnd(node, call, AttemptEnd::Broken, reason, true);
+}
+
+// Counts the bytes of an answer that is not needed and closes its connection when they are too many.
+static void skipBody(ForwardState& forward, Outputs& out, const UpstreamEvent& event)
+{
+    if ((forward.unneededBytes[event.dispatch] += event.bytes.size()) <= maxUnneededBody)
+        return;
+    forward.unneededBytes.erase(event.dispatch);
+    forward.dispatches.erase(event.dispatch);
+    out.cancels.push_back(event.dispatch);
+}
+
 static void handleBody(Node& node, ForwardCall& call, UpstreamEvent& event)
 {
     call.lastByteAt = node.now;
@@ -302,12 +322,18 @@
         if (!call.canResume() && !isEventStream(call.headers))
             return forwardBody(node, call, std::move(event.bytes));
         std::string events = call.events.push(event.bytes);
+        if (call.events.bufferedBytes() > maxBufferedBody)
+            return rejectEndlessBody(node, call, "the stream has no end of an event");
         return forwardBody(node, call, call.canResume() ? std::move(events) : std::move(event.bytes));
     }
     if (call.headForwarded)
         return forwardBody(node, call, std::move(event.bytes));
     call.body += event.bytes;
-    if (call.body.size() > maxBufferedBody)
+    if (call.body.size() <= maxBufferedBody)
+        return;
+    if (call.status >= 300)
+        rejectEndlessBody(node, call, "the body of the error has no end");
+    else
         forwardBody(node, call, std::exchange(call.body, {}));
 }
 
@@ -355,8 +381,12 @@
         return false;
     const ExchangeId exchange = it->second;
     const bool last = event.kind == UpstreamEventKind::End || event.kind == UpstreamEventKind::Failed;
-    if (last)
+    if (last) {
         forward.dispatches.erase(it);
+        forward.unneededBytes.erase(event.dispatch);
+    }
+    if (!exchange && event.kind == UpstreamEventKind::Body)
+        skipBody(forward, node.out, event);
     const auto found = forward.calls.find(exchange);
     if (found == forward.calls.end())
         return true;
--- a/src/node/ForwardState.h
+++ b/src/node/ForwardState.h
@@ -64,6 +64,7 @@
     std::unordered_map<ExchangeId, std::unique_ptr<ForwardCall>> calls;
     /// Exchange by dispatch; 0 if the answer is no longer needed and is only read to the end.
     std::unordered_map<DispatchId, ExchangeId> dispatches;
+    std::unordered_map<DispatchId, size_t> unneededBytes; ///< Read of answers that are no longer needed.
     std::map<std::string, double> assignedPrefillTokens; ///< Prompt tokens assigned to engines for prefill since the process started, by backend.
     std::vector<PlacedPart> placed; ///< Prompt parts sent to upstreams since the last load report.
     LoadHubState hubs;
--- a/tests/entry/UpstreamClientTest.cpp
+++ b/tests/entry/UpstreamClientTest.cpp
@@ -168,6 +168,19 @@
     BOOST_TEST(client.sendRequest(upstream.address(), "e") == "200 x end");
 }
 
+// Guards against bytes without end where the head of a response is due: they would fill the memory until the deadline.
+BOOST_AUTO_TEST_CASE(endlessHeadIsRejected)
+{
+    const std::string line = "X: " + std::string(1000, 'x') + "\r\n";
+    std::string lines = "HTTP/1.1 200 OK\r\n";
+    for (int n = 0; n < 200; ++n)
+        lines += line;
+    ScriptedUpstream upstream({ { { std::string(200000, 'x') } }, { { lines } } });
+    Client client;
+    BOOST_TEST(client.sendRequest(upstream.address(), "a") == " malformed");
+    BOOST_TEST(client.sendRequest(upstream.address(), "b") == " malformed");
+}
+
 // Guards against requests that wait without limit for an upstream that stopped responding.
 BOOST_AUTO_TEST_CASE(silentUpstreamTimesOut)
 {
