--- a/src/soak/EntrySoak.cpp
+++ b/src/soak/EntrySoak.cpp
@@ -1,6 +1,6 @@
 #include "api/AnnouncementJson.h"
 #include "node/ForwardFlow.h"
-#include "soak/NodeFleet.h"
+#include "soak/FaultSchedule.h"
 #include "soak/Soak.h"
 
 #include <algorithm>
@@ -10,14 +10,11 @@
 
 // Upstreams that leave or name limits, while voters and entry nodes fail. Checks what nodes that are in touch send to them.
 
-static constexpr TimeMs contactTime { 3000 }; ///< Without a disturbance for this long, a node is in touch.
 static constexpr TimeMs drainTime { 2000 };
 static constexpr TimeMs limitWindow { 4000 };
 static constexpr TimeMs limitBindsAfter { 3000 };
 static constexpr TimeMs toldFor { 500 }; ///< A node counts this long after its first answer that names the limit.
 static constexpr TimeMs announceInterval { 1200 };
-static constexpr int cycleSteps = 50;
-static constexpr int faultSteps = 12; ///< At the start of each cycle.
 static constexpr TimeMs upstreamPause { 7000 }; ///< From the notice of a leaving upstream until it starts again.
 
 namespace {
@@ -38,20 +35,13 @@
         std::deque<std::pair<TimeMs, size_t>> window; ///< Arrivals that count, with their node.
     };
 
-    class EntrySchedule {
+    class EntrySchedule : FaultSchedule {
     public:
         explicit EntrySchedule(uint64_t seed);
         SoakResult run();
 
     private:
         static NodeFleetOptions makeOptions(Random&, uint64_t seed);
-        bool isVoter(size_t node) const { return node < m_voters; }
-        size_t randomEntry() { return m_voters + m_random.below(m_fleet.nodes.size() - m_voters); }
-        bool isInTouch(size_t node) const;
-        void disturb(size_t node);
-        void injectFault();
-        void injectNodeFault(size_t node);
-        void cutLinks();
         void sendRequests();
         void changeUpstream();
         void sendNotice(SoakUpstream&);
@@ -59,16 +49,8 @@
         std::optional<HttpHeaders> answer(size_t node, const UpstreamDispatch&);
         void countLimited(SoakUpstream&, size_t node);
         void checkAware();
-        void recoverAll();
-        void fail(const std::string&);
 
-        Random m_random;
-        size_t m_voters = 0;
-        NodeFleet m_fleet;
-        SoakResult m_result;
         std::vector<SoakUpstream> m_upstreams;
-        std::vector<TimeMs> m_disturbedAt; ///< By node: last disturbance.
-        TimeMs m_coreDisturbedAt;
         uint64_t m_requests = 0;
         HeaderNames m_names;
     };
@@ -84,11 +66,8 @@
 }
 
 EntrySchedule::EntrySchedule(uint64_t seed)
-    : m_random(seed)
-    , m_fleet(makeOptions(m_random, seed))
+    : FaultSchedule(seed, makeOptions)
 {
-    m_voters = m_fleet.options.announceNodes;
-    m_disturbedAt.resize(m_fleet.nodes.size());
     // More upstreams keep gossip busier after a restart.
     const size_t upstreams = static_cast<size_t>(m_random.between(4, m_fleet.nodes.size() > 50 ? 66 : 16));
     for (size_t n = 0; n < upstreams; ++n) {
@@ -97,92 +76,6 @@
     }
 }
 
-void EntrySchedule::fail(const std::string& text)
-{
-    if (m_result.violation.empty())
-        m_result.violation = text + " at " + std::to_string(m_fleet.now.value % 10000000) + " ms";
-}
-
-bool EntrySchedule::isInTouch(size_t node) const
-{
-    const TimeMs since = m_fleet.now - contactTime;
-    if (!m_fleet.nodes[node].node || m_fleet.nodes[node].frozen || m_disturbedAt[node] > since || m_coreDisturbedAt > since || m_fleet.loss > 0)
-        return false;
-    for (size_t n = 0; n < m_voters; ++n) {
-        if (n != node && (!m_fleet.nodes[n].node || m_fleet.nodes[n].frozen || m_fleet.blockedLinks[n][node] || m_fleet.blockedLinks[node][n]))
-            return false;
-    }
-    return true;
-}
-
-void EntrySchedule::disturb(size_t node)
-{
-    m_disturbedAt[node] = m_fleet.now;
-    if (isVoter(node))
-        m_coreDisturbedAt = m_fleet.now;
-}
-
-void EntrySchedule::injectNodeFault(size_t n)
-{
-    auto& node = m_fleet.nodes[n];
-    disturb(n);
-    if (!node.node)
-        return m_fleet.start(n);
-    if (node.frozen)
-        return m_fleet.thaw(n);
-    if (m_random.chance(0.7)) {
-        ++m_result.faults["kill"];
-        m_fleet.kill(n, false);
-    } else {
-        ++m_result.faults["freeze"];
-        m_fleet.freeze(n);
-    }
-}
-
-void EntrySchedule::cutLinks()
-{
-    const size_t entry = randomEntry();
-    const size_t voter = m_random.below(m_voters);
-    const bool blocked = m_random.chance(0.5);
-    ++m_result.faults[blocked ? "cut" : "cut healed"];
-    for (const size_t n : { entry, voter })
-        m_disturbedAt[n] = m_fleet.now;
-    m_fleet.setLinkBlocked(entry, voter, blocked);
-    if (m_random.chance(0.5) || !blocked)
-        m_fleet.setLinkBlocked(voter, entry, blocked);
-}
-
-void EntrySchedule::injectFault()
-{
-    switch (m_random.below(6)) {
-    case 0:
-        ++m_result.faults["all voters killed"];
-        for (size_t n = 0; n < m_voters; ++n) {
-            disturb(n);
-            if (m_fleet.nodes[n].node)
-                m_fleet.kill(n, false);
-        }
-        m_fleet.runFor(TimeMs { m_random.between(100, 800) });
-        for (size_t n = 0; n < m_voters; ++n) {
-            disturb(n);
-            m_fleet.start(n);
-        }
-        return;
-    case 1:
-        return injectNodeFault(m_random.below(m_voters));
-    case 2:
-    case 3:
-        return injectNodeFault(randomEntry());
-    case 4:
-        return cutLinks();
-    default:
-        m_fleet.loss = m_random.chance(0.3) ? 0.1 : 0;
-        if (m_fleet.loss > 0)
-            ++m_result.faults["loss"];
-        std::fill(m_disturbedAt.begin(), m_disturbedAt.end(), m_fleet.now);
-    }
-}
-
 void EntrySchedule::sendRequests()
 {
     for (size_t n = m_voters; n < m_fleet.nodes.size(); ++n) {
@@ -294,20 +187,6 @@
     }
 }
 
-void EntrySchedule::recoverAll()
-{
-    m_fleet.loss = 0;
-    for (size_t n = 0; n < m_fleet.nodes.size(); ++n) {
-        m_fleet.isolate(n, false);
-        if (!m_fleet.nodes[n].node || m_fleet.nodes[n].frozen)
-            disturb(n);
-        if (!m_fleet.nodes[n].node)
-            m_fleet.start(n);
-        else if (m_fleet.nodes[n].frozen)
-            m_fleet.thaw(n);
-    }
-}
-
 SoakResult EntrySchedule::run()
 {
     const std::string author = " # Asma: soak\n";
