--- a/src/soak/ConfigurationSoak.cpp
+++ b/src/soak/ConfigurationSoak.cpp
@@ -59,7 +59,7 @@
     : FaultSchedule(seed, makeOptions)
 {
     for (int n = 0; n < 12; ++n)
-        m_fleet.addUpstream("desk-" + std::to_string(n), UpstreamKind::Service, "desk", n % 2 ? "lhr-depot" : "lhr-gulberg");
+        fleet.addUpstream("desk-" + std::to_string(n), UpstreamKind::Service, "desk", n % 2 ? "lhr-depot" : "lhr-gulberg");
 }
 
 std::string ConfigurationSchedule::rules() const
@@ -76,44 +76,44 @@
 
 void ConfigurationSchedule::sendChange()
 {
-    m_change.voter = m_random.below(m_voters);
-    m_change.call = m_fleet.putConfiguration(m_change.voter, m_number, rules());
+    m_change.voter = random.below(voters);
+    m_change.call = fleet.putConfiguration(m_change.voter, m_number, rules());
 }
 
 void ConfigurationSchedule::followChange()
 {
     if (!m_change.call)
         return;
-    const auto& caller = m_fleet.caller(m_change.call);
+    const auto& caller = fleet.caller(m_change.call);
     if (caller.done && caller.status == 200) {
-        ++m_result.faults["change acknowledged"];
+        ++result.faults["change acknowledged"];
         m_acknowledged[m_number] = caller.answeredAt;
         m_change.call = 0;
-    } else if (caller.done || caller.lost || m_fleet.now - caller.postedAt > orderTimeout) {
+    } else if (caller.done || caller.lost || fleet.now - caller.postedAt > orderTimeout) {
         sendChange();
     }
 }
 
 void ConfigurationSchedule::sendNotice()
 {
-    auto& announced = m_fleet.upstream("desk-" + std::to_string(m_left - 1)).announced;
+    auto& announced = fleet.upstream("desk-" + std::to_string(m_left - 1)).announced;
     announced.leaving = true;
     ++announced.sequence;
-    m_notice.voter = m_random.below(m_voters);
-    m_notice.call = m_fleet.post(m_notice.voter, { "POST", "/", {}, toJson(announced) }, ListenerKind::Control);
+    m_notice.voter = random.below(voters);
+    m_notice.call = fleet.post(m_notice.voter, { "POST", "/", {}, toJson(announced) }, ListenerKind::Control);
 }
 
 void ConfigurationSchedule::followNotice()
 {
     if (!m_notice.call)
         return;
-    const auto& caller = m_fleet.caller(m_notice.call);
+    const auto& caller = fleet.caller(m_notice.call);
     if (caller.done && caller.status == 200) {
-        ++m_result.faults["leaving acknowledged"];
+        ++result.faults["leaving acknowledged"];
         if (isInTouch(m_notice.voter))
             m_leftAt["desk-" + std::to_string(m_left - 1)] = caller.answeredAt;
         m_notice.call = 0;
-    } else if (caller.done || caller.lost || m_fleet.now - caller.postedAt > orderTimeout) {
+    } else if (caller.done || caller.lost || fleet.now - caller.postedAt > orderTimeout) {
         sendNotice();
     }
 }
@@ -122,56 +122,56 @@
 {
     uint64_t due = 0;
     for (const auto& [number, at] : m_acknowledged) {
-        if (m_fleet.now - at > inForceTime)
+        if (fleet.now - at > inForceTime)
             due = number;
     }
-    for (size_t n = 0; n < m_fleet.nodes.size(); ++n) {
-        const auto& process = m_fleet.nodes[n];
+    for (size_t n = 0; n < fleet.nodes.size(); ++n) {
+        const auto& process = fleet.nodes[n];
         if (process.bytesToSend > maxBytesToSend)
             fail(process.settings.node + " has " + std::to_string(process.bytesToSend) + " bytes on their way");
         if (isVoter(n) || !isInTouch(n))
             continue;
         // The first revision is that of the fleet's own rules.
         if (process.node->view.rules.revision < due + 1)
-            fail(process.settings.node + " has revision " + std::to_string(process.node->view.rules.revision) + " and not " + std::to_string(due + 1) + ", acknowledged " + std::to_string((m_fleet.now - m_acknowledged[due]).value) + " ms before");
+            fail(process.settings.node + " has revision " + std::to_string(process.node->view.rules.revision) + " and not " + std::to_string(due + 1) + ", acknowledged " + std::to_string((fleet.now - m_acknowledged[due]).value) + " ms before");
         for (const auto& [name, at] : m_leftAt) {
             const ForwardTarget* target = findTarget(process.node->forward.targets, idOfName<UpstreamId>(name));
-            if (m_fleet.now - at > drainTime && target && !target->leaving)
-                fail(process.settings.node + " would send to " + name + " " + std::to_string((m_fleet.now - at).value) + " ms after its notice was acknowledged");
+            if (fleet.now - at > drainTime && target && !target->leaving)
+                fail(process.settings.node + " would send to " + name + " " + std::to_string((fleet.now - at).value) + " ms after its notice was acknowledged");
         }
     }
 }
 
 SoakResult ConfigurationSchedule::run()
 {
-    if (!m_fleet.startCluster()) {
+    if (!fleet.startCluster()) {
         fail("the fleet did not start");
-        return m_result;
+        return result;
     }
-    for (int step = 0; step < 150 && m_result.violation.empty(); ++step) {
+    for (int step = 0; step < 150 && result.violation.empty(); ++step) {
         const bool quiet = step % cycleSteps >= faultSteps;
-        if (!quiet && m_random.chance(0.15))
+        if (!quiet && random.chance(0.15))
             injectFault();
-        if (!m_change.call && m_random.chance(0.4)) {
+        if (!m_change.call && random.chance(0.4)) {
             // Some changes add many routes, most none.
-            m_routes += m_random.chance(0.1) ? 450 : 0;
+            m_routes += random.chance(0.1) ? 450 : 0;
             ++m_number;
             sendChange();
         }
-        if (!m_notice.call && m_left < 10 && m_random.chance(0.1)) {
+        if (!m_notice.call && m_left < 10 && random.chance(0.1)) {
             ++m_left;
             sendNotice();
         }
         followChange();
         followNotice();
-        m_fleet.runFor(TimeMs { m_random.between(50, 250) });
+        fleet.runFor(TimeMs { random.between(50, 250) });
         check();
         if (step % cycleSteps == faultSteps)
             recoverAll();
     }
-    for (const auto& text : m_fleet.violations)
+    for (const auto& text : fleet.violations)
         fail(text);
-    return m_result;
+    return result;
 }
 
 static SoakResult runConfigurationSchedule(uint64_t seed)
--- a/src/soak/EntrySoak.cpp
+++ b/src/soak/EntrySoak.cpp
@@ -69,29 +69,29 @@
     : FaultSchedule(seed, makeOptions)
 {
     // More upstreams keep gossip busier after a restart.
-    const size_t upstreams = static_cast<size_t>(m_random.between(4, m_fleet.nodes.size() > 50 ? 66 : 16));
+    const size_t upstreams = static_cast<size_t>(random.between(4, fleet.nodes.size() > 50 ? 66 : 16));
     for (size_t n = 0; n < upstreams; ++n) {
         m_upstreams.push_back({ .name = "desk-" + std::to_string(n) });
-        m_fleet.addUpstream(m_upstreams.back().name, UpstreamKind::Service, "desk", n % 2 ? "lhr-depot" : "lhr-gulberg");
+        fleet.addUpstream(m_upstreams.back().name, UpstreamKind::Service, "desk", n % 2 ? "lhr-depot" : "lhr-gulberg");
     }
 }
 
 void EntrySchedule::sendRequests()
 {
-    for (size_t n = m_voters; n < m_fleet.nodes.size(); ++n) {
-        if (m_fleet.nodes[n].node && m_random.chance(0.3))
-            m_fleet.post(n, { "GET", "/look/1", { { "Host", "h" }, { m_names.requestId, "r" + std::to_string(++m_requests) } }, {} }, ListenerKind::Forward);
+    for (size_t n = voters; n < fleet.nodes.size(); ++n) {
+        if (fleet.nodes[n].node && random.chance(0.3))
+            fleet.post(n, { "GET", "/look/1", { { "Host", "h" }, { m_names.requestId, "r" + std::to_string(++m_requests) } }, {} }, ListenerKind::Forward);
     }
 }
 
 void EntrySchedule::sendNotice(SoakUpstream& upstream)
 {
-    auto& announced = m_fleet.upstream(upstream.name).announced;
-    upstream.voter = m_random.below(m_voters);
-    upstream.nextNotice = m_fleet.now + announceInterval;
+    auto& announced = fleet.upstream(upstream.name).announced;
+    upstream.voter = random.below(voters);
+    upstream.nextNotice = fleet.now + announceInterval;
     ++announced.sequence;
     const HttpRequest request = upstream.shutsDown ? HttpRequest { "DELETE", "/" + upstream.name, {}, {} } : HttpRequest { "POST", "/", {}, toJson(announced) };
-    upstream.call = m_fleet.post(upstream.voter, request, ListenerKind::Control);
+    upstream.call = fleet.post(upstream.voter, request, ListenerKind::Control);
 }
 
 // Sends the notice again, to any voter, until it is acknowledged; the upstream starts again later in either case. The leaving state
@@ -99,57 +99,57 @@
 void EntrySchedule::followNotice(SoakUpstream& upstream)
 {
     if (upstream.call) {
-        const auto& caller = m_fleet.caller(upstream.call);
+        const auto& caller = fleet.caller(upstream.call);
         if (caller.done && caller.status == 200) {
             upstream.call = 0;
-            ++m_result.faults["acknowledged"];
+            ++result.faults["acknowledged"];
             if (!upstream.leftAt && isInTouch(upstream.voter))
                 upstream.leftAt = caller.answeredAt;
-        } else if (caller.done || caller.lost || m_fleet.now - caller.postedAt > 1_s) {
+        } else if (caller.done || caller.lost || fleet.now - caller.postedAt > 1_s) {
             sendNotice(upstream);
         }
-    } else if (upstream.restartAt && !upstream.shutsDown && m_fleet.now >= upstream.nextNotice) {
+    } else if (upstream.restartAt && !upstream.shutsDown && fleet.now >= upstream.nextNotice) {
         sendNotice(upstream);
     }
-    if (!upstream.restartAt || m_fleet.now < *upstream.restartAt)
+    if (!upstream.restartAt || fleet.now < *upstream.restartAt)
         return;
-    auto& announced = m_fleet.upstream(upstream.name).announced;
+    auto& announced = fleet.upstream(upstream.name).announced;
     announced.leaving = false;
     announced.sequence = 1;
     // Incarnations are start times, as platforms state them.
-    announced.incarnation = static_cast<uint64_t>(m_fleet.now.value);
-    m_fleet.upstream(upstream.name).announces = true;
+    announced.incarnation = static_cast<uint64_t>(fleet.now.value);
+    fleet.upstream(upstream.name).announces = true;
     upstream = { .name = upstream.name };
 }
 
 void EntrySchedule::changeUpstream()
 {
-    auto& upstream = m_upstreams[m_random.below(m_upstreams.size())];
+    auto& upstream = m_upstreams[random.below(m_upstreams.size())];
     if (upstream.restartAt)
         return;
-    if (m_random.chance(0.5)) {
-        ++m_result.faults["leave"];
-        auto& announced = m_fleet.upstream(upstream.name).announced;
-        upstream.shutsDown = m_random.chance(0.3);
+    if (random.chance(0.5)) {
+        ++result.faults["leave"];
+        auto& announced = fleet.upstream(upstream.name).announced;
+        upstream.shutsDown = random.chance(0.3);
         announced.leaving = !upstream.shutsDown;
-        m_fleet.upstream(upstream.name).announces = false;
-        upstream.restartAt = m_fleet.now + upstreamPause;
+        fleet.upstream(upstream.name).announces = false;
+        upstream.restartAt = fleet.now + upstreamPause;
         return sendNotice(upstream);
     }
-    ++m_result.faults[upstream.perSecond ? "limit ends" : "limit"];
-    upstream.perSecond = upstream.perSecond ? std::nullopt : std::optional(0.1 * static_cast<double>(m_random.between(3, 80)));
-    upstream.namedAt = m_fleet.now;
+    ++result.faults[upstream.perSecond ? "limit ends" : "limit"];
+    upstream.perSecond = upstream.perSecond ? std::nullopt : std::optional(0.1 * static_cast<double>(random.between(3, 80)));
+    upstream.namedAt = fleet.now;
     upstream.toldAt.clear();
     upstream.window.clear();
 }
 
 void EntrySchedule::countLimited(SoakUpstream& upstream, size_t node)
 {
-    const auto told = upstream.toldAt.try_emplace(node, m_fleet.now + m_fleet.upstream(upstream.name).latency).first;
-    if (m_fleet.now - told->second < toldFor || m_fleet.now - upstream.namedAt < limitBindsAfter)
+    const auto told = upstream.toldAt.try_emplace(node, fleet.now + fleet.upstream(upstream.name).latency).first;
+    if (fleet.now - told->second < toldFor || fleet.now - upstream.namedAt < limitBindsAfter)
         return;
-    upstream.window.emplace_back(m_fleet.now, node);
-    while (m_fleet.now - upstream.window.front().first > limitWindow)
+    upstream.window.emplace_back(fleet.now, node);
+    while (fleet.now - upstream.window.front().first > limitWindow)
         upstream.window.pop_front();
     const auto counted = std::count_if(upstream.window.begin(), upstream.window.end(), [&](const auto& it) { return isInTouch(it.second); });
     if (static_cast<double>(counted) > 1.5 * *upstream.perSecond * limitWindow.seconds() + 5)
@@ -159,11 +159,11 @@
 std::optional<HttpHeaders> EntrySchedule::answer(size_t node, const UpstreamDispatch& dispatch)
 {
     HttpHeaders headers { { m_names.requestId, dispatch.idValue }, { m_names.receipt, "proof" } };
-    const auto it = std::find_if(m_upstreams.begin(), m_upstreams.end(), [&](const auto& upstream) { return m_fleet.upstream(upstream.name).announced.address == dispatch.address; });
+    const auto it = std::find_if(m_upstreams.begin(), m_upstreams.end(), [&](const auto& upstream) { return fleet.upstream(upstream.name).announced.address == dispatch.address; });
     if (it == m_upstreams.end())
         return headers;
-    if (it->leftAt && m_fleet.now - *it->leftAt > drainTime && isInTouch(node))
-        fail(it->name + " got a request " + std::to_string((m_fleet.now - *it->leftAt).value) + " ms after it had announced that it leaves, from " + m_fleet.nodes[node].settings.node);
+    if (it->leftAt && fleet.now - *it->leftAt > drainTime && isInTouch(node))
+        fail(it->name + " got a request " + std::to_string((fleet.now - *it->leftAt).value) + " ms after it had announced that it leaves, from " + fleet.nodes[node].settings.node);
     if (it->perSecond) {
         headers.emplace_back(rateLimitHeader, std::to_string(*it->perSecond));
         countLimited(*it, node);
@@ -175,14 +175,14 @@
 void EntrySchedule::checkAware()
 {
     for (const auto& upstream : m_upstreams) {
-        if (!upstream.leftAt || m_fleet.now - *upstream.leftAt <= drainTime)
+        if (!upstream.leftAt || fleet.now - *upstream.leftAt <= drainTime)
             continue;
-        for (size_t n = m_voters; n < m_fleet.nodes.size(); ++n) {
+        for (size_t n = voters; n < fleet.nodes.size(); ++n) {
             if (!isInTouch(n))
                 continue;
-            const ForwardTarget* target = findTarget(m_fleet.nodes[n].node->forward.targets, idOfName<UpstreamId>(upstream.name));
-            if (target && !target->leaving && m_fleet.now - target->lastSeen <= ChoiceOptions {}.staleAfter)
-                fail(m_fleet.nodes[n].settings.node + " would send to " + upstream.name + " " + std::to_string((m_fleet.now - *upstream.leftAt).value) + " ms after its notice was acknowledged");
+            const ForwardTarget* target = findTarget(fleet.nodes[n].node->forward.targets, idOfName<UpstreamId>(upstream.name));
+            if (target && !target->leaving && fleet.now - target->lastSeen <= ChoiceOptions {}.staleAfter)
+                fail(fleet.nodes[n].settings.node + " would send to " + upstream.name + " " + std::to_string((fleet.now - *upstream.leftAt).value) + " ms after its notice was acknowledged");
         }
     }
 }
@@ -191,34 +191,34 @@
 {
     const std::string author = " # Asma: soak\n";
     const std::string rules = "backend desk" + author + "forward look host=h prefix=/look/ kind=repeatable timeout=1s target=150ms attempts=2 anonymous=yes to=desk:1" + author;
-    if (!m_fleet.startCluster()) {
+    if (!fleet.startCluster()) {
         fail("the fleet did not start");
-        return m_result;
+        return result;
     }
-    const auto applied = m_fleet.apply(0, "forwards", 1, rules, "omar");
-    if (!m_fleet.runUntil([&] { return m_fleet.caller(applied).done && m_fleet.agreeOnRevision(2); }, 15_s)) {
+    const auto applied = fleet.apply(0, "forwards", 1, rules, "omar");
+    if (!fleet.runUntil([&] { return fleet.caller(applied).done && fleet.agreeOnRevision(2); }, 15_s)) {
         fail("the rules are not in force");
-        return m_result;
+        return result;
     }
-    m_fleet.forwardAnswer = [this](size_t node, const UpstreamDispatch& dispatch) { return answer(node, dispatch); };
-    for (int step = 0; step < 200 && m_result.violation.empty(); ++step) {
+    fleet.forwardAnswer = [this](size_t node, const UpstreamDispatch& dispatch) { return answer(node, dispatch); };
+    for (int step = 0; step < 200 && result.violation.empty(); ++step) {
         // Faults come in series, with quiet spans between them in which all rules bind.
         const bool quiet = step % cycleSteps >= faultSteps;
-        if (!quiet && m_random.chance(0.15))
+        if (!quiet && random.chance(0.15))
             injectFault();
-        if (m_random.chance(quiet ? 0.3 : 0.1))
+        if (random.chance(quiet ? 0.3 : 0.1))
             changeUpstream();
         sendRequests();
         for (auto& upstream : m_upstreams)
             followNotice(upstream);
-        m_fleet.runFor(TimeMs { m_random.between(50, 250) });
+        fleet.runFor(TimeMs { random.between(50, 250) });
         checkAware();
         if (step % cycleSteps == faultSteps)
             recoverAll();
     }
-    for (const auto& text : m_fleet.violations)
+    for (const auto& text : fleet.violations)
         fail(text);
-    return m_result;
+    return result;
 }
 
 static SoakResult runEntrySchedule(uint64_t seed)
--- a/src/soak/FaultSchedule.cpp
+++ b/src/soak/FaultSchedule.cpp
@@ -7,26 +7,26 @@
 static constexpr TimeMs contactTime { 3000 }; ///< Without a disturbance for this long, a node is in touch.
 
 FaultSchedule::FaultSchedule(uint64_t seed, NodeFleetOptions (*makeOptions)(Random&, uint64_t seed))
-    : m_random(seed)
-    , m_fleet(makeOptions(m_random, seed))
+    : random(seed)
+    , fleet(makeOptions(random, seed))
 {
-    m_voters = m_fleet.options.announceNodes;
-    m_disturbedAt.resize(m_fleet.nodes.size());
+    voters = fleet.options.announceNodes;
+    disturbedAt.resize(fleet.nodes.size());
 }
 
 void FaultSchedule::fail(const std::string& text)
 {
-    if (m_result.violation.empty())
-        m_result.violation = text + " at " + std::to_string(m_fleet.now.value % 10000000) + " ms";
+    if (result.violation.empty())
+        result.violation = text + " at " + std::to_string(fleet.now.value % 10000000) + " ms";
 }
 
 bool FaultSchedule::isInTouch(size_t node) const
 {
-    const TimeMs since = m_fleet.now - contactTime;
-    if (!m_fleet.nodes[node].node || m_fleet.nodes[node].frozen || m_disturbedAt[node] > since || m_coreDisturbedAt > since || m_fleet.loss > 0)
+    const TimeMs since = fleet.now - contactTime;
+    if (!fleet.nodes[node].node || fleet.nodes[node].frozen || disturbedAt[node] > since || coreDisturbedAt > since || fleet.loss > 0)
         return false;
-    for (size_t n = 0; n < m_voters; ++n) {
-        if (n != node && (!m_fleet.nodes[n].node || m_fleet.nodes[n].frozen || m_fleet.blockedLinks[n][node] || m_fleet.blockedLinks[node][n]))
+    for (size_t n = 0; n < voters; ++n) {
+        if (n != node && (!fleet.nodes[n].node || fleet.nodes[n].frozen || fleet.blockedLinks[n][node] || fleet.blockedLinks[node][n]))
             return false;
     }
     return true;
@@ -34,83 +34,83 @@
 
 void FaultSchedule::disturb(size_t node)
 {
-    m_disturbedAt[node] = m_fleet.now;
+    disturbedAt[node] = fleet.now;
     if (isVoter(node))
-        m_coreDisturbedAt = m_fleet.now;
+        coreDisturbedAt = fleet.now;
 }
 
 void FaultSchedule::injectNodeFault(size_t n)
 {
-    auto& node = m_fleet.nodes[n];
+    auto& node = fleet.nodes[n];
     disturb(n);
     if (!node.node)
-        return m_fleet.start(n);
+        return fleet.start(n);
     if (node.frozen)
-        return m_fleet.thaw(n);
-    if (m_random.chance(0.7)) {
-        ++m_result.faults["kill"];
-        m_fleet.kill(n, false);
+        return fleet.thaw(n);
+    if (random.chance(0.7)) {
+        ++result.faults["kill"];
+        fleet.kill(n, false);
     } else {
-        ++m_result.faults["freeze"];
-        m_fleet.freeze(n);
+        ++result.faults["freeze"];
+        fleet.freeze(n);
     }
 }
 
 void FaultSchedule::cutLinks()
 {
     const size_t entry = randomEntry();
-    const size_t voter = m_random.below(m_voters);
-    const bool blocked = m_random.chance(0.5);
-    ++m_result.faults[blocked ? "cut" : "cut healed"];
+    const size_t voter = random.below(voters);
+    const bool blocked = random.chance(0.5);
+    ++result.faults[blocked ? "cut" : "cut healed"];
     for (const size_t n : { entry, voter })
-        m_disturbedAt[n] = m_fleet.now;
-    m_fleet.setLinkBlocked(entry, voter, blocked);
-    if (m_random.chance(0.5) || !blocked)
-        m_fleet.setLinkBlocked(voter, entry, blocked);
+        disturbedAt[n] = fleet.now;
+    fleet.setLinkBlocked(entry, voter, blocked);
+    if (random.chance(0.5) || !blocked)
+        fleet.setLinkBlocked(voter, entry, blocked);
 }
 
 void FaultSchedule::injectFault()
 {
-    switch (m_random.below(6)) {
+    switch (random.below(6)) {
     case 0:
-        ++m_result.faults["all voters killed"];
-        for (size_t n = 0; n < m_voters; ++n) {
+        ++result.faults["all voters killed"];
+        for (size_t n = 0; n < voters; ++n) {
             disturb(n);
-            if (m_fleet.nodes[n].node)
-                m_fleet.kill(n, false);
+            if (fleet.nodes[n].node)
+                fleet.kill(n, false);
         }
-        m_fleet.runFor(TimeMs { m_random.between(100, 800) });
-        for (size_t n = 0; n < m_voters; ++n) {
+        fleet.runFor(TimeMs { random.between(100, 800) });
+        for (size_t n = 0; n < voters; ++n) {
             disturb(n);
-            m_fleet.start(n);
+            fleet.start(n);
         }
         return;
     case 1:
-        return injectNodeFault(m_random.below(m_voters));
+        return injectNodeFault(random.below(voters));
     case 2:
     case 3:
         return injectNodeFault(randomEntry());
     case 4:
         return cutLinks();
     default:
-        m_fleet.loss = m_random.chance(0.3) ? 0.1 : 0;
-        if (m_fleet.loss > 0)
-            ++m_result.faults["loss"];
-        std::fill(m_disturbedAt.begin(), m_disturbedAt.end(), m_fleet.now);
+        fleet.loss = random.chance(0.3) ? 0.1 : 0;
+        if (fleet.loss > 0)
+            ++result.faults["loss"];
+        std::fill(disturbedAt.begin(), disturbedAt.end(), fleet.now);
     }
 }
 
 void FaultSchedule::recoverAll()
 {
-    m_fleet.loss = 0;
-    for (size_t n = 0; n < m_fleet.nodes.size(); ++n) {
-        m_fleet.isolate(n, false);
-        if (!m_fleet.nodes[n].node || m_fleet.nodes[n].frozen)
+    fleet.loss = 0;
+    for (size_t n = 0; n < fleet.nodes.size(); ++n) {
+        fleet.isolate(n, false);
+        if (!fleet.nodes[n].node || fleet.nodes[n].frozen)
             disturb(n);
-        if (!m_fleet.nodes[n].node)
-            m_fleet.start(n);
-        else if (m_fleet.nodes[n].frozen)
-            m_fleet.thaw(n);
+        if (!fleet.nodes[n].node)
+            fleet.start(n);
+        else if (fleet.nodes[n].frozen)
+            fleet.thaw(n);
     }
 }
 
--- a/src/soak/FaultSchedule.h
+++ b/src/soak/FaultSchedule.h
@@ -6,16 +6,15 @@
 namespace siskinshunt {
 
 /// Base of randomised schedules of a fleet whose nodes fail: voters, which are the first nodes, and entry nodes.
-class FaultSchedule {
-protected:
+struct FaultSchedule {
     /// Faults come at the start of each cycle; the rest of it is a quiet span in which all rules bind.
     static constexpr int cycleSteps = 50;
     static constexpr int faultSteps = 12;
 
     FaultSchedule(uint64_t seed, NodeFleetOptions (*makeOptions)(Random&, uint64_t seed));
 
-    bool isVoter(size_t node) const { return node < m_voters; }
-    size_t randomEntry() { return m_voters + m_random.below(m_fleet.nodes.size() - m_voters); }
+    bool isVoter(size_t node) const { return node < voters; }
+    size_t randomEntry() { return voters + random.below(fleet.nodes.size() - voters); }
     /// Whether the node and all voters have run undisturbed for some time, with links in both directions.
     bool isInTouch(size_t node) const;
     void disturb(size_t node);
@@ -25,14 +24,13 @@
     /// Records a violation; the first one counts.
     void fail(const std::string&);
 
-    Random m_random;
-    size_t m_voters = 0;
-    NodeFleet m_fleet;
-    SoakResult m_result;
-    std::vector<TimeMs> m_disturbedAt; ///< By node: last disturbance.
-    TimeMs m_coreDisturbedAt;
+    Random random;
+    size_t voters = 0;
+    NodeFleet fleet;
+    SoakResult result;
+    std::vector<TimeMs> disturbedAt; ///< By node: last disturbance.
+    TimeMs coreDisturbedAt;
 
-private:
     void injectNodeFault(size_t node);
     void cutLinks();
 };
