--- a/tests/node/UpstreamHeadersTest.cpp
+++ b/tests/node/UpstreamHeadersTest.cpp
@@ -16,7 +16,7 @@
         {
             post("/look/1", { { names.timeLeft, "5000" } });
             sending();
-            const std::string upstream(findHeader(last().request.headers, names.target));
+            std::string upstream(findHeader(last().request.headers, names.target));
             head(status, std::move(more));
             end();
             return upstream;
