Make a node known to the source that it asks for a view

Three voters in turn, restarted seconds before, did not know the node, so their pieces had no address and were dropped without a word.

The node now sends a catch-up request with its record before the first piece that it asks of a source.

--- a/src/node/CatchUp.cpp
+++ b/src/node/CatchUp.cpp
@@ -41,6 +41,11 @@
     sendFrame(node, source, FrameKind::CatchUp, {}, encode(frame));
 }
 
+void introduceTo(Node& node, NodeId to)
+{
+    ask(node, to, true);
+}
+
 void tickCatchUp(Node& node)
 {
     auto& catchUp = node.catchUp;
--- a/src/node/CatchUp.h
+++ b/src/node/CatchUp.h
@@ -10,6 +10,9 @@
 
 /// Asks for missed notices when it is time.
 void tickCatchUp(Node&);
+/// Asks this node for missed notices and makes the sender known to it: after a start it may not know all members, and a node that it
+/// does not know gets no answer.
+void introduceTo(Node&, NodeId);
 void receiveCatchUp(Node&, NodeId from, std::string_view body);
 void receiveCatchUpReply(Node&, NodeId from, std::string_view body);
 
--- a/src/node/ViewTransfer.cpp
+++ b/src/node/ViewTransfer.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Compression.h"
 #include "base/Hash.h"
+#include "node/CatchUp.h"
 #include "node/ControlFlow.h"
 #include "node/Groups.h"
 #include "node/Peers.h"
@@ -88,6 +89,7 @@
     transfer.lastProgressAt = node.now;
     addLog(node, LogLevel::Info, "view_requested", Step::Send, nameOfMember(node, transfer.source), "this node fetches a newer control view",
         { { "index", std::to_string(transfer.wanted) }, { "have", std::to_string(node.view.index) }, { "reason", transfer.reason }, { "received_bytes", std::to_string(transfer.bytes.size()) } });
+    introduceTo(node, transfer.source);
     requestPiece(node);
 }
 
--- a/tests/node/LargeConfigurationTest.cpp
+++ b/tests/node/LargeConfigurationTest.cpp
@@ -111,6 +111,28 @@
     it.checkInForce(2);
 }
 
+// Guards against nodes that ask voters which have just started and do not know them, so that the answers have no address.
+BOOST_AUTO_TEST_CASE(AreSentByVotersThatDoNotKnowTheNode)
+{
+    EntryFleet it(4, 3, 2);
+    const size_t last = it.fleet.nodes.size() - 1;
+    Node& entry = *it.fleet.nodes[last].node;
+    it.fleet.loss = 1;
+    it.fleet.losesFrame = [&](size_t, size_t to, const std::string&) { return to == last; };
+    it.configure(1, rulesWithRoutes(20, 1));
+    it.fleet.runFor(500_ms);
+    it.fleet.losesFrame = nullptr;
+    for (size_t n = 0; n < it.controls; ++n)
+        it.fleet.nodes[n].node->membership.members.erase(entry.self);
+    // A catch-up request of its own would introduce the node.
+    entry.catchUp.nextAsk = it.fleet.now + 10_s;
+    const Node& voter = *it.fleet.nodes[0].node;
+    entry.membership.members.at(voter.self).status.directive = voter.view.index;
+    entry.viewTransfer.nextMemberCheck = {};
+    it.fleet.runFor(200_ms);
+    it.checkInForce(2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
