Log the fingerprint of forwarded requests

The logs could not tell whether two requests that upstreams broke off were the same one: ids differ with each attempt of a caller, and the content was not named. The lines of ended requests and failed attempts now carry a hash of the account, method, target and body.

--- a/src/base/Hash.cpp
+++ b/src/base/Hash.cpp
@@ -1,6 +1,7 @@
 #include "base/Hash.h"
 
 #include <array>
+#include <cstdio>
 #include <openssl/crypto.h>
 #include <openssl/sha.h>
 #include <xxhash.h>
@@ -18,6 +19,13 @@
     return XXH64(pair.data(), sizeof(pair), 0);
 }
 
+std::string formatHash(uint64_t hash)
+{
+    char text[17];
+    std::snprintf(text, sizeof(text), "%016llx", static_cast<unsigned long long>(hash));
+    return text;
+}
+
 std::string sha256Hex(std::string_view text)
 {
     std::array<unsigned char, SHA256_DIGEST_LENGTH> digest {};
--- a/src/base/Hash.h
+++ b/src/base/Hash.h
@@ -12,6 +12,9 @@
 /// Combines two hash values; the result depends on their order.
 uint64_t combineHash(uint64_t a, uint64_t b);
 
+/// The value as 16 lower-case hex digits.
+std::string formatHash(uint64_t);
+
 /// SHA-256 of the text as 64 lower-case hex digits.
 std::string sha256Hex(std::string_view text);
 
--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -1,5 +1,7 @@
 #include "forward/ForwardCall.h"
 
+#include "base/Hash.h"
+
 #include <algorithm>
 #include <charconv>
 #include <cmath>
@@ -74,6 +76,11 @@
     return out;
 }
 
+uint64_t fingerprintOf(const HttpRequest& request, std::string_view account)
+{
+    return combineHash(combineHash(hash64(account), hash64(request.method)), combineHash(hash64(request.target), hash64(request.body)));
+}
+
 HttpRequest requestForUpstreams(HttpRequest request, const HeaderNames& names, const std::string& account, int urgency)
 {
     const auto listed = connectionHeaderNames(request.headers);
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -45,6 +45,7 @@
     double cost = 0; ///< Consumed from the account's allowance.
     std::vector<PromptPart> parts;
     uint32_t promptTokens = 0;
+    uint64_t fingerprint = 0; ///< See fingerprintOf().
 
     // The current attempt.
     ForwardStage stage = ForwardStage::Waiting;
@@ -98,6 +99,9 @@
 
 ForwardMetadata parseForwardMetadata(const HttpHeaders&, const HeaderNames&);
 
+/// Hash of the client account and of the request's method, target and body: equal for requests that are repeats of each other.
+uint64_t fingerprintOf(const HttpRequest&, std::string_view account);
+
 /// Returns the request as sent to upstreams: without the caller's key, hop-by-hop headers and headers that only the system
 /// may set.
 HttpRequest requestForUpstreams(HttpRequest, const HeaderNames&, const std::string& account, int urgency);
--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -143,7 +143,7 @@
     ForwardTarget* target = findTarget(node.forward.targets, call.target);
     const ResendDecision decision = decideResend(node, call, end);
     addLog(node, LogLevel::Info, "forward_attempt_failed", Step::Receive, call.targetName, reason,
-        { { "request", call.requestId }, { "stage", std::string(nameOf(call.stage)) }, { "status", std::to_string(call.status) }, { "may_have_run", std::to_string(call.possibleExecutions) }, { "sent_ms_ago", std::to_string((node.now - call.sentAt).value) },
+        { { "request", call.requestId }, { "fingerprint", formatHash(call.fingerprint) }, { "stage", std::string(nameOf(call.stage)) }, { "status", std::to_string(call.status) }, { "may_have_run", std::to_string(call.possibleExecutions) }, { "sent_ms_ago", std::to_string((node.now - call.sentAt).value) },
             { "retry", std::string(nameOf(decision)) }, { "address", target ? target->address : std::string("-") }, { "announced_ms_ago", target ? std::to_string((node.now - target->lastSeen).value) : std::string("-") } });
     node.counters.add("forward_retry_" + std::string(nameOf(decision)));
     if (target)
@@ -356,7 +356,7 @@
             recordOutcome(*target, node.now, TargetOutcome::Failed);
         if (canSendAgain && canSendElsewhere(node, call) && takePermit(node, call)) {
             addLog(node, LogLevel::Info, "forward_attempt_failed", Step::Receive, call.targetName, "the upstream answered with an error status; retrying at another upstream",
-                { { "request", call.requestId }, { "status", std::to_string(call.status) }, { "may_have_run", std::to_string(call.possibleExecutions) } });
+                { { "request", call.requestId }, { "fingerprint", formatHash(call.fingerprint) }, { "status", std::to_string(call.status) }, { "may_have_run", std::to_string(call.possibleExecutions) } });
             releaseTarget(node, call);
             return retryElsewhere(node, call);
         }
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -166,7 +166,7 @@
     const bool good = outcome == "answered";
     const auto elapsedText = [&](TimeMs at) { return at.value ? std::to_string((at - call.arrivedAt).value) : std::string("-"); };
     addLog(node, good ? LogLevel::Info : LogLevel::Warning, good ? "forward_answered" : "forward_ended", Step::Route, call.targetName, std::string(outcome),
-        { { "request", call.requestId }, { "route", call.rule->name }, { "account", call.account ? call.account->name : "" }, { "backend", call.backend },
+        { { "request", call.requestId }, { "fingerprint", formatHash(call.fingerprint) }, { "route", call.rule->name }, { "account", call.account ? call.account->name : "" }, { "backend", call.backend },
             { "status", std::to_string(call.status) }, { "stage", std::string(nameOf(call.stage)) }, { "sends", std::to_string(call.sendCount) }, { "may_have_run", std::to_string(call.possibleExecutions) },
             { "sent_ms", elapsedText(call.sentAt) }, { "expected_wait_ms", std::to_string(call.expectedWait.value) }, { "last_byte_ms", elapsedText(call.lastByteAt) }, { "took_ms", std::to_string((node.now - call.arrivedAt).value) },
             { "left_ms", std::to_string((call.deadline - node.now).value) }, { "forwarded_bytes", std::to_string(call.forwardedBytes) }, { "rules", std::to_string(call.routes->rules->revision) } });
@@ -320,8 +320,7 @@
     const auto quarantined = findQuarantined(node.forward.quarantine, node.now, call.parts);
     if (!quarantined)
         return false;
-    char name[17];
-    std::snprintf(name, sizeof(name), "%016llx", static_cast<unsigned long long>(quarantined->part));
+    const std::string name = formatHash(quarantined->part);
     if (triesAgain(node, *quarantined)) {
         recordPartTry(node.forward.quarantine, node.now, quarantined->part);
         addLog(node, LogLevel::Info, "prompt_part_tried", Step::Route, name, "one request tries the quarantined prompt part again", { { "request", call.requestId } });
@@ -379,6 +378,7 @@
     call.cost = cost;
     call.parts = std::move(metadata.parts);
     call.promptTokens = metadata.promptTokens;
+    call.fingerprint = fingerprintOf(arrived.request, account ? account->name : std::string_view {});
     call.request = requestForUpstreams(std::move(arrived.request), forward.headers, account ? account->name : std::string {}, call.urgency);
     return call;
 }
