--- a/src/soak/NodeFleetUpstreams.cpp
+++ b/src/soak/NodeFleetUpstreams.cpp
@@ -116,7 +116,7 @@
     report(key, 1_ms, { .kind = UpstreamEventKind::Sending });
     if (const auto headers = forwardAnswer ? forwardAnswer(n, request) : std::nullopt) {
         report(key, found->second.latency, { .kind = UpstreamEventKind::Head, .status = 200, .headers = *headers });
-        report(key, found->second.latency, { .kind = UpstreamEventKind::Body, .bytes = "done" });
+        report(key, found->second.latency, { .kind = UpstreamEventKind::Body, .bytes = "id: 1\ndata: done\n\n" });
         return report(key, found->second.latency, { .kind = UpstreamEventKind::End });
     }
     scheduleAfter(2_ms, [this, key, request = std::move(request), dispatchFault] { runDispatch(key, request, dispatchFault); });
