Rename the quarantine of prompt parts to that of crashes

It is about to judge whole requests besides prompt parts. Names only; no change of behaviour: test_forward and CrashingPrompts pass as before.

--- a/src/forward/PartQuarantine.cpp
+++ b/src/forward/CrashQuarantine.cpp
@@ -1,4 +1,4 @@
-#include "forward/PartQuarantine.h"
+#include "forward/CrashQuarantine.h"
 
 #include "base/Hash.h"
 
@@ -24,13 +24,13 @@
     return hash;
 }
 
-static bool isCleared(const PartQuarantine& quarantine, uint64_t part, TimeMs crashAt)
+static bool isCleared(const CrashQuarantine& quarantine, uint64_t part, TimeMs crashAt)
 {
     const auto it = quarantine.answered.find(part);
     return it != quarantine.answered.end() && it->second.at + quarantine.options.answerWindow >= crashAt;
 }
 
-static void addCrash(PartQuarantine& quarantine, TimeMs now, const PartCrash& crash, bool report)
+static void addCrash(CrashQuarantine& quarantine, TimeMs now, const ReportedCrash& crash, bool report)
 {
     const TimeMs at = now - std::clamp(crash.age, TimeMs {}, maxEvidenceAge);
     if (isCleared(quarantine, crash.part, at)) {
@@ -48,20 +48,20 @@
     const bool known = std::any_of(suspect.crashes.begin(), suspect.crashes.end(), [&](const auto& it) { return it.upstream == crash.upstream && it.incarnation == crash.incarnation; });
     if (known)
         return;
-    const PartQuarantine::Crash added { crash.prompt, crash.upstream, crash.incarnation, at, report };
+    const CrashQuarantine::Crash added { crash.prompt, crash.upstream, crash.incarnation, at, report };
     suspect.crashes.insert(std::upper_bound(suspect.crashes.begin(), suspect.crashes.end(), added, [](const auto& a, const auto& b) { return a.at < b.at; }), added);
     if (suspect.crashes.size() > maxCrashesPerPart)
         suspect.crashes.erase(suspect.crashes.begin());
 }
 
-void recordPartCrash(PartQuarantine& quarantine, TimeMs now, const std::vector<PromptPart>& parts, UpstreamId upstream, uint64_t incarnation)
+void recordCrash(CrashQuarantine& quarantine, TimeMs now, const std::vector<PromptPart>& parts, UpstreamId upstream, uint64_t incarnation)
 {
     const uint64_t prompt = hashOfPrompt(parts);
     for (size_t n = 0; n + 1 < parts.size(); ++n)
         addCrash(quarantine, now, { parts[n].hash, prompt, upstream, incarnation, {} }, true);
 }
 
-static void clearPart(PartQuarantine& quarantine, uint64_t part, TimeMs at, TimeMs now, bool report)
+static void clearPart(CrashQuarantine& quarantine, uint64_t part, TimeMs at, TimeMs now, bool report)
 {
     auto& answered = quarantine.answered[part];
     const bool isNews = at > answered.at;
@@ -78,7 +78,7 @@
     }
 }
 
-void recordPartAnswer(PartQuarantine& quarantine, TimeMs now, const std::vector<PromptPart>& parts)
+void recordCompleteAnswer(CrashQuarantine& quarantine, TimeMs now, const std::vector<PromptPart>& parts)
 {
     ++quarantine.answerCount;
     ++quarantine.answersToReport;
@@ -89,7 +89,7 @@
 }
 
 // Different prompts and different upstreams: one prompt that is repeated, or one upstream that fails, proves nothing about a part.
-static bool hasEvidence(const PartQuarantine& quarantine, const PartQuarantine::Suspect& suspect, TimeMs now)
+static bool hasEvidence(const CrashQuarantine& quarantine, const CrashQuarantine::Suspect& suspect, TimeMs now)
 {
     const auto& crashes = suspect.crashes;
     const auto& options = quarantine.options;
@@ -103,7 +103,7 @@
     return static_cast<size_t>(std::unique(prompts.begin(), prompts.end()) - prompts.begin()) >= options.minCrashes;
 }
 
-static TimeMs retryTime(const PartQuarantine& quarantine, const PartQuarantine::Suspect& suspect)
+static TimeMs retryTime(const CrashQuarantine& quarantine, const CrashQuarantine::Suspect& suspect)
 {
     TimeMs delay = quarantine.options.firstRetry;
     for (size_t n = 1; n < suspect.crashes.size(); ++n) {
@@ -114,25 +114,25 @@
     return suspect.triedAt >= afterCrash ? suspect.triedAt + tryOutcomeTime : afterCrash;
 }
 
-std::optional<QuarantinedPart> findQuarantined(const PartQuarantine& quarantine, TimeMs now, const std::vector<PromptPart>& parts)
+std::optional<QuarantinedSubject> findQuarantined(const CrashQuarantine& quarantine, TimeMs now, const std::vector<PromptPart>& parts)
 {
     for (size_t n = 0; n + 1 < parts.size(); ++n) {
         const auto it = quarantine.suspects.find(parts[n].hash);
         if (it != quarantine.suspects.end() && hasEvidence(quarantine, it->second, now))
-            return QuarantinedPart { parts[n].hash, it->second.crashes.size(), retryTime(quarantine, it->second) };
+            return QuarantinedSubject { parts[n].hash, it->second.crashes.size(), retryTime(quarantine, it->second) };
     }
     return std::nullopt;
 }
 
-void recordPartTry(PartQuarantine& quarantine, TimeMs now, uint64_t part)
+void recordTry(CrashQuarantine& quarantine, TimeMs now, uint64_t part)
 {
     if (const auto it = quarantine.suspects.find(part); it != quarantine.suspects.end())
         it->second.triedAt = now;
 }
 
-PartReport takePartReport(PartQuarantine& quarantine, TimeMs now)
+CrashReport takeCrashReport(CrashQuarantine& quarantine, TimeMs now)
 {
-    PartReport out;
+    CrashReport out;
     out.answerCount = std::exchange(quarantine.answersToReport, 0);
     for (auto& [part, suspect] : quarantine.suspects) {
         const bool repeat = suspect.crashes.size() >= quarantine.options.minCrashes && now >= suspect.repeatAt;
@@ -155,7 +155,7 @@
     return out;
 }
 
-void applyPartReport(PartQuarantine& quarantine, TimeMs now, const PartReport& report, bool relay)
+void applyCrashReport(CrashQuarantine& quarantine, TimeMs now, const CrashReport& report, bool relay)
 {
     quarantine.answerCount += report.answerCount;
     if (relay)
@@ -168,7 +168,7 @@
         addCrash(quarantine, now, it, relay);
 }
 
-void expirePartEvidence(PartQuarantine& quarantine, TimeMs now)
+void expireCrashEvidence(CrashQuarantine& quarantine, TimeMs now)
 {
     const auto& options = quarantine.options;
     std::erase_if(quarantine.suspects, [&](const auto& it) { return now - it.second.crashes.back().at > options.maxRetry * 2; });
--- a/src/forward/PartQuarantine.h
+++ b/src/forward/CrashQuarantine.h
@@ -11,7 +11,7 @@
 namespace siskinshunt {
 
 /// An upstream broke off a request before its answer had got under way: one of the shared prompt parts may crash upstreams.
-struct PartCrash {
+struct ReportedCrash {
     uint64_t part = 0;
     uint64_t prompt = 0; ///< Hash of the whole prompt.
     UpstreamId upstream;
@@ -23,7 +23,7 @@
 };
 
 /// A request with the part was answered completely, so the part does not crash upstreams.
-struct PartAnswer {
+struct ReportedAnswer {
     uint64_t part = 0;
     TimeMs age; ///< Time since the answer.
 
@@ -32,16 +32,16 @@
 };
 
 /// What a node tells others of suspected parts.
-struct PartReport {
-    std::vector<PartCrash> crashes;
-    std::vector<PartAnswer> answers;
+struct CrashReport {
+    std::vector<ReportedCrash> crashes;
+    std::vector<ReportedAnswer> answers;
     uint64_t answerCount = 0; ///< Complete answers since the last report, whatever their parts.
 
     template <class Archive>
     void serialize(Archive& archive) { archive(crashes, answers, answerCount); }
 };
 
-struct PartQuarantineOptions {
+struct CrashQuarantineOptions {
     size_t minCrashes = 3; ///< Upstreams that different prompts with a part have crashed, after which it is quarantined.
     TimeMs answerWindow { 3000 }; ///< Answers up to this long before the first crash also clear a part.
     TimeMs hearingTime { 1200 }; ///< Time for other nodes to report answers before a part is quarantined.
@@ -55,7 +55,7 @@
 
 /// Prompt parts that crash the upstreams which run them, learned from the crashes and answers of all nodes. The verdict depends
 /// on the evidence only, so that nodes which have the same evidence agree.
-struct PartQuarantine {
+struct CrashQuarantine {
     struct Crash {
         uint64_t prompt = 0;
         UpstreamId upstream;
@@ -76,37 +76,37 @@
         bool report = false;
     };
 
-    PartQuarantineOptions options;
+    CrashQuarantineOptions options;
     uint64_t answerCount = 0; ///< Complete answers of this node and, as reported, of others, whatever their parts.
     uint64_t answersToReport = 0;
     std::unordered_map<uint64_t, Suspect> suspects;
     std::unordered_map<uint64_t, Answered> answered; ///< Parts of recent complete answers, of this or another node.
 };
 
-/// Hash of a prompt, as in PartCrash.
+/// Hash of a prompt, as in ReportedCrash.
 uint64_t hashOfPrompt(const std::vector<PromptPart>&);
 
 /// Records that the upstream broke off a request with these parts. The last part is the request's own and never suspected.
-void recordPartCrash(PartQuarantine&, TimeMs now, const std::vector<PromptPart>&, UpstreamId, uint64_t incarnation);
+void recordCrash(CrashQuarantine&, TimeMs now, const std::vector<PromptPart>&, UpstreamId, uint64_t incarnation);
 /// Records a complete answer to a request with these parts.
-void recordPartAnswer(PartQuarantine&, TimeMs now, const std::vector<PromptPart>&);
+void recordCompleteAnswer(CrashQuarantine&, TimeMs now, const std::vector<PromptPart>&);
 
 /// A part that is quarantined, and when it is tried again.
-struct QuarantinedPart {
+struct QuarantinedSubject {
     uint64_t part = 0;
     size_t crashes = 0;
     TimeMs retryAt;
 };
 
 /// The quarantined part of the prompt; none if there is none.
-std::optional<QuarantinedPart> findQuarantined(const PartQuarantine&, TimeMs now, const std::vector<PromptPart>&);
+std::optional<QuarantinedSubject> findQuarantined(const CrashQuarantine&, TimeMs now, const std::vector<PromptPart>&);
 /// Records that this node lets a request through to try the part again.
-void recordPartTry(PartQuarantine&, TimeMs now, uint64_t part);
+void recordTry(CrashQuarantine&, TimeMs now, uint64_t part);
 
 /// What is due to be told to other nodes.
-PartReport takePartReport(PartQuarantine&, TimeMs now);
+CrashReport takeCrashReport(CrashQuarantine&, TimeMs now);
 /// Applies what another node has told. What is news is due to be told in turn if `relay` is set.
-void applyPartReport(PartQuarantine&, TimeMs now, const PartReport&, bool relay);
-void expirePartEvidence(PartQuarantine&, TimeMs now);
+void applyCrashReport(CrashQuarantine&, TimeMs now, const CrashReport&, bool relay);
+void expireCrashEvidence(CrashQuarantine&, TimeMs now);
 
 }
--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -175,7 +175,7 @@
 static void recordPossibleCrash(Node& node, const ForwardCall& call)
 {
     if (call.events.events() - call.eventsAtSend <= 1)
-        recordPartCrash(node.forward.quarantine, node.now, call.parts, call.target, call.targetIncarnation);
+        recordCrash(node.forward.quarantine, node.now, call.parts, call.target, call.targetIncarnation);
 }
 
 static bool isStreaming(const ForwardCall& call)
@@ -365,7 +365,7 @@
             recordOutcome(*target, node.now, TargetOutcome::Answered);
     }
     if (call.status < 300 && !call.parts.empty())
-        recordPartAnswer(node.forward.quarantine, node.now, call.parts);
+        recordCompleteAnswer(node.forward.quarantine, node.now, call.parts);
     if (call.headForwarded)
         node.out.answers.push_back({ .exchange = call.exchange, .part = AnswerPart::End });
     else
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -305,7 +305,7 @@
 }
 
 // One node of the fleet tries a quarantined part again; all nodes choose the same one.
-static bool triesAgain(const Node& node, const QuarantinedPart& quarantined)
+static bool triesAgain(const Node& node, const QuarantinedSubject& quarantined)
 {
     if (node.now < quarantined.retryAt)
         return false;
@@ -322,7 +322,7 @@
         return false;
     const std::string name = formatHash(quarantined->part);
     if (triesAgain(node, *quarantined)) {
-        recordPartTry(node.forward.quarantine, node.now, quarantined->part);
+        recordTry(node.forward.quarantine, node.now, quarantined->part);
         addLog(node, LogLevel::Info, "prompt_part_tried", Step::Route, name, "one request tries the quarantined prompt part again", { { "request", call.requestId } });
         return false;
     }
--- a/src/node/ForwardReport.cpp
+++ b/src/node/ForwardReport.cpp
@@ -81,7 +81,7 @@
 ForwardLoadFrame collectOwnLoad(Node& node)
 {
     auto& forward = node.forward;
-    ForwardLoadFrame frame { .loads = {}, .placed = std::exchange(forward.placed, {}), .spent = localSpending(forward.allowances), .toRead = forward.assignedPrefillTokens, .tokensPerMs = forward.choice.prefillEstimator.calibrated ? static_cast<float>(forward.choice.prefillEstimator.tokensPerMs) : 0, .limits = reportedLimits(node, std::exchange(forward.limitsToReport, {})), .parts = takePartReport(forward.quarantine, node.now) };
+    ForwardLoadFrame frame { .loads = {}, .placed = std::exchange(forward.placed, {}), .spent = localSpending(forward.allowances), .toRead = forward.assignedPrefillTokens, .tokensPerMs = forward.choice.prefillEstimator.calibrated ? static_cast<float>(forward.choice.prefillEstimator.tokensPerMs) : 0, .limits = reportedLimits(node, std::exchange(forward.limitsToReport, {})), .crashes = takeCrashReport(forward.quarantine, node.now) };
     if (frame.placed.size() > maxPlacedParts)
         frame.placed.resize(maxPlacedParts);
     for (const auto& [id, target] : forward.targets.entries) {
@@ -108,7 +108,7 @@
     applyLoadReport(node.forward.targets, node.now, from, loadsOf(load.loads));
     recordBackendDemand(node, from, load);
     auto news = applyReportedLimits(node, load.limits);
-    applyPartReport(node.forward.quarantine, node.now, load.parts, relay);
+    applyCrashReport(node.forward.quarantine, node.now, load.crashes, relay);
     if (!acceptsCallers(node))
         return news;
     applyPeerSpending(node.forward.allowances, node.now, from, load.spent);
@@ -131,7 +131,7 @@
     expireParts(forward.parts, node.now);
     expireUsage(forward.usage, node.now);
     expireNotices(forward.leaving, node.now, leavingRetention);
-    expirePartEvidence(forward.quarantine, node.now);
+    expireCrashEvidence(forward.quarantine, node.now);
     std::erase_if(forward.quarantineLogged, [&](uint64_t part) { return !forward.quarantine.suspects.contains(part); });
 }
 
--- a/src/node/ForwardState.h
+++ b/src/node/ForwardState.h
@@ -7,7 +7,7 @@
 #include "forward/ForwardTarget.h"
 #include "forward/LeavingNotices.h"
 #include "forward/LoadSum.h"
-#include "forward/PartQuarantine.h"
+#include "forward/CrashQuarantine.h"
 #include "forward/RetryLimit.h"
 #include "forward/TargetChoice.h"
 #include "forward/UsageMeter.h"
@@ -71,7 +71,7 @@
     TimeMs nextReport;
     TimeMs nextExpiry;
     LeavingNotices leaving;
-    PartQuarantine quarantine;
+    CrashQuarantine quarantine;
     std::set<uint64_t> quarantineLogged; ///< Quarantined parts for which this node has written a line.
     std::set<UpstreamId> limitsToReport; ///< Upstreams whose limits go into the next load report.
     TimeMs nextShares;
--- a/src/node/LoadHubs.cpp
+++ b/src/node/LoadHubs.cpp
@@ -140,7 +140,7 @@
     applyFleetLoadReport(forward.targets, node.now, from, subtractReport(loadsOf(frame->loads), own));
     recordPlacedParts(node, frame->placed);
     applyReportedLimits(node, frame->limits);
-    applyPartReport(forward.quarantine, node.now, frame->parts, false);
+    applyCrashReport(forward.quarantine, node.now, frame->crashes, false);
     for (const auto& [hub, totals] : frame->spent) {
         if (hub != from) {
             applyPeerSpending(forward.allowances, node.now, hub, totals);
@@ -162,7 +162,7 @@
     auto& forward = node.forward;
     auto& hubs = forward.hubs;
     std::map<UpstreamId, TargetLoad> sum;
-    PartReport parts;
+    CrashReport crashes;
     for (const auto& [reporter, known] : hubs.reporters) {
         const auto it = forward.targets.reported.find(reporter);
         if (it == forward.targets.reported.end())
@@ -171,7 +171,7 @@
             sum[id] += load;
     }
     if (acceptsCallers(node)) {
-        const ForwardLoadFrame own = collectOwnLoad(node);
+        ForwardLoadFrame own = collectOwnLoad(node);
         for (const auto& [id, load] : loadsOf(own.loads))
             sum[id] += load;
         addTotals(hubs.spent, node.self, own.spent);
@@ -180,11 +180,11 @@
         recordPrefillRate(hubs, own);
         for (const auto& limit : own.limits)
             hubs.limitsInDomain.insert(limit.upstream);
-        parts = own.parts;
+        crashes = std::move(own.crashes);
     } else {
-        parts = takePartReport(forward.quarantine, node.now);
+        crashes = takeCrashReport(forward.quarantine, node.now);
     }
-    ForwardLoadFrame frame { .loads = {}, .placed = std::exchange(hubs.placedInDomain, {}), .spent = hubs.spent.sum, .toRead = hubs.assignedPrefillTokens.sum, .tokensPerMs = hubs.tokensPerMs, .limits = reportedLimits(node, hubs.limitsInDomain), .parts = std::move(parts) };
+    ForwardLoadFrame frame { .loads = {}, .placed = std::exchange(hubs.placedInDomain, {}), .spent = hubs.spent.sum, .toRead = hubs.assignedPrefillTokens.sum, .tokensPerMs = hubs.tokensPerMs, .limits = reportedLimits(node, hubs.limitsInDomain), .crashes = std::move(crashes) };
     for (const auto& [id, load] : sum)
         frame.loads.push_back(reportedLoad(id, load));
     return frame;
@@ -206,7 +206,7 @@
 {
     auto& forward = node.forward;
     auto& hubs = forward.hubs;
-    FleetLoadFrame frame { .loads = {}, .placed = std::move(own.placed), .spent = { { node.self, std::move(own.spent) } }, .included = {}, .limits = {}, .parts = std::move(own.parts) };
+    FleetLoadFrame frame { .loads = {}, .placed = std::move(own.placed), .spent = { { node.self, std::move(own.spent) } }, .included = {}, .limits = {}, .crashes = std::move(own.crashes) };
     frame.placed.insert(frame.placed.end(), hubs.placedInOtherDomains.begin(), hubs.placedInOtherDomains.end());
     hubs.placedInOtherDomains.clear();
     for (const auto& [hub, known] : hubs.others)
--- a/src/node/PeerMessages.h
+++ b/src/node/PeerMessages.h
@@ -5,7 +5,7 @@
 #include "base/TimeMs.h"
 #include "control/DecisionLog.h"
 #include "forward/LeavingNotices.h"
-#include "forward/PartQuarantine.h"
+#include "forward/CrashQuarantine.h"
 #include "forward/TargetLimit.h"
 #include "versions/Evidence.h"
 #include "versions/MoveTypes.h"
@@ -201,10 +201,10 @@
     std::map<std::string, double> toRead; ///< Prompt tokens sent to engines for prefill since the start of the sender, by backend.
     float tokensPerMs = 0; ///< Prefill rate of the engines as measured by the sender; 0 if unknown.
     std::vector<ReportedLimit> limits; ///< Named by upstreams since the last report.
-    PartReport parts;
+    CrashReport crashes;
 
     template <class Archive>
-    void serialize(Archive& archive) { archive(loads, placed, spent, toRead, tokensPerMs, limits, parts); }
+    void serialize(Archive& archive) { archive(loads, placed, spent, toRead, tokensPerMs, limits, crashes); }
 };
 
 /// Load report that an entry node sends to the hub of its failure domain.
@@ -223,10 +223,10 @@
     std::map<NodeId, std::map<std::string, double>> spent; ///< Allowance consumed by hub and client account; the sums never decrease.
     std::map<NodeId, uint64_t> included; ///< By reporting node: number of the last report that the sums include.
     std::vector<ReportedLimit> limits; ///< Named by upstreams, to any node, since the last frame.
-    PartReport parts; ///< Of any node, since the last frame.
+    CrashReport crashes; ///< Of any node, since the last frame.
 
     template <class Archive>
-    void serialize(Archive& archive) { archive(loads, placed, spent, included, limits, parts); }
+    void serialize(Archive& archive) { archive(loads, placed, spent, included, limits, crashes); }
 };
 
 /// Usage report to the decision leader: counts of requests that started on a node, by time window.
--- a/tests/forward/PartQuarantineTest.cpp
+++ b/tests/forward/CrashQuarantineTest.cpp
@@ -1,4 +1,4 @@
-#include "forward/PartQuarantine.h"
+#include "forward/CrashQuarantine.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -21,17 +21,17 @@
             return out;
         }
 
-        void crash(const std::vector<uint64_t>& hashes) { recordPartCrash(quarantine, now, prompt(hashes), UpstreamId { ++upstreams }, 1); }
+        void crash(const std::vector<uint64_t>& hashes) { recordCrash(quarantine, now, prompt(hashes), UpstreamId { ++upstreams }, 1); }
 
         void answer(const std::vector<uint64_t>& hashes, int n = 1)
         {
             for (int k = 0; k < n; ++k)
-                recordPartAnswer(quarantine, now, prompt(hashes));
+                recordCompleteAnswer(quarantine, now, prompt(hashes));
         }
 
         bool isQuarantined(uint64_t part) { return findQuarantined(quarantine, now, prompt({ part })).has_value(); }
 
-        PartQuarantine quarantine;
+        CrashQuarantine quarantine;
         TimeMs now { 1764800000000 };
         uint64_t prompts = 0;
         uint64_t upstreams = 0;
@@ -68,9 +68,9 @@
     Learner it;
     const auto same = it.prompt({ badPart });
     for (uint64_t n = 1; n <= 5; ++n)
-        recordPartCrash(it.quarantine, it.now, same, UpstreamId { n }, 1);
+        recordCrash(it.quarantine, it.now, same, UpstreamId { n }, 1);
     for (int n = 0; n < 5; ++n)
-        recordPartCrash(it.quarantine, it.now, it.prompt({ 67 }), UpstreamId { 1 }, 1);
+        recordCrash(it.quarantine, it.now, it.prompt({ 67 }), UpstreamId { 1 }, 1);
     it.now += 2_s;
     it.answer({ 7 }, 20);
     BOOST_CHECK(!it.isQuarantined(badPart));
@@ -103,10 +103,10 @@
     b.answer({ sharedPart, 7 }, 20);
     a.answer({ 7 }, 20);
     for (int round = 0; round < 3; ++round) {
-        const auto fromA = takePartReport(a.quarantine, a.now);
-        const auto fromB = takePartReport(b.quarantine, b.now);
-        applyPartReport(a.quarantine, a.now, fromB, false);
-        applyPartReport(b.quarantine, b.now, fromA, false);
+        const auto fromA = takeCrashReport(a.quarantine, a.now);
+        const auto fromB = takeCrashReport(b.quarantine, b.now);
+        applyCrashReport(a.quarantine, a.now, fromB, false);
+        applyCrashReport(b.quarantine, b.now, fromA, false);
         a.now += 600_ms;
         b.now += 600_ms;
         a.answer({ 7 }, 20);
@@ -124,11 +124,11 @@
 {
     Learner a;
     crashThreeTimes(a);
-    takePartReport(a.quarantine, a.now);
+    takeCrashReport(a.quarantine, a.now);
     a.now += 5_s;
     Learner late;
     late.now = a.now;
-    applyPartReport(late.quarantine, late.now, takePartReport(a.quarantine, a.now), false);
+    applyCrashReport(late.quarantine, late.now, takeCrashReport(a.quarantine, a.now), false);
     late.now += 1500_ms;
     late.answer({ 7 }, 20);
     BOOST_CHECK(late.isQuarantined(badPart));
@@ -143,7 +143,7 @@
     const auto first = findQuarantined(it.quarantine, it.now, it.prompt({ badPart }));
     BOOST_REQUIRE(first);
     it.now = first->retryAt;
-    recordPartTry(it.quarantine, it.now, badPart);
+    recordTry(it.quarantine, it.now, badPart);
     it.crash({ badPart });
     const auto second = findQuarantined(it.quarantine, it.now, it.prompt({ badPart }));
     BOOST_REQUIRE(second);
