--- a/src/node/ForwardState.h
+++ b/src/node/ForwardState.h
@@ -2,12 +2,12 @@
 
 #include "base/Random.h"
 #include "forward/Allowance.h"
+#include "forward/CrashQuarantine.h"
 #include "forward/FleetPlan.h"
 #include "forward/ForwardCall.h"
 #include "forward/ForwardTarget.h"
 #include "forward/LeavingNotices.h"
 #include "forward/LoadSum.h"
-#include "forward/CrashQuarantine.h"
 #include "forward/RetryLimit.h"
 #include "forward/TargetChoice.h"
 #include "forward/UsageMeter.h"
