Quarantine requests that crash upstreams

Cause: crashes were blamed on prompt parts that different prompts share, by design never on a repeated prompt, and requests without prompt parts were not judged at all. Class: evidence about what requests have in common covered one kind of content only.

The quarantine now judges two kinds of subjects with the same evidence, reports and retries: prompt parts, and the fingerprint of the whole request. For the latter three crashed upstreams without an answer suffice, since a wrong verdict refuses that request only; other answers are not demanded, as there are none while all upstreams of a service are down. Suspects that never crash a second upstream give way when the table is full.

--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "api/HttpMessage.h"
+#include "forward/CrashQuarantine.h"
 #include "forward/EventStreamSplitter.h"
 #include "forward/HeaderNames.h"
 #include "forward/PromptParts.h"
@@ -99,6 +100,9 @@
 
 ForwardMetadata parseForwardMetadata(const HttpHeaders&, const HeaderNames&);
 
+/// What the request may have in common with others, for the quarantine. Valid as long as the call.
+inline RequestContent contentOf(const ForwardCall& call) { return { .parts = call.parts, .fingerprint = call.fingerprint }; }
+
 /// Hash of the client account and of the request's method, target and body: equal for requests that are repeats of each other.
 uint64_t fingerprintOf(const HttpRequest&, std::string_view account);
 
--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -171,11 +171,11 @@
     return findHeader(headers, forward.headers.requestId) == call.requestId;
 }
 
-// Upstreams crash on a prompt part when they begin to write an answer, so an attempt that has got further is no evidence.
+// Upstreams crash on the content of a request when they begin to write an answer, so an attempt that has got further is no evidence.
 static void recordPossibleCrash(Node& node, const ForwardCall& call)
 {
     if (call.events.events() - call.eventsAtSend <= 1)
-        recordCrash(node.forward.quarantine, node.now, call.parts, call.target, call.targetIncarnation);
+        recordCrash(node.forward.quarantine, node.now, contentOf(call), call.target, call.targetIncarnation);
 }
 
 static bool isStreaming(const ForwardCall& call)
@@ -364,8 +364,8 @@
         if (ForwardTarget* target = findTarget(node.forward.targets, call.target))
             recordOutcome(*target, node.now, TargetOutcome::Answered);
     }
-    if (call.status < 300 && !call.parts.empty())
-        recordCompleteAnswer(node.forward.quarantine, node.now, call.parts);
+    if (call.status < 300)
+        recordCompleteAnswer(node.forward.quarantine, node.now, contentOf(call));
     if (call.headForwarded)
         node.out.answers.push_back({ .exchange = call.exchange, .part = AnswerPart::End });
     else
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -304,33 +304,34 @@
     call.needsPermit = needsPermit;
 }
 
-// One node of the fleet tries a quarantined part again; all nodes choose the same one.
+// One node of the fleet tries a quarantined subject again; all nodes choose the same one.
 static bool triesAgain(const Node& node, const QuarantinedSubject& quarantined)
 {
     if (node.now < quarantined.retryAt)
         return false;
     const auto nodes = sendingNodes(node);
-    const auto chosen = std::max_element(nodes.begin(), nodes.end(), [&](NodeId a, NodeId b) { return combineHash(quarantined.part, a.value) < combineHash(quarantined.part, b.value); });
+    const auto chosen = std::max_element(nodes.begin(), nodes.end(), [&](NodeId a, NodeId b) { return combineHash(quarantined.subject, a.value) < combineHash(quarantined.subject, b.value); });
     return chosen != nodes.end() && *chosen == node.self;
 }
 
-// Refuses a request with a prompt part that crashes upstreams; returns false if it has none, or is the one that tries the part.
+// Refuses a request that crashes upstreams, or has a prompt part that does; returns false if it is sound, or the one that tries again.
 static bool refuseQuarantined(Node& node, ForwardCall& call)
 {
-    const auto quarantined = findQuarantined(node.forward.quarantine, node.now, call.parts);
+    const auto quarantined = findQuarantined(node.forward.quarantine, node.now, contentOf(call));
     if (!quarantined)
         return false;
-    const std::string name = formatHash(quarantined->part);
+    const std::string kind(nameOf(quarantined->kind));
+    const std::string subject = formatHash(quarantined->subject);
     if (triesAgain(node, *quarantined)) {
-        recordTry(node.forward.quarantine, node.now, quarantined->part);
-        addLog(node, LogLevel::Info, "prompt_part_tried", Step::Route, name, "one request tries the quarantined prompt part again", { { "request", call.requestId } });
+        recordTry(node.forward.quarantine, node.now, quarantined->subject);
+        addLog(node, LogLevel::Info, kind + "_tried", Step::Route, subject, "one request tries again whether upstreams still crash", { { "request", call.requestId } });
         return false;
     }
-    if (node.forward.quarantineLogged.insert(quarantined->part).second)
-        addLog(node, LogLevel::Warning, "prompt_part_quarantined", Step::Route, name, "requests with this prompt part are refused: upstreams crash on it",
+    if (node.forward.quarantineLogged.insert(quarantined->subject).second)
+        addLog(node, LogLevel::Warning, kind + "_quarantined", Step::Route, subject, "requests with this content are refused: upstreams crash on it",
             { { "crashes", std::to_string(quarantined->crashes) }, { "request", call.requestId }, { "retry_ms", std::to_string((quarantined->retryAt - node.now).value) } });
     const TimeMs retryAfter = std::max(quarantined->retryAt - node.now, minQuarantineRetryAfter);
-    refuseForward(node, call, call.possibleExecutions ? 502 : 503, "prompt_part_quarantined", "upstreams crash on a part of the prompt", call.possibleExecutions ? TimeMs {} : retryAfter);
+    refuseForward(node, call, call.possibleExecutions ? 502 : 503, kind + "_quarantined", "upstreams crash on the content of the request", call.possibleExecutions ? TimeMs {} : retryAfter);
     return true;
 }
 
--- a/src/node/ForwardReport.cpp
+++ b/src/node/ForwardReport.cpp
@@ -103,12 +103,18 @@
     }
 }
 
+void applyReportedCrashes(Node& node, const CrashReport& report, bool relay)
+{
+    if (const size_t unknown = applyCrashReport(node.forward.quarantine, node.now, report, relay))
+        addLog(node, LogLevel::Warning, "bad_load_report", Step::Decode, {}, "crashes or answers of an unknown kind are ignored", { { "count", std::to_string(unknown) } });
+}
+
 std::vector<UpstreamId> handleLoadReport(Node& node, NodeId from, const ForwardLoadFrame& load, bool relay)
 {
     applyLoadReport(node.forward.targets, node.now, from, loadsOf(load.loads));
     recordBackendDemand(node, from, load);
     auto news = applyReportedLimits(node, load.limits);
-    applyCrashReport(node.forward.quarantine, node.now, load.crashes, relay);
+    applyReportedCrashes(node, load.crashes, relay);
     if (!acceptsCallers(node))
         return news;
     applyPeerSpending(node.forward.allowances, node.now, from, load.spent);
--- a/src/node/ForwardReport.h
+++ b/src/node/ForwardReport.h
@@ -17,10 +17,12 @@
 ReportedLoad reportedLoad(UpstreamId, const TargetLoad&);
 std::map<UpstreamId, TargetLoad> loadsOf(const std::vector<ReportedLoad>&);
 /// Applies a load report of a node or hub. Allowances and placed parts are applied only if this node accepts callers. Returns the
-/// upstreams whose limits were news. `relay`: this node tells others what is news of prompt parts.
+/// upstreams whose limits were news. `relay`: this node tells others what is news of crashes.
 std::vector<UpstreamId> handleLoadReport(Node&, NodeId from, const ForwardLoadFrame&, bool relay);
 /// Entry nodes that can send to upstreams. A suspect one counts, since it may still send; all nodes soon agree on who is draining.
 std::vector<NodeId> sendingNodes(const Node&);
+/// Applies the crashes and answers that another node has reported. `relay`: this node tells others what is news.
+void applyReportedCrashes(Node&, const CrashReport&, bool relay);
 /// Records which upstreams hold the prompt parts that other nodes have sent.
 void recordPlacedParts(Node&, const std::vector<PlacedPart>&);
 
--- a/src/node/ForwardState.h
+++ b/src/node/ForwardState.h
@@ -72,7 +72,7 @@
     TimeMs nextExpiry;
     LeavingNotices leaving;
     CrashQuarantine quarantine;
-    std::set<uint64_t> quarantineLogged; ///< Quarantined parts for which this node has written a line.
+    std::set<uint64_t> quarantineLogged; ///< Quarantined subjects for which this node has written a line.
     std::set<UpstreamId> limitsToReport; ///< Upstreams whose limits go into the next load report.
     TimeMs nextShares;
 };
--- a/src/node/LoadHubs.cpp
+++ b/src/node/LoadHubs.cpp
@@ -140,7 +140,7 @@
     applyFleetLoadReport(forward.targets, node.now, from, subtractReport(loadsOf(frame->loads), own));
     recordPlacedParts(node, frame->placed);
     applyReportedLimits(node, frame->limits);
-    applyCrashReport(forward.quarantine, node.now, frame->crashes, false);
+    applyReportedCrashes(node, frame->crashes, false);
     for (const auto& [hub, totals] : frame->spent) {
         if (hub != from) {
             applyPeerSpending(forward.allowances, node.now, hub, totals);
--- a/tests/forward/CrashQuarantineTest.cpp
+++ b/tests/forward/CrashQuarantineTest.cpp
@@ -21,15 +21,18 @@
             return out;
         }
 
-        void crash(const std::vector<uint64_t>& hashes) { recordCrash(quarantine, now, prompt(hashes), UpstreamId { ++upstreams }, 1); }
+        // Requests with the same prompt are repeats of one request.
+        static RequestContent contentOf(const std::vector<PromptPart>& parts) { return { .parts = parts, .fingerprint = hashOfPrompt(parts) }; }
+
+        void crash(const std::vector<uint64_t>& hashes) { recordCrash(quarantine, now, contentOf(prompt(hashes)), UpstreamId { ++upstreams }, 1); }
 
         void answer(const std::vector<uint64_t>& hashes, int n = 1)
         {
             for (int k = 0; k < n; ++k)
-                recordCompleteAnswer(quarantine, now, prompt(hashes));
+                recordCompleteAnswer(quarantine, now, contentOf(prompt(hashes)));
         }
 
-        bool isQuarantined(uint64_t part) { return findQuarantined(quarantine, now, prompt({ part })).has_value(); }
+        bool isQuarantined(uint64_t part) { return findQuarantined(quarantine, now, contentOf(prompt({ part }))).has_value(); }
 
         CrashQuarantine quarantine;
         TimeMs now { 1764800000000 };
@@ -68,9 +71,9 @@
     Learner it;
     const auto same = it.prompt({ badPart });
     for (uint64_t n = 1; n <= 5; ++n)
-        recordCrash(it.quarantine, it.now, same, UpstreamId { n }, 1);
+        recordCrash(it.quarantine, it.now, Learner::contentOf(same), UpstreamId { n }, 1);
     for (int n = 0; n < 5; ++n)
-        recordCrash(it.quarantine, it.now, it.prompt({ 67 }), UpstreamId { 1 }, 1);
+        recordCrash(it.quarantine, it.now, Learner::contentOf(it.prompt({ 67 })), UpstreamId { 1 }, 1);
     it.now += 2_s;
     it.answer({ 7 }, 20);
     BOOST_CHECK(!it.isQuarantined(badPart));
@@ -140,18 +143,66 @@
     Learner it;
     crashThreeTimes(it);
     it.now += 1_s;
-    const auto first = findQuarantined(it.quarantine, it.now, it.prompt({ badPart }));
+    const auto first = findQuarantined(it.quarantine, it.now, Learner::contentOf(it.prompt({ badPart })));
     BOOST_REQUIRE(first);
     it.now = first->retryAt;
     recordTry(it.quarantine, it.now, badPart);
     it.crash({ badPart });
-    const auto second = findQuarantined(it.quarantine, it.now, it.prompt({ badPart }));
+    const auto second = findQuarantined(it.quarantine, it.now, Learner::contentOf(it.prompt({ badPart })));
     BOOST_REQUIRE(second);
     BOOST_CHECK_GE((second->retryAt - it.now).value, 2 * it.quarantine.options.firstRetry.value);
     it.answer({ badPart });
     BOOST_CHECK(!it.isQuarantined(badPart));
 }
 
+// Guards against a request that crashes one upstream after the other and is sent to them again, also while no other request is answered.
+BOOST_AUTO_TEST_CASE(OfARequestThatIsRepeated)
+{
+    Learner it;
+    const RequestContent bad { .parts = {}, .fingerprint = 5 };
+    for (uint64_t n = 1; n <= 2; ++n)
+        recordCrash(it.quarantine, it.now, bad, UpstreamId { n }, 1);
+    // The same process cannot crash twice.
+    recordCrash(it.quarantine, it.now, bad, UpstreamId { 1 }, 1);
+    BOOST_CHECK(!findQuarantined(it.quarantine, it.now, bad));
+    recordCrash(it.quarantine, it.now, bad, UpstreamId { 1 }, 2);
+    const auto found = findQuarantined(it.quarantine, it.now, bad);
+    BOOST_REQUIRE(found);
+    BOOST_CHECK(found->kind == CrashSubject::Request);
+    BOOST_CHECK_GE((found->retryAt - it.now).value, it.quarantine.options.firstRetry.value);
+    BOOST_CHECK(!findQuarantined(it.quarantine, it.now, { .parts = {}, .fingerprint = 6 }));
+}
+
+// Guards against a sound request that many callers send and that is refused since it ran beside the one at fault.
+BOOST_AUTO_TEST_CASE(OfARequestIsClearedByAnAnswer)
+{
+    Learner a;
+    Learner b;
+    const RequestContent common { .parts = {}, .fingerprint = 5 };
+    recordCompleteAnswer(b.quarantine, b.now, common);
+    for (uint64_t n = 1; n <= 3; ++n)
+        recordCrash(a.quarantine, a.now, common, UpstreamId { n }, 1);
+    BOOST_CHECK(findQuarantined(a.quarantine, a.now, common));
+    applyCrashReport(b.quarantine, b.now, takeCrashReport(a.quarantine, a.now), false);
+    applyCrashReport(a.quarantine, a.now, takeCrashReport(b.quarantine, b.now), false);
+    BOOST_CHECK(!findQuarantined(a.quarantine, a.now, common));
+    BOOST_CHECK(!findQuarantined(b.quarantine, b.now, common));
+}
+
+// Guards against requests that were beside many crashes and fill the table, so that the one at fault is not recorded.
+BOOST_AUTO_TEST_CASE(HasRoomForNewSuspects)
+{
+    Learner it;
+    for (uint64_t n = 0; n < it.quarantine.options.maxSuspects * 2; ++n) {
+        it.now += 1_ms;
+        recordCrash(it.quarantine, it.now, { .parts = {}, .fingerprint = 100 + n }, UpstreamId { 100 + n }, 1);
+        if (n % 1000 == 999)
+            recordCrash(it.quarantine, it.now, { .parts = {}, .fingerprint = 5 }, UpstreamId { n }, 1);
+    }
+    BOOST_CHECK(findQuarantined(it.quarantine, it.now, { .parts = {}, .fingerprint = 5 }));
+    BOOST_CHECK_LE(it.quarantine.suspects.size(), it.quarantine.options.maxSuspects);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
