Log when a node reaches no upstream of a backend, and when it does again

The logs showed failed attempts one by one. They did not say that a node had reached no upstream since some moment, which is what tells a failure of the network around this node from one of the upstreams: only in the second case the other nodes log it, too. No change of behaviour.

--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -63,6 +63,7 @@
     double tokensBeforeFirstEvent = 0; ///< Prompt tokens to prefill before the first event, estimated when the request was sent.
     bool usageRecorded = false;
     bool silenceLogged = false; ///< The attempt has been logged as silent.
+    bool silenceRecorded = false; ///< The attempt counts as one that did not reach its upstream.
     TimeMs lastByteAt;
     TimeMs resumeAt; ///< In stage Waiting: start of the next attempt.
     bool needsPermit = false; ///< In stage Waiting: the next attempt also needs a retry permit.
--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -126,6 +126,27 @@
     call.contentLength.reset();
 }
 
+static void recordAnswered(Node& node, const ForwardCall& call)
+{
+    auto& reach = node.forward.reach[call.backend];
+    const TimeMs lostAt = reach.lostAt;
+    if (recordReached(reach, node.now))
+        addLog(node, LogLevel::Info, "upstreams_reached", Step::Receive, call.targetName, "this node reaches upstreams of the backend again",
+            { { "backend", call.backend }, { "request", call.requestId }, { "lost_ms", std::to_string((node.now - lostAt).value) } });
+}
+
+static void recordUnanswered(Node& node, const ForwardCall& call)
+{
+    auto& forward = node.forward;
+    const size_t targets = forward.targets.byBackend[call.backend].size();
+    if (!recordUnreached(forward.reach[call.backend], node.now, call.target, call.sentAt, targets))
+        return;
+    node.counters.add("forward_upstreams_lost");
+    addLog(node, LogLevel::Warning, "upstreams_lost", Step::Send, call.targetName, "this node reaches no upstream of the backend any more",
+        { { "backend", call.backend }, { "request", call.requestId }, { "upstreams", std::to_string(targets) }, { "tried", std::to_string(forward.reach[call.backend].silent.size()) },
+            { "answered_ms_ago", std::to_string((node.now - forward.reach[call.backend].answeredAt).value) } });
+}
+
 // Sends the request to another upstream, immediately or after `pause`.
 static void retryElsewhere(Node& node, ForwardCall& call, TimeMs pause = {})
 {
@@ -225,6 +246,7 @@
     auto& forward = node.forward;
     const bool notRun = event.status == 421 || !findHeader(event.headers, forward.headers.notRun).empty();
     call.lastByteAt = node.now;
+    recordAnswered(node, call);
     // Another upstream at the address of the intended one answers 421.
     if (event.status != 421) {
         recordAnsweredLimit(node, call, event.headers);
@@ -413,6 +435,8 @@
             node.out.discardedPools.push_back(findTarget(forward.targets, call.target) ? findTarget(forward.targets, call.target)->address : std::string {});
         if (sent && event.failure == UpstreamFailure::Closed)
             recordPossibleCrash(node, call);
+        if (!sent || event.failure == UpstreamFailure::Silent)
+            recordUnanswered(node, call);
         releaseTarget(node, call);
         handleAttemptEnd(node, call, sent ? AttemptEnd::Broken : AttemptEnd::NotSent, std::string(nameOf(event.failure)) + ": " + event.detail, sent && event.failure != UpstreamFailure::Closed);
         break;
@@ -421,9 +445,10 @@
     return true;
 }
 
-static bool isSilent(const Node& node, const ForwardCall& call)
+// Whether the upstream has sent nothing for longer than the request should take.
+static bool isUnanswered(const Node& node, const ForwardCall& call)
 {
-    if (!call.canRetry() || call.possibleExecutions >= call.rule->attempts || !call.dispatch || call.stage == ForwardStage::Connecting)
+    if (!call.dispatch || call.stage == ForwardStage::Connecting)
         return false;
     if (call.headForwarded)
         return node.now - std::max(call.lastByteAt, call.sentAt) > std::max(call.rule->gap * silenceGapCount, minStreamSilence);
@@ -435,6 +460,11 @@
     return node.now - call.sentAt > (answersOthers ? limit * recentActivityFactor : limit);
 }
 
+static bool canReplaceAttempt(const ForwardCall& call)
+{
+    return call.canRetry() && call.possibleExecutions < call.rule->attempts;
+}
+
 static void tickCall(Node& node, ForwardCall& call)
 {
     if (node.now >= call.deadline) {
@@ -446,7 +476,11 @@
         call.needsPermit = false;
         return startAttempt(node, call);
     }
-    if (!isSilent(node, call))
+    if (!isUnanswered(node, call))
+        return;
+    if (call.stage == ForwardStage::Sent && !std::exchange(call.silenceRecorded, true))
+        recordUnanswered(node, call);
+    if (!canReplaceAttempt(call))
         return;
     // The current attempt is cancelled only if another one can replace it: a late answer is better than none.
     auto& forward = node.forward;
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -121,6 +121,8 @@
         node.out.discardedPools.push_back(announced.address);
     if (!known)
         addLog(node, upstreamLogLevel(target), "upstream_known", Step::Announce, announced.name, "a new upstream accepts requests", { { "backend", target.backend }, { "address", target.address }, { "version", target.version } });
+    if (!known || known->incarnation != announced.incarnation)
+        resetReach(node.forward.reach[target.backend]);
     upsertTarget(node.forward.targets, target);
 }
 
@@ -252,6 +254,7 @@
     call.tokensBeforeFirstEvent = choice.tokensBeforeFirstEvent;
     call.expectedWait = { static_cast<int64_t>(choice.waitMs) };
     call.silenceLogged = false;
+    call.silenceRecorded = false;
     call.eventsAtSend = call.events.events();
     call.sentAt = node.now;
     call.tried.push_back(target.id);
--- a/src/node/ForwardState.h
+++ b/src/node/ForwardState.h
@@ -10,6 +10,7 @@
 #include "forward/LoadSum.h"
 #include "forward/RetryLimit.h"
 #include "forward/TargetChoice.h"
+#include "forward/UpstreamReach.h"
 #include "forward/UsageMeter.h"
 #include "node/Dialect.h"
 #include "node/NodeIo.h"
@@ -60,6 +61,7 @@
     Allowances allowances;
     RetryLimit retryLimit;
     std::map<std::string, RetryUsage> retries; ///< By backend.
+    std::map<std::string, UpstreamReach> reach; ///< By backend.
     UsageMeter usage;
     std::unordered_map<ExchangeId, std::unique_ptr<ForwardCall>> calls;
     /// Exchange by dispatch; 0 if the answer is no longer needed and is only read to the end.
