Show that a node without upstreams refuses what others could serve

UnreachableUpstreams: fleets some of whose entry nodes are cut off from upstreams while callers and the other nodes reach them; connections refused, hanging, refused when new; one backend, other nodes for each upstream, a large fleet. The simulated fleet has paths to upstreams, pooled connections and requests between entry nodes; the latter are not used yet.

--- a/src/soak/NodeFleet.cpp
+++ b/src/soak/NodeFleet.cpp
@@ -137,7 +137,17 @@
         it.disk->crash(random);
     for (auto& [number, caller] : callers)
         caller.lost = caller.lost || (!caller.done && caller.node == n && caller.generation < it.generation);
+    for (const auto& [exchange, passed] : m_passed) {
+        if (passed.to == n)
+            fail(passed.key, 1_ms, UpstreamFailure::Closed);
+    }
+    std::erase_if(m_passed, [&](const auto& it) { return it.second.to == n; });
+    for (const auto& [key, address] : m_open) {
+        if (std::get<0>(key) == n)
+            disconnectPassed(key);
+    }
     std::erase_if(m_open, [&](const auto& it) { return std::get<0>(it.first) == n; });
+    std::erase_if(m_idleConnections, [&](const auto& it) { return it.first.first == n; });
 }
 
 void NodeFleet::freeze(size_t n)
@@ -211,12 +221,16 @@
     auto& it = nodes[n];
     for (const auto& answer : out.answers)
         handleAnswer(n, answer);
-    for (const auto& address : out.discardedPools)
+    for (const auto& address : out.discardedPools) {
         discardedPools.push_back(address);
+        m_idleConnections.erase({ n, address });
+    }
     for (auto& request : out.dispatches)
         dispatch(n, std::move(request));
-    for (const DispatchId id : out.cancels)
+    for (const DispatchId id : out.cancels) {
         m_open.erase({ n, it.generation, id });
+        disconnectPassed({ n, it.generation, id });
+    }
     for (auto& datagram : out.datagrams)
         send(n, datagram.peer, std::move(datagram.bytes), true);
     for (auto& frame : out.frames)
@@ -324,6 +338,8 @@
 
 void NodeFleet::handleAnswer(size_t n, const Answer& answer)
 {
+    if (m_passed.contains(answer.exchange))
+        return handlePassedAnswer(answer);
     const auto found = callers.find(answer.exchange);
     if (found == callers.end())
         return;
--- a/src/soak/NodeFleet.h
+++ b/src/soak/NodeFleet.h
@@ -28,6 +28,14 @@
     SilentStream, ///< Sends nothing more after `NodeFleet::streamFaultAfter` tokens.
 };
 
+/// State of the network path from a node to an upstream.
+enum class UpstreamPath : uint8_t {
+    Open,
+    Hangs, ///< Open connections transfer nothing more, and new ones time out.
+    Refused, ///< Open connections are reset, and new ones are refused.
+    RefusesNew, ///< Open connections work, and new ones are refused.
+};
+
 struct NodeFleetOptions {
     int nodes = 4;
     int voters = 3; ///< Nodes that are bootstrapped as voters: the first ones.
@@ -154,6 +162,7 @@
     std::map<std::string, Upstream> upstreams; ///< By address.
     std::map<std::string, Run> runs; ///< Executions by idempotency key.
     std::function<DispatchFault(const UpstreamDispatch&)> fault;
+    std::function<UpstreamPath(size_t node, const std::string& address)> upstreamPath; ///< Null: all are open.
     std::function<bool(size_t from, size_t to, const std::string& frame)> losesFrame; ///< Frames that are lost with their connection.
     /// Headers of the answer to a forwarded request; without a value, the dispatch is one of the fleet's own calls.
     std::function<std::optional<HttpHeaders>(size_t node, const UpstreamDispatch&)> forwardAnswer;
@@ -175,6 +184,13 @@
     void handleAnswer(size_t node, const Answer&);
     void announceAll();
     void dispatch(size_t node, UpstreamDispatch);
+    UpstreamPath pathTo(size_t node, const std::string& address) const { return upstreamPath ? upstreamPath(node, address) : UpstreamPath::Open; }
+    bool takeIdleConnection(size_t node, const UpstreamDispatch&);
+    /// Returns false if the path to the upstream is not open, in which case the dispatch is dealt with.
+    bool usePath(const DispatchKey&, const UpstreamDispatch&);
+    void dispatchToNode(const DispatchKey&, const UpstreamDispatch&, size_t to);
+    void handlePassedAnswer(const Answer&);
+    void disconnectPassed(const DispatchKey&);
     void runDispatch(const DispatchKey&, const UpstreamDispatch&, DispatchFault);
     void answerModel(const DispatchKey&, const UpstreamDispatch&, DispatchFault, HttpHeaders);
     void report(const DispatchKey&, TimeMs delay, UpstreamEvent);
@@ -183,6 +199,13 @@
     std::map<std::pair<TimeMs, uint64_t>, std::function<void()>> m_events; ///< By time and event number.
     uint64_t m_lastEvent = 0;
     uint64_t m_lastCaller = 0;
+    /// Request that a node has sent to another node.
+    struct PassedRequest {
+        DispatchKey key;
+        size_t to = 0;
+    };
+    std::map<ExchangeId, PassedRequest> m_passed; ///< By exchange at the other node.
+    std::map<std::pair<size_t, std::string>, std::vector<TimeMs>> m_idleConnections; ///< Since when they are idle, by node and upstream.
     std::map<DispatchKey, std::string> m_open; ///< Addresses of the dispatches that have neither ended nor been cancelled.
 };
 
--- a/src/soak/NodeFleetUpstreams.cpp
+++ b/src/soak/NodeFleetUpstreams.cpp
@@ -2,6 +2,7 @@
 #include "api/ModelRequest.h"
 #include "soak/NodeFleet.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 namespace siskinshunt {
@@ -9,6 +10,8 @@
 namespace json = boost::json;
 
 static constexpr TimeMs tokenInterval { 20 };
+static constexpr uint16_t firstForwardPort = 6000;
+static constexpr ExchangeId firstPassedExchange = uint64_t { 1 } << 61;
 
 std::shared_ptr<const Dialect> makeFleetDialect()
 {
@@ -89,10 +92,19 @@
 {
     event.dispatch = std::get<2>(key);
     scheduleAfter(delay, [this, key, event = std::move(event)]() mutable {
-        if (!m_open.contains(key))
+        const auto open = m_open.find(key);
+        if (open == m_open.end())
             return;
+        const bool fromUpstream = event.kind != UpstreamEventKind::Sending && event.kind != UpstreamEventKind::Failed;
+        const UpstreamPath path = fromUpstream ? pathTo(std::get<0>(key), open->second) : UpstreamPath::Open;
+        if (path == UpstreamPath::Hangs)
+            return;
+        if (path == UpstreamPath::Refused)
+            event = { .dispatch = event.dispatch, .kind = UpstreamEventKind::Failed, .failure = UpstreamFailure::Closed };
+        if (event.kind == UpstreamEventKind::End)
+            m_idleConnections[{ std::get<0>(key), open->second }].push_back(now);
         if (event.kind == UpstreamEventKind::End || event.kind == UpstreamEventKind::Failed)
-            m_open.erase(key);
+            m_open.erase(open);
         Inputs inputs;
         inputs.events.push_back(std::move(event));
         deliver(std::get<0>(key), std::get<1>(key), std::move(inputs));
@@ -104,14 +116,86 @@
     report(key, delay, { .kind = UpstreamEventKind::Failed, .failure = failure });
 }
 
+bool NodeFleet::takeIdleConnection(size_t n, const UpstreamDispatch& request)
+{
+    const auto it = m_idleConnections.find({ n, request.address });
+    if (request.freshConnection || it == m_idleConnections.end() || it->second.empty() || now - it->second.back() > request.maxIdle)
+        return false;
+    it->second.pop_back();
+    return true;
+}
+
+bool NodeFleet::usePath(const DispatchKey& key, const UpstreamDispatch& request)
+{
+    const UpstreamPath path = pathTo(std::get<0>(key), request.address);
+    const bool idle = takeIdleConnection(std::get<0>(key), request);
+    if (path == UpstreamPath::Open || (idle && path == UpstreamPath::RefusesNew))
+        return true;
+    if (!idle && path == UpstreamPath::Hangs)
+        fail(key, request.connectTimeout, UpstreamFailure::ConnectTimeout);
+    else if (!idle)
+        fail(key, 1_ms, UpstreamFailure::ConnectFailed);
+    else
+        report(key, 1_ms, { .kind = UpstreamEventKind::Sending });
+    if (idle && path == UpstreamPath::Refused)
+        fail(key, 2_ms, UpstreamFailure::Closed);
+    return false;
+}
+
+void NodeFleet::dispatchToNode(const DispatchKey& key, const UpstreamDispatch& request, size_t to)
+{
+    if (blockedLinks[std::get<0>(key)][to] || blockedLinks[to][std::get<0>(key)])
+        return fail(key, request.connectTimeout, UpstreamFailure::ConnectTimeout);
+    if (!nodes[to].node)
+        return fail(key, 1_ms, UpstreamFailure::ConnectFailed);
+    const ExchangeId exchange = firstPassedExchange + ++m_lastEvent;
+    m_passed[exchange] = { key, to };
+    report(key, 1_ms, { .kind = UpstreamEventKind::Sending });
+    Inputs inputs;
+    inputs.requests.push_back({ exchange, request.request, "127.0.0.1:9", ListenerKind::Forward });
+    scheduleAfter(2_ms, [this, to, generation = nodes[to].generation, inputs = std::move(inputs)]() mutable { deliver(to, generation, std::move(inputs)); });
+}
+
+void NodeFleet::handlePassedAnswer(const Answer& answer)
+{
+    const DispatchKey key = m_passed.at(answer.exchange).key;
+    if (answer.part == AnswerPart::Whole || answer.part == AnswerPart::Head)
+        report(key, 1_ms, { .kind = UpstreamEventKind::Head, .status = answer.status, .headers = answer.headers, .contentLength = answer.contentLength });
+    if (!answer.body.empty())
+        report(key, 1_ms, { .kind = UpstreamEventKind::Body, .bytes = answer.body });
+    if (answer.part == AnswerPart::Abort)
+        fail(key, 1_ms, UpstreamFailure::Closed);
+    if (answer.part == AnswerPart::Whole || answer.part == AnswerPart::End)
+        report(key, 1_ms, { .kind = UpstreamEventKind::End });
+    if (answer.part != AnswerPart::Head && answer.part != AnswerPart::Body)
+        m_passed.erase(answer.exchange);
+}
+
+void NodeFleet::disconnectPassed(const DispatchKey& key)
+{
+    const auto it = std::find_if(m_passed.begin(), m_passed.end(), [&](const auto& candidate) { return candidate.second.key == key; });
+    if (it == m_passed.end())
+        return;
+    Inputs inputs;
+    inputs.disconnected.push_back(it->first);
+    const size_t to = it->second.to;
+    m_passed.erase(it);
+    scheduleAfter(1_ms, [this, to, generation = nodes[to].generation, inputs = std::move(inputs)]() mutable { deliver(to, generation, std::move(inputs)); });
+}
+
 void NodeFleet::dispatch(size_t n, UpstreamDispatch request)
 {
     const DispatchKey key { n, nodes[n].generation, request.dispatch };
     m_open.emplace(key, request.address);
+    const auto port = std::stoul(request.address.substr(request.address.find(':') + 1));
+    if (port >= firstForwardPort && port < firstForwardPort + nodes.size())
+        return dispatchToNode(key, request, port - firstForwardPort);
     const auto found = upstreams.find(request.address);
     const auto dispatchFault = fault ? fault(request) : DispatchFault::None;
     if (found == upstreams.end() || !found->second.up || dispatchFault == DispatchFault::Refuse)
         return fail(key, 1_ms, UpstreamFailure::ConnectFailed);
+    if (!usePath(key, request))
+        return;
     found->second.dispatches.emplace_back(now, findHeader(request.request.headers, headers::call));
     report(key, 1_ms, { .kind = UpstreamEventKind::Sending });
     if (const auto headers = forwardAnswer ? forwardAnswer(n, request) : std::nullopt) {
--- /dev/null
+++ b/tests/node/UnreachableUpstreamsTest.cpp
@@ -0,0 +1,216 @@
+#include "FleetFixture.h"
+#include "ForwardFixture.h"
+
+namespace siskinshunt {
+
+namespace {
+
+    // Time after which a cut must not be felt by callers, on the deployment with the shortest one.
+    constexpr TimeMs learnedAfter { 3000 };
+    constexpr int services = 3;
+    constexpr int engines = 6;
+
+    // Entry nodes with callers, some of which are cut off from upstreams; callers and the other nodes still reach them.
+    struct CutFleet {
+        explicit CutFleet(int entries = 8, int controls = 5)
+            : fleet({ .nodes = controls + entries, .voters = std::min(controls, 7), .disks = controls, .ledgerGroups = 0, .forwards = true, .announceNodes = static_cast<size_t>(controls) })
+            , controls(static_cast<size_t>(controls))
+        {
+            for (int n = 0; n < services; ++n)
+                fleet.addUpstream("desk-" + std::to_string(n), UpstreamKind::Service, "desk", "lhr-depot");
+            for (int n = 0; n < engines; ++n)
+                fleet.addUpstream("lm-" + std::to_string(n), UpstreamKind::Service, "lm", "lhr-depot");
+            BOOST_REQUIRE(fleet.startCluster());
+            const auto applied = fleet.apply(0, "forwards", 1, ForwardNode::rulesText(), "omar");
+            BOOST_REQUIRE(waitFor(fleet, applied, 6_s));
+            BOOST_REQUIRE(fleet.runUntil([&] { return fleet.agreeOnRevision(2); }, 5_s));
+            fleet.forwardAnswer = [this](size_t, const UpstreamDispatch& dispatch) -> std::optional<HttpHeaders> {
+                ++runs[dispatch.idValue];
+                return HttpHeaders { { names.requestId, dispatch.idValue }, { names.receipt, "proof" } };
+            };
+            fleet.upstreamPath = [this](size_t node, const std::string& address) {
+                return isCut(node, address) ? path : UpstreamPath::Open;
+            };
+            fleet.runFor(5_s);
+            sendRequests(3_s);
+        }
+
+        // Cuts these many entry nodes off from all upstreams, from the first one.
+        void cut(size_t count, UpstreamPath how)
+        {
+            path = how;
+            isCut = [this, count](size_t node, const std::string&) { return node >= controls && node < controls + count; };
+        }
+
+        void sendRequests(TimeMs duration, TimeMs interval = 100_ms)
+        {
+            for (const TimeMs end = fleet.now + duration; fleet.now < end; fleet.runFor(10_ms)) {
+                for (size_t n = controls; n < fleet.nodes.size(); ++n) {
+                    if (fleet.random.chance(10 / static_cast<double>(interval.value)))
+                        sendRequest(n);
+                }
+            }
+        }
+
+        void sendRequest(size_t node)
+        {
+            static const std::array<std::string, 4> paths { "/book/1", "/look/1", "/plan/1", "/ask/1" };
+            const auto& target = paths[fleet.random.below(paths.size())];
+            const std::string id = "r" + std::to_string(++requests);
+            HttpRequest request { "POST", target, { { "Host", "h" }, { names.requestId, id }, { names.tokens, "210,10" }, { names.timeLeft, "3000" } }, "body " + id };
+            sent.push_back({ node, fleet.post(node, std::move(request), ListenerKind::Forward), id, target == "/book/1" });
+        }
+
+        // Share of the first tries since `from` that were served at the nodes for which `isCut` holds, or at the others.
+        double servedShare(size_t from, bool atCutNodes)
+        {
+            size_t all = 0;
+            size_t served = 0;
+            for (size_t n = from; n < sent.size(); ++n) {
+                if (cutNodes.contains(sent[n].node) != atCutNodes)
+                    continue;
+                const auto& caller = fleet.caller(sent[n].caller);
+                ++all;
+                served += caller.done && caller.status == 200 && !caller.aborted ? 1 : 0;
+            }
+            return all ? static_cast<double>(served) / static_cast<double>(all) : 1.0;
+        }
+
+        void checkServed(TimeMs duration, TimeMs interval = 100_ms)
+        {
+            sendRequests(learnedAfter, interval);
+            for (size_t n = controls; n < fleet.nodes.size(); ++n) {
+                if (std::any_of(fleet.upstreams.begin(), fleet.upstreams.end(), [&](const auto& it) { return isCut(n, it.first); }))
+                    cutNodes.insert(n);
+            }
+            const size_t from = sent.size();
+            sendRequests(duration, interval);
+            fleet.runFor(4_s);
+            const double others = cutNodes.size() + controls < fleet.nodes.size() ? servedShare(from, false) : 1.0;
+            const double share = servedShare(from, true);
+            BOOST_CHECK_MESSAGE(share >= others * 2 / 3, "nodes that are cut off served " << share << " of the first tries, the others " << others);
+            checkRuns();
+        }
+
+        void checkRuns()
+        {
+            for (const auto& it : sent)
+                BOOST_CHECK_MESSAGE(!it.once || runs[it.id] <= 1, it.id << " ran " << runs[it.id] << " times");
+            checkFleet(fleet);
+        }
+
+        struct Sent {
+            size_t node = 0;
+            uint64_t caller = 0;
+            std::string id;
+            bool once = false;
+        };
+
+        HeaderNames names;
+        NodeFleet fleet;
+        size_t controls;
+        UpstreamPath path = UpstreamPath::Open;
+        std::function<bool(size_t node, const std::string& address)> isCut = [](size_t, const std::string&) { return false; };
+        std::set<size_t> cutNodes;
+        uint64_t requests = 0;
+        std::vector<Sent> sent;
+        std::map<std::string, int> runs; ///< Requests that have reached an upstream, by id.
+    };
+
+}
+
+BOOST_AUTO_TEST_SUITE(UnreachableUpstreams)
+
+// Each guards against callers of a node that reaches no upstream and refuses their requests, or lets them wait to the end, though other
+// nodes reach the upstreams; and against once requests that run twice because they are sent by way of another node.
+
+BOOST_AUTO_TEST_CASE(RefusedConnections)
+{
+    CutFleet it;
+    it.cut(5, UpstreamPath::Refused);
+    it.checkServed(10_s);
+}
+
+BOOST_AUTO_TEST_CASE(HangingConnections)
+{
+    CutFleet it;
+    it.cut(5, UpstreamPath::Hangs);
+    it.checkServed(10_s);
+}
+
+BOOST_AUTO_TEST_CASE(NoNewConnections)
+{
+    CutFleet it;
+    it.cut(5, UpstreamPath::RefusesNew);
+    it.checkServed(10_s);
+}
+
+BOOST_AUTO_TEST_CASE(AllNodesButOne)
+{
+    CutFleet it;
+    it.cut(7, UpstreamPath::Hangs);
+    it.checkServed(10_s, 200_ms);
+}
+
+BOOST_AUTO_TEST_CASE(OneBackendOnly)
+{
+    CutFleet it;
+    it.path = UpstreamPath::Hangs;
+    it.isCut = [&](size_t node, const std::string& address) { return node < it.controls + 5 && it.fleet.upstreams.at(address).announced.model == "desk"; };
+    it.checkServed(10_s);
+}
+
+// Each upstream is cut off from most nodes, but not from the same ones.
+BOOST_AUTO_TEST_CASE(OtherNodesForEachUpstream)
+{
+    CutFleet it;
+    it.path = UpstreamPath::Hangs;
+    it.isCut = [&](size_t node, const std::string& address) { return combineHash(hash64(address), node) % 100 < 85; };
+    it.checkServed(10_s);
+}
+
+BOOST_AUTO_TEST_CASE(MostOfALargeFleet)
+{
+    CutFleet it(40);
+    it.cut(30, UpstreamPath::Hangs);
+    it.checkServed(5_s, 300_ms);
+}
+
+// Guards against requests that wander between nodes none of which reaches an upstream, or are held until their time is over.
+BOOST_AUTO_TEST_CASE(AllNodesRefuseSoon)
+{
+    CutFleet it;
+    it.cut(8, UpstreamPath::Refused);
+    it.sendRequests(learnedAfter);
+    const size_t from = it.sent.size();
+    it.sendRequests(5_s);
+    it.fleet.runFor(4_s);
+    for (size_t n = from; n < it.sent.size(); ++n) {
+        const auto& caller = it.fleet.caller(it.sent[n].caller);
+        BOOST_CHECK(caller.done && caller.status == 503);
+        BOOST_CHECK_LE((caller.answeredAt - caller.postedAt).value, 250);
+        BOOST_CHECK(!findHeader(caller.headers, "Retry-After").empty());
+    }
+    it.checkRuns();
+}
+
+// Guards against a node that goes on to send requests by way of others when it reaches the upstreams again.
+BOOST_AUTO_TEST_CASE(EndOfTheCut)
+{
+    CutFleet it;
+    it.cut(5, UpstreamPath::Hangs);
+    it.sendRequests(8_s);
+    it.cut(0, UpstreamPath::Open);
+    it.sendRequests(2500_ms);
+    for (size_t n = it.controls; n < it.fleet.nodes.size(); ++n)
+        it.fleet.isolate(n, true);
+    const size_t from = it.sent.size();
+    it.sendRequests(2_s);
+    it.fleet.runFor(1_s);
+    BOOST_CHECK_GE(it.servedShare(from, false), 0.95);
+    it.checkRuns();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
