Treat a node that reaches few upstreams like one that reaches none

Cause, two faults of one class, evidence about single attempts that was not related: an unreached upstream whose back-off has ended looks idle, so all requests of the moment wait for a connection to it; and a node counted as cut off only if it reached nothing at all.

One request at a time now tries an upstream that was not reached, with a shorter limit; a retry prefers upstreams that were. A node that reaches less than half of the upstreams that announce themselves sends requests by way of others. When an unreached one answers, the network works again and all are tried. Attempts that wait for a connection are no longer reported as load of the upstream.

--- a/src/forward/ForwardTarget.cpp
+++ b/src/forward/ForwardTarget.cpp
@@ -73,6 +73,8 @@
         next.failureRateWeight = entry.failureRateWeight;
         next.backoffUntil = entry.backoffUntil;
         next.backoffDuration = entry.backoffDuration;
+        next.unreached = entry.unreached;
+        next.probeUntil = entry.probeUntil;
         next.limit = entry.limit;
         next.answersLeaving = entry.answersLeaving;
         next.pausedUntil = entry.pausedUntil;
@@ -160,8 +162,38 @@
     target.backoffUntil = now + target.backoffDuration;
 }
 
+bool reachesFew(const ForwardTargets& table, const std::string& backend, TimeMs now, TimeMs staleAfter)
+{
+    const auto ids = table.byBackend.find(backend);
+    if (ids == table.byBackend.end())
+        return false;
+    size_t usable = 0;
+    size_t unreached = 0;
+    for (const UpstreamId id : ids->second) {
+        const ForwardTarget& target = table.entries.at(id);
+        if (target.leaving || now - target.lastSeen > staleAfter)
+            continue;
+        ++usable;
+        unreached += target.unreached ? 1 : 0;
+    }
+    return unreached * 2 > usable;
+}
+
+void clearUnreached(ForwardTargets& table, const std::string& backend)
+{
+    for (const UpstreamId id : table.byBackend[backend]) {
+        ForwardTarget& target = table.entries.at(id);
+        if (!target.unreached)
+            continue;
+        target.unreached = false;
+        target.backoffUntil = target.backoffDuration = target.probeUntil = {};
+    }
+}
+
 void recordOutcome(ForwardTarget& target, TimeMs now, TargetOutcome outcome)
 {
+    target.unreached = outcome == TargetOutcome::Unreachable;
+    target.probeUntil = {};
     if (outcome == TargetOutcome::Refused) {
         target.backoffUntil = std::max(target.backoffUntil, now + refusedBackoff);
         return;
--- a/src/forward/ForwardTarget.h
+++ b/src/forward/ForwardTarget.h
@@ -75,6 +75,8 @@
     double failureRateWeight = 0; ///< Number of responses in the average, limited to its time constant.
     TimeMs backoffUntil; ///< Gets no requests before, unless all other targets are backed off, too.
     TimeMs backoffDuration; ///< Length of the last backoff; doubles each time.
+    bool unreached = false; ///< The last attempt found no connection.
+    TimeMs probeUntil; ///< While unreached: a request tries it, and others do not wait for the same.
     TimeMs pausedUntil; ///< It has refused a request of this node and wants none before.
     TargetLimit limit;
 };
@@ -108,6 +110,12 @@
 /// Removes the reports of nodes that have not reported for longer than `silence`.
 void expireLoadReports(ForwardTargets&, TimeMs now, TimeMs silence);
 
+/// Whether this node finds no connection to most of the targets of the backend that announce themselves, so that other nodes are likely
+/// to reach more of them. `staleAfter`: silence after which a target counts as gone.
+bool reachesFew(const ForwardTargets&, const std::string& backend, TimeMs now, TimeMs staleAfter);
+/// Forgets that targets of the backend were not reached: one that was not reached has answered, so the network works again.
+void clearUnreached(ForwardTargets&, const std::string& backend);
+
 /// How a request ended at a target, as far as it affects the target's health.
 enum class TargetOutcome : uint8_t {
     Answered,
--- a/src/forward/TargetChoice.cpp
+++ b/src/forward/TargetChoice.cpp
@@ -35,7 +35,7 @@
 
 static bool isHealthy(const ForwardTarget& target, const ChoiceOptions& options, TimeMs now)
 {
-    return now >= target.backoffUntil && now - target.lastSeen <= options.staleAfter;
+    return now >= target.backoffUntil && now >= target.probeUntil && now - target.lastSeen <= options.staleAfter;
 }
 
 // Chooses a target for the request's session by rendezvous hashing, so that all nodes choose the same one without
@@ -115,6 +115,15 @@
     return earliest;
 }
 
+// Removes the targets for which the condition does not hold, unless it holds for none.
+template <class Condition>
+static void keepIfAny(std::vector<const ForwardTarget*>& targets, const Condition& condition)
+{
+    const auto first = std::stable_partition(targets.begin(), targets.end(), [&](const ForwardTarget* target) { return condition(*target); });
+    if (first != targets.begin())
+        targets.erase(first, targets.end());
+}
+
 std::optional<TargetChoice> chooseTarget(const ForwardTargets& table, const PromptPartIndex& index, const ChoiceOptions& options, const ChoiceRequest& request, TimeMs now, Random& random)
 {
     const auto ids = table.byBackend.find(request.backend);
@@ -128,9 +137,12 @@
             continue;
         (isHealthy(it->second, options, now) ? healthy : unhealthy).push_back(&it->second);
     }
-    const auto& candidates = healthy.empty() ? unhealthy : healthy;
+    auto& candidates = healthy.empty() ? unhealthy : healthy;
     if (candidates.empty())
         return std::nullopt;
+    // A request that has found one target unreachable should not lose its time with a second one.
+    if (request.triesUnreached || !request.tried.empty())
+        keepIfAny(candidates, [&](const ForwardTarget& target) { return target.unreached == request.triesUnreached; });
     const UpstreamId preferred = affinityTarget(candidates, request.parts);
     RankedTarget best;
     for (const ForwardTarget* target : candidates) {
--- a/src/forward/TargetChoice.h
+++ b/src/forward/TargetChoice.h
@@ -31,6 +31,7 @@
     uint32_t promptTokens = 0;
     int urgency = urgencyLevels - 1;
     std::vector<UpstreamId> tried; ///< Excluded.
+    bool triesUnreached = false; ///< Prefers targets that were not reached lately.
     std::function<bool(const ForwardTarget&)> allowed; ///< Filter by version; null accepts all targets.
 };
 
--- a/src/forward/UpstreamReach.cpp
+++ b/src/forward/UpstreamReach.cpp
@@ -26,7 +26,6 @@
         return false;
     reach.lost = true;
     reach.lostAt = now;
-    reach.probeAt = now + probeInterval;
     return true;
 }
 
@@ -38,7 +37,7 @@
 
 bool takeProbe(UpstreamReach& reach, TimeMs now)
 {
-    if (!reach.lost || now < reach.probeAt)
+    if (now < reach.probeAt)
         return false;
     reach.probeAt = now + probeInterval;
     return true;
--- a/src/forward/UpstreamReach.h
+++ b/src/forward/UpstreamReach.h
@@ -15,7 +15,7 @@
     std::vector<UpstreamId> silent; ///< Upstreams that have not been reached since then, each once.
     bool lost = false;
     TimeMs lostAt;
-    TimeMs probeAt; ///< While lost: when the next request tries an upstream.
+    TimeMs probeAt; ///< When the next request may try upstreams that are not reached.
 };
 
 /// Records an answer. Returns whether the upstreams were lost before.
@@ -25,7 +25,7 @@
 bool recordUnreached(UpstreamReach&, TimeMs now, UpstreamId, TimeMs sentAt, size_t targets);
 /// Forgets what was observed, since an upstream has started that may be reached.
 void resetReach(UpstreamReach&);
-/// While the upstreams are lost: whether a request is due to try one of them, which counts as tried then.
+/// Whether a request is due to try upstreams that are not reached; it counts as tried then.
 bool takeProbe(UpstreamReach&, TimeMs now);
 
 }
--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -134,6 +134,8 @@
 {
     if (call.relay)
         return recordRelayServed(node, call);
+    if (const ForwardTarget* target = findTarget(node.forward.targets, call.target); target && target->unreached)
+        clearUnreached(node.forward.targets, call.backend);
     auto& reach = node.forward.reach[call.backend];
     const TimeMs lostAt = reach.lostAt;
     if (recordReached(reach, node.now))
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -17,7 +17,7 @@
 static constexpr TimeMs noTargetRetryAfter { 700 };
 // Connecting within a failure domain takes a few milliseconds; TCP resends a lost SYN only after a second.
 static constexpr TimeMs connectTimeout { 400 };
-// The same while no upstream is reached, when most attempts to connect are in vain.
+// The same for an upstream that was not reached before, since most such attempts are in vain.
 static constexpr TimeMs probeConnectTimeout { 200 };
 // An upstream can close an idle connection at any moment, so a request that must not be repeated only uses a connection that
 // was in use within this time.
@@ -276,11 +276,11 @@
     dispatch.dispatch = call.dispatch;
     dispatch.address = std::move(destination.address);
     dispatch.request = std::move(destination.request);
-    // A repeated attempt is often the last one that the route allows, so it must not be lost on a stale connection. While the upstreams are
-    // lost, the open connections may hang.
-    dispatch.freshConnection = call.possibleExecutions > 0 || (!call.relay && forward.reach[call.backend].lost);
+    // A repeated attempt is often the last one that the route allows, so it must not be lost on a stale connection. Those to an upstream
+    // that was not reached may hang.
+    dispatch.freshConnection = call.possibleExecutions > 0 || destination.unreached;
     dispatch.maxIdle = call.canRetry() ? TimeMs { 60000 } : onceMaxIdle;
-    dispatch.connectTimeout = std::min(forward.reach[call.backend].lost ? probeConnectTimeout : connectTimeout, call.deadline - node.now);
+    dispatch.connectTimeout = std::min(destination.unreached ? probeConnectTimeout : connectTimeout, call.deadline - node.now);
     dispatch.firstByteTimeout = dispatch.progressTimeout = call.deadline - node.now + 1_s;
     dispatch.idHeader = forward.headers.requestId;
     dispatch.idValue = call.requestId;
@@ -300,6 +300,8 @@
     call.tokensBeforeFirstEvent = choice.tokensBeforeFirstEvent;
     call.expectedWait = { static_cast<int64_t>(choice.waitMs) };
     call.tried.push_back(target.id);
+    if (known.unreached)
+        known.probeUntil = node.now + probeConnectTimeout;
     recordSend(known.limit, node.now);
     if (known.limit.perSecond)
         node.counters.add("forward_sent_to_limited");
@@ -314,7 +316,7 @@
     }
     HttpRequest request = call.request;
     addAttemptHeaders(request, forward.headers, target.name, call.deadline - node.now, call.events.lastEventId());
-    dispatchAttempt(node, call, { .name = target.name, .address = target.address, .request = std::move(request) });
+    dispatchAttempt(node, call, { .name = target.name, .address = target.address, .request = std::move(request), .unreached = known.unreached || forward.reach[call.backend].lost });
 }
 
 // Whether the backlog at the target would make the request miss its route's target. Such a request would delay others and be of
@@ -369,6 +371,24 @@
     return true;
 }
 
+// Whether an attempt of this node, which is cut off from upstreams, is in vain: it reaches none, or another one that reaches more can be
+// asked by the node which has sent the request.
+static bool isFutile(Node& node, const ForwardCall& call)
+{
+    return call.fromNode || (node.forward.reach[call.backend].lost && hasOtherEntryNodes(node));
+}
+
+// Whether there is an upstream that is not reached and should be tried again.
+static bool canProbe(const Node& node, const ForwardCall& call)
+{
+    const auto& forward = node.forward;
+    const auto reach = forward.reach.find(call.backend);
+    if (reach != forward.reach.end() && reach->second.lost)
+        return true;
+    const ChoiceRequest request { .backend = call.backend, .tried = call.tried, .allowed = [](const ForwardTarget& target) { return target.unreached; } };
+    return hasHealthyTarget(forward.targets, forward.choice, request, node.now);
+}
+
 void startAttempt(Node& node, ForwardCall& call)
 {
     auto& forward = node.forward;
@@ -376,13 +396,14 @@
         return;
     if (call.deadline - node.now <= minAttemptTime)
         return refuseForward(node, call, call.possibleExecutions ? 504 : 503, "out_of_time", "the time for an answer is over");
-    const bool relay = prefersRelay(node, call);
+    const bool cutOff = isCutOff(node, call.backend);
+    const bool probes = cutOff && canProbe(node, call) && takeProbe(forward.reach[call.backend], node.now);
+    const bool relay = !probes && prefersRelay(node, call);
     if (relay && relayForward(node, call))
         return;
-    // Nobody who could be asked reaches the upstreams.
-    if (const bool lost = forward.reach[call.backend].lost; lost && !call.headForwarded && (call.fromNode ? !takeProbe(forward.reach[call.backend], node.now) : relay && hasOtherEntryNodes(node)))
+    if (cutOff && !probes && !call.headForwarded && isFutile(node, call))
         return refuseForward(node, call, call.possibleExecutions ? 502 : 503, "no_upstream", "no upstream of " + call.backend + " is reached", call.possibleExecutions ? TimeMs {} : noTargetRetryAfter);
-    ChoiceRequest request { .backend = call.backend, .parts = call.parts, .promptTokens = call.promptTokens, .urgency = call.urgency, .tried = call.tried, .allowed = versionFilter(node, call) };
+    ChoiceRequest request { .backend = call.backend, .parts = call.parts, .promptTokens = call.promptTokens, .urgency = call.urgency, .tried = call.tried, .triesUnreached = probes, .allowed = versionFilter(node, call) };
     auto choice = chooseTarget(forward.targets, forward.parts, forward.choice, request, node.now, node.random);
     if (!choice) {
         request.allowed = [&node](const ForwardTarget& target) { return !isVersionExcluded(node, target); };
--- a/src/node/ForwardFlow.h
+++ b/src/node/ForwardFlow.h
@@ -39,6 +39,7 @@
     std::string name; ///< Of an upstream or another entry node.
     std::string address; ///< "IP:PORT".
     HttpRequest request;
+    bool unreached = false; ///< A connection is unlikely, as the last attempt there, or those to all upstreams, failed.
 };
 
 /// Starts the attempt: sends its request.
--- a/src/node/ForwardRelay.cpp
+++ b/src/node/ForwardRelay.cpp
@@ -43,14 +43,16 @@
     return { node.forward.headers.relayed, unrelayable };
 }
 
-bool prefersRelay(Node& node, const ForwardCall& call)
+bool isCutOff(const Node& node, const std::string& backend)
 {
-    if (call.fromNode)
-        return false;
-    if (call.relay || call.unreachable >= maxUnreachable)
-        return true;
-    auto& reach = node.forward.reach[call.backend];
-    return reach.lost && !takeProbe(reach, node.now);
+    const auto& forward = node.forward;
+    const auto reach = forward.reach.find(backend);
+    return (reach != forward.reach.end() && reach->second.lost) || reachesFew(forward.targets, backend, node.now, forward.choice.staleAfter);
+}
+
+bool prefersRelay(const Node& node, const ForwardCall& call)
+{
+    return !call.fromNode && (call.relay || call.unreachable >= maxUnreachable || isCutOff(node, call.backend));
 }
 
 // Entry nodes that the request can go to: those that have served lately, or most often, and else the others.
@@ -79,8 +81,7 @@
 
 bool canRelay(Node& node, const ForwardCall& call)
 {
-    const bool isUnreached = call.relay || call.unreachable >= maxUnreachable || node.forward.reach[call.backend].lost;
-    return !call.fromNode && isUnreached && call.relays.size() < maxRelays && !relayCandidates(node, call).empty();
+    return prefersRelay(node, call) && call.relays.size() < maxRelays && !relayCandidates(node, call).empty();
 }
 
 static HttpRequest relayRequest(const Node& node, const ForwardCall& call)
@@ -116,7 +117,7 @@
     call.expectedWait = {};
     call.tokensBeforeFirstEvent = 0;
     node.counters.add("forward_relayed");
-    addLog(node, LogLevel::Info, "forward_relayed", Step::Route, member->identity.name, "sent by way of another entry node: no upstream is reached from here",
+    addLog(node, LogLevel::Info, "forward_relayed", Step::Route, member->identity.name, "sent by way of another entry node: no upstream, or few of them, are reached from here",
         { { "request", call.requestId }, { "backend", call.backend }, { "unreachable", std::to_string(call.unreachable) }, { "relays", std::to_string(call.relays.size()) } });
     dispatchAttempt(node, call, { .name = member->identity.name, .address = member->identity.httpAddress, .request = relayRequest(node, call) });
     return true;
--- a/src/node/ForwardRelay.h
+++ b/src/node/ForwardRelay.h
@@ -24,9 +24,10 @@
 bool hasOtherEntryNodes(const Node&);
 /// Whether the request could go to another entry node that it has not been sent to.
 bool canRelay(Node&, const ForwardCall&);
-/// Whether the request should go to another entry node, rather than to an upstream. While the upstreams are lost, one request in a
-/// while is to try them.
-bool prefersRelay(Node&, const ForwardCall&);
+/// Whether this node reaches no upstream of the backend, or few of them.
+bool isCutOff(const Node&, const std::string& backend);
+/// Whether the request should go to another entry node, rather than to an upstream.
+bool prefersRelay(const Node&, const ForwardCall&);
 /// Sends the request to another entry node; returns false if there is none to try.
 bool relayForward(Node&, ForwardCall&);
 /// Records an answer that came by way of the entry node which has the request.
--- a/src/node/ForwardReport.cpp
+++ b/src/node/ForwardReport.cpp
@@ -86,7 +86,8 @@
     if (frame.placed.size() > maxPlacedParts)
         frame.placed.resize(maxPlacedParts);
     for (const auto& [id, target] : forward.targets.entries) {
-        if (target.own.running > 0)
+        // Attempts that wait for a connection are no load of the upstream, and other nodes may reach it.
+        if (target.own.running > 0 && !target.unreached)
             frame.loads.push_back(reportedLoad(id, target.own));
     }
     return frame;
--- a/tests/node/UnreachableUpstreamsTest.cpp
+++ b/tests/node/UnreachableUpstreamsTest.cpp
@@ -194,6 +194,43 @@
     it.checkRuns();
 }
 
+// Guards against many requests that wait for a connection to the same upstream, which was not reached before and seems to be idle.
+BOOST_AUTO_TEST_CASE(OneRequestAtATimeTriesAnUnreachedUpstream)
+{
+    ForwardNode it;
+    for (const auto& name : { "d1", "d2", "d3" })
+        it.addUpstream(name, "desk");
+    it.post("/look/1", { { it.names.timeLeft, "900" } });
+    const std::string address = it.last().address;
+    it.fail(UpstreamFailure::ConnectTimeout);
+    BOOST_CHECK_NE(it.last().address, address);
+    it.sending();
+    it.head(200);
+    it.end();
+    it.advance(600_ms);
+    const size_t before = it.dispatches.size();
+    for (int n = 0; n < 12; ++n)
+        it.post("/book/1", { { it.names.timeLeft, "900" } });
+    const auto count = std::count_if(it.dispatches.begin() + static_cast<std::ptrdiff_t>(before), it.dispatches.end(), [&](const auto& dispatch) { return dispatch.address == address; });
+    BOOST_CHECK_LE(count, 1);
+    BOOST_CHECK_EQUAL(it.dispatches.size(), before + 12);
+}
+
+// Guards against a node that reaches one upstream of many and sends it all the requests of its callers.
+BOOST_AUTO_TEST_CASE(FewUpstreamsAreNotOverloaded)
+{
+    CutFleet it;
+    it.path = UpstreamPath::Hangs;
+    it.isCut = [&](size_t node, const std::string& address) { return node < it.controls + 5 && address != it.fleet.upstream("lm-0").announced.address && address != it.fleet.upstream("desk-0").announced.address; };
+    it.sendRequests(learnedAfter);
+    const auto count = [&](const std::string& name) { return it.fleet.upstream(name).dispatches.size(); };
+    const size_t engineBefore = count("lm-0");
+    const size_t from = it.sent.size();
+    it.checkServed(10_s);
+    // Twice its part of the requests for engines, which are half of all.
+    BOOST_CHECK_LE(count("lm-0") - engineBefore, (it.sent.size() - from) / 2 * 2 / engines);
+}
+
 // Guards against a node that goes on to send requests by way of others when it reaches the upstreams again.
 BOOST_AUTO_TEST_CASE(EndOfTheCut)
 {
