Send brittle upstreams no more than they have room for

The header was not read, so an overload made each of three upstreams fail again as soon as it was back.

While a backend is brittle its slots are divided over the entry nodes, nobody queues there, and a node whose request is refused sends nothing for as long as keeps the refusals of all nodes within the limit. An upstream that starts inherits what the others have said, since its first answer comes too late. Where there are more nodes than slots, those without a place send by way of others. What a node knows comes from its own answers; nothing is told around.

--- a/src/forward/ForwardTarget.cpp
+++ b/src/forward/ForwardTarget.cpp
@@ -76,6 +76,7 @@
         next.unreached = entry.unreached;
         next.probeUntil = entry.probeUntil;
         next.limit = entry.limit;
+        next.brittle = entry.brittle;
         next.answersLeaving = entry.answersLeaving;
         next.pausedUntil = entry.pausedUntil;
         next.leaving = next.leaving || entry.answersLeaving;
--- a/src/forward/ForwardTarget.h
+++ b/src/forward/ForwardTarget.h
@@ -2,6 +2,7 @@
 
 #include "base/Ids.h"
 #include "base/TimeMs.h"
+#include "forward/BrittleLimit.h"
 #include "forward/TargetLimit.h"
 
 #include <algorithm>
@@ -79,6 +80,7 @@
     TimeMs probeUntil; ///< While unreached: a request tries it, and others do not wait for the same.
     TimeMs pausedUntil; ///< It has refused a request of this node and wants none before.
     TargetLimit limit;
+    BrittleLimit brittle;
 };
 
 /// All upstreams of the forwarding rules.
--- a/src/forward/HeaderNames.h
+++ b/src/forward/HeaderNames.h
@@ -24,6 +24,7 @@
     std::string notRun = "Siskinshunt-Not-Run"; ///< States that the upstream has not executed the request.
     std::string rateLimit = "Siskinshunt-Rate-Limit"; ///< Requests per second, a decimal number, that the upstream takes from all nodes together.
     std::string leaving = "Siskinshunt-Leaving"; ///< "1": the upstream is about to leave and takes no new work.
+    std::string brittle = "Siskinshunt-Brittle"; ///< Requests that the upstream can refuse in a second, from all nodes together, without failing.
     /// Headers that only the system may set; they are removed from callers' requests.
     std::vector<std::string> reserved;
 };
--- a/src/forward/TargetChoice.cpp
+++ b/src/forward/TargetChoice.cpp
@@ -17,6 +17,9 @@
 // A higher value would outweigh a cached prompt part of 6,000 tokens at 40 tokens/ms.
 static constexpr double maxJitterMs = 150;
 
+// Until a request of this node at a brittle upstream has probably ended.
+static constexpr TimeMs placeWait { 100 };
+
 namespace {
 
     struct RankedTarget {
@@ -26,9 +29,14 @@
 
 }
 
+static bool hasPlace(const ForwardTarget& target)
+{
+    return hasPlace(target.brittle, target.own.running, target.others.running, target.slots);
+}
+
 static bool isEligible(const ForwardTarget& target, const ChoiceRequest& request, TimeMs now)
 {
-    if (target.leaving || now < target.pausedUntil || !canSend(target.limit, now) || target.addressTaken || isMisdirected(target) || std::find(request.tried.begin(), request.tried.end(), target.id) != request.tried.end())
+    if (target.leaving || now < target.pausedUntil || !canSend(target.limit, now) || !hasPlace(target) || target.addressTaken || isMisdirected(target) || std::find(request.tried.begin(), request.tried.end(), target.id) != request.tried.end())
         return false;
     return !request.allowed || request.allowed(target);
 }
@@ -105,7 +113,7 @@
         if (it == table.entries.end() || it->second.leaving)
             continue;
         const ForwardTarget& target = it->second;
-        const TimeMs pause = std::max(TimeMs {}, target.pausedUntil - now);
+        const TimeMs pause = std::max(hasPlace(target) ? TimeMs {} : placeWait, target.pausedUntil - now);
         const auto limited = canSend(target.limit, now) ? TimeMs {} : timeUntilSend(target.limit, now);
         if (!limited || std::max(pause, *limited) <= TimeMs {})
             continue;
--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -277,6 +277,7 @@
     // Another upstream at the address of the intended one answers 421.
     if (event.status != 421) {
         recordAnsweredLimit(node, call, event.headers);
+        recordAnsweredBrittle(node, call, event.headers);
         recordAnsweredLeaving(node, call, event.headers);
     }
     if (event.status == 503)
@@ -288,8 +289,12 @@
         if (!call.headForwarded)
             call.status = event.status;
         drainDispatch(node, call);
-        if (ForwardTarget* target = findTarget(forward.targets, call.target); target && wrongUpstream && target->incarnation == call.targetIncarnation)
-            recordMisdirected(forward.targets, *target, call.targetSequence, node.now);
+        if (ForwardTarget* target = findTarget(forward.targets, call.target); target && target->incarnation == call.targetIncarnation) {
+            if (wrongUpstream)
+                recordMisdirected(forward.targets, *target, call.targetSequence, node.now);
+            else if (event.status == 503)
+                recordNoRoom(node, *target);
+        }
         return handleAttemptEnd(node, call, AttemptEnd::NotRun, "the upstream did not run the request: status " + std::to_string(event.status));
     }
     const bool success = event.status >= 200 && event.status < 300;
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -4,6 +4,7 @@
 #include "node/Answers.h"
 #include "node/ForwardRelay.h"
 #include "node/ForwardReport.h"
+#include "node/UpstreamLimits.h"
 #include "node/VersionOrders.h"
 
 #include <algorithm>
@@ -124,9 +125,12 @@
         node.out.discardedPools.push_back(announced.address);
     if (!known)
         addLog(node, upstreamLogLevel(target), "upstream_known", Step::Announce, announced.name, "a new upstream accepts requests", { { "backend", target.backend }, { "address", target.address }, { "version", target.version } });
-    if (!known || known->incarnation != announced.incarnation)
-        resetReach(node.forward.reach[target.backend]);
-    upsertTarget(node.forward.targets, target);
+    const bool started = !known || known->incarnation != announced.incarnation;
+    ForwardTarget& entry = upsertTarget(node.forward.targets, target);
+    if (!started)
+        return;
+    resetReach(node.forward.reach[target.backend]);
+    inheritBrittle(node, entry);
 }
 
 void removeForwardTarget(Node& node, UpstreamId id)
@@ -371,11 +375,12 @@
     return true;
 }
 
-// Whether an attempt of this node, which is cut off from upstreams, is in vain: it reaches none, or another one that reaches more can be
-// asked by the node which has sent the request.
+// Whether an attempt of this node is in vain: it reaches no upstream, or the node which has sent the request can ask others that reach more.
 static bool isFutile(Node& node, const ForwardCall& call)
 {
-    return call.fromNode || (node.forward.reach[call.backend].lost && hasOtherEntryNodes(node));
+    if (call.fromNode)
+        return isCutOff(node, call.backend) || lacksPlaces(node, call.backend);
+    return node.forward.reach[call.backend].lost && hasOtherEntryNodes(node);
 }
 
 // Whether there is an upstream that is not reached and should be tried again.
@@ -401,7 +406,7 @@
     const bool relay = !probes && prefersRelay(node, call);
     if (relay && relayForward(node, call))
         return;
-    if (cutOff && !probes && !call.headForwarded && isFutile(node, call))
+    if (!probes && !call.headForwarded && isFutile(node, call))
         return refuseForward(node, call, call.possibleExecutions ? 502 : 503, "no_upstream", "no upstream of " + call.backend + " is reached", call.possibleExecutions ? TimeMs {} : noTargetRetryAfter);
     ChoiceRequest request { .backend = call.backend, .parts = call.parts, .promptTokens = call.promptTokens, .urgency = call.urgency, .tried = call.tried, .triesUnreached = probes, .allowed = versionFilter(node, call) };
     auto choice = chooseTarget(forward.targets, forward.parts, forward.choice, request, node.now, node.random);
--- a/src/node/ForwardRelay.cpp
+++ b/src/node/ForwardRelay.cpp
@@ -3,6 +3,7 @@
 #include "node/ForwardFlow.h"
 #include "node/ForwardReport.h"
 #include "node/Peers.h"
+#include "node/UpstreamLimits.h"
 
 #include <algorithm>
 #include <charconv>
@@ -52,7 +53,7 @@
 
 bool prefersRelay(const Node& node, const ForwardCall& call)
 {
-    return !call.fromNode && (call.relay || call.unreachable >= maxUnreachable || isCutOff(node, call.backend));
+    return !call.fromNode && (call.relay || call.unreachable >= maxUnreachable || isCutOff(node, call.backend) || lacksPlaces(node, call.backend));
 }
 
 // Entry nodes that the request can go to: those that have served lately, or most often, and else the others.
@@ -117,7 +118,7 @@
     call.expectedWait = {};
     call.tokensBeforeFirstEvent = 0;
     node.counters.add("forward_relayed");
-    addLog(node, LogLevel::Info, "forward_relayed", Step::Route, member->identity.name, "sent by way of another entry node: no upstream, or few of them, are reached from here",
+    addLog(node, LogLevel::Info, "forward_relayed", Step::Route, member->identity.name, "sent by way of another entry node, which may reach more upstreams",
         { { "request", call.requestId }, { "backend", call.backend }, { "unreachable", std::to_string(call.unreachable) }, { "relays", std::to_string(call.relays.size()) } });
     dispatchAttempt(node, call, { .name = member->identity.name, .address = member->identity.httpAddress, .request = relayRequest(node, call) });
     return true;
--- a/src/node/ForwardState.h
+++ b/src/node/ForwardState.h
@@ -80,6 +80,7 @@
     LoadHubState hubs;
     TimeMs nextReport;
     TimeMs nextExpiry;
+    std::map<std::string, BrittleLimit> brittle; ///< By backend: as last named by one of its upstreams; upstreams that start inherit it.
     LeavingNotices leaving;
     CrashQuarantine quarantine;
     std::set<uint64_t> quarantineLogged; ///< Quarantined subjects for which this node has written a line.
--- a/src/node/UpstreamLimits.cpp
+++ b/src/node/UpstreamLimits.cpp
@@ -11,6 +11,9 @@
 // A limit that does not change is reported again after this time, for nodes that have started since.
 static constexpr TimeMs repeatInterval { 1000 };
 
+// An upstream that is brittle and fails is back after some seconds.
+static constexpr TimeMs inheritanceTime { 20000 };
+
 static void changeLimit(Node& node, ForwardTarget& target, const std::optional<double>& perSecond, TimeMs namedAt, LogLevel level, const std::string& source)
 {
     auto& limit = target.limit;
@@ -46,6 +49,77 @@
     changeLimit(node, *target, perSecond, node.now, LogLevel::Info, "request " + call.requestId);
 }
 
+static void updatePlaces(Node& node, ForwardTarget& target, const std::vector<NodeId>& nodes)
+{
+    setPlaces(target.brittle, target.id, target.slots, node.self, nodes);
+}
+
+static void changeBrittle(Node& node, ForwardTarget& target, const std::optional<double>& refusalsPerSecond, const ForwardCall& call)
+{
+    auto& brittle = target.brittle;
+    const bool changed = refusalsPerSecond != brittle.refusalsPerSecond;
+    brittle.refusalsPerSecond = refusalsPerSecond;
+    brittle.namedAt = node.now;
+    if (!changed)
+        return;
+    updatePlaces(node, target, sendingNodes(node));
+    addLog(node, target.id == call.target ? LogLevel::Info : LogLevel::Debug, "upstream_brittle", Step::Receive, target.name, refusalsPerSecond ? "the upstream fails if it has to refuse many requests" : "the upstream bears refusals again",
+        { { "refusals_per_second", refusalsPerSecond ? std::to_string(*refusalsPerSecond) : std::string("-") }, { "places", std::to_string(brittle.places) }, { "nodes", std::to_string(brittle.nodes) }, { "request", call.requestId } });
+}
+
+void recordAnsweredBrittle(Node& node, const ForwardCall& call, const HttpHeaders& headers)
+{
+    auto& targets = node.forward.targets;
+    ForwardTarget* answering = findTarget(targets, call.target);
+    if (!answering || answering->incarnation != call.targetIncarnation)
+        return;
+    const auto text = findHeader(headers, node.forward.headers.brittle);
+    const auto refusals = parseDecimal(text);
+    if (!refusals && !text.empty()) {
+        addLog(node, LogLevel::Warning, "upstream_brittle", Step::Decode, call.targetName, "the number of refusals is not a decimal number; it is ignored", { { "request", call.requestId } });
+        return;
+    }
+    if (!refusals) {
+        // As for limits, answers overtake each other.
+        if (answering->brittle.refusalsPerSecond && call.sentAt > answering->brittle.namedAt) {
+            changeBrittle(node, *answering, std::nullopt, call);
+            node.forward.brittle.erase(answering->backend);
+        }
+        return;
+    }
+    node.forward.brittle[answering->backend] = { .refusalsPerSecond = refusals, .namedAt = node.now };
+    for (const UpstreamId id : targets.byBackend[answering->backend]) {
+        ForwardTarget& target = targets.entries.at(id);
+        if (target.id == answering->id || !target.brittle.refusalsPerSecond)
+            changeBrittle(node, target, refusals, call);
+    }
+}
+
+bool lacksPlaces(const Node& node, const std::string& backend)
+{
+    const auto& targets = node.forward.targets;
+    const auto ids = targets.byBackend.find(backend);
+    return ids != targets.byBackend.end() && !ids->second.empty() && std::all_of(ids->second.begin(), ids->second.end(), [&](UpstreamId id) {
+        const auto& brittle = targets.entries.at(id).brittle;
+        return brittle.refusalsPerSecond && !brittle.places;
+    });
+}
+
+void inheritBrittle(Node& node, ForwardTarget& target)
+{
+    const auto it = node.forward.brittle.find(target.backend);
+    if (it == node.forward.brittle.end() || node.now - it->second.namedAt > inheritanceTime)
+        return;
+    target.brittle = it->second;
+    updatePlaces(node, target, sendingNodes(node));
+}
+
+void recordNoRoom(Node& node, ForwardTarget& target)
+{
+    if (const TimeMs pause = pauseAfterRefusal(target.brittle); pause > TimeMs {})
+        target.pausedUntil = std::max(target.pausedUntil, node.now + pause);
+}
+
 std::vector<UpstreamId> applyReportedLimits(Node& node, const std::vector<ReportedLimit>& reported)
 {
     std::vector<UpstreamId> news;
@@ -79,11 +153,14 @@
     node.forward.nextShares = node.now + shareInterval;
     std::optional<std::vector<NodeId>> nodes;
     for (auto& [id, target] : node.forward.targets.entries) {
-        if (!target.limit.perSecond)
+        if (!target.limit.perSecond && !target.brittle.refusalsPerSecond)
             continue;
         if (!nodes)
             nodes = sendingNodes(node);
-        setShare(target.limit, node.now, id, node.self, *nodes);
+        if (target.limit.perSecond)
+            setShare(target.limit, node.now, id, node.self, *nodes);
+        if (target.brittle.refusalsPerSecond)
+            updatePlaces(node, target, *nodes);
     }
 }
 
--- a/src/soak/NodeFleet.h
+++ b/src/soak/NodeFleet.h
@@ -166,6 +166,7 @@
     std::function<bool(size_t from, size_t to, const std::string& frame)> losesFrame; ///< Frames that are lost with their connection.
     /// Headers of the answer to a forwarded request; without a value, the dispatch is one of the fleet's own calls.
     std::function<std::optional<HttpHeaders>(size_t node, const UpstreamDispatch&)> forwardAnswer;
+    std::function<uint16_t(const UpstreamDispatch&)> forwardStatus; ///< Status of that answer; null: 200.
     int streamFaultAfter = 2;
     std::map<uint64_t, Caller> callers;
     std::vector<std::string> discardedPools;
--- a/src/soak/NodeFleetUpstreams.cpp
+++ b/src/soak/NodeFleetUpstreams.cpp
@@ -199,7 +199,8 @@
     found->second.dispatches.emplace_back(now, findHeader(request.request.headers, headers::call));
     report(key, 1_ms, { .kind = UpstreamEventKind::Sending });
     if (const auto headers = forwardAnswer ? forwardAnswer(n, request) : std::nullopt) {
-        report(key, found->second.latency, { .kind = UpstreamEventKind::Head, .status = 200, .headers = *headers });
+        const uint16_t status = forwardStatus ? forwardStatus(request) : uint16_t { 200 };
+        report(key, found->second.latency, { .kind = UpstreamEventKind::Head, .status = status, .headers = *headers });
         report(key, found->second.latency, { .kind = UpstreamEventKind::Body, .bytes = "id: 1\ndata: done\n\n" });
         return report(key, found->second.latency, { .kind = UpstreamEventKind::End });
     }
