Test silence of a sound upstream and the options of its connections

UpstreamsSilentForASecond: one upstream of each backend after the other; all requests are answered, once requests run once, no node believes itself cut off. silentUpstreamThatGoesOnIsAwaited: an answer after 2.5 s, longer than sent bytes may stay unacknowledged. keepAliveProbesHaveTheirTime: the options of the real socket.

--- a/src/soak/NodeFleet.h
+++ b/src/soak/NodeFleet.h
@@ -34,6 +34,7 @@
     Hangs, ///< Open connections transfer nothing more, and new ones time out.
     Refused, ///< Open connections are reset, and new ones are refused.
     RefusesNew, ///< Open connections work, and new ones are refused.
+    Silent, ///< The upstream answers nothing, and goes on later.
 };
 
 struct NodeFleetOptions {
--- a/src/soak/NodeFleetUpstreams.cpp
+++ b/src/soak/NodeFleetUpstreams.cpp
@@ -10,6 +10,8 @@
 namespace json = boost::json;
 
 static constexpr TimeMs tokenInterval { 20 };
+// How often a silent upstream is looked at again.
+static constexpr TimeMs silenceStep { 20 };
 static constexpr uint16_t firstForwardPort = 6000;
 static constexpr ExchangeId firstPassedExchange = uint64_t { 1 } << 61;
 
@@ -99,6 +101,8 @@
         const UpstreamPath path = fromUpstream ? pathTo(std::get<0>(key), open->second) : UpstreamPath::Open;
         if (path == UpstreamPath::Hangs)
             return;
+        if (path == UpstreamPath::Silent)
+            return report(key, silenceStep, std::move(event));
         if (path == UpstreamPath::Refused)
             event = { .dispatch = event.dispatch, .kind = UpstreamEventKind::Failed, .failure = UpstreamFailure::Closed };
         if (event.kind == UpstreamEventKind::End)
@@ -129,7 +133,7 @@
 {
     const UpstreamPath path = pathTo(std::get<0>(key), request.address);
     const bool idle = takeIdleConnection(std::get<0>(key), request);
-    if (path == UpstreamPath::Open || (idle && path == UpstreamPath::RefusesNew))
+    if (path == UpstreamPath::Open || path == UpstreamPath::Silent || (idle && path == UpstreamPath::RefusesNew))
         return true;
     if (!idle && path == UpstreamPath::Hangs)
         fail(key, request.connectTimeout, UpstreamFailure::ConnectTimeout);
--- a/tests/entry/UpstreamClientTest.cpp
+++ b/tests/entry/UpstreamClientTest.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio.hpp>
 #include <boost/test/unit_test.hpp>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <thread>
 
 using namespace siskinshunt;
@@ -189,6 +191,56 @@
     BOOST_TEST(client.sendRequest(upstream.address(), "a", TimeMs { 150 }) == " silent");
 }
 
+// Guards against an upstream that is silent for longer than sent bytes may stay unacknowledged, and whose answer is lost although it has
+// acknowledged the request.
+BOOST_AUTO_TEST_CASE(silentUpstreamThatGoesOnIsAwaited)
+{
+    ScriptedUpstream upstream({ { .responses = { "" }, .pause = std::chrono::milliseconds(2500), .unsolicited = makeResponse("a", "late") } });
+    Client client;
+    BOOST_TEST(client.sendRequest(upstream.address(), "a", TimeMs { 5000 }) == "200 late end");
+}
+
+// The open socket of this process that is connected to the address; -1 if there is none.
+static int findSocketTo(const std::string& address)
+{
+    constexpr int maxDescriptor = 1024;
+    for (int fd = 0; fd < maxDescriptor; ++fd) {
+        tcp::endpoint peer;
+        auto length = static_cast<socklen_t>(peer.capacity());
+        if (::getpeername(fd, peer.data(), &length) || length != sizeof(sockaddr_in))
+            continue;
+        if (peer.address().to_string() + ":" + std::to_string(peer.port()) == address)
+            return fd;
+    }
+    return -1;
+}
+
+static int socketOption(int fd, int level, int name)
+{
+    int value = 0;
+    socklen_t length = sizeof(value);
+    BOOST_REQUIRE_EQUAL(::getsockopt(fd, level, name, &value, &length), 0);
+    return value;
+}
+
+// Guards against keep-alive probes that give up on a sound upstream early: with TCP_USER_TIMEOUT set, Linux ignores their count and closes the
+// connection as soon as a probe is due and that time has passed without an acknowledgement.
+BOOST_AUTO_TEST_CASE(keepAliveProbesHaveTheirTime)
+{
+    ScriptedUpstream upstream({ { { makeResponse("a", "ok") } } });
+    Client client;
+    BOOST_TEST(client.sendRequest(upstream.address(), "a") == "200 ok end");
+    const int fd = findSocketTo(upstream.address());
+    BOOST_REQUIRE_GE(fd, 0);
+    const int userTimeoutMs = socketOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT);
+    // A sound upstream may be silent for a second or so.
+    BOOST_TEST((userTimeoutMs == 0 || userTimeoutMs >= 2000));
+    if (!socketOption(fd, SOL_SOCKET, SO_KEEPALIVE))
+        return;
+    const int probesMs = (socketOption(fd, IPPROTO_TCP, TCP_KEEPIDLE) + socketOption(fd, IPPROTO_TCP, TCP_KEEPINTVL) * socketOption(fd, IPPROTO_TCP, TCP_KEEPCNT)) * 1000;
+    BOOST_TEST((userTimeoutMs == 0 || userTimeoutMs >= probesMs));
+}
+
 // Guards against reuse of a connection whose request body is still being sent when the response is complete: the upstream
 // would read the next request as the rest of that body.
 BOOST_AUTO_TEST_CASE(earlyResponseClosesTheConnection)
--- a/tests/node/UnreachableUpstreamsTest.cpp
+++ b/tests/node/UnreachableUpstreamsTest.cpp
@@ -231,6 +231,29 @@
     BOOST_CHECK_LE(count("lm-0") - engineBefore, (it.sent.size() - from) / 2 * 2 / engines);
 }
 
+// Guards against a sound upstream that is silent for a second and goes on, whose requests are lost or which counts as cut off.
+BOOST_AUTO_TEST_CASE(UpstreamsSilentForASecond)
+{
+    CutFleet it;
+    const TimeMs start = it.fleet.now;
+    it.path = UpstreamPath::Silent;
+    // In turn, each for a second in two, one upstream of each backend.
+    it.isCut = [&](size_t, const std::string& address) {
+        const auto elapsed = static_cast<size_t>((it.fleet.now - start).value / 1000);
+        const size_t turn = elapsed / 2;
+        return elapsed % 2 == 0 && (address == it.fleet.upstream("desk-" + std::to_string(turn % services)).announced.address || address == it.fleet.upstream("lm-" + std::to_string(turn % engines)).announced.address);
+    };
+    const size_t from = it.sent.size();
+    it.sendRequests(12_s);
+    it.fleet.runFor(4_s);
+    BOOST_CHECK_GE(it.servedShare(from, false), 0.99);
+    for (size_t n = it.controls; n < it.fleet.nodes.size(); ++n) {
+        BOOST_CHECK_EQUAL(it.fleet.nodes[n].node->counters.get("forward_upstreams_lost"), 0U);
+        BOOST_CHECK_EQUAL(it.fleet.nodes[n].node->counters.get("forward_relayed"), 0U);
+    }
+    it.checkRuns();
+}
+
 // Guards against a node that goes on to send requests by way of others when it reaches the upstreams again.
 BOOST_AUTO_TEST_CASE(EndOfTheCut)
 {
