Count unreached upstreams only after a failed attempt

A decision walked over the upstreams of the backend twice more than before to find that none is unreached. No change otherwise; the suites of crashing requests, unreachable and brittle upstreams pass.

--- a/src/forward/UpstreamReach.cpp
+++ b/src/forward/UpstreamReach.cpp
@@ -18,6 +18,7 @@
 
 bool recordUnreached(UpstreamReach& reach, TimeMs now, UpstreamId upstream, TimeMs sentAt, size_t targets)
 {
+    reach.unreachedAt = now;
     if (sentAt < reach.answeredAt)
         return false;
     if (std::find(reach.silent.begin(), reach.silent.end(), upstream) == reach.silent.end())
--- a/src/forward/UpstreamReach.h
+++ b/src/forward/UpstreamReach.h
@@ -13,6 +13,7 @@
 struct UpstreamReach {
     TimeMs answeredAt; ///< Last head of an answer, of any upstream.
     std::vector<UpstreamId> silent; ///< Upstreams that have not been reached since then, each once.
+    TimeMs unreachedAt; ///< Last attempt that found no connection or got no answer in time.
     bool lost = false;
     TimeMs lostAt;
     TimeMs probeAt; ///< When the next request may try upstreams that are not reached.
--- a/src/node/ForwardRelay.cpp
+++ b/src/node/ForwardRelay.cpp
@@ -19,6 +19,8 @@
 static constexpr TimeMs maxRelayBackoff { 2000 };
 // A node that has served a request within this time is preferred.
 static constexpr TimeMs servedWindow { 5000 };
+// Upstreams that are not reached are tried again more often than this.
+static constexpr TimeMs unreachedWindow { 10000 };
 // Share of the requests that go to nodes of which nothing is known, so that those that have served do not get all the load.
 static constexpr double exploringShare = 0.2;
 static constexpr const char* unrelayable = "unsent";
@@ -47,8 +49,11 @@
 bool isCutOff(const Node& node, const std::string& backend)
 {
     const auto& forward = node.forward;
-    const auto reach = forward.reach.find(backend);
-    return (reach != forward.reach.end() && reach->second.lost) || reachesFew(forward.targets, backend, node.now, forward.choice.staleAfter);
+    const auto it = forward.reach.find(backend);
+    if (it == forward.reach.end())
+        return false;
+    // The upstreams are counted only when there is a reason to.
+    return it->second.lost || (node.now - it->second.unreachedAt <= unreachedWindow && reachesFew(forward.targets, backend, node.now, forward.choice.staleAfter));
 }
 
 bool prefersRelay(const Node& node, const ForwardCall& call)
--- a/src/node/UpstreamLimits.cpp
+++ b/src/node/UpstreamLimits.cpp
@@ -97,6 +97,8 @@
 
 bool lacksPlaces(const Node& node, const std::string& backend)
 {
+    if (!node.forward.brittle.contains(backend))
+        return false;
     const auto& targets = node.forward.targets;
     const auto ids = targets.byBackend.find(backend);
     return ids != targets.byBackend.end() && !ids->second.empty() && std::all_of(ids->second.begin(), ids->second.end(), [&](UpstreamId id) {
