Let a node without a place hear of the end of brittleness

It now reads the header of answers that come by way of others, and forgets what was not repeated for 20 s. RoomIsUsedAgain checks the latter.

--- a/src/node/UpstreamLimits.cpp
+++ b/src/node/UpstreamLimits.cpp
@@ -11,8 +11,8 @@
 // A limit that does not change is reported again after this time, for nodes that have started since.
 static constexpr TimeMs repeatInterval { 1000 };
 
-// An upstream that is brittle and fails is back after some seconds.
-static constexpr TimeMs inheritanceTime { 20000 };
+// An upstream that is brittle and fails is back after some seconds, and inherits what the others have said before.
+static constexpr TimeMs brittleRetention { 20000 };
 
 static void changeLimit(Node& node, ForwardTarget& target, const std::optional<double>& perSecond, TimeMs namedAt, LogLevel level, const std::string& source)
 {
@@ -67,32 +67,37 @@
         { { "refusals_per_second", refusalsPerSecond ? std::to_string(*refusalsPerSecond) : std::string("-") }, { "places", std::to_string(brittle.places) }, { "nodes", std::to_string(brittle.nodes) }, { "request", call.requestId } });
 }
 
-void recordAnsweredBrittle(Node& node, const ForwardCall& call, const HttpHeaders& headers)
+// What one upstream says holds for all of its backend.
+static void recordBrittleBackend(Node& node, const ForwardCall& call, double refusals)
 {
     auto& targets = node.forward.targets;
-    ForwardTarget* answering = findTarget(targets, call.target);
-    if (!answering || answering->incarnation != call.targetIncarnation)
+    node.forward.brittle[call.backend] = { .refusalsPerSecond = refusals, .namedAt = node.now };
+    for (const UpstreamId id : targets.byBackend[call.backend]) {
+        ForwardTarget& target = targets.entries.at(id);
+        if (target.id == call.target || !target.brittle.refusalsPerSecond)
+            changeBrittle(node, target, refusals, call);
+    }
+}
+
+void recordAnsweredBrittle(Node& node, const ForwardCall& call, const HttpHeaders& headers)
+{
+    ForwardTarget* answering = findTarget(node.forward.targets, call.target);
+    // A node without a place hears of it only by way of others.
+    if (!call.relay && (!answering || answering->incarnation != call.targetIncarnation))
         return;
     const auto text = findHeader(headers, node.forward.headers.brittle);
     const auto refusals = parseDecimal(text);
-    if (!refusals && !text.empty()) {
+    if (refusals)
+        return recordBrittleBackend(node, call, *refusals);
+    if (!text.empty()) {
         addLog(node, LogLevel::Warning, "upstream_brittle", Step::Decode, call.targetName, "the number of refusals is not a decimal number; it is ignored", { { "request", call.requestId } });
         return;
     }
-    if (!refusals) {
-        // As for limits, answers overtake each other.
-        if (answering->brittle.refusalsPerSecond && call.sentAt > answering->brittle.namedAt) {
-            changeBrittle(node, *answering, std::nullopt, call);
-            node.forward.brittle.erase(answering->backend);
-        }
+    // As for limits, answers overtake each other.
+    if (!answering || !answering->brittle.refusalsPerSecond || call.sentAt <= answering->brittle.namedAt)
         return;
-    }
-    node.forward.brittle[answering->backend] = { .refusalsPerSecond = refusals, .namedAt = node.now };
-    for (const UpstreamId id : targets.byBackend[answering->backend]) {
-        ForwardTarget& target = targets.entries.at(id);
-        if (target.id == answering->id || !target.brittle.refusalsPerSecond)
-            changeBrittle(node, target, refusals, call);
-    }
+    changeBrittle(node, *answering, std::nullopt, call);
+    node.forward.brittle.erase(answering->backend);
 }
 
 bool lacksPlaces(const Node& node, const std::string& backend)
@@ -110,7 +115,7 @@
 void inheritBrittle(Node& node, ForwardTarget& target)
 {
     const auto it = node.forward.brittle.find(target.backend);
-    if (it == node.forward.brittle.end() || node.now - it->second.namedAt > inheritanceTime)
+    if (it == node.forward.brittle.end())
         return;
     target.brittle = it->second;
     updatePlaces(node, target, sendingNodes(node));
@@ -153,8 +158,12 @@
     if (node.now < node.forward.nextShares)
         return;
     node.forward.nextShares = node.now + shareInterval;
+    std::erase_if(node.forward.brittle, [&](const auto& it) { return node.now - it.second.namedAt > brittleRetention; });
     std::optional<std::vector<NodeId>> nodes;
     for (auto& [id, target] : node.forward.targets.entries) {
+        // A node without a place gets no answers of the upstream itself that could end it.
+        if (target.brittle.refusalsPerSecond && !node.forward.brittle.contains(target.backend))
+            target.brittle = {};
         if (!target.limit.perSecond && !target.brittle.refusalsPerSecond)
             continue;
         if (!nodes)
--- a/tests/node/BrittleUpstreamTest.cpp
+++ b/tests/node/BrittleUpstreamTest.cpp
@@ -151,6 +151,27 @@
     checkBorne(40, 5, 480);
 }
 
+// Guards against entry nodes that go on to use a part of the room only, or to send by way of others, when upstreams bear refusals again.
+BOOST_AUTO_TEST_CASE(RoomIsUsedAgain)
+{
+    BrittleFleet it(40, 5);
+    it.sendRequests(learnedAfter, 100);
+    it.fleet.forwardAnswer = [&](size_t, const UpstreamDispatch& dispatch) -> std::optional<HttpHeaders> { return HttpHeaders { { it.names.requestId, dispatch.idValue }, { it.names.receipt, "proof" } }; };
+    it.sendRequests(25_s, 100);
+    const auto countRelayed = [&] {
+        uint64_t sum = 0;
+        for (const auto& process : it.fleet.nodes)
+            sum += process.node->counters.get("forward_relayed");
+        return sum;
+    };
+    const uint64_t relayed = countRelayed();
+    const size_t from = it.callers.size();
+    it.sendRequests(5_s, 100);
+    it.fleet.runFor(1_s);
+    BOOST_CHECK_EQUAL(countRelayed(), relayed);
+    BOOST_CHECK_EQUAL(it.countAnswered(from), it.callers.size() - from);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
