Serve requests of nodes that reach no upstream also with few of them

While two of three upstreams of a backend were down, nodes that reached the third took themselves for cut off and passed nothing on for others; and a node that had heard this from all went on to refuse for up to 2 s after upstreams had started again.

A node that reaches none now says so in the request, and one that reaches few serves it.

--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -45,7 +45,8 @@
     TimeMs deadline; ///< The earlier of the caller's deadline and the route's timeout.
     double cost = 0; ///< Of the account's allowance.
     bool charged = false; ///< The cost is consumed from the allowance at this node.
-    bool fromNode = false; ///< Sent by another entry node, which does not reach the upstreams.
+    bool fromNode = false; ///< Sent by another entry node, which does not reach the upstreams, or reaches few of them.
+    bool fromUnreaching = false; ///< That node reaches none.
     std::string authorization; ///< As sent by the caller.
     std::vector<PromptPart> parts;
     uint32_t promptTokens = 0;
--- a/src/forward/ForwardTarget.cpp
+++ b/src/forward/ForwardTarget.cpp
@@ -163,11 +163,11 @@
     target.backoffUntil = now + target.backoffDuration;
 }
 
-bool reachesFew(const ForwardTargets& table, const std::string& backend, TimeMs now, TimeMs staleAfter)
+ReachedShare reachedShare(const ForwardTargets& table, const std::string& backend, TimeMs now, TimeMs staleAfter)
 {
     const auto ids = table.byBackend.find(backend);
     if (ids == table.byBackend.end())
-        return false;
+        return ReachedShare::Most;
     size_t usable = 0;
     size_t unreached = 0;
     for (const UpstreamId id : ids->second) {
@@ -177,7 +177,9 @@
         ++usable;
         unreached += target.unreached ? 1 : 0;
     }
-    return unreached * 2 > usable;
+    if (unreached && unreached == usable)
+        return ReachedShare::None;
+    return unreached * 2 > usable ? ReachedShare::Few : ReachedShare::Most;
 }
 
 void clearUnreached(ForwardTargets& table, const std::string& backend)
--- a/src/forward/ForwardTarget.h
+++ b/src/forward/ForwardTarget.h
@@ -112,9 +112,16 @@
 /// Removes the reports of nodes that have not reported for longer than `silence`.
 void expireLoadReports(ForwardTargets&, TimeMs now, TimeMs silence);
 
-/// Whether this node finds no connection to most of the targets of the backend that announce themselves, so that other nodes are likely
-/// to reach more of them. `staleAfter`: silence after which a target counts as gone.
-bool reachesFew(const ForwardTargets&, const std::string& backend, TimeMs now, TimeMs staleAfter);
+/// How much of a backend a node reaches.
+enum class ReachedShare : uint8_t {
+    None, ///< No target.
+    Few, ///< Less than half of the targets, so that other nodes are likely to reach more of them.
+    Most,
+};
+
+/// How many of the targets of the backend that announce themselves this node reaches. `staleAfter`: silence after which a target counts
+/// as gone.
+ReachedShare reachedShare(const ForwardTargets&, const std::string& backend, TimeMs now, TimeMs staleAfter);
 /// Forgets that targets of the backend were not reached: one that was not reached has answered, so the network works again.
 void clearUnreached(ForwardTargets&, const std::string& backend);
 
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -130,6 +130,7 @@
     if (!started)
         return;
     resetReach(node.forward.reach[target.backend]);
+    forgetRelayFailures(node, target.backend);
     inheritBrittle(node, entry);
 }
 
@@ -378,8 +379,9 @@
 // Whether an attempt of this node is in vain: it reaches no upstream, or the node which has sent the request can ask others that reach more.
 static bool isFutile(Node& node, const ForwardCall& call)
 {
+    const ReachedShare reached = reachedShare(node, call.backend);
     if (call.fromNode)
-        return isCutOff(node, call.backend) || lacksPlaces(node, call.backend);
+        return reached == ReachedShare::None || (reached == ReachedShare::Few && !call.fromUnreaching) || lacksPlaces(node, call.backend);
     return node.forward.reach[call.backend].lost && hasOtherEntryNodes(node);
 }
 
@@ -401,8 +403,7 @@
         return;
     if (call.deadline - node.now <= minAttemptTime)
         return refuseForward(node, call, call.possibleExecutions ? 504 : 503, "out_of_time", "the time for an answer is over");
-    const bool cutOff = isCutOff(node, call.backend);
-    const bool probes = cutOff && canProbe(node, call) && takeProbe(forward.reach[call.backend], node.now);
+    const bool probes = reachedShare(node, call.backend) != ReachedShare::Most && canProbe(node, call) && takeProbe(forward.reach[call.backend], node.now);
     const bool relay = !probes && prefersRelay(node, call);
     if (relay && relayForward(node, call))
         return;
@@ -482,6 +483,7 @@
     ForwardCall& call = addCall(node, std::move(arrived), *rule, account, std::move(metadata), cost);
     call.backend = pickBackend(node, call);
     call.fromNode = relayed.has_value();
+    call.fromUnreaching = relayed && relayed->anyReach;
     call.possibleExecutions = relayed ? relayed->possibleExecutions : 0;
     // The node to which the caller has sent the request counts it.
     if (!call.fromNode)
--- a/src/node/ForwardRelay.cpp
+++ b/src/node/ForwardRelay.cpp
@@ -16,7 +16,7 @@
 static constexpr size_t maxRelays = 6;
 // Time for which a node that does not reach the upstreams is not asked again. Short, since a network failure can end at any moment.
 static constexpr TimeMs initialRelayBackoff { 500 };
-static constexpr TimeMs maxRelayBackoff { 2000 };
+static constexpr TimeMs maxRelayBackoff { 1000 };
 // A node that has served a request within this time is preferred.
 static constexpr TimeMs servedWindow { 5000 };
 // Upstreams that are not reached are tried again more often than this.
@@ -24,16 +24,20 @@
 // Share of the requests that go to nodes of which nothing is known, so that those that have served do not get all the load.
 static constexpr double exploringShare = 0.2;
 static constexpr const char* unrelayable = "unsent";
+static constexpr std::string_view anyReachSuffix = " any";
 static constexpr int maxPossibleExecutions = 100;
 
 std::optional<RelayedRequest> parseRelayed(const Node& node, const HttpRequest& request)
 {
-    const auto text = findHeader(request.headers, node.forward.headers.relayed);
+    auto text = findHeader(request.headers, node.forward.headers.relayed);
+    const bool anyReach = text.ends_with(anyReachSuffix);
+    if (anyReach)
+        text.remove_suffix(anyReachSuffix.size());
     int n = 0;
     const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
     if (text.empty() || ec != std::errc {} || end != text.data() + text.size())
         return std::nullopt;
-    return RelayedRequest { .possibleExecutions = std::clamp(n, 0, maxPossibleExecutions) };
+    return RelayedRequest { .possibleExecutions = std::clamp(n, 0, maxPossibleExecutions), .anyReach = anyReach };
 }
 
 bool isUnrelayable(const Node& node, const HttpHeaders& headers)
@@ -46,19 +50,21 @@
     return { node.forward.headers.relayed, unrelayable };
 }
 
-bool isCutOff(const Node& node, const std::string& backend)
+ReachedShare reachedShare(const Node& node, const std::string& backend)
 {
     const auto& forward = node.forward;
     const auto it = forward.reach.find(backend);
     if (it == forward.reach.end())
-        return false;
+        return ReachedShare::Most;
+    if (it->second.lost)
+        return ReachedShare::None;
     // The upstreams are counted only when there is a reason to.
-    return it->second.lost || (node.now - it->second.unreachedAt <= unreachedWindow && reachesFew(forward.targets, backend, node.now, forward.choice.staleAfter));
+    return node.now - it->second.unreachedAt <= unreachedWindow ? reachedShare(forward.targets, backend, node.now, forward.choice.staleAfter) : ReachedShare::Most;
 }
 
 bool prefersRelay(const Node& node, const ForwardCall& call)
 {
-    return !call.fromNode && (call.relay || call.unreachable >= maxUnreachable || isCutOff(node, call.backend) || lacksPlaces(node, call.backend));
+    return !call.fromNode && (call.relay || call.unreachable >= maxUnreachable || reachedShare(node, call.backend) != ReachedShare::Most || lacksPlaces(node, call.backend));
 }
 
 // Entry nodes that the request can go to: those that have served lately, or most often, and else the others.
@@ -97,7 +103,8 @@
     std::erase_if(out.headers, [&](const auto& it) { return equalHeaderNames(it.first, names.account) || equalHeaderNames(it.first, names.urgency); });
     if (!call.authorization.empty())
         out.headers.emplace_back("Authorization", call.authorization);
-    out.headers.emplace_back(names.relayed, std::to_string(call.possibleExecutions));
+    const bool anyReach = reachedShare(node, call.backend) == ReachedShare::None;
+    out.headers.emplace_back(names.relayed, std::to_string(call.possibleExecutions) + std::string(anyReach ? anyReachSuffix : std::string_view {}));
     addTimeLeft(out, names, call.deadline - node.now);
     addLastEvent(out, names, call.events.lastEventId());
     return out;
@@ -143,6 +150,11 @@
     peer.servedAt = {};
 }
 
+void forgetRelayFailures(Node& node, const std::string& backend)
+{
+    std::erase_if(node.forward.relayPeers, [&](const auto& it) { return it.first.second == backend && it.second.backoffUntil > TimeMs {}; });
+}
+
 void expireRelayPeers(Node& node)
 {
     std::erase_if(node.forward.relayPeers, [&](const auto& it) { return node.now - std::max(it.second.servedAt, it.second.backoffUntil) > servedWindow; });
--- a/src/node/ForwardRelay.h
+++ b/src/node/ForwardRelay.h
@@ -11,6 +11,7 @@
 /// Marks a request of another entry node.
 struct RelayedRequest {
     int possibleExecutions = 0; ///< Upstreams that may have run it before, among those that the other node has tried.
+    bool anyReach = false; ///< The other node reaches no upstream, so a node that reaches few of them serves it better.
 };
 
 /// Whether the request comes from another entry node.
@@ -24,8 +25,8 @@
 bool hasOtherEntryNodes(const Node&);
 /// Whether the request could go to another entry node that it has not been sent to.
 bool canRelay(Node&, const ForwardCall&);
-/// Whether this node reaches no upstream of the backend, or few of them.
-bool isCutOff(const Node&, const std::string& backend);
+/// How many upstreams of the backend this node reaches, by its own attempts.
+ReachedShare reachedShare(const Node&, const std::string& backend);
 /// Whether the request should go to another entry node, rather than to an upstream.
 bool prefersRelay(const Node&, const ForwardCall&);
 /// Sends the request to another entry node; returns false if there is none to try.
@@ -34,6 +35,8 @@
 void recordRelayServed(Node&, const ForwardCall&);
 /// Records that the entry node which has the request does not reach the backend, or could not be reached itself.
 void recordRelayFailure(Node&, const ForwardCall&);
+/// Forgets which entry nodes did not reach the backend: an upstream has started that they may reach.
+void forgetRelayFailures(Node&, const std::string& backend);
 /// Forgets what is too old to choose by.
 void expireRelayPeers(Node&);
 
--- a/src/soak/NodeFleet.h
+++ b/src/soak/NodeFleet.h
@@ -164,6 +164,7 @@
     std::map<std::string, Run> runs; ///< Executions by idempotency key.
     std::function<DispatchFault(const UpstreamDispatch&)> fault;
     std::function<UpstreamPath(size_t node, const std::string& address)> upstreamPath; ///< Null: all are open.
+    std::function<DispatchFault(size_t node, const UpstreamDispatch&)> arrived; ///< Called for each request that an upstream gets.
     std::function<bool(size_t from, size_t to, const std::string& frame)> losesFrame; ///< Frames that are lost with their connection.
     /// Headers of the answer to a forwarded request; without a value, the dispatch is one of the fleet's own calls.
     std::function<std::optional<HttpHeaders>(size_t node, const UpstreamDispatch&)> forwardAnswer;
--- a/src/soak/NodeFleetUpstreams.cpp
+++ b/src/soak/NodeFleetUpstreams.cpp
@@ -195,11 +195,13 @@
     if (port >= firstForwardPort && port < firstForwardPort + nodes.size())
         return dispatchToNode(key, request, port - firstForwardPort);
     const auto found = upstreams.find(request.address);
-    const auto dispatchFault = fault ? fault(request) : DispatchFault::None;
+    auto dispatchFault = fault ? fault(request) : DispatchFault::None;
     if (found == upstreams.end() || !found->second.up || dispatchFault == DispatchFault::Refuse)
         return fail(key, 1_ms, UpstreamFailure::ConnectFailed);
     if (!usePath(key, request))
         return;
+    if (arrived)
+        dispatchFault = arrived(n, request);
     found->second.dispatches.emplace_back(now, findHeader(request.request.headers, headers::call));
     report(key, 1_ms, { .kind = UpstreamEventKind::Sending });
     if (const auto headers = forwardAnswer ? forwardAnswer(n, request) : std::nullopt) {
