Ask a further node when one with older rules does not know the route

One that has not got the newest rules yet answered 404 or 401, and the caller got that. It now says that it has not sent the request on.

--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -248,7 +248,8 @@
     addLog(node, LogLevel::Warning, "forward_refused", Step::Route, arrived.peer, code,
         { { "request", id }, { "status", std::to_string(status) }, { "account", account }, { "target", std::string(pathOf(arrived.request.target)) }, { "rules", std::to_string(node.rules ? node.rules->revision : 0) }, { "retry_after_ms", std::to_string(retryAfter.value) } });
     HttpHeaders headers = refusalHeaders(node, id, retryAfter);
-    if (status == 503 && parseRelayed(node, arrived.request))
+    // Other nodes may have newer rules; the allowance is that of all nodes.
+    if (status != 429 && parseRelayed(node, arrived.request))
         headers.push_back(unrelayableHeader(node));
     node.out.answers.push_back({ .exchange = arrived.exchange, .part = AnswerPart::Whole, .status = status, .headers = std::move(headers), .body = errorBody(code, text, true) });
 }
--- a/tests/node/UnreachableUpstreamsTest.cpp
+++ b/tests/node/UnreachableUpstreamsTest.cpp
@@ -194,6 +194,25 @@
     it.checkRuns();
 }
 
+// Guards against a caller that is told its route or key does not exist, since the request went by way of a node with older rules.
+BOOST_AUTO_TEST_CASE(OlderRulesOfAnotherNodeDenyNothing)
+{
+    CutFleet it;
+    it.cut(1, UpstreamPath::Refused);
+    it.sendRequests(learnedAfter);
+    for (size_t n = it.controls + 1; n < it.fleet.nodes.size() - 2; ++n)
+        it.fleet.nodes[n].node->forward.routes = makeRouteTable(std::make_shared<const RuleSet>());
+    const size_t from = it.sent.size();
+    for (int n = 0; n < 40; ++n) {
+        it.sendRequest(it.controls);
+        it.fleet.runFor(50_ms);
+    }
+    it.fleet.runFor(4_s);
+    BOOST_CHECK_GE(it.servedShare(from, false), 0.9);
+    for (size_t n = from; n < it.sent.size(); ++n)
+        BOOST_CHECK_NE(it.fleet.caller(it.sent[n].caller).status, 404);
+}
+
 // Guards against many requests that wait for a connection to the same upstream, which was not reached before and seems to be idle.
 BOOST_AUTO_TEST_CASE(OneRequestAtATimeTriesAnUnreachedUpstream)
 {
