Learn from relayed answers which upstream leaves

Found by reading the diff: a node that passes on an answer which says that its upstream leaves must send nothing to that upstream from then on, but did not know which one it was. The node that got the answer names it in the header between the two. LeavingIsLearnedFromRelayedAnswers fails before.

--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -231,8 +231,10 @@
 
 static void recordAnsweredLeaving(Node& node, const ForwardCall& call, const HttpHeaders& headers)
 {
-    ForwardTarget* target = findTarget(node.forward.targets, call.target);
-    if (!target || target->incarnation != call.targetIncarnation || target->answersLeaving || findHeader(headers, node.forward.headers.leaving) != "1")
+    if (findHeader(headers, node.forward.headers.leaving) != "1")
+        return;
+    ForwardTarget* target = findTarget(node.forward.targets, call.relay ? relayedFrom(node, headers) : call.target);
+    if (!target || target->answersLeaving || (!call.relay && target->incarnation != call.targetIncarnation))
         return;
     target->answersLeaving = true;
     recordLeaving(node, target->id, target->incarnation);
@@ -313,6 +315,10 @@
         return;
     call.status = event.status;
     call.headers = headersForCaller(event.headers);
+    std::erase_if(call.headers, [&](const auto& it) { return equalHeaderNames(it.first, forward.headers.relayed); });
+    // The node that passes the answer on to the caller has to know which upstream leaves.
+    if (call.fromNode && findHeader(event.headers, forward.headers.leaving) == "1")
+        call.headers.push_back(relayedFromHeader(node, call.targetName));
     call.contentLength = event.contentLength;
 }
 
--- a/src/node/ForwardRelay.cpp
+++ b/src/node/ForwardRelay.cpp
@@ -25,6 +25,7 @@
 static constexpr double exploringShare = 0.2;
 static constexpr const char* unrelayable = "unsent";
 static constexpr std::string_view anyReachSuffix = " any";
+static constexpr std::string_view fromPrefix = "from ";
 static constexpr int maxPossibleExecutions = 100;
 
 std::optional<RelayedRequest> parseRelayed(const Node& node, const HttpRequest& request)
@@ -50,6 +51,17 @@
     return { node.forward.headers.relayed, unrelayable };
 }
 
+std::pair<std::string, std::string> relayedFromHeader(const Node& node, const std::string& upstream)
+{
+    return { node.forward.headers.relayed, std::string(fromPrefix) + upstream };
+}
+
+UpstreamId relayedFrom(const Node& node, const HttpHeaders& headers)
+{
+    const auto text = findHeader(headers, node.forward.headers.relayed);
+    return text.starts_with(fromPrefix) ? idOfName<UpstreamId>(std::string(text.substr(fromPrefix.size()))) : UpstreamId {};
+}
+
 ReachedShare reachedShare(const Node& node, const std::string& backend)
 {
     const auto& forward = node.forward;
--- a/src/node/ForwardRelay.h
+++ b/src/node/ForwardRelay.h
@@ -25,6 +25,11 @@
 bool hasOtherEntryNodes(const Node&);
 /// Whether the request could go to another entry node that it has not been sent to.
 bool canRelay(Node&, const ForwardCall&);
+/// Header of an answer that names the upstream from which it comes.
+std::pair<std::string, std::string> relayedFromHeader(const Node&, const std::string& upstream);
+/// The upstream that relayedFromHeader() names; 0 if there is none.
+UpstreamId relayedFrom(const Node&, const HttpHeaders&);
+
 /// How many upstreams of the backend this node reaches, by its own attempts.
 ReachedShare reachedShare(const Node&, const std::string& backend);
 /// Whether the request should go to another entry node, rather than to an upstream.
--- a/tests/node/UnreachableUpstreamsTest.cpp
+++ b/tests/node/UnreachableUpstreamsTest.cpp
@@ -194,6 +194,31 @@
     it.checkRuns();
 }
 
+// Guards against a node that passes on an answer which says that its upstream leaves, and then sends to that upstream when it reaches it again.
+BOOST_AUTO_TEST_CASE(LeavingIsLearnedFromRelayedAnswers)
+{
+    CutFleet it;
+    it.cut(1, UpstreamPath::Refused);
+    it.sendRequests(learnedAfter);
+    const auto answer = it.fleet.forwardAnswer;
+    it.fleet.forwardAnswer = [&, answer](size_t node, const UpstreamDispatch& dispatch) {
+        auto headers = answer(node, dispatch);
+        if (dispatch.address == it.fleet.upstream("desk-0").announced.address)
+            headers->emplace_back(it.names.leaving, "1");
+        return headers;
+    };
+    const size_t from = it.sent.size();
+    for (int n = 0; n < 60; ++n) {
+        it.sendRequest(it.controls);
+        it.fleet.runFor(50_ms);
+    }
+    it.fleet.runFor(1_s);
+    const ForwardTarget* target = findTarget(it.fleet.nodes[it.controls].node->forward.targets, idOfName<UpstreamId>("desk-0"));
+    BOOST_CHECK(target && target->leaving);
+    for (size_t n = from; n < it.sent.size(); ++n)
+        BOOST_CHECK(findHeader(it.fleet.caller(it.sent[n].caller).headers, it.names.relayed).empty());
+}
+
 // Guards against a caller that is told its route or key does not exist, since the request went by way of a node with older rules.
 BOOST_AUTO_TEST_CASE(OlderRulesOfAnotherNodeDenyNothing)
 {
