--- a/src/forward/HeaderNames.h
+++ b/src/forward/HeaderNames.h
@@ -18,7 +18,7 @@
     std::string account = "Siskinshunt-Account"; ///< Client account of the caller.
     std::string urgency = "Siskinshunt-Urgency"; ///< 0 (most urgent) to 9.
     // Between entry nodes.
-    std::string relayed = "Siskinshunt-Relayed"; ///< See docs/interfaces.md; set and read in node/ForwardRelay.h.
+    std::string relayed = "Siskinshunt-Relayed"; ///< The request comes from a node that does not reach the upstreams, or how that went; see node/ForwardRelay.h.
     // From upstreams.
     std::string receipt = "Siskinshunt-Receipt"; ///< Proof that the response comes from the upstream itself.
     std::string notRun = "Siskinshunt-Not-Run"; ///< States that the upstream has not executed the request.
