Compare nodes that are cut off with others only while another one runs

Trace: eight of nine nodes are cut off, and the ninth, the only one that reaches upstreams, is killed 3.2 s after the cut began and starts again 1.3 s later; all failures are refusals in that time. Nobody could serve them, so the schedule now counts tries only while a node that is not cut off has run undisturbed.

--- a/src/soak/ReachSoak.cpp
+++ b/src/soak/ReachSoak.cpp
@@ -50,6 +50,8 @@
         void startCut();
         void sendRequest(size_t node);
         void restartUpstreams();
+        /// Whether a node that was not cut off had run undisturbed for some time, and goes on to, so that others could be served by way of it.
+        bool isServable(TimeMs at) const;
         void checkAnswers();
         void checkCut();
         UpstreamPath pathTo(size_t node, const std::string& address);
@@ -146,6 +148,15 @@
     m_sent.push_back({ caller, node, id, fleet.now, bad });
 }
 
+bool ReachSchedule::isServable(TimeMs at) const
+{
+    for (size_t n = voters; n < fleet.nodes.size(); ++n) {
+        if (!m_cut.nodes.contains(n) && fleet.nodes[n].node && !fleet.nodes[n].frozen && disturbedAt[n] < at - contactTime)
+            return true;
+    }
+    return false;
+}
+
 void ReachSchedule::checkAnswers()
 {
     std::erase_if(m_sent, [&](const SentRequest& it) {
@@ -156,7 +167,7 @@
             fail(it.id + " has no answer after " + std::to_string((fleet.now - it.at).value) + " ms");
         if (caller.done && !caller.headers.empty() && findHeader(caller.headers, m_names.requestId) != it.id)
             fail(it.id + " got the answer of another request");
-        const bool counts = !it.bad && it.at - m_cut.since > contactTime && it.at < m_cut.until && isInTouch(it.node) && disturbedAt[it.node] < it.at - contactTime;
+        const bool counts = !it.bad && isServable(it.at) && it.at - m_cut.since > contactTime && it.at < m_cut.until && isInTouch(it.node) && disturbedAt[it.node] < it.at - contactTime;
         auto& tries = m_cut.tries[m_cut.nodes.contains(it.node) ? 0 : 1];
         tries.first += counts ? 1 : 0;
         tries.second += counts && caller.status == 200 && !caller.aborted ? 1 : 0;
