Charge requests that come back from other entry nodes

When the other nodes did not send it on and this node sent it itself after all, nobody charged it, and nodes that reach few upstreams sent beyond the limit.

It is charged again before this node sends it, or refused.

--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -37,6 +37,7 @@
 static constexpr double overloadWaitRatio = 1.4;
 // A stream in progress that can be sent nowhere is tried again after this time.
 static constexpr TimeMs resumeInterval { 100 };
+static constexpr TimeMs minAllowanceRetryAfter { 100 };
 static constexpr TimeMs minQuarantineRetryAfter { 1000 };
 static constexpr size_t maxHistograms = 512;
 
@@ -377,6 +378,16 @@
     return true;
 }
 
+// Charges a request that was given back to the allowance when it went to another entry node, before this node sends it itself. Returns false if
+// the allowance is used up.
+static bool chargeAgain(Node& node, ForwardCall& call)
+{
+    if (!call.account || call.charged || call.possibleExecutions)
+        return true;
+    call.charged = consumeAllowance(node.forward.allowances, node.now, *call.account, call.cost);
+    return call.charged;
+}
+
 // Whether an attempt of this node is in vain: it reaches no upstream, or the node which has sent the request can ask others that reach more.
 static bool isFutile(Node& node, const ForwardCall& call)
 {
@@ -428,6 +439,8 @@
     const ForwardTarget& target = *findTarget(forward.targets, choice->target);
     if (target.engine && isOverloaded(call, *choice))
         return refuseForward(node, call, 503, "overloaded", "all engines are busy for longer than the route's target", { static_cast<int64_t>(choice->backlogMs) });
+    if (!chargeAgain(node, call))
+        return refuseForward(node, call, 429, "over_allowance", "the account has used its allowance", std::max(timeUntilAllowance(node.forward.allowances, node.now, *call.account, call.cost), minAllowanceRetryAfter));
     sendAttempt(node, call, target, *choice);
 }
 
@@ -479,7 +492,7 @@
     const double cost = !account ? 0 : account->tokens ? static_cast<double>(metadata.tokens.value_or(static_cast<uint64_t>(account->plainTokens)))
                                                        : 1;
     if (account && !consumeAllowance(forward.allowances, node.now, *account, cost))
-        return refuseArrival(node, arrived, 429, "over_allowance", "the account has used its allowance", std::max(timeUntilAllowance(forward.allowances, node.now, *account, cost), 100_ms), account->name);
+        return refuseArrival(node, arrived, 429, "over_allowance", "the account has used its allowance", std::max(timeUntilAllowance(forward.allowances, node.now, *account, cost), minAllowanceRetryAfter), account->name);
     const auto relayed = parseRelayed(node, request);
     ForwardCall& call = addCall(node, std::move(arrived), *rule, account, std::move(metadata), cost);
     call.backend = pickBackend(node, call);
--- a/tests/node/UnreachableUpstreamsTest.cpp
+++ b/tests/node/UnreachableUpstreamsTest.cpp
@@ -238,6 +238,35 @@
         BOOST_CHECK_NE(it.fleet.caller(it.sent[n].caller).status, 404);
 }
 
+// Guards against requests that are not charged to the allowance of their account: given back when they went to another node, which did not send
+// them on, and then sent by this node.
+BOOST_AUTO_TEST_CASE(RequestsThatComeBackAreCharged)
+{
+    CutFleet it;
+    const std::string author = " # Asma: test\n";
+    const std::string limited = "allowance tin rate=20 burst=20" + author + "caller-key t account=tin token-sha256=" + sha256Hex("t") + author;
+    const auto applied = it.fleet.apply(0, "limited", 2, ForwardNode::rulesText() + limited, "omar");
+    BOOST_REQUIRE(waitFor(it.fleet, applied, 6_s));
+    BOOST_REQUIRE(it.fleet.runUntil([&] { return it.fleet.agreeOnRevision(3); }, 5_s));
+    // All nodes reach the same two of six engines, so each asks others in vain and then sends itself.
+    it.path = UpstreamPath::Refused;
+    it.isCut = [&](size_t, const std::string& address) { return it.fleet.upstreams.at(address).announced.model == "lm" && address != it.fleet.upstream("lm-0").announced.address && address != it.fleet.upstream("lm-1").announced.address; };
+    const auto send = [&](TimeMs duration) {
+        for (const TimeMs end = it.fleet.now + duration; it.fleet.now < end; it.fleet.runFor(10_ms)) {
+            const size_t node = it.controls + it.fleet.random.below(it.fleet.nodes.size() - it.controls);
+            const std::string id = "t" + std::to_string(++it.requests);
+            it.fleet.post(node, { "POST", "/ask/1", { { "Host", "h" }, { "Authorization", "Bearer t" }, { it.names.requestId, id }, { it.names.tokens, "210,10" }, { it.names.timeLeft, "3000" } }, "body " + id }, ListenerKind::Forward);
+        }
+    };
+    it.sendRequests(learnedAfter);
+    it.fleet.runFor(1_s);
+    const size_t before = it.runs.size();
+    send(8_s);
+    // The rate, the burst and a tenth of both.
+    BOOST_CHECK_LE(it.runs.size() - before, (8 * 20 + 20) * 1.1);
+    BOOST_CHECK_GE(it.runs.size() - before, 8 * 20 / 2);
+}
+
 // Guards against many requests that wait for a connection to the same upstream, which was not reached before and seems to be idle.
 BOOST_AUTO_TEST_CASE(OneRequestAtATimeTriesAnUnreachedUpstream)
 {
