Rank nodes by their hashes with an upstream in one place

The places at brittle upstreams ordered the nodes by the same computation as the shares of limits. Both call rankAmongNodes() now. No change of behaviour.

--- a/src/forward/BrittleLimit.cpp
+++ b/src/forward/BrittleLimit.cpp
@@ -1,6 +1,6 @@
 #include "forward/BrittleLimit.h"
 
-#include "base/Hash.h"
+#include "forward/UpstreamRank.h"
 
 #include <algorithm>
 
@@ -14,8 +14,7 @@
 void setPlaces(BrittleLimit& limit, UpstreamId upstream, uint32_t slots, NodeId self, const std::vector<NodeId>& nodes)
 {
     limit.nodes = std::max<size_t>(1, nodes.size());
-    const uint64_t own = combineHash(upstream.value, self.value);
-    const auto rank = static_cast<size_t>(std::count_if(nodes.begin(), nodes.end(), [&](NodeId id) { return combineHash(upstream.value, id.value) > own; }));
+    const size_t rank = rankAmongNodes(upstream, self, nodes);
     limit.places = static_cast<uint32_t>(slots / limit.nodes) + (rank < slots % limit.nodes ? 1 : 0);
 }
 
--- a/src/forward/TargetLimit.cpp
+++ b/src/forward/TargetLimit.cpp
@@ -1,5 +1,7 @@
 #include "forward/TargetLimit.h"
 
+#include "forward/UpstreamRank.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -17,13 +19,6 @@
     return std::min(nodes, static_cast<size_t>(std::min(perSecond, 1e6) + burstRequests));
 }
 
-// Position of `self` among the nodes in the order of their hashes with the upstream.
-static size_t rankOf(UpstreamId upstream, NodeId self, const std::vector<NodeId>& nodes)
-{
-    const uint64_t own = combineHash(upstream.value, self.value);
-    return static_cast<size_t>(std::count_if(nodes.begin(), nodes.end(), [&](NodeId id) { return combineHash(upstream.value, id.value) > own; }));
-}
-
 static double levelAt(const TargetLimit& limit, TimeMs now)
 {
     return std::min(limit.burst, limit.level + limit.share * std::max(now - limit.updatedAt, TimeMs {}).seconds());
@@ -37,7 +32,7 @@
     if (limit.perSecond && std::find(nodes.begin(), nodes.end(), self) != nodes.end()) {
         const double perSecond = std::max(*limit.perSecond, minPerSecond);
         const size_t sharing = sharingNodeCount(perSecond, nodes.size());
-        if (rankOf(upstream, self, nodes) < sharing) {
+        if (rankAmongNodes(upstream, self, nodes) < sharing) {
             limit.share = perSecond / static_cast<double>(sharing);
             limit.burst = std::max(1.0, (perSecond * burstSeconds + burstRequests) / static_cast<double>(sharing));
         }
