Compute the reached share once per attempt

startAttempt() counted the reached upstreams up to three times while a node is cut off, and the expiry of crash evidence walked the suspects twice. No change of behaviour.

--- a/src/forward/CrashQuarantine.cpp
+++ b/src/forward/CrashQuarantine.cpp
@@ -213,9 +213,11 @@
 void expireCrashEvidence(CrashQuarantine& quarantine, TimeMs now)
 {
     const auto& options = quarantine.options;
-    std::erase_if(quarantine.suspects, [&](const auto& it) { return now - it.second.crashes.back().at > options.maxRetry * 2; });
     // A suspect without enough crashes is no more likely to be at fault than others some time later.
-    std::erase_if(quarantine.suspects, [&](const auto& it) { return it.second.crashes.size() < options.minCrashes && now - it.second.crashes.back().at > options.firstRetry; });
+    std::erase_if(quarantine.suspects, [&](const auto& it) {
+        const auto& crashes = it.second.crashes;
+        return now - crashes.back().at > (crashes.size() < options.minCrashes ? options.firstRetry : options.maxRetry * 2);
+    });
     for (auto& table : quarantine.answered)
         std::erase_if(table, [&](const auto& it) { return now - it.second.at > options.answerWindow * 4; });
 }
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -389,9 +389,8 @@
 }
 
 // Whether an attempt of this node is in vain: it reaches no upstream, or the node which has sent the request can ask others that reach more.
-static bool isFutile(Node& node, const ForwardCall& call)
+static bool isFutile(Node& node, const ForwardCall& call, ReachedShare reached)
 {
-    const ReachedShare reached = reachedShare(node, call.backend);
     if (call.fromNode)
         return reached == ReachedShare::None || (reached == ReachedShare::Few && !call.fromUnreaching) || lacksPlaces(node, call.backend);
     return node.forward.reach[call.backend].lost && hasOtherEntryNodes(node);
@@ -415,11 +414,12 @@
         return;
     if (call.deadline - node.now <= minAttemptTime)
         return refuseForward(node, call, call.possibleExecutions ? 504 : 503, "out_of_time", "the time for an answer is over");
-    const bool probes = reachedShare(node, call.backend) != ReachedShare::Most && canProbe(node, call) && takeProbe(forward.reach[call.backend], node.now);
-    const bool relay = !probes && prefersRelay(node, call);
+    const ReachedShare reached = reachedShare(node, call.backend);
+    const bool probes = reached != ReachedShare::Most && canProbe(node, call) && takeProbe(forward.reach[call.backend], node.now);
+    const bool relay = !probes && prefersRelay(node, call, reached);
     if (relay && relayForward(node, call))
         return;
-    if (!probes && !call.headForwarded && isFutile(node, call))
+    if (!probes && !call.headForwarded && isFutile(node, call, reached))
         return refuseForward(node, call, call.possibleExecutions ? 502 : 503, "no_upstream", "no upstream of " + call.backend + " is reached", call.possibleExecutions ? TimeMs {} : noTargetRetryAfter);
     ChoiceRequest request { .backend = call.backend, .parts = call.parts, .promptTokens = call.promptTokens, .urgency = call.urgency, .tried = call.tried, .triesUnreached = probes, .allowed = versionFilter(node, call) };
     auto choice = chooseTarget(forward.targets, forward.parts, forward.choice, request, node.now, node.random);
--- a/src/node/ForwardRelay.cpp
+++ b/src/node/ForwardRelay.cpp
@@ -74,9 +74,9 @@
     return node.now - it->second.unreachedAt <= unreachedWindow ? reachedShare(forward.targets, backend, node.now, forward.choice.staleAfter) : ReachedShare::Most;
 }
 
-bool prefersRelay(const Node& node, const ForwardCall& call)
+bool prefersRelay(const Node& node, const ForwardCall& call, ReachedShare reached)
 {
-    return !call.fromNode && (call.relay || call.unreachable >= maxUnreachable || reachedShare(node, call.backend) != ReachedShare::Most || lacksPlaces(node, call.backend));
+    return !call.fromNode && (call.relay || call.unreachable >= maxUnreachable || reached != ReachedShare::Most || lacksPlaces(node, call.backend));
 }
 
 // Entry nodes that the request can go to: those that have served lately, or most often, and else the others.
@@ -105,7 +105,7 @@
 
 bool canRelay(Node& node, const ForwardCall& call)
 {
-    return prefersRelay(node, call) && call.relays.size() < maxRelays && !relayCandidates(node, call).empty();
+    return prefersRelay(node, call, reachedShare(node, call.backend)) && call.relays.size() < maxRelays && !relayCandidates(node, call).empty();
 }
 
 static HttpRequest relayRequest(const Node& node, const ForwardCall& call)
--- a/src/node/ForwardRelay.h
+++ b/src/node/ForwardRelay.h
@@ -32,8 +32,8 @@
 
 /// How many upstreams of the backend this node reaches, by its own attempts.
 ReachedShare reachedShare(const Node&, const std::string& backend);
-/// Whether the request should go to another entry node, rather than to an upstream.
-bool prefersRelay(const Node&, const ForwardCall&);
+/// Whether the request should go to another entry node, rather than to an upstream of which this node reaches this share.
+bool prefersRelay(const Node&, const ForwardCall&, ReachedShare);
 /// Sends the request to another entry node; returns false if there is none to try.
 bool relayForward(Node&, ForwardCall&);
 /// Records an answer that came by way of the entry node which has the request.
