Start the schedules of entry nodes in one place

EntrySoak and ReachSoak started the fleet and waited for its rules with the same lines; FaultSchedule::start() does it for both.

--- a/src/soak/EntrySoak.cpp
+++ b/src/soak/EntrySoak.cpp
@@ -191,15 +191,8 @@
 {
     const std::string author = " # Asma: soak\n";
     const std::string rules = "backend desk" + author + "forward look host=h prefix=/look/ kind=repeatable timeout=1s target=150ms attempts=2 anonymous=yes to=desk:1" + author;
-    if (!fleet.startCluster()) {
-        fail("the fleet did not start");
+    if (!start(rules))
         return result;
-    }
-    const auto applied = fleet.apply(0, "forwards", 1, rules, "omar");
-    if (!fleet.runUntil([&] { return fleet.caller(applied).done && fleet.agreeOnRevision(2); }, 15_s)) {
-        fail("the rules are not in force");
-        return result;
-    }
     fleet.forwardAnswer = [this](size_t node, const UpstreamDispatch& dispatch) { return answer(node, dispatch); };
     for (int step = 0; step < 200 && result.violation.empty(); ++step) {
         // Faults come in series, with quiet spans between them in which all rules bind.
--- a/src/soak/FaultSchedule.cpp
+++ b/src/soak/FaultSchedule.cpp
@@ -20,6 +20,19 @@
         result.violation = text + " at " + std::to_string(fleet.now.value % 10000000) + " ms";
 }
 
+bool FaultSchedule::start(const std::string& rules)
+{
+    if (!fleet.startCluster()) {
+        fail("the fleet did not start");
+        return false;
+    }
+    const auto applied = fleet.apply(0, "forwards", 1, rules, "omar");
+    if (fleet.runUntil([&] { return fleet.caller(applied).done && fleet.agreeOnRevision(2); }, 15_s))
+        return true;
+    fail("the rules are not in force");
+    return false;
+}
+
 bool FaultSchedule::isInTouch(size_t node) const
 {
     const TimeMs since = fleet.now - contactTime;
--- a/src/soak/FaultSchedule.h
+++ b/src/soak/FaultSchedule.h
@@ -13,6 +13,8 @@
 
     FaultSchedule(uint64_t seed, NodeFleetOptions (*makeOptions)(Random&, uint64_t seed));
 
+    /// Starts the fleet and applies the rules; records a violation and returns false if they are not in force in time.
+    bool start(const std::string& rules);
     bool isVoter(size_t node) const { return node < voters; }
     size_t randomEntry() { return voters + random.below(fleet.nodes.size() - voters); }
     /// Whether the node and all voters have run undisturbed for some time, with links in both directions.
--- a/src/soak/ReachSoak.cpp
+++ b/src/soak/ReachSoak.cpp
@@ -195,15 +195,8 @@
         + "forward look host=h prefix=/look/ kind=repeatable timeout=1s target=150ms attempts=2 anonymous=yes to=desk:1" + author
         + "forward plan host=h prefix=/plan/ kind=stream timeout=4s target=800ms gap=250ms attempts=2 resume=yes anonymous=yes to=lm:1" + author
         + "forward ask host=h prefix=/ask/ kind=stream timeout=4s target=600ms gap=250ms attempts=1 resume=no anonymous=yes to=lm:1" + author;
-    if (!fleet.startCluster()) {
-        fail("the fleet did not start");
+    if (!start(rules))
         return result;
-    }
-    const auto applied = fleet.apply(0, "forwards", 1, rules, "omar");
-    if (!fleet.runUntil([&] { return fleet.caller(applied).done && fleet.agreeOnRevision(2); }, 15_s)) {
-        fail("the rules are not in force");
-        return result;
-    }
     fleet.upstreamPath = [&](size_t node, const std::string& address) { return pathTo(node, address); };
     fleet.arrived = [&](size_t node, const UpstreamDispatch& dispatch) { return arrive(node, dispatch); };
     fleet.forwardAnswer = [&](size_t, const UpstreamDispatch& dispatch) -> std::optional<HttpHeaders> {
