--- a/tests/node/BrittleUpstreamTest.cpp
+++ b/tests/node/BrittleUpstreamTest.cpp
@@ -18,17 +18,14 @@
     // its answers fails.
     struct BrittleFleet {
         BrittleFleet(int entries, size_t limit)
-            : fleet({ .nodes = controls + entries, .voters = controls, .disks = controls, .ledgerGroups = 0, .forwards = true, .announceNodes = static_cast<size_t>(controls) })
+            : fleet(forwardFleetOptions(entries, controls))
             , maxRefused(limit)
         {
             for (int n = 0; n < upstreams; ++n) {
                 fleet.addUpstream("desk-" + std::to_string(n), UpstreamKind::Service, "desk", "lhr-depot");
                 fleet.upstream("desk-" + std::to_string(n)).latency = latency;
             }
-            BOOST_REQUIRE(fleet.startCluster());
-            const auto applied = fleet.apply(0, "forwards", 1, ForwardNode::rulesText(), "omar");
-            BOOST_REQUIRE(waitFor(fleet, applied, 6_s));
-            BOOST_REQUIRE(fleet.runUntil([&] { return fleet.agreeOnRevision(2); }, 5_s));
+            startForwardFleet(fleet);
             fleet.forwardAnswer = [this](size_t, const UpstreamDispatch& dispatch) -> std::optional<HttpHeaders> { return arrive(dispatch); };
             fleet.forwardStatus = [this](const UpstreamDispatch& dispatch) { return refused.contains(dispatch.idValue) ? uint16_t { 503 } : uint16_t { 200 }; };
             fleet.runFor(5_s);
--- a/tests/node/CrashFleet.h
+++ b/tests/node/CrashFleet.h
@@ -26,15 +26,12 @@
 struct CrashFleet {
     explicit CrashFleet(CrashFleetOptions given)
         : options(std::move(given))
-        , fleet({ .nodes = options.controls + options.entries, .voters = std::min(options.controls, 7), .disks = options.controls, .ledgerGroups = 0, .forwards = true, .announceNodes = static_cast<size_t>(options.controls) })
+        , fleet(forwardFleetOptions(options.entries, options.controls))
         , controls(static_cast<size_t>(options.controls))
     {
         for (int n = 0; n < options.upstreams; ++n)
             fleet.addUpstream("upstream-" + std::to_string(n), UpstreamKind::Service, options.backend, "lhr-depot");
-        BOOST_REQUIRE(fleet.startCluster());
-        const auto applied = fleet.apply(0, "forwards", 1, ForwardNode::rulesText(), "omar");
-        BOOST_REQUIRE(waitFor(fleet, applied, 6_s));
-        BOOST_REQUIRE(fleet.runUntil([&] { return fleet.agreeOnRevision(2); }, 5_s));
+        startForwardFleet(fleet);
         fleet.forwardAnswer = [this](size_t, const UpstreamDispatch& dispatch) -> std::optional<HttpHeaders> {
             if (options.isBad(dispatch.request))
                 return std::nullopt;
@@ -94,6 +91,21 @@
         (bad ? badCallers : soundCallers).push_back(caller);
     }
 
+    /// Restarts each `step`-th entry node, one after the other, and checks that none of them sends bad requests once it is in touch.
+    void checkLearnedByNodesThatRestart(size_t step)
+    {
+        sendRequests(8_s, 100_ms);
+        for (size_t n = controls; n < fleet.nodes.size(); n += step) {
+            fleet.kill(n, false);
+            fleet.runFor(200_ms);
+            fleet.start(n);
+            // Until it is in touch again, callers do not use it.
+            fleet.runFor(learnedAfter);
+            sendRequests(2_s, 100_ms);
+        }
+        BOOST_CHECK_LE(laterArrivals, maxLaterArrivals);
+    }
+
     double answeredShare(const std::vector<uint64_t>& callers)
     {
         const auto answered = std::count_if(callers.begin(), callers.end(), [&](uint64_t it) { return fleet.caller(it).done && fleet.caller(it).status == 200; });
--- a/tests/node/CrashingRequestTest.cpp
+++ b/tests/node/CrashingRequestTest.cpp
@@ -80,16 +80,7 @@
 BOOST_AUTO_TEST_CASE(AreLearnedByNodesThatRestart)
 {
     CrashFleet it(badRequest("/look/1", 0.3));
-    it.sendRequests(8_s, 100_ms);
-    for (size_t n = it.controls; n < it.fleet.nodes.size(); n += 2) {
-        it.fleet.kill(n, false);
-        it.fleet.runFor(200_ms);
-        it.fleet.start(n);
-        // Until it is in touch again, callers do not use it.
-        it.fleet.runFor(learnedAfter);
-        it.sendRequests(2_s, 100_ms);
-    }
-    BOOST_CHECK_LE(it.laterArrivals, maxLaterArrivals);
+    it.checkLearnedByNodesThatRestart(2);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/node/ForwardFixture.h
+++ b/tests/node/ForwardFixture.h
@@ -163,4 +163,19 @@
     std::vector<LogRecord> logs;
 };
 
+/// Options of a fleet whose first nodes have a data folder and take the announcements; all others are entry nodes.
+inline NodeFleetOptions forwardFleetOptions(int entries, int controls)
+{
+    return { .nodes = controls + entries, .voters = std::min(controls, 7), .disks = controls, .ledgerGroups = 0, .forwards = true, .announceNodes = static_cast<size_t>(controls) };
+}
+
+/// Starts the fleet with the rules of ForwardNode and waits until they are in force.
+inline void startForwardFleet(NodeFleet& fleet)
+{
+    BOOST_REQUIRE(fleet.startCluster());
+    const auto applied = fleet.apply(0, "forwards", 1, ForwardNode::rulesText(), "omar");
+    BOOST_REQUIRE(waitFor(fleet, applied, 6_s));
+    BOOST_REQUIRE(fleet.runUntil([&] { return fleet.agreeOnRevision(2); }, 5_s));
+}
+
 }
--- a/tests/node/UnreachableUpstreamsTest.cpp
+++ b/tests/node/UnreachableUpstreamsTest.cpp
@@ -13,17 +13,14 @@
     // Entry nodes with callers, some of which are cut off from upstreams; callers and the other nodes still reach them.
     struct CutFleet {
         explicit CutFleet(int entries = 8, int controls = 5)
-            : fleet({ .nodes = controls + entries, .voters = std::min(controls, 7), .disks = controls, .ledgerGroups = 0, .forwards = true, .announceNodes = static_cast<size_t>(controls) })
+            : fleet(forwardFleetOptions(entries, controls))
             , controls(static_cast<size_t>(controls))
         {
             for (int n = 0; n < services; ++n)
                 fleet.addUpstream("desk-" + std::to_string(n), UpstreamKind::Service, "desk", "lhr-depot");
             for (int n = 0; n < engines; ++n)
                 fleet.addUpstream("lm-" + std::to_string(n), UpstreamKind::Service, "lm", "lhr-depot");
-            BOOST_REQUIRE(fleet.startCluster());
-            const auto applied = fleet.apply(0, "forwards", 1, ForwardNode::rulesText(), "omar");
-            BOOST_REQUIRE(waitFor(fleet, applied, 6_s));
-            BOOST_REQUIRE(fleet.runUntil([&] { return fleet.agreeOnRevision(2); }, 5_s));
+            startForwardFleet(fleet);
             fleet.forwardAnswer = [this](size_t, const UpstreamDispatch& dispatch) -> std::optional<HttpHeaders> {
                 ++runs[dispatch.idValue];
                 return HttpHeaders { { names.requestId, dispatch.idValue }, { names.receipt, "proof" } };
--- a/tests/node/UpstreamLimitTest.cpp
+++ b/tests/node/UpstreamLimitTest.cpp
@@ -24,15 +24,12 @@
     // A fleet of entry nodes, each with callers; the upstream "desk-0" names a limit in its answers.
     struct LimitFleet {
         LimitFleet(int entries, int controls, int upstreams)
-            : fleet({ .nodes = controls + entries, .voters = std::min(controls, 7), .disks = controls, .ledgerGroups = 0, .forwards = true, .announceNodes = static_cast<size_t>(controls) })
+            : fleet(forwardFleetOptions(entries, controls))
             , controls(static_cast<size_t>(controls))
         {
             for (int n = 0; n < upstreams; ++n)
                 fleet.addUpstream("desk-" + std::to_string(n), UpstreamKind::Service, "desk", "lhr-depot");
-            BOOST_REQUIRE(fleet.startCluster());
-            const auto applied = fleet.apply(0, "forwards", 1, ForwardNode::rulesText(), "omar");
-            BOOST_REQUIRE(waitFor(fleet, applied, 6_s));
-            BOOST_REQUIRE(fleet.runUntil([&] { return fleet.agreeOnRevision(2); }, 5_s));
+            startForwardFleet(fleet);
             fleet.forwardAnswer = [this](size_t node, const UpstreamDispatch& dispatch) { return answer(node, dispatch); };
             fleet.runFor(5_s);
         }
