Let voters go on after their disks were full

Cause: a write that finds the disk full stopped the voter until a restart of its process (Storage refuses every write after a failed one, the replica stops for good). Each full disk took one voter out; the third one of five took the quorum, and no configuration was acknowledged from then on, though every disk had had space again for seconds.

A write that the full disk refuses is now repeated until the disk takes it, for 10 minutes at most, and the files are recovered before as by a restart. The voter neither votes nor acknowledges meanwhile, as with a stalled disk. A failed sync stays final, since what it leaves on the disk is unknown.

--- a/src/entry/Daemon.cpp
+++ b/src/entry/Daemon.cpp
@@ -11,7 +11,7 @@
 #include "node/Node.h"
 #include "storage/FileDisk.h"
 #include "storage/Identity.h"
-#include "storage/Storage.h"
+#include "storage/RetryingStorage.h"
 
 #include <boost/asio.hpp>
 #include <chrono>
@@ -25,6 +25,11 @@
 
 // Interval of checks for a changed settings file. The platform may replace the file without sending SIGHUP.
 static constexpr TimeMs settingsCheckInterval { 1000 };
+// A write to a full disk is repeated after these times.
+static constexpr TimeMs minDiskRetryDelay { 250 };
+static constexpr TimeMs maxDiskRetryDelay { 1000 };
+// Time after which a voter with a full disk stops: what it has not stored is kept in memory.
+static constexpr TimeMs maxDiskFullTime { 600000 };
 
 namespace {
 
@@ -55,7 +60,7 @@
     // Open data folder and the state recovered from it; empty for a node without one.
     struct DataFolder {
         std::unique_ptr<FileDisk> disk;
-        std::unique_ptr<Storage> storage;
+        RetryingStorage storage;
         VoterId voter;
         std::map<GroupId, GroupState> recovered;
     };
@@ -69,6 +74,8 @@
         void apply(Inputs);
         void executeOutputs(Outputs&);
         void writeDisk(std::vector<DiskRequest>);
+        WriteOutcome writeUntilTaken(std::span<const DiskRequest>);
+        void postLog(LogRecord);
         void handleDiskCompletion(Inputs);
         void tick();
         void waitForTick(TimeMs delay, bool isRepeat);
@@ -111,10 +118,10 @@
     const VoterId newVoter { static_cast<uint64_t>(device()) << 32 | device() | 1 };
     BOOST_LEAF_AUTO(identity, openIdentity(*out.disk, { .cluster = settings.cluster, .node = settings.node, .voter = newVoter }));
     out.voter = identity.voter;
-    BOOST_LEAF_ASSIGN(out.storage, Storage::open(*out.disk, { .cluster = hash64(settings.cluster) }));
-    for (const auto& record : out.storage->log())
+    BOOST_LEAF_ASSIGN(out.storage, openRetryingStorage(*out.disk, { .cluster = hash64(settings.cluster) }));
+    for (const auto& record : out.storage.storage->log())
         writeLog(record);
-    out.recovered = out.storage->takeRecovered();
+    out.recovered = out.storage.storage->takeRecovered();
     return out;
 }
 
@@ -227,21 +234,41 @@
     auto batch = std::make_shared<std::vector<DiskRequest>>(std::move(m_pendingDiskRequests));
     m_pendingDiskRequests.clear();
     m_diskThread.post([this, batch] {
-        std::string problem;
+        WriteOutcome outcome = writeUntilTaken(*batch);
         Inputs inputs;
-        const bool ok = handle(
-            [&]() -> Result<bool> {
-                BOOST_LEAF_AUTO(report, m_folder.storage->write(*batch));
-                inputs.pinning = std::move(report.pinning);
-                return true;
-            },
-            [&](const Error& error) { problem = toString(error); return false; });
+        inputs.pinning = std::move(outcome.report.pinning);
         for (const auto& request : *batch)
-            inputs.completions.push_back({ request.group, request.id, ok, problem });
+            inputs.completions.push_back({ request.group, request.id, outcome.state == WriteState::Written, outcome.error });
         asio::post(m_context, [this, inputs = std::move(inputs)]() mutable { handleDiskCompletion(std::move(inputs)); });
     });
 }
 
+// Runs on the disk thread, which must not write the log itself.
+void Daemon::postLog(LogRecord record)
+{
+    asio::post(m_context, [record = std::move(record)] { writeLog(record); });
+}
+
+// Runs on the disk thread. While the disk is full, the voter neither votes nor acknowledges entries, as with a disk that does not respond.
+WriteOutcome Daemon::writeUntilTaken(std::span<const DiskRequest> requests)
+{
+    TimeMs waited;
+    for (TimeMs delay = minDiskRetryDelay;; delay = std::min(delay * 2, maxDiskRetryDelay)) {
+        WriteOutcome outcome = write(m_folder.storage, requests);
+        for (auto& record : outcome.log)
+            postLog(std::move(record));
+        if (outcome.state == WriteState::Written && waited > TimeMs {})
+            postLog({ LogLevel::Info, "disk_has_space", Step::Append, m_settings.dataFolder, "the disk takes bytes again", { { "full_ms", std::to_string(waited.value) } } });
+        if (outcome.state != WriteState::Full || waited >= maxDiskFullTime)
+            return outcome;
+        if (waited == TimeMs {})
+            postLog({ LogLevel::Error, "disk_full", Step::Append, m_settings.dataFolder, "this voter waits until the disk takes bytes again: " + outcome.error, {} });
+        if (!m_diskThread.wait(delay))
+            return outcome;
+        waited = waited + delay;
+    }
+}
+
 void Daemon::handleDiskCompletion(Inputs inputs)
 {
     m_diskWriteActive = false;
--- a/src/entry/DiskThread.cpp
+++ b/src/entry/DiskThread.cpp
@@ -1,5 +1,7 @@
 #include "entry/DiskThread.h"
 
+#include "entry/ToChrono.h"
+
 namespace siskinshunt {
 
 DiskThread::DiskThread()
@@ -26,6 +28,12 @@
     m_condition.notify_one();
 }
 
+bool DiskThread::wait(TimeMs time)
+{
+    std::unique_lock lock(m_mutex);
+    return !m_condition.wait_for(lock, toChrono(time), [this] { return m_stopping; });
+}
+
 void DiskThread::run()
 {
     std::unique_lock lock(m_mutex);
--- a/src/entry/DiskThread.h
+++ b/src/entry/DiskThread.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/TimeMs.h"
+
 #include <condition_variable>
 #include <deque>
 #include <functional>
@@ -19,6 +21,8 @@
     DiskThread& operator=(const DiskThread&) = delete;
 
     void post(std::function<void()> task);
+    /// Called by a task: waits for this time. Returns false at once when the thread is to end.
+    bool wait(TimeMs);
 
 private:
     void run();
--- a/src/soak/NodeFleet.cpp
+++ b/src/soak/NodeFleet.cpp
@@ -12,6 +12,7 @@
 namespace json = boost::json;
 
 static constexpr uint16_t firstPeerPort = 7000;
+static constexpr TimeMs diskRetryDelay { 200 }; ///< After a write that found the disk full.
 static const std::string announceToken = "announce-token";
 static const char* const domains[] = { "lhr-depot", "lhr-gulberg", "lhr-shahdara" };
 
@@ -108,11 +109,13 @@
     auto& it = nodes[n];
     NodeOptions made { .settings = it.settings, .startedAtUtc = now, .seed = random.next(), .voter = it.voter, .recovered = {}, .dialect = options.dialect };
     if (it.disk) {
-        it.storage = handle([&] { return Storage::open(*it.disk, { .cluster = hash64(it.settings.cluster) }); },
-            [&](const Error& error) { violations.push_back(toString(error)); return std::unique_ptr<Storage>(); });
+        it.storage = handle([&]() -> Result<std::unique_ptr<RetryingStorage>> {
+            BOOST_LEAF_AUTO(storage, openRetryingStorage(*it.disk, { .cluster = hash64(it.settings.cluster) }));
+            return std::make_unique<RetryingStorage>(std::move(storage)); },
+            [&](const Error& error) { violations.push_back(toString(error)); return std::unique_ptr<RetryingStorage>(); });
         if (!it.storage)
             return;
-        made.recovered = it.storage->takeRecovered();
+        made.recovered = it.storage->storage->takeRecovered();
     }
     it.node = handle([&] { return makeNode(std::move(made), now); }, [&](const Error& error) { violations.push_back(toString(error)); return NodePtr(); });
     it.stopped = false;
@@ -284,31 +287,30 @@
     if (it.writing || it.pendingDiskRequests.empty())
         return;
     it.writing = true;
-    auto batch = std::make_shared<std::vector<DiskRequest>>(std::move(it.pendingDiskRequests));
+    auto batch = std::make_shared<const std::vector<DiskRequest>>(std::move(it.pendingDiskRequests));
     it.pendingDiskRequests.clear();
-    scheduleAfter(it.diskDelay, [this, n, generation = it.generation, batch] {
-        auto& it = nodes[n];
-        if (it.generation != generation)
+    scheduleAfter(it.diskDelay, [this, n, generation = it.generation, batch] { writeBatch(n, generation, batch); });
+}
+
+void NodeFleet::writeBatch(size_t n, uint64_t generation, std::shared_ptr<const std::vector<DiskRequest>> batch)
+{
+    auto& it = nodes[n];
+    if (it.generation != generation)
+        return;
+    const WriteOutcome outcome = write(*it.storage, *batch);
+    if (outcome.state == WriteState::Full)
+        return scheduleAfter(diskRetryDelay, [this, n, generation, batch] { writeBatch(n, generation, batch); });
+    Inputs inputs;
+    inputs.pinning = outcome.report.pinning;
+    for (const auto& request : *batch)
+        inputs.completions.push_back({ request.group, request.id, outcome.state == WriteState::Written, outcome.error });
+    scheduleAfter(TimeMs { random.between(0, 3) }, [this, n, generation, inputs = std::move(inputs)]() mutable {
+        if (nodes[n].generation != generation)
             return;
-        Inputs inputs;
-        std::string problem;
-        const bool ok = handle(
-            [&]() -> Result<bool> {
-                BOOST_LEAF_AUTO(written, it.storage->write(*batch));
-                inputs.pinning = std::move(written.pinning);
-                return true;
-            },
-            [&](const Error& error) { problem = toString(error); return false; });
-        for (const auto& request : *batch)
-            inputs.completions.push_back({ request.group, request.id, ok, problem });
-        scheduleAfter(TimeMs { random.between(0, 3) }, [this, n, generation, inputs = std::move(inputs)]() mutable {
-            if (nodes[n].generation != generation)
-                return;
-            nodes[n].writing = false;
-            deliver(n, generation, std::move(inputs));
-            if (nodes[n].generation == generation)
-                writeDisk(n);
-        });
+        nodes[n].writing = false;
+        deliver(n, generation, std::move(inputs));
+        if (nodes[n].generation == generation)
+            writeDisk(n);
     });
 }
 
--- a/src/soak/NodeFleet.h
+++ b/src/soak/NodeFleet.h
@@ -4,7 +4,7 @@
 #include "fleet/Upstream.h"
 #include "node/Node.h"
 #include "storage/FakeDisk.h"
-#include "storage/Storage.h"
+#include "storage/RetryingStorage.h"
 
 #include <functional>
 #include <map>
@@ -64,7 +64,7 @@
     struct Process {
         Settings settings;
         std::unique_ptr<FakeDisk> disk;
-        std::unique_ptr<Storage> storage;
+        std::unique_ptr<RetryingStorage> storage;
         VoterId voter;
         NodePtr node;
         uint64_t generation = 0; ///< Incremented when the process ends; events for an earlier generation are dropped.
@@ -184,6 +184,7 @@
     void send(size_t from, const Endpoint& peer, std::string bytes, bool datagram);
     TimeMs transferTime(size_t node, size_t bytes) const;
     void writeDisk(size_t node);
+    void writeBatch(size_t node, uint64_t generation, std::shared_ptr<const std::vector<DiskRequest>>);
     void handleAnswer(size_t node, const Answer&);
     void announceAll();
     void dispatch(size_t node, UpstreamDispatch);
