Answer the callers that still wait when the drain limit ends the process

Cause: at the drain limit only forwarded requests were answered; calls of the product's own interface were cut with their connections. A stream now ends with an error event, a request that has not run with 503, and a once call is told to ask for its outcome at another node. Operators of similar systems have met this as requests that a planned stop cuts.

Ruled out: waiting for the ledger's commit of a refusal, which may take longer than the process has left.

--- a/src/node/CallFlow.cpp
+++ b/src/node/CallFlow.cpp
@@ -413,6 +413,25 @@
     return true;
 }
 
+void endCalls(Node& node)
+{
+    std::vector<CallId> ids;
+    for (const auto& [id, call] : node.calls)
+        ids.push_back(id);
+    std::sort(ids.begin(), ids.end());
+    for (const CallId id : ids) {
+        NodeCall* call = findCall(node, id);
+        if (!call || !call->exchange)
+            continue;
+        // The ledger decides what becomes of a once call; no commit is awaited any more.
+        const std::string publicId = formatCallId(publicCallId(*call));
+        if (call->repeat == Repeat::Once)
+            sendRefusal(node, *call, { RefusalCode::OutcomeUnknown, RunStatus::Unknown, "this node is leaving; ask another one, GET /v1/calls/" + publicId, publicId, drainRetryAfter });
+        else
+            refuseCall(node, *call, RefusalCode::Draining, "the drain limit of this node ends the call", drainRetryAfter);
+    }
+}
+
 static void tickWaiting(Node& node, NodeCall& call)
 {
     if (node.now < call.retryAt)
--- a/src/node/CallFlow.h
+++ b/src/node/CallFlow.h
@@ -18,6 +18,8 @@
 void handleCallEvent(Node&, UpstreamEvent&&);
 /// Processes deadlines, retries and queues.
 void tickCalls(Node&);
+/// Answers all callers that still wait; called shortly before the drain limit ends the process.
+void endCalls(Node&);
 /// Dispatches queued calls of the pool while its upstreams have room.
 void pumpQueue(Node&, const std::string& pool);
 /// Cancels a running call at an upstream that is about to be reclaimed and retries it elsewhere. Once calls and calls that no
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -175,8 +175,10 @@
     const auto& timings = node.options.settings.timings;
     const TimeMs drainingFor = node.now - node.drainSince;
     // An answer tells callers more than the close of their connections would.
-    if (drainingFor >= timings.drainLimit - answerFlushTime)
+    if (drainingFor >= timings.drainLimit - answerFlushTime) {
         endForwards(node);
+        endCalls(node);
+    }
     const bool idle = drainingFor >= timings.entryValid && node.calls.empty() && node.forward.calls.empty();
     if (!node.left && (idle || drainingFor >= timings.drainLimit)) {
         node.left = true;
