Send no calls to an address that another upstream has taken

Cause: the forwarding side excludes an upstream whose address belongs to one that started later; the router of calls did not know of it, so calls went to a lost upstream's address that an upstream of another pool had taken. The router now uses the same mark.

--- a/src/node/FleetFlow.cpp
+++ b/src/node/FleetFlow.cpp
@@ -44,6 +44,12 @@
     return it == prices.end() ? 1 : it->perHour;
 }
 
+static bool isAddressTaken(Node& node, UpstreamId id)
+{
+    const ForwardTarget* target = findTarget(node.forward.targets, id);
+    return target && target->addressTaken;
+}
+
 static void updateRouterTarget(Node& node, const Upstream& upstream)
 {
     const auto& announced = upstream.announced;
@@ -55,7 +61,7 @@
                                   .kind = announced.kind,
                                   .role = announced.role,
                                   .incarnation = announced.incarnation,
-                                  .acceptsWork = isNewWorkAllowed(node, upstream),
+                                  .acceptsWork = isNewWorkAllowed(node, upstream) && !isAddressTaken(node, upstream.id),
                                   .pricePerHour = priceOf(node, announced),
                                   .reclaimRisk = announced.reclaimable ? reclaimableRisk : 0,
                               });
@@ -65,8 +71,8 @@
 void upstreamChanged(Node& node, UpstreamId id)
 {
     if (const Upstream* upstream = findUpstream(node.membership.upstreams, id)) {
-        updateRouterTarget(node, *upstream);
         updateForwardTarget(node, *upstream);
+        updateRouterTarget(node, *upstream);
         node.upstreamsChanged = true;
         pumpQueue(node, upstream->announced.model);
     }
@@ -82,8 +88,8 @@
 void refreshTargets(Node& node)
 {
     for (const auto& [id, upstream] : node.membership.upstreams.entries) {
-        updateRouterTarget(node, upstream);
         updateForwardTarget(node, upstream);
+        updateRouterTarget(node, upstream);
     }
     node.nextRefresh = node.now + refreshInterval;
 }
