Count silence of an upstream that cannot be answered by a retry

Cause: only a request that was sent elsewhere for its upstream's silence counted against the upstream. Without a retry permit, or for requests that must not repeat, a silent upstream went on to get half of the requests.

--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -69,6 +69,7 @@
     bool usageRecorded = false;
     bool silenceLogged = false; ///< The attempt has been logged as silent.
     bool silenceRecorded = false; ///< The attempt counts as one that did not reach its upstream.
+    bool silenceCounted = false; ///< The attempt counts as a failure of its upstream.
     TimeMs lastByteAt;
     TimeMs resumeAt; ///< In stage Waiting: start of the next attempt.
     bool needsPermit = false; ///< In stage Waiting: the next attempt also needs a retry permit.
--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -484,6 +484,13 @@
     return true;
 }
 
+// Whether the upstream has sent this node bytes of any answer lately. Then it is slow rather than silent.
+static bool answersOthers(const Node& node, const ForwardCall& call)
+{
+    const auto it = node.forward.targets.entries.find(call.target);
+    return it != node.forward.targets.entries.end() && node.now - it->second.lastByteAt < recentActivityWindow;
+}
+
 // Whether the upstream has sent nothing for longer than the request should take.
 static bool isUnanswered(const Node& node, const ForwardCall& call)
 {
@@ -493,11 +500,9 @@
         return node.now - std::max(call.lastByteAt, call.sentAt) > std::max(call.rule->gap * silenceGapCount, minStreamSilence);
     const TimeMs target { static_cast<int64_t>(static_cast<double>(call.rule->target.value) * silenceTargetRatio) };
     const TimeMs limit = std::max({ target, call.expectedWait * 3, minSilenceTimeout });
-    // An upstream that answers other requests is slow rather than silent; sending the request elsewhere would only add load.
-    const auto it = node.forward.targets.entries.find(call.target);
-    const bool answersOthers = it != node.forward.targets.entries.end() && node.now - it->second.lastByteAt < recentActivityWindow;
-    // Another entry node sends the request to a second upstream after the same time.
-    return node.now - call.sentAt > (answersOthers || call.relay ? limit * recentActivityFactor : limit);
+    // Sending the request of a slow upstream elsewhere would only add load. Another entry node sends the request to a second upstream
+    // after the same time.
+    return node.now - call.sentAt > (answersOthers(node, call) || call.relay ? limit * recentActivityFactor : limit);
 }
 
 static bool canReplaceAttempt(const ForwardCall& call)
@@ -505,6 +510,16 @@
     return call.canRetry() && call.possibleExecutions < call.rule->attempts;
 }
 
+// Silence counts against an upstream also when the request cannot be sent elsewhere.
+static void recordSilence(Node& node, ForwardCall& call)
+{
+    ForwardTarget* target = findTarget(node.forward.targets, call.target);
+    if (!target || call.relay || answersOthers(node, call))
+        return;
+    recordOutcome(*target, node.now, TargetOutcome::Failed);
+    call.silenceCounted = true;
+}
+
 static void tickCall(Node& node, ForwardCall& call)
 {
     if (node.now >= call.deadline) {
@@ -518,8 +533,10 @@
     }
     if (!isUnanswered(node, call))
         return;
-    if (call.stage == ForwardStage::Sent && !std::exchange(call.silenceRecorded, true))
+    if (call.stage == ForwardStage::Sent && !std::exchange(call.silenceRecorded, true)) {
         recordUnanswered(node, call);
+        recordSilence(node, call);
+    }
     if (!canReplaceAttempt(call))
         return;
     // The current attempt is cancelled only if another one can replace it: a late answer is better than none.
@@ -533,7 +550,8 @@
     if (decision != ResendDecision::Allowed)
         return;
     if (ForwardTarget* target = findTarget(forward.targets, call.target)) {
-        recordOutcome(*target, node.now, TargetOutcome::Failed);
+        if (!call.silenceCounted)
+            recordOutcome(*target, node.now, TargetOutcome::Failed);
         node.out.discardedPools.push_back(target->address);
     }
     if (call.relay)
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -277,6 +277,7 @@
     call.targetName = std::move(destination.name);
     call.silenceLogged = false;
     call.silenceRecorded = false;
+    call.silenceCounted = false;
     call.eventsAtSend = call.events.events();
     call.sentAt = node.now;
     UpstreamDispatch dispatch;
