Wait at the start until a full disk takes bytes

Cause: a voter killed while its disk is full leaves an incomplete write behind; its restart has to cut it off, finds the disk still full and ends.

--- a/src/entry/Daemon.cpp
+++ b/src/entry/Daemon.cpp
@@ -18,6 +18,7 @@
 #include <ctime>
 #include <filesystem>
 #include <random>
+#include <thread>
 
 namespace siskinshunt {
 
@@ -125,6 +126,30 @@
     return out;
 }
 
+// A start can have to cut an incomplete write off the log, or to create the identity. While the disk is full, it waits.
+static Result<DataFolder> openDataFolderWhenWritable(const Settings& settings)
+{
+    for (TimeMs waited;; waited += maxDiskRetryDelay) {
+        Error problem;
+        auto folder = handle([&]() -> Result<std::optional<DataFolder>> {
+            BOOST_LEAF_AUTO(opened, openDataFolder(settings));
+            return std::optional<DataFolder>(std::move(opened)); },
+            [&](const Error& error) {
+                problem = error;
+                return std::optional<DataFolder> {};
+            });
+        if (folder)
+            return std::move(*folder);
+        if (!isDiskFull(problem) || waited >= maxDiskFullTime)
+            return fail(problem.code, problem.step, problem.peer, problem.detail);
+        if (waited == TimeMs {}) {
+            writeLog({ LogLevel::Error, "disk_full", problem.step, settings.dataFolder, "the start waits until the disk takes bytes again: " + toString(problem), {} });
+            flushLog();
+        }
+        std::this_thread::sleep_for(toChrono(maxDiskRetryDelay));
+    }
+}
+
 Daemon::Daemon(const DaemonOptions& options, const NodeClock& clock, NodePtr node, DataFolder folder)
     : m_options(options)
     , m_settings(options.settings)
@@ -383,7 +408,7 @@
         flushLog();
     });
     const NodeClock clock;
-    BOOST_LEAF_AUTO(folder, openDataFolder(settings));
+    BOOST_LEAF_AUTO(folder, openDataFolderWhenWritable(settings));
     std::random_device device;
     NodeOptions options { .settings = settings, .startedAtUtc = clock.now(), .seed = static_cast<uint64_t>(device()) << 32 | device(), .voter = folder.voter, .recovered = std::move(folder.recovered), .dialect = daemonOptions.dialect };
     BOOST_LEAF_AUTO(node, makeNode(std::move(options), clock.now()));
--- a/src/storage/RetryingStorage.cpp
+++ b/src/storage/RetryingStorage.cpp
@@ -8,6 +8,11 @@
 static const std::string probeName = "probe.tmp";
 static constexpr size_t probeBytes = 4096;
 
+bool isDiskFull(const Error& error)
+{
+    return error.code == ErrorCode::Io && error.step == Step::Append;
+}
+
 Result<RetryingStorage> openRetryingStorage(Disk& disk, const StorageOptions& options)
 {
     RetryingStorage out { .disk = &disk, .options = options, .storage = {} };
@@ -51,7 +56,7 @@
             return out;
         },
         [&](const Error& error) {
-            it.full = error.code == ErrorCode::Io && error.step == Step::Append;
+            it.full = isDiskFull(error);
             it.failed = !it.full;
             out.state = it.full ? WriteState::Full : WriteState::Failed;
             out.error = toString(error);
--- a/src/storage/RetryingStorage.h
+++ b/src/storage/RetryingStorage.h
@@ -28,6 +28,8 @@
     std::vector<LogRecord> log; ///< Of a recovery before the write.
 };
 
+/// Whether the disk took no more bytes, so that a later try may succeed.
+bool isDiskFull(const Error&);
 /// Recovers the state from the folder, as Storage::open().
 Result<RetryingStorage> openRetryingStorage(Disk&, const StorageOptions&);
 
