Send updates of loads between the complete reports

Cause: with load hubs, loads reached other entry nodes 300 to 900 ms old in the large deployment (reports and two sums every 300 ms), so that 191 nodes chose the engine that had looked idle since.

Entry nodes now tell their hub of changed loads within 40 ms, and hubs send sums of the loads alone every 50 ms for each 32 nodes. These are frames of new kinds in about 14 bytes for each upstream; earlier builds drop them and go on with the complete reports.

--- a/src/forward/LoadSum.h
+++ b/src/forward/LoadSum.h
@@ -32,7 +32,8 @@
 
 /// The last reports of an entry node, oldest first.
 struct SentReports {
-    static constexpr size_t maxReports = 8; ///< A sum includes a report that is two or three intervals old.
+    /// A sum includes a report that is two or three intervals old, and updates come more often than reports.
+    static constexpr size_t maxReports = 48;
     std::deque<SentReport> reports;
 };
 
--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -330,6 +330,7 @@
     recordVersionResult(node, call, false);
     if (ForwardTarget* target = findTarget(node.forward.targets, call.target)) {
         clearPendingPrefill(*target, call);
+        node.forward.hubs.loadChanged = true;
         recordOutcome(*target, node.now, TargetOutcome::Answered);
     }
 }
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -1,6 +1,7 @@
 #include "node/ForwardFlow.h"
 
 #include "base/Hash.h"
+#include "forward/Overload.h"
 #include "node/Answers.h"
 #include "node/ForwardRelay.h"
 #include "node/ForwardReport.h"
@@ -31,10 +32,6 @@
 static constexpr TimeMs maxDrainAnswerTime { 1500 };
 // Another entry node accepts the request immediately.
 static constexpr TimeMs drainingRetryAfter { 20 };
-// A request is refused when the backlog before it exceeds the first multiple of its route's target and its whole expected wait
-// exceeds the second.
-static constexpr double overloadBacklogRatio = 1.0;
-static constexpr double overloadWaitRatio = 1.4;
 // A stream in progress that can be sent nowhere is tried again after this time.
 static constexpr TimeMs resumeInterval { 100 };
 static constexpr TimeMs minAllowanceRetryAfter { 100 };
@@ -154,6 +151,7 @@
 {
     if (!call.dispatch)
         return;
+    node.forward.hubs.loadChanged = true;
     if (ForwardTarget* target = findTarget(node.forward.targets, call.target)) {
         target->own.running = std::max(0.0, target->own.running - 1);
         clearPendingPrefill(*target, call);
@@ -314,6 +312,7 @@
     if (known.limit.perSecond)
         node.counters.add("forward_sent_to_limited");
     known.own.running += 1;
+    forward.hubs.loadChanged = true;
     known.own.prefillTokens[static_cast<size_t>(call.urgency)] += choice.prefillTokens;
     if (known.engine)
         forward.assignedPrefillTokens[known.backend] += choice.prefillTokens;
@@ -327,12 +326,10 @@
     dispatchAttempt(node, call, { .name = target.name, .address = target.address, .request = std::move(request), .unreached = known.unreached || forward.reach[call.backend].lost });
 }
 
-// Whether the backlog at the target would make the request miss its route's target. Such a request would delay others and be of
-// little use itself. The request's own size is no reason to refuse it, and a request that may already have run is sent on.
+// A request that may already have run is sent on.
 static bool isOverloaded(const ForwardCall& call, const TargetChoice& choice)
 {
-    const auto target = static_cast<double>(call.rule->target.value);
-    return !call.possibleExecutions && choice.backlogMs > target * overloadBacklogRatio && choice.waitMs > target * overloadWaitRatio;
+    return !call.possibleExecutions && isOverloaded(choice, call.rule->target);
 }
 
 bool canSendElsewhere(const Node& node, const ForwardCall& call)
--- a/src/node/ForwardReport.cpp
+++ b/src/node/ForwardReport.cpp
@@ -49,6 +49,12 @@
     return out;
 }
 
+bool isOwnLoadReported(const ForwardTarget& target)
+{
+    // Attempts that wait for a connection are no load of the upstream, and other nodes may reach it.
+    return target.own.running > 0 && !target.unreached;
+}
+
 ReportedLoad reportedLoad(UpstreamId id, const TargetLoad& load)
 {
     ReportedLoad out { .upstream = id, .running = static_cast<float>(load.running), .prefillTokens = {} };
@@ -86,8 +92,7 @@
     if (frame.placed.size() > maxPlacedParts)
         frame.placed.resize(maxPlacedParts);
     for (const auto& [id, target] : forward.targets.entries) {
-        // Attempts that wait for a connection are no load of the upstream, and other nodes may reach it.
-        if (target.own.running > 0 && !target.unreached)
+        if (isOwnLoadReported(target))
             frame.loads.push_back(reportedLoad(id, target.own));
     }
     return frame;
@@ -154,7 +159,7 @@
     if (!acceptsCallers(node))
         return;
     if (node.now < forward.nextReport)
-        return;
+        return usesLoadHubs(node) ? updateHub(node) : void();
     forward.allowances.nodes = forwardNodeCount(node);
     forward.choice.jitterMs = costJitterMs(forward.allowances.nodes);
     if (usesLoadHubs(node))
--- a/src/node/ForwardReport.h
+++ b/src/node/ForwardReport.h
@@ -14,6 +14,8 @@
 bool acceptsCallers(const Node&);
 /// Returns the load of this node with the prompt parts placed since the last call, and clears the list of these parts.
 ForwardLoadFrame collectOwnLoad(Node&);
+/// Whether the load that this node has placed on the target is reported to others.
+bool isOwnLoadReported(const ForwardTarget&);
 ReportedLoad reportedLoad(UpstreamId, const TargetLoad&);
 std::map<UpstreamId, TargetLoad> loadsOf(const std::vector<ReportedLoad>&);
 /// Applies a load report of a node or hub. Allowances and placed parts are applied only if this node accepts callers. Returns the
--- a/src/node/ForwardState.h
+++ b/src/node/ForwardState.h
@@ -38,6 +38,8 @@
     NodeId hub; ///< Hub of this node's failure domain at the time of the last report.
     uint64_t lastReportNumber = 0;
     SentReports sent;
+    bool loadChanged = false; ///< The load of this node has changed since it was last reported.
+    TimeMs nextUpdate; ///< Not before this time.
     // Used by a hub.
     std::map<NodeId, Reporter> reporters;
     std::map<NodeId, OtherHub> others;
@@ -49,6 +51,7 @@
     std::set<UpstreamId> limitsInDomain; ///< Upstreams whose limits were reported in this failure domain since the last sum was sent.
     std::set<UpstreamId> limitsInOtherDomains;
     TimeMs nextSum;
+    TimeMs nextSumUpdate;
 };
 
 /// What this node knows of another entry node as a way to a backend, from the requests that it has sent there.
--- a/src/node/LoadHubs.cpp
+++ b/src/node/LoadHubs.cpp
@@ -10,6 +10,7 @@
 #include "wire/Codec.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace siskinshunt {
@@ -18,14 +19,18 @@
 // nodes, so that the cost at the hub stays constant.
 static constexpr TimeMs hubInterval { 150 };
 static constexpr size_t nodesPerInterval = 32;
+// The same for updates.
+static constexpr TimeMs hubUpdateInterval { 50 };
+// Between two updates of an entry node.
+static constexpr TimeMs minUpdateInterval { 40 };
 // A node that has not reported for this time is left out of the sums.
 static constexpr TimeMs reporterTimeout { 2000 };
 // Bound on the placed parts kept between two sums. A part that is left out may be prefilled a second time elsewhere.
 static constexpr size_t maxPlacedInSum = 4000;
 
-static TimeMs hubIntervalFor(size_t nodes)
+static TimeMs intervalFor(TimeMs interval, size_t nodes)
 {
-    return hubInterval * static_cast<int64_t>(1 + nodes / nodesPerInterval);
+    return interval * static_cast<int64_t>(1 + nodes / nodesPerInterval);
 }
 
 bool usesLoadHubs(const Node& node)
@@ -74,7 +79,7 @@
 {
     auto& forward = node.forward;
     auto& hubs = forward.hubs;
-    forward.nextReport = node.now + hubIntervalFor(domainNodeCount(node));
+    forward.nextReport = node.now + intervalFor(hubInterval, domainNodeCount(node));
     const NodeId hub = domainHub(node);
     if (hub != hubs.hub) {
         const Member* member = findMember(node.membership, hub);
@@ -88,6 +93,58 @@
     HubReportFrame frame { .number = ++hubs.lastReportNumber, .load = collectOwnLoad(node) };
     addReport(hubs.sent, { frame.number, loadsOf(frame.load.loads), frame.load.spent });
     sendFrame(node, hub, FrameKind::HubReport, {}, encode(frame));
+    hubs.loadChanged = false;
+}
+
+static CompactLoad compactLoad(UpstreamId id, const TargetLoad& load)
+{
+    CompactLoad out { .upstream = id, .running = static_cast<uint64_t>(std::ceil(load.running)) };
+    for (size_t n = 0; n < out.prefillTokens.size(); ++n)
+        out.prefillTokens[n] = static_cast<uint64_t>(std::ceil(load.prefillTokens[n]));
+    return out;
+}
+
+static std::vector<CompactLoad> compactLoads(const std::map<UpstreamId, TargetLoad>& loads)
+{
+    std::vector<CompactLoad> out;
+    for (const auto& [id, load] : loads)
+        out.push_back(compactLoad(id, load));
+    return out;
+}
+
+static std::map<UpstreamId, TargetLoad> loadsOf(const std::vector<CompactLoad>& loads)
+{
+    std::map<UpstreamId, TargetLoad> out;
+    for (const auto& it : loads) {
+        TargetLoad& load = out[it.upstream];
+        load.running = static_cast<double>(it.running);
+        std::copy(it.prefillTokens.begin(), it.prefillTokens.end(), load.prefillTokens.begin());
+    }
+    return out;
+}
+
+static std::map<UpstreamId, TargetLoad> ownLoads(const Node& node)
+{
+    std::map<UpstreamId, TargetLoad> out;
+    for (const auto& [id, target] : node.forward.targets.entries) {
+        if (isOwnLoadReported(target))
+            out[id] = target.own;
+    }
+    return out;
+}
+
+void updateHub(Node& node)
+{
+    auto& hubs = node.forward.hubs;
+    if (!hubs.loadChanged || node.now < hubs.nextUpdate || !hubs.hub || hubs.hub == node.self)
+        return;
+    hubs.loadChanged = false;
+    hubs.nextUpdate = node.now + minUpdateInterval;
+    const LoadUpdateFrame frame { .number = ++hubs.lastReportNumber, .loads = compactLoads(ownLoads(node)), .included = {} };
+    // The hub still has what the last complete report said of the spending.
+    auto spent = hubs.sent.reports.empty() ? std::map<std::string, double> {} : hubs.sent.reports.back().spent;
+    addReport(hubs.sent, { frame.number, loadsOf(frame.loads), std::move(spent) });
+    sendFrame(node, hubs.hub, FrameKind::LoadUpdate, {}, encode(frame));
 }
 
 static void appendPlacedParts(std::vector<PlacedPart>& to, const std::vector<PlacedPart>& placed)
@@ -156,24 +213,55 @@
     }
 }
 
-// Total load of the nodes that report to this hub, and of the hub itself if it accepts callers.
-static ForwardLoadFrame domainLoad(Node& node)
+void receiveLoadUpdate(Node& node, NodeId from, std::string_view body)
+{
+    const auto frame = decodeLoad<LoadUpdateFrame>(node, body);
+    if (!frame)
+        return;
+    node.forward.hubs.reporters[from] = { frame->number, node.now };
+    applyLoadReport(node.forward.targets, node.now, from, loadsOf(frame->loads));
+}
+
+void receiveDomainUpdate(Node& node, NodeId from, std::string_view body)
 {
+    const auto frame = decodeLoad<LoadUpdateFrame>(node, body);
+    if (frame)
+        applyLoadReport(node.forward.targets, node.now, from, loadsOf(frame->loads));
+}
+
+void receiveFleetUpdate(Node& node, NodeId from, std::string_view body)
+{
+    const auto frame = decodeLoad<LoadUpdateFrame>(node, body);
+    if (!frame || !acceptsCallers(node))
+        return;
     auto& forward = node.forward;
-    auto& hubs = forward.hubs;
-    std::map<UpstreamId, TargetLoad> sum;
-    CrashReport crashes;
-    for (const auto& [reporter, known] : hubs.reporters) {
-        const auto it = forward.targets.reported.find(reporter);
-        if (it == forward.targets.reported.end())
+    const auto included = frame->included.find(node.self);
+    const SentReport* own = included == frame->included.end() ? nullptr : findReport(forward.hubs.sent, included->second);
+    applyFleetLoadReport(forward.targets, node.now, from, subtractReport(loadsOf(frame->loads), own));
+}
+
+// Loads of the nodes that report to this hub, and of the hub itself if it accepts callers.
+static std::map<UpstreamId, TargetLoad> sumOfDomain(const Node& node)
+{
+    std::map<UpstreamId, TargetLoad> sum = acceptsCallers(node) ? ownLoads(node) : std::map<UpstreamId, TargetLoad> {};
+    for (const auto& [reporter, known] : node.forward.hubs.reporters) {
+        const auto it = node.forward.targets.reported.find(reporter);
+        if (it == node.forward.targets.reported.end())
             continue;
         for (const auto& [id, load] : it->second)
             sum[id] += load;
     }
+    return sum;
+}
+
+// Complete report on the nodes that report to this hub, and on the hub itself if it accepts callers.
+static ForwardLoadFrame domainLoad(Node& node)
+{
+    auto& forward = node.forward;
+    auto& hubs = forward.hubs;
+    CrashReport crashes;
     if (acceptsCallers(node)) {
         ForwardLoadFrame own = collectOwnLoad(node);
-        for (const auto& [id, load] : loadsOf(own.loads))
-            sum[id] += load;
         addTotals(hubs.spent, node.self, own.spent);
         addTotals(hubs.assignedPrefillTokens, node.self, own.toRead);
         appendPlacedParts(hubs.placedInDomain, own.placed);
@@ -185,7 +273,7 @@
         crashes = takeCrashReport(forward.quarantine, node.now);
     }
     ForwardLoadFrame frame { .loads = {}, .placed = std::exchange(hubs.placedInDomain, {}), .spent = hubs.spent.sum, .toRead = hubs.assignedPrefillTokens.sum, .tokensPerMs = hubs.tokensPerMs, .limits = reportedLimits(node, hubs.limitsInDomain), .crashes = std::move(crashes) };
-    for (const auto& [id, load] : sum)
+    for (const auto& [id, load] : sumOfDomain(node))
         frame.loads.push_back(reportedLoad(id, load));
     return frame;
 }
@@ -202,6 +290,27 @@
     }
 }
 
+// Loads of all nodes.
+static std::map<UpstreamId, TargetLoad> sumOfFleet(const Node& node)
+{
+    std::map<UpstreamId, TargetLoad> sum;
+    for (const auto& [id, target] : node.forward.targets.entries) {
+        TargetLoad all = target.own;
+        all += target.others;
+        if (all.running > 0)
+            sum[id] = all;
+    }
+    return sum;
+}
+
+static std::map<NodeId, uint64_t> includedReports(const LoadHubState& hubs)
+{
+    std::map<NodeId, uint64_t> out;
+    for (const auto& [id, known] : hubs.reporters)
+        out[id] = known.number;
+    return out;
+}
+
 static void sendToReporters(Node& node, ForwardLoadFrame&& own)
 {
     auto& forward = node.forward;
@@ -211,14 +320,9 @@
     hubs.placedInOtherDomains.clear();
     for (const auto& [hub, known] : hubs.others)
         frame.spent[hub] = known.spent;
-    for (const auto& [id, target] : forward.targets.entries) {
-        TargetLoad all = target.own;
-        all += target.others;
-        if (all.running > 0)
-            frame.loads.push_back(reportedLoad(id, all));
-    }
-    for (const auto& [id, known] : hubs.reporters)
-        frame.included[id] = known.number;
+    for (const auto& [id, load] : sumOfFleet(node))
+        frame.loads.push_back(reportedLoad(id, load));
+    frame.included = includedReports(hubs);
     hubs.limitsInOtherDomains.merge(std::exchange(hubs.limitsInDomain, {}));
     frame.limits = reportedLimits(node, std::exchange(hubs.limitsInOtherDomains, {}));
     const std::string body = encode(frame);
@@ -226,12 +330,32 @@
         sendFrame(node, id, FrameKind::FleetLoad, {}, body);
 }
 
+static void sendUpdates(Node& node)
+{
+    auto& hubs = node.forward.hubs;
+    hubs.nextSumUpdate = node.now + intervalFor(hubUpdateInterval, hubs.reporters.size());
+    const std::string ofDomain = encode(LoadUpdateFrame { .loads = compactLoads(sumOfDomain(node)), .included = {} });
+    for (const auto& [domain, hub] : hubsByDomain(node)) {
+        if (hub && hub != node.self)
+            sendFrame(node, hub, FrameKind::DomainUpdate, {}, ofDomain);
+    }
+    const std::string ofFleet = encode(LoadUpdateFrame { .loads = compactLoads(sumOfFleet(node)), .included = includedReports(hubs) });
+    for (const auto& [id, known] : hubs.reporters)
+        sendFrame(node, id, FrameKind::FleetUpdate, {}, ofFleet);
+}
+
 void tickLoadHub(Node& node)
 {
     auto& hubs = node.forward.hubs;
-    if (hubs.reporters.empty() || node.now < hubs.nextSum)
+    if (hubs.reporters.empty())
         return;
-    hubs.nextSum = node.now + hubIntervalFor(hubs.reporters.size());
+    if (node.now < hubs.nextSum) {
+        if (node.now >= hubs.nextSumUpdate)
+            sendUpdates(node);
+        return;
+    }
+    hubs.nextSumUpdate = node.now + intervalFor(hubUpdateInterval, hubs.reporters.size());
+    hubs.nextSum = node.now + intervalFor(hubInterval, hubs.reporters.size());
     std::erase_if(hubs.reporters, [&](const auto& it) { return node.now - it.second.lastHeardAt > reporterTimeout; });
     std::erase_if(hubs.others, [&](const auto& it) { return node.now - it.second.lastHeardAt > reporterTimeout; });
     ForwardLoadFrame frame = domainLoad(node);
--- a/src/node/PeerMessages.h
+++ b/src/node/PeerMessages.h
@@ -5,10 +5,12 @@
 #include "base/TimeMs.h"
 #include "control/DecisionLog.h"
 #include "forward/CrashQuarantine.h"
+#include "forward/ForwardTarget.h"
 #include "forward/LeavingNotices.h"
 #include "forward/TargetLimit.h"
 #include "versions/Evidence.h"
 #include "versions/MoveTypes.h"
+#include "wire/Compact.h"
 
 #include <array>
 #include <cstdint>
@@ -47,6 +49,10 @@
     FleetLoad, ///< A FleetLoadFrame.
     CatchUp, ///< A CatchUpFrame.
     CatchUpReply, ///< A CatchUpReplyFrame.
+    // Nodes of earlier builds drop frames of the kinds below.
+    LoadUpdate, ///< A LoadUpdateFrame from an entry node to the hub of its failure domain.
+    DomainUpdate, ///< A LoadUpdateFrame between hubs: the sum over the sender's failure domain.
+    FleetUpdate, ///< A LoadUpdateFrame from a hub to the entry nodes that report to it: the sum over all nodes.
 };
 
 template <>
@@ -78,6 +84,9 @@
     { FrameKind::FleetLoad, "fleet_load" },
     { FrameKind::CatchUp, "catch_up" },
     { FrameKind::CatchUpReply, "catch_up_reply" },
+    { FrameKind::LoadUpdate, "load_update" },
+    { FrameKind::DomainUpdate, "domain_update" },
+    { FrameKind::FleetUpdate, "fleet_update" },
 });
 
 /// Asks a voter to propose a command; resent with the same request number until answered.
@@ -229,6 +238,38 @@
     void serialize(Archive& archive) { archive(loads, placed, spent, included, limits, crashes); }
 };
 
+/// Load placed on one upstream, in about 14 bytes: fractions are rounded up, and urgency levels without tokens are left out.
+struct CompactLoad {
+    UpstreamId upstream;
+    uint64_t running = 0;
+    std::array<uint64_t, urgencyLevels> prefillTokens {};
+
+    template <class Archive>
+    void serialize(Archive& archive)
+    {
+        uint64_t levels = 0;
+        for (size_t n = 0; n < prefillTokens.size(); ++n)
+            levels |= static_cast<uint64_t>(prefillTokens[n] ? 1 : 0) << n;
+        archive(upstream);
+        serializeVarint(archive, running);
+        serializeVarint(archive, levels);
+        for (size_t n = 0; n < prefillTokens.size(); ++n) {
+            if (levels >> n & 1)
+                serializeVarint(archive, prefillTokens[n]);
+        }
+    }
+};
+
+/// Loads alone, sent between the complete reports so that engines are chosen by recent loads.
+struct LoadUpdateFrame {
+    uint64_t number = 0; ///< As HubReportFrame::number; 0 in sums.
+    std::vector<CompactLoad> loads; ///< Replaces the loads of the sender's last report.
+    std::map<NodeId, uint64_t> included; ///< As FleetLoadFrame::included.
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(number, loads, included); }
+};
+
 /// Usage report to the decision leader: counts of requests that started on a node, by time window.
 struct UsageFrame {
     int64_t current = 0; ///< Current window of the sender; the counts of earlier windows are complete.
--- a/src/node/Peers.cpp
+++ b/src/node/Peers.cpp
@@ -81,6 +81,12 @@
         return receiveDomainLoad(node, envelope.sender, envelope.body);
     case FrameKind::FleetLoad:
         return receiveFleetLoad(node, envelope.sender, envelope.body);
+    case FrameKind::LoadUpdate:
+        return receiveLoadUpdate(node, envelope.sender, envelope.body);
+    case FrameKind::DomainUpdate:
+        return receiveDomainUpdate(node, envelope.sender, envelope.body);
+    case FrameKind::FleetUpdate:
+        return receiveFleetUpdate(node, envelope.sender, envelope.body);
     case FrameKind::CatchUp:
         return receiveCatchUp(node, envelope.sender, envelope.body);
     case FrameKind::CatchUpReply:
