--- a/src/node/LoadHubs.cpp
+++ b/src/node/LoadHubs.cpp
@@ -107,6 +107,7 @@
 static std::vector<CompactLoad> compactLoads(const std::map<UpstreamId, TargetLoad>& loads)
 {
     std::vector<CompactLoad> out;
+    out.reserve(loads.size());
     for (const auto& [id, load] : loads)
         out.push_back(compactLoad(id, load));
     return out;
