--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -54,7 +54,8 @@
     set(${out} ${arguments} PARENT_SCOPE)
 endfunction()
 
-# siskinshunt_test(NAME [libraries...]): Boost.Test program of all sources in the current folder, run by ctest as NAME.
+# siskinshunt_test(NAME [libraries...]): Boost.Test program of all sources in the current folder, run by ctest as NAME. The suites in
+# the variable SISKINSHUNT_SEPARATE_SUITES (names joined by commas) are left out of it; see siskinshunt_test_suites().
 function(siskinshunt_test name)
     file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
     set(main ${CMAKE_CURRENT_BINARY_DIR}/main.cpp)
@@ -63,10 +64,20 @@
     target_compile_definitions(test_${name} PRIVATE BOOST_TEST_DYN_LINK)
     target_link_libraries(test_${name} PRIVATE siskinshunt_flags Boost::unit_test_framework ${ARGN})
     siskinshunt_known_red(${name} passedOver)
+    if(SISKINSHUNT_SEPARATE_SUITES)
+        list(PREPEND passedOver "--run_test=!${SISKINSHUNT_SEPARATE_SUITES}")
+    endif()
     add_test(NAME ${name} COMMAND test_${name} --color_output=no ${passedOver})
     set_tests_properties(${name} PROPERTIES TIMEOUT 300)
 endfunction()
 
+# siskinshunt_test_suites(NAME PART SUITES): runs these suites of the test program NAME as NAME_PART, so that they take no time of NAME.
+function(siskinshunt_test_suites name part suites)
+    siskinshunt_known_red(${name} passedOver)
+    add_test(NAME ${name}_${part} COMMAND test_${name} --color_output=no "--run_test=${suites}" ${passedOver})
+    set_tests_properties(${name}_${part} PROPERTIES TIMEOUT 300)
+endfunction()
+
 # siskinshunt_fuzz(NAME SOURCE [libraries...]): libFuzzer program fuzz_NAME; built only with SISKINSHUNT_FUZZ and clang.
 function(siskinshunt_fuzz name source)
     if(NOT SISKINSHUNT_FUZZ)
