Set up the fleet model of the large deployment in one place

Figures of the model that nothing reads any more (windows, engine seconds, cache and prefill counts) are gone, and a test includes the header that it uses.

--- a/src/emulator/ForwardModel.cpp
+++ b/src/emulator/ForwardModel.cpp
@@ -18,7 +18,6 @@
 
 static constexpr double lateWorthShare = 0.1;
 static constexpr TimeMs linkDelay { 1 };
-static constexpr TimeMs windowLength { 2000 };
 static constexpr std::string_view backendName = "engines";
 
 namespace {
@@ -50,7 +49,6 @@
     struct ModelEngine {
         UpstreamId id;
         bool open = false; ///< Accepts new requests.
-        double openSince = 0;
         std::vector<RequestPtr> running;
         std::deque<RequestPtr> waiting;
         std::unordered_map<uint64_t, CachedPart> cache;
@@ -119,8 +117,6 @@
         std::vector<ModelHub> m_hubs;
         std::map<uint64_t, uint32_t> m_partTokens;
         uint64_t m_lastOwnPart = 0;
-        double m_prefillMs = 0;
-        std::vector<std::pair<double, double>> m_windows; ///< Earned and asked worth.
         ForwardModelResult m_result;
     };
 
@@ -147,15 +143,19 @@
     return worth > 0 ? earned / worth : 0;
 }
 
-double ForwardModelResult::served() const
+ForwardModelOptions largeFleetOptions(size_t nodes, bool updates)
 {
-    uint64_t asked = 0;
-    uint64_t answered = 0;
-    for (const auto& it : classes) {
-        asked += it.asked;
-        answered += it.inTime + it.late;
-    }
-    return asked ? static_cast<double>(answered) / static_cast<double>(asked) : 0;
+    static constexpr size_t domains = 5;
+    static constexpr double requestsPerSecond = 263;
+    static constexpr size_t engines = 50;
+    // As the hubs of a node space reports and updates.
+    static constexpr size_t nodesPerInterval = 32;
+    ForwardModelOptions options { .nodes = nodes, .domains = domains, .classes = largePromptClasses(requestsPerSecond) };
+    options.engines = { { 0_ms, engines } };
+    options.hubInterval = (updates ? 50_ms : 150_ms) * static_cast<int64_t>(1 + nodes / domains / nodesPerInterval);
+    options.reportsAtOnce = updates;
+    options.jitterMs = costJitterMs(nodes);
+    return options;
 }
 
 ForwardModel::ForwardModel(const ForwardModelOptions& options)
@@ -163,7 +163,6 @@
     , m_random(options.seed)
     , m_nodes(options.nodes)
     , m_hubs(options.domains)
-    , m_windows(static_cast<size_t>(options.duration.value / windowLength.value) + 1)
 {
     size_t most = 0;
     for (const auto& [time, n] : options.engines)
@@ -222,10 +221,8 @@
         for (int k = 0; k < n; ++k) {
             const RequestPtr request = makeRequest(classIndex);
             auto& result = m_result.classes[classIndex];
-            const double worth = m_options.classes[classIndex].worth;
             ++result.asked;
-            result.worth += worth;
-            m_windows[static_cast<size_t>(now()) / static_cast<size_t>(windowLength.value)].second += worth;
+            result.worth += m_options.classes[classIndex].worth;
             attempt(request);
         }
         scheduleArrivals(classIndex);
@@ -281,10 +278,7 @@
         const bool open = k < n;
         if (open == engine.open)
             continue;
-        if (engine.open)
-            m_result.engineSeconds += (now() - engine.openSince) / 1000;
         engine.open = open;
-        engine.openSince = now();
         for (auto& node : m_nodes) {
             if (open) {
                 ForwardTarget target { .id = engine.id, .backend = std::string(backendName), .slots = m_options.engine.slots, .engine = true, .lastSeen = m_options.duration };
@@ -319,9 +313,7 @@
                 it->second.lastUsed = now();
             }
         }
-        m_result.cachedTokens += request->promptTokens - request->tokensToPrefill;
         request->tokensToPrefill = std::max(1.0, request->tokensToPrefill);
-        m_result.prefilledTokens += request->tokensToPrefill;
         used += request->parts.back().tokens;
         engine.running.push_back(request);
     }
@@ -347,7 +339,6 @@
     const double tokens = prefilled ? std::min<double>(speed.chunkTokens, prefilled->tokensToPrefill) : 0;
     const double before = prefilled ? prefilled->promptTokens - prefilled->tokensToPrefill : 0;
     const double prefillMs = tokens / speed.prefillTokensPerMs + tokens * (before + tokens / 2) / 1e6 * speed.attentionMsPerMillionPairs;
-    m_prefillMs += prefillMs;
     const double duration = speed.stepMs + speed.stepMsPerSlot * static_cast<double>(engine.running.size()) + speed.stepMsPerThousandTokens * context / 1000 + prefillMs;
     at(now() + duration, [this, n, prefilled, tokens] { endStep(n, prefilled, tokens); });
 }
@@ -368,9 +359,7 @@
         return;
     const bool inTime = wait <= static_cast<double>(it.target.value);
     ++(inTime ? result.inTime : result.late);
-    const double earned = inTime ? it.worth : it.worth * lateWorthShare;
-    result.earned += earned;
-    m_windows[static_cast<size_t>(request->arrivedAt) / static_cast<size_t>(windowLength.value)].first += earned;
+    result.earned += inTime ? it.worth : it.worth * lateWorthShare;
 }
 
 void ForwardModel::finish(ModelEngine& engine, const RequestPtr& request)
@@ -491,11 +480,6 @@
         m_now = event.time;
         event.run();
     }
-    for (auto& engine : m_engines)
-        m_result.engineSeconds += engine.open ? (now() - engine.openSince) / 1000 : 0;
-    m_result.busyShare = m_result.engineSeconds > 0 ? m_prefillMs / 1000 / m_result.engineSeconds : 0;
-    for (const auto& [earned, asked] : m_windows)
-        m_result.earnedShare.push_back(asked > 0 ? earned / asked : 1);
     return std::move(m_result);
 }
 
--- a/src/emulator/ForwardModel.h
+++ b/src/emulator/ForwardModel.h
@@ -77,16 +77,14 @@
 
 struct ForwardModelResult {
     std::vector<ModelClassResult> classes;
-    double engineSeconds = 0;
-    double prefilledTokens = 0;
-    double cachedTokens = 0;
-    double busyShare = 0; ///< Of the time of engines spent on prefill.
-    std::vector<double> earnedShare; ///< By windows of 2 s.
 
     double share() const; ///< Worth earned per worth asked for.
-    double served() const; ///< Requests answered per request asked.
 };
 
+/// The largest deployment's mix on a calm day on 50 engines, with this many entry nodes in five failure domains. `updates`: nodes send load
+/// updates between the complete reports.
+ForwardModelOptions largeFleetOptions(size_t nodes, bool updates);
+
 /// Runs entry nodes that choose engines with chooseTarget() in virtual time. Each node knows its own load at once, and that of the others from
 /// reports that pass through a hub of each failure domain.
 ForwardModelResult runForwardModel(const ForwardModelOptions&);
--- a/tests/emulator/ForwardModelTest.cpp
+++ b/tests/emulator/ForwardModelTest.cpp
@@ -1,19 +1,13 @@
 #include "emulator/ForwardModel.h"
-#include "forward/TargetChoice.h"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace siskinshunt;
 
-static double shareOf(size_t nodes, bool updates, double hubFactor = 1)
+static double shareOf(size_t nodes, bool updates)
 {
-    const size_t domains = 5;
-    const auto intervals = static_cast<int64_t>(1 + nodes / domains / 32);
-    ForwardModelOptions options { .seed = 3, .nodes = nodes, .domains = domains, .classes = largePromptClasses(263 * hubFactor) };
-    options.engines = { { 0_ms, static_cast<size_t>(50 * hubFactor) } };
-    options.hubInterval = (updates ? 50_ms : 150_ms) * intervals;
-    options.reportsAtOnce = updates;
-    options.jitterMs = costJitterMs(nodes);
+    ForwardModelOptions options = largeFleetOptions(nodes, updates);
+    options.seed = 3;
     options.duration = 15_s;
     return runForwardModel(options).share();
 }
--- a/tests/node/ConnectionResetTest.cpp
+++ b/tests/node/ConnectionResetTest.cpp
@@ -1,6 +1,6 @@
 #include "EntryFleet.h"
 
-#include <set>
+#include <map>
 
 namespace siskinshunt {
 
