--- a/src/node/PeerMessages.h
+++ b/src/node/PeerMessages.h
@@ -53,6 +53,20 @@
     LoadUpdate, ///< A LoadUpdateFrame from an entry node to the hub of its failure domain.
     DomainUpdate, ///< A LoadUpdateFrame between hubs: the sum over the sender's failure domain.
     FleetUpdate, ///< A LoadUpdateFrame from a hub to the entry nodes that report to it: the sum over all nodes.
+    // The same holds for these.
+    BuildFeatures, ///< Between nodes with a data folder: what the sender's build reads.
+    Evacuations, ///< The evacuations in force.
+    ColdStates, ///< Upstreams that are cold, or no longer.
+    AccountDemand, ///< From an entry node to its hub: work offered by client account.
+    DomainAccountDemand, ///< Between hubs: the sum over the sender's failure domain.
+    AccountShares, ///< From a hub to the entry nodes that report to it: the part of the work that is admitted.
+    NodeCapacity, ///< From an entry node to the voters: its capacity, and how late it runs.
+    SpeedReport, ///< From an entry node to its hub: observed speeds of upstreams.
+    DomainSpeeds, ///< Between hubs: the sum over the sender's failure domain.
+    FleetSpeeds, ///< From a hub to the entry nodes that report to it: speeds over all nodes.
+    SpendingUpdate, ///< From an entry node to its hub: allowance spent.
+    DomainSpending, ///< Between hubs: the sum over the sender's failure domain.
+    FleetSpending, ///< From a hub to the entry nodes that report to it: allowance spent by failure domain.
 };
 
 template <>
@@ -87,6 +101,19 @@
     { FrameKind::LoadUpdate, "load_update" },
     { FrameKind::DomainUpdate, "domain_update" },
     { FrameKind::FleetUpdate, "fleet_update" },
+    { FrameKind::BuildFeatures, "build_features" },
+    { FrameKind::Evacuations, "evacuations" },
+    { FrameKind::ColdStates, "cold_states" },
+    { FrameKind::AccountDemand, "account_demand" },
+    { FrameKind::DomainAccountDemand, "domain_account_demand" },
+    { FrameKind::AccountShares, "account_shares" },
+    { FrameKind::NodeCapacity, "node_capacity" },
+    { FrameKind::SpeedReport, "speed_report" },
+    { FrameKind::DomainSpeeds, "domain_speeds" },
+    { FrameKind::FleetSpeeds, "fleet_speeds" },
+    { FrameKind::SpendingUpdate, "spending_update" },
+    { FrameKind::DomainSpending, "domain_spending" },
+    { FrameKind::FleetSpending, "fleet_spending" },
 });
 
 /// Asks a voter to propose a command; resent with the same request number until answered.
--- a/src/node/Peers.cpp
+++ b/src/node/Peers.cpp
@@ -118,6 +118,8 @@
         return receiveExplainReply(node, envelope.sender, envelope.body);
     case FrameKind::ReplaceVoter:
         return receiveReplaceVoter(node, envelope.body);
+    default: // Kinds that are not sent yet, and those of later builds.
+        break;
     }
     countDrop(node, DropReason::BadKind);
 }
