Tell where a request would go now, without sending it

Cause: operators ask why a request goes where it goes; logs tell it only afterwards. Change: GET /admin/explain-route and siskinshuntctl explain route list each candidate with what chooseTarget() knows of it. The random part of the costs is drawn from a copy of the node's generator, so the answer is that of the next request, and no state changes.

--- a/src/experiment/AdminCommands.cpp
+++ b/src/experiment/AdminCommands.cpp
@@ -314,8 +314,39 @@
     return printResource("moves", "Lists the version moves with stage, shares and reason.", "/admin/moves", arguments);
 }
 
+static int explainRoute(const std::vector<std::string>& arguments)
+{
+    AdminOptions options("explain route HOST PATH [--account NAME] [--parts HEX:TOKENS,...] [--prompt-tokens N] [--output-tokens N]",
+        "Shows where a request would go now, and why, without sending it: each candidate with its expected wait and what excludes it.\n"
+        "Asks every node of --address, since nodes may know different loads. Exits with 1 if one of them would refuse the request.");
+    options.addPositional("route", 2);
+    for (const char* name : { "account", "parts", "prompt-tokens", "output-tokens" })
+        options.add(name, "of the request");
+    if (const auto code = options.read(arguments))
+        return *code;
+    if (options.many("route").size() != 2) {
+        std::cerr << "explain route requires a host and a path\n";
+        return exit_codes::usage;
+    }
+    const std::string target = "/admin/explain-route?host=" + encodeQuery(options.many("route")[0]) + "&path=" + encodeQuery(options.many("route")[1]) + "&account=" + encodeQuery(options.text("account"))
+        + "&parts=" + encodeQuery(options.text("parts")) + "&prompt_tokens=" + encodeQuery(options.text("prompt-tokens")) + "&output_tokens=" + encodeQuery(options.text("output-tokens"));
+    int worst = exit_codes::ok;
+    for (const auto& address : options.access.addresses) {
+        AdminAccess access = options.access;
+        access.addresses = { address };
+        const auto answer = callAdmin(access, "GET", target);
+        int code = printAnswer(answer, options.flag("json"));
+        for (const auto& backend : answer.body["backends"].items)
+            code = code == exit_codes::ok && toPlainText(backend["outcome"]) != "sent" ? exit_codes::negative : code;
+        worst = std::max(worst, code);
+    }
+    return worst;
+}
+
 int runExplainCommand(const std::vector<std::string>& arguments)
 {
+    if (!arguments.empty() && arguments.front() == "route")
+        return explainRoute({ arguments.begin() + 1, arguments.end() });
     AdminOptions options("explain ID", "Lists the decisions that concern a call, move, order or instance, from all nodes and in order. Exits with 1 when there are none.");
     options.addPositional("id", 1);
     if (const auto code = options.read(arguments))
--- a/src/forward/TargetChoice.cpp
+++ b/src/forward/TargetChoice.cpp
@@ -34,11 +34,28 @@
     return hasPlace(target.brittle, target.own.running, target.others.running, target.slots);
 }
 
+static TargetExclusion exclusionOf(const ForwardTarget& target, const ChoiceRequest& request, TimeMs now)
+{
+    if (target.leaving)
+        return TargetExclusion::Leaving;
+    if (now < target.pausedUntil)
+        return TargetExclusion::Paused;
+    if (!canSend(target.limit, now))
+        return TargetExclusion::OverLimit;
+    if (!hasPlace(target))
+        return TargetExclusion::NoPlace;
+    if (target.addressTaken)
+        return TargetExclusion::AddressTaken;
+    if (isMisdirected(target))
+        return TargetExclusion::Misdirected;
+    if (std::find(request.tried.begin(), request.tried.end(), target.id) != request.tried.end())
+        return TargetExclusion::Tried;
+    return !request.allowed || request.allowed(target) ? TargetExclusion::None : TargetExclusion::NotAllowed;
+}
+
 static bool isEligible(const ForwardTarget& target, const ChoiceRequest& request, TimeMs now)
 {
-    if (target.leaving || now < target.pausedUntil || !canSend(target.limit, now) || !hasPlace(target) || target.addressTaken || isMisdirected(target) || std::find(request.tried.begin(), request.tried.end(), target.id) != request.tried.end())
-        return false;
-    return !request.allowed || request.allowed(target);
+    return exclusionOf(target, request, now) == TargetExclusion::None;
 }
 
 static bool isHealthy(const ForwardTarget& target, const ChoiceOptions& options, TimeMs now)
@@ -161,4 +178,30 @@
     return best.choice;
 }
 
+std::vector<TargetExplanation> explainTargets(const ForwardTargets& table, const PromptPartIndex& index, const ChoiceOptions& options, const ChoiceRequest& request, TimeMs now, Random random)
+{
+    const auto ids = table.byBackend.find(request.backend);
+    std::vector<TargetExplanation> out;
+    std::vector<const ForwardTarget*> candidates;
+    for (const UpstreamId id : ids == table.byBackend.end() ? std::vector<UpstreamId> {} : ids->second) {
+        const auto it = table.entries.find(id);
+        if (it == table.entries.end())
+            continue;
+        out.push_back({ .exclusion = exclusionOf(it->second, request, now), .healthy = isHealthy(it->second, options, now), .cost = 0, .choice = { .target = id } });
+    }
+    const bool anyHealthy = std::any_of(out.begin(), out.end(), [](const auto& it) { return it.exclusion == TargetExclusion::None && it.healthy; });
+    for (const auto& it : out) {
+        if (it.exclusion == TargetExclusion::None && it.healthy == anyHealthy)
+            candidates.push_back(&table.entries.at(it.choice.target));
+    }
+    const UpstreamId preferred = affinityTarget(candidates, request.parts);
+    for (auto& it : out) {
+        const ForwardTarget& target = table.entries.at(it.choice.target);
+        const RankedTarget ranked = target.engine ? rankEngine(target, index, options, request, now, preferred, random) : rankService(target, options, random);
+        it.cost = ranked.cost;
+        it.choice = ranked.choice;
+    }
+    return out;
+}
+
 }
--- a/src/forward/TargetChoice.h
+++ b/src/forward/TargetChoice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/EnumNames.h"
 #include "base/Random.h"
 #include "forward/ForwardTarget.h"
 #include "forward/PrefillEstimator.h"
@@ -49,6 +50,42 @@
 /// Returns the target with the lowest cost, or nothing if there is none. Targets that are backed off or stale are chosen
 /// only if there is no healthy one.
 std::optional<TargetChoice> chooseTarget(const ForwardTargets&, const PromptPartIndex&, const ChoiceOptions&, const ChoiceRequest&, TimeMs now, Random&);
+/// Why a target gets no new requests of this node.
+enum class TargetExclusion : uint8_t {
+    None,
+    Leaving,
+    Paused, ///< It has refused a request and wants none before some time.
+    OverLimit, ///< It takes no more requests of this node now.
+    NoPlace, ///< It is brittle, and this node has no further place there.
+    AddressTaken,
+    Misdirected,
+    Tried,
+    NotAllowed, ///< By its version.
+};
+
+template <>
+inline constexpr auto enumNames<TargetExclusion> = std::to_array<EnumName<TargetExclusion>>({
+    { TargetExclusion::None, "-" },
+    { TargetExclusion::Leaving, "leaving" },
+    { TargetExclusion::Paused, "paused" },
+    { TargetExclusion::OverLimit, "over_limit" },
+    { TargetExclusion::NoPlace, "no_place" },
+    { TargetExclusion::AddressTaken, "address_taken" },
+    { TargetExclusion::Misdirected, "misdirected" },
+    { TargetExclusion::Tried, "tried" },
+    { TargetExclusion::NotAllowed, "version" },
+});
+
+/// A target as chooseTarget() sees it.
+struct TargetExplanation {
+    TargetExclusion exclusion = TargetExclusion::None;
+    bool healthy = false; ///< Neither backed off nor stale.
+    double cost = 0; ///< The lowest one is chosen; for engines in milliseconds.
+    TargetChoice choice;
+};
+
+/// All targets of the backend, in the order of their ids. The random parts of the costs are those of the next choice.
+std::vector<TargetExplanation> explainTargets(const ForwardTargets&, const PromptPartIndex&, const ChoiceOptions&, const ChoiceRequest&, TimeMs now, Random);
 /// Time until the first of the targets that take no more requests of this node now, because of the limits or pauses that they
 /// name, takes another one; none if there is no such target.
 std::optional<TimeMs> timeUntilTarget(const ForwardTargets&, const std::string& backend, TimeMs now);
--- a/src/node/AdminFlow.cpp
+++ b/src/node/AdminFlow.cpp
@@ -6,6 +6,7 @@
 #include "node/FleetFlow.h"
 #include "node/Groups.h"
 #include "node/LeaderFlow.h"
+#include "node/RouteExplanation.h"
 #include "node/VoterRepair.h"
 #include "rules/RuleMatch.h"
 #include "rules/RuleParser.h"
@@ -326,6 +327,8 @@
         return answerJson(node, arrived.exchange, 200, json::serialize(json::object { { "groups", groupsJson(node) } }));
     if (path == "/admin/upstreams")
         return showUpstreams(node, arrived);
+    if (path == "/admin/explain-route")
+        return answerRouteExplanation(node, arrived);
     if (path == "/admin/explain")
         return answerExplain(node, arrived);
     if (path == "/admin/moves")
