Order evacuations of failure domains in the decision log, and tell all nodes

Cause: operators cannot ask that a failure domain gets no new requests. Change: two commands and their state in the decision log, frames that tell the set in force, what a build reads between nodes with a data folder, choice of targets, plan of instances, and the calls of the platform. Not tested yet.

--- a/src/control/ControlCommand.h
+++ b/src/control/ControlCommand.h
@@ -181,7 +181,36 @@
     void serialize(Archive& archive) { archive(window, counts); }
 };
 
-using ControlCommand = std::variant<ApplyRules, RecordMove, BeginEpoch, OpenIntent, CloseIntent, PutConfiguration, StartVersionOrder, RecordVersionOrder, CommitUsage>;
+/// An operator's order that the upstreams of a failure domain get no new requests.
+struct Evacuation {
+    std::string domain;
+    std::string operatorName;
+    TimeMs orderedAt; ///< UTC.
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(domain, operatorName, orderedAt); }
+};
+
+/// Starts an evacuation. Idempotent: one that is in force is accepted without effect.
+struct StartEvacuation {
+    Evacuation evacuation;
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(evacuation); }
+};
+
+/// Ends an evacuation. Idempotent: a domain that is not evacuated is accepted without effect.
+struct EndEvacuation {
+    std::string domain;
+    std::string operatorName;
+    TimeMs now; ///< UTC.
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(domain, operatorName, now); }
+};
+
+/// New commands are added at the end: the position is part of their encoding. See docs/decisions/compatibility.md, rule 3.
+using ControlCommand = std::variant<ApplyRules, RecordMove, BeginEpoch, OpenIntent, CloseIntent, PutConfiguration, StartVersionOrder, RecordVersionOrder, CommitUsage, StartEvacuation, EndEvacuation>;
 
 enum class ControlOutcome : uint8_t {
     Accepted,
--- a/src/control/DecisionLog.cpp
+++ b/src/control/DecisionLog.cpp
@@ -269,6 +269,30 @@
     return replyOf(log, ControlOutcome::Accepted, inserted ? "" : "known");
 }
 
+static ControlReply applyTo(DecisionLog& log, const StartEvacuation& command)
+{
+    const auto& evacuation = command.evacuation;
+    if (evacuation.domain.empty() || evacuation.domain.size() > maxNameBytes || evacuation.operatorName.size() > maxNameBytes)
+        return replyOf(log, ControlOutcome::Malformed, "a failure domain and an operator of at most 128 bytes are needed");
+    if (log.evacuations.contains(evacuation.domain))
+        return replyOf(log, ControlOutcome::Accepted, "in force");
+    if (log.evacuations.size() >= DecisionLog::maxEvacuations)
+        return replyOf(log, ControlOutcome::Full, "too many evacuations");
+    log.evacuations.emplace(evacuation.domain, evacuation);
+    ++log.evacuationSequence;
+    return replyOf(log, ControlOutcome::Accepted);
+}
+
+static ControlReply applyTo(DecisionLog& log, const EndEvacuation& command)
+{
+    if (command.domain.empty() || command.domain.size() > maxNameBytes || command.operatorName.size() > maxNameBytes)
+        return replyOf(log, ControlOutcome::Malformed, "a failure domain and an operator of at most 128 bytes are needed");
+    if (!log.evacuations.erase(command.domain))
+        return replyOf(log, ControlOutcome::Accepted, "not evacuated");
+    ++log.evacuationSequence;
+    return replyOf(log, ControlOutcome::Accepted);
+}
+
 ControlReply applyControl(DecisionLog& log, const ControlCommand& command)
 {
     return std::visit([&](const auto& it) { return applyTo(log, it); }, command);
@@ -307,7 +331,7 @@
 }
 
 struct ControlSnapshot {
-    uint32_t format = 2; ///< Format 1 lacks configuration, version orders and usage.
+    uint32_t format = 2; ///< Format 1 lacks configuration, version orders and usage, format 2 evacuations.
     uint64_t revision = 0;
     std::vector<RulesRevision> history;
     std::map<std::string, AnsweredRequest> requests;
@@ -323,6 +347,8 @@
     std::string configuration;
     std::map<std::string, VersionOrder> versionOrders;
     std::map<int64_t, std::map<std::string, uint64_t>> usage;
+    std::map<std::string, Evacuation> evacuations;
+    uint64_t evacuationSequence = 0;
 
     template <class Archive>
     void serialize(Archive& archive)
@@ -331,12 +357,16 @@
             epochAt);
         if (format >= 2)
             archive(configurationNumber, configuration, versionOrders, usage);
+        if (format >= 3)
+            archive(evacuations, evacuationSequence);
     }
 };
 
 std::string snapshotControl(const DecisionLog& log)
 {
     return encodeState(ControlSnapshot {
+        // Builds that know no evacuations read all other snapshots.
+        .format = log.evacuationSequence ? 3U : 2U,
         .revision = log.revision,
         .history = { log.history.begin(), log.history.end() },
         .requests = log.requests,
@@ -352,12 +382,14 @@
         .configuration = log.configuration,
         .versionOrders = log.versionOrders,
         .usage = log.usage,
+        .evacuations = log.evacuations,
+        .evacuationSequence = log.evacuationSequence,
     });
 }
 
 static bool isConsistent(const ControlSnapshot& snapshot)
 {
-    if (snapshot.format < 1 || snapshot.format > 2 || snapshot.revision != (snapshot.history.empty() ? 0 : snapshot.history.back().revision))
+    if (snapshot.format < 1 || snapshot.format > 3 || snapshot.revision != (snapshot.history.empty() ? 0 : snapshot.history.back().revision))
         return false;
     for (size_t n = 1; n < snapshot.history.size(); ++n) {
         if (snapshot.history[n].revision != snapshot.history[n - 1].revision + 1)
@@ -387,6 +419,8 @@
     restored.configuration = std::move(snapshot.configuration);
     restored.versionOrders = std::move(snapshot.versionOrders);
     restored.usage = std::move(snapshot.usage);
+    restored.evacuations = std::move(snapshot.evacuations);
+    restored.evacuationSequence = snapshot.evacuationSequence;
     log = std::move(restored);
     return true;
 }
--- a/src/control/DecisionLog.h
+++ b/src/control/DecisionLog.h
@@ -41,6 +41,7 @@
     static constexpr size_t maxTextBytes = 8 << 20; ///< As maxRulesBytes of the parser.
     static constexpr size_t keptTextBytes = 4 << 20; ///< Total size of the kept texts; the latest text is always kept.
     static constexpr size_t keptUsageWindows = 200;
+    static constexpr size_t maxEvacuations = 1000;
 
     uint64_t revision = 0; ///< Current revision; 0 before the first rules.
     std::deque<RulesRevision> history; ///< Oldest first; the last one is current.
@@ -54,6 +55,8 @@
     std::string configuration; ///< The active configuration as received.
     std::map<std::string, VersionOrder> versionOrders; ///< By backend.
     std::map<int64_t, std::map<std::string, uint64_t>> usage; ///< Committed counts by usage window.
+    std::map<std::string, Evacuation> evacuations; ///< In force, by failure domain.
+    uint64_t evacuationSequence = 0; ///< Increases with each change of `evacuations`; 0 if there never was one.
     uint64_t epoch = 0; ///< Term of the last BeginEpoch.
     NodeId epochLeader;
     TimeMs epochAt; ///< UTC.
--- a/src/forward/ForwardTarget.h
+++ b/src/forward/ForwardTarget.h
@@ -60,6 +60,7 @@
     bool engine = false; ///< Serves a language model: prefills prompts and generates tokens.
     bool reclaimable = false;
     bool leaving = false; ///< Accepts no new requests.
+    bool evacuated = false; ///< Its failure domain gets no new requests.
     bool answersLeaving = false; ///< Has said in an answer to this node that it leaves.
     uint64_t sequence = 0; ///< Of its last known announcement.
     bool local = false; ///< Announces itself to this node.
--- a/src/forward/TargetChoice.cpp
+++ b/src/forward/TargetChoice.cpp
@@ -36,7 +36,7 @@
 
 static bool isEligible(const ForwardTarget& target, const ChoiceRequest& request, TimeMs now)
 {
-    if (target.leaving || now < target.pausedUntil || !canSend(target.limit, now) || !hasPlace(target) || target.addressTaken || isMisdirected(target) || std::find(request.tried.begin(), request.tried.end(), target.id) != request.tried.end())
+    if (target.leaving || target.evacuated || now < target.pausedUntil || !canSend(target.limit, now) || !hasPlace(target) || target.addressTaken || isMisdirected(target) || std::find(request.tried.begin(), request.tried.end(), target.id) != request.tried.end())
         return false;
     return !request.allowed || request.allowed(target);
 }
@@ -110,7 +110,7 @@
     std::optional<TimeMs> earliest;
     for (const UpstreamId id : ids == table.byBackend.end() ? std::vector<UpstreamId> {} : ids->second) {
         const auto it = table.entries.find(id);
-        if (it == table.entries.end() || it->second.leaving)
+        if (it == table.entries.end() || it->second.leaving || it->second.evacuated)
             continue;
         const ForwardTarget& target = it->second;
         const TimeMs pause = std::max(hasPlace(target) ? TimeMs {} : placeWait, target.pausedUntil - now);
--- a/src/node/CatchUp.cpp
+++ b/src/node/CatchUp.cpp
@@ -78,6 +78,7 @@
     const TimeMs age = node.leadsDecisions ? TimeMs {} : node.now - node.catchUp.currentAt;
     const CatchUpReplyFrame reply { node.owner.incarnation, range.lastNumber, age, std::move(range.notices), node.view.index };
     sendFrame(node, from, FrameKind::CatchUpReply, {}, encode(reply));
+    sendEvacuations(node, from);
 }
 
 void receiveCatchUpReply(Node& node, NodeId from, std::string_view body)
--- a/src/node/ControlCalls.cpp
+++ b/src/node/ControlCalls.cpp
@@ -228,6 +228,16 @@
     propagateLeaving(node, arrived.exchange, id, incarnation);
 }
 
+static void handleCall(Node& node, const RequestArrived& arrived, const OrderEvacuationCall& call)
+{
+    const std::string what = (call.start ? "evacuation of " : "end of the evacuation of ") + call.domain;
+    if (const auto unable = nodesWithoutEvacuations(node); !unable.empty())
+        return answerUnavailable(node, arrived.exchange, what + ": " + unable.front() + " may not read the command yet");
+    if (call.start)
+        return propose(node, arrived.exchange, StartEvacuation { { .domain = call.domain, .operatorName = arrived.peer, .orderedAt = node.now } }, what);
+    propose(node, arrived.exchange, EndEvacuation { .domain = call.domain, .operatorName = arrived.peer, .now = node.now }, what);
+}
+
 static void handleCall(Node& node, const RequestArrived& arrived, const EntriesCall& call)
 {
     std::vector<std::string> sameDomain;
--- a/src/node/Dialect.h
+++ b/src/node/Dialect.h
@@ -49,12 +49,18 @@
     std::string name;
 };
 
+/// An operator starts or ends the evacuation of a failure domain.
+struct OrderEvacuationCall {
+    std::string domain;
+    bool start = false; ///< False ends it.
+};
+
 /// A caller asks for entry addresses.
 struct EntriesCall {
     std::string domain; ///< Of the caller.
 };
 
-using ControlCall = std::variant<BadCall, PutConfigurationCall, ReadConfigurationCall, OrderVersionCall, ReadVersionCall, AnnounceCall, LeaveCall, EntriesCall>;
+using ControlCall = std::variant<BadCall, PutConfigurationCall, ReadConfigurationCall, OrderVersionCall, ReadVersionCall, AnnounceCall, LeaveCall, OrderEvacuationCall, EntriesCall>;
 
 /// Sent with each call to the platform by the holder of a duty.
 struct DutyHolder {
--- a/src/node/FleetFlow.cpp
+++ b/src/node/FleetFlow.cpp
@@ -61,7 +61,7 @@
                                   .kind = announced.kind,
                                   .role = announced.role,
                                   .incarnation = announced.incarnation,
-                                  .acceptsWork = isNewWorkAllowed(node, upstream) && !isAddressTaken(node, upstream.id),
+                                  .acceptsWork = isNewWorkAllowed(node, upstream) && !isEvacuated(node, announced.domain) && !isAddressTaken(node, upstream.id),
                                   .pricePerHour = priceOf(node, announced),
                                   .reclaimRisk = announced.reclaimable ? reclaimableRisk : 0,
                               });
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -107,6 +107,7 @@
     target.reclaimable = announced.reclaimable;
     target.lastSeen = upstream.lastSeen;
     target.local = upstream.local;
+    target.evacuated = isEvacuated(node, announced.domain);
     target.leaving = announced.leaving || isRecordedLeaving(node, upstream.id, announced.incarnation);
     const BackendRule* backend = node.forward.routes ? findBackend(*node.forward.routes, announced.model) : nullptr;
     target.engine = backend && backend->slots > 0;
--- a/src/node/NodeState.h
+++ b/src/node/NodeState.h
@@ -13,6 +13,7 @@
 #include "limits/Retry.h"
 #include "membership/Membership.h"
 #include "node/CapacityState.h"
+#include "node/Evacuations.h"
 #include "node/ForwardState.h"
 #include "node/Node.h"
 #include "node/NodeCall.h"
@@ -230,6 +231,7 @@
     ForwardState forward;
     ControlCallState controlCalls;
     CatchUpState catchUp;
+    EvacuationState evacuations;
     DutyState duties;
     VersionFollowers versionOrders;
 
--- a/src/node/Peers.cpp
+++ b/src/node/Peers.cpp
@@ -116,6 +116,10 @@
         return receiveExplain(node, envelope.sender, envelope.body);
     case FrameKind::ExplainReply:
         return receiveExplainReply(node, envelope.sender, envelope.body);
+    case FrameKind::Evacuations:
+        return receiveEvacuations(node, envelope.body);
+    case FrameKind::BuildFeatures:
+        return receiveBuildFeatures(node, envelope.sender, envelope.body);
     case FrameKind::ReplaceVoter:
         return receiveReplaceVoter(node, envelope.body);
     default: // Kinds that are not sent yet, and those of later builds.
--- a/src/node/Scaling.cpp
+++ b/src/node/Scaling.cpp
@@ -45,6 +45,9 @@
         return out;
     for (const UpstreamId id : ids->second) {
         const ForwardTarget& target = targets.entries.at(id);
+        // Nothing is ordered in an evacuated domain; what runs there is kept for its end.
+        if (target.evacuated)
+            continue;
         auto& fleet = out[target.domain];
         if (!target.leaving && node.now - target.lastSeen < replaceAfter)
             ++(target.reclaimable ? fleet.reclaimable : fleet.onDemand);
--- a/src/node/ViewTransfer.cpp
+++ b/src/node/ViewTransfer.cpp
@@ -175,6 +175,9 @@
     if (!offset)
         addLog(node, LogLevel::Info, "view_sent", Step::Send, nameOfMember(node, from), "another node gets the control view of this node",
             { { "index", std::to_string(view.index) }, { "has", std::to_string(frame.viewIndex) }, { "bytes", std::to_string(view.bytes.size()) } });
+    // A node without a view must know the evacuations before it has rules to send by.
+    if (!frame.viewIndex && !offset)
+        sendEvacuations(node, from);
     sendFrame(node, from, FrameKind::ViewPiece, {}, encode(ViewPieceFrame { view.index, view.bytes.size(), view.checksum, offset, view.bytes.substr(offset, viewPieceBytes) }));
     // A node without a view has just started and also needs the upstreams; gossip would take seconds to send all of them.
     if (!frame.viewIndex && !offset)
