Evacuate failure domains: orders, spread, first views, operators' calls

Cause: operators have to take the upstreams of a failure domain out of service within 5 s, durably, from all entry nodes.

Change: every node keeps the set of evacuations with the sequence number of the decision log. Voters tell it when they apply a change, every node before each answer to a catch-up request, and the decision leader every 2 s. A node that has just started gives no view to a node without one until it knows the evacuations that were acknowledged before, for at most 5 s: stored views are older than the log. Orders are proposed for 0.9 s at most, and only while their operator is connected, so that a repeated one is not applied after a later one. The first order waits until all live nodes with a data folder have told that they read it; what a process has told holds until it is replaced.

--- a/src/experiment/AdminCommands.cpp
+++ b/src/experiment/AdminCommands.cpp
@@ -327,6 +327,24 @@
     return code == exit_codes::ok && answer.body["records"].items.empty() ? exit_codes::negative : code;
 }
 
+int runEvacuateCommand(const std::vector<std::string>& arguments)
+{
+    AdminOptions options("evacuate DOMAIN [--end]", "Orders that the upstreams of the failure domain get no new requests, or ends that. Repeating an order has no effect.");
+    options.addPositional("domain", 1);
+    options.addFlag("end", "end the evacuation");
+    if (const auto code = options.read(arguments))
+        return *code;
+    if (!options.require({ "domain" }))
+        return exit_codes::usage;
+    const std::string target = "/admin/evacuations?domain=" + encodeQuery(options.many("domain")[0]);
+    return printAnswer(callAdmin(options.access, options.flag("end") ? "DELETE" : "POST", target), options.flag("json"));
+}
+
+int runEvacuationsCommand(const std::vector<std::string>& arguments)
+{
+    return printResource("evacuations", "Lists the evacuations in force with who ordered them and when.", "/admin/evacuations", arguments);
+}
+
 int runDrainCommand(const std::vector<std::string>& arguments)
 {
     AdminOptions options("drain", "Drains the node at the address: it is removed from the address list and exits when its calls have ended.");
@@ -347,7 +365,7 @@
         return *code;
     auto all = Json::object();
     int code = exit_codes::ok;
-    for (const char* part : { "status", "rules", "rules/history", "upstreams", "moves", "voters" }) {
+    for (const char* part : { "status", "rules", "rules/history", "upstreams", "moves", "evacuations", "voters" }) {
         const auto answer = callAdmin(options.access, "GET", std::string("/admin/") + part);
         all.set(part, Json::object({ { "address", answer.address }, { "status", answer.status }, { "body", answer.body } }));
         code = std::max(code, exitCodeOf(answer));
--- a/src/experiment/Commands.cpp
+++ b/src/experiment/Commands.cpp
@@ -21,6 +21,8 @@
         { "upstreams", "runners and services with load and version", runUpstreamsCommand },
         { "moves", "version moves with stage and reason", runMovesCommand },
         { "explain", "decisions that concern an id", runExplainCommand },
+        { "evacuate", "start or end the evacuation of a failure domain", runEvacuateCommand },
+        { "evacuations", "evacuations in force, with who ordered them", runEvacuationsCommand },
         { "drain", "drain one node", runDrainCommand },
         { "voters", "show, bootstrap or replace the voters", runVotersCommand },
         { "snapshot", "all data of the operator interface in one JSON object", runSnapshotCommand },
--- a/src/experiment/Commands.h
+++ b/src/experiment/Commands.h
@@ -25,6 +25,8 @@
 int runUpstreamsCommand(const std::vector<std::string>& arguments);
 int runMovesCommand(const std::vector<std::string>& arguments);
 int runExplainCommand(const std::vector<std::string>& arguments);
+int runEvacuateCommand(const std::vector<std::string>& arguments);
+int runEvacuationsCommand(const std::vector<std::string>& arguments);
 int runDrainCommand(const std::vector<std::string>& arguments);
 int runVotersCommand(const std::vector<std::string>& arguments);
 int runSnapshotCommand(const std::vector<std::string>& arguments);
--- a/src/forward/ForwardTarget.cpp
+++ b/src/forward/ForwardTarget.cpp
@@ -172,7 +172,7 @@
     size_t unreached = 0;
     for (const UpstreamId id : ids->second) {
         const ForwardTarget& target = table.entries.at(id);
-        if (target.leaving || now - target.lastSeen > staleAfter)
+        if (target.leaving || target.evacuated || now - target.lastSeen > staleAfter)
             continue;
         ++usable;
         unreached += target.unreached ? 1 : 0;
--- a/src/node/AdminFlow.cpp
+++ b/src/node/AdminFlow.cpp
@@ -226,6 +226,43 @@
     answerJson(node, arrived.exchange, 200, json::serialize(json::object { { "moves", list } }));
 }
 
+static void answerEvacuationOrder(Node& node, const EvacuationOrder& order, const std::optional<ControlReply>& reply, const std::string& problem)
+{
+    if (!reply)
+        return answerRefusal(node, order.exchange, { RefusalCode::Unavailable, RunStatus::Unknown, problem, {}, applyRetryAfter });
+    if (reply->outcome == ControlOutcome::Malformed)
+        return refuseRequest(node, order.exchange, RefusalCode::MalformedRequest, reply->detail);
+    if (reply->outcome != ControlOutcome::Accepted)
+        return refuseRequest(node, order.exchange, RefusalCode::Conflict, reply->detail);
+    answerJson(node, order.exchange, 200, json::serialize(json::object { { "domain", order.domain }, { "evacuated", order.start }, { "changed", reply->detail.empty() } }));
+}
+
+static void changeEvacuations(Node& node, const RequestArrived& arrived, const std::string& operatorName)
+{
+    const std::string domain = queryValue(arrived.request.target, "domain");
+    if (domain.empty())
+        return refuseRequest(node, arrived.exchange, RefusalCode::MalformedRequest, "expected ?domain= with the name of a failure domain");
+    orderEvacuation(node, { .exchange = arrived.exchange, .domain = domain, .operatorName = operatorName, .start = arrived.request.method == "POST", .arrivedAt = node.now, .done = answerEvacuationOrder });
+}
+
+// Number of upstreams that this node knows in the failure domain.
+static size_t upstreamsIn(const Node& node, const std::string& domain)
+{
+    const auto& entries = node.membership.upstreams.entries;
+    return static_cast<size_t>(std::count_if(entries.begin(), entries.end(), [&](const auto& it) { return it.second.announced.domain == domain; }));
+}
+
+static void showEvacuations(Node& node, const RequestArrived& arrived)
+{
+    json::array list;
+    for (const auto& [domain, it] : node.evacuations.inForce)
+        list.push_back(json::object { { "domain", domain }, { "operator", it.operatorName }, { "ordered_at_ms", it.orderedAt.value }, { "upstreams", upstreamsIn(node, domain) }, { "rule", toRuleLine(it) } });
+    json::array unable;
+    for (const auto& name : node.options.voter ? nodesWithoutEvacuations(node) : std::vector<std::string> {})
+        unable.emplace_back(name);
+    answerJson(node, arrived.exchange, 200, json::serialize(json::object { { "sequence", node.evacuations.sequence }, { "evacuations", list }, { "not_readable_by", unable } }));
+}
+
 // Finds a voter by the name of its node, or by the 16 hex digits that `voters show` lists for a voter without a live node.
 static VoterId findVoter(const Node& node, const json::object& object, const char* key)
 {
@@ -312,6 +349,8 @@
         return startDrain(node, arrived, name);
     if (path == "/admin/voters" && method == "POST")
         return changeVoters(node, arrived);
+    if (path == "/admin/evacuations" && (method == "POST" || method == "DELETE"))
+        return changeEvacuations(node, arrived, name);
     if (path == "/admin/snapshot" && method == "POST")
         return takeSnapshots(node, arrived);
     if (method != "GET")
@@ -328,6 +367,8 @@
         return showUpstreams(node, arrived);
     if (path == "/admin/explain")
         return answerExplain(node, arrived);
+    if (path == "/admin/evacuations")
+        return showEvacuations(node, arrived);
     if (path == "/admin/moves")
         return showMoves(node, arrived);
     refuseRequest(node, arrived.exchange, RefusalCode::UnknownRoute, "no such operator request");
--- a/src/node/CatchUp.cpp
+++ b/src/node/CatchUp.cpp
@@ -22,7 +22,7 @@
 static constexpr size_t maxNotices = 500;
 static constexpr size_t maxCatchUpBytes = 32 << 10;
 
-static bool needsNotices(const Node& node)
+bool needsNotices(const Node& node)
 {
     return acceptsCallers(node) || node.options.settings.listeners.control.port;
 }
@@ -77,8 +77,9 @@
     auto range = noticesAfter(node.forward.leaving, after, maxNotices);
     const TimeMs age = node.leadsDecisions ? TimeMs {} : node.now - node.catchUp.currentAt;
     const CatchUpReplyFrame reply { node.owner.incarnation, range.lastNumber, age, std::move(range.notices), node.view.index };
-    sendFrame(node, from, FrameKind::CatchUpReply, {}, encode(reply));
+    // Sent first: with the reply, the receiver counts as informed.
     sendEvacuations(node, from);
+    sendFrame(node, from, FrameKind::CatchUpReply, {}, encode(reply));
 }
 
 void receiveCatchUpReply(Node& node, NodeId from, std::string_view body)
--- a/src/node/ControlCalls.cpp
+++ b/src/node/ControlCalls.cpp
@@ -228,14 +228,18 @@
     propagateLeaving(node, arrived.exchange, id, incarnation);
 }
 
+static void answerEvacuationOrder(Node& node, const EvacuationOrder& order, const std::optional<ControlReply>& reply, const std::string& problem)
+{
+    if (!reply)
+        return answerUnavailable(node, order.exchange, problem);
+    if (reply->outcome == ControlOutcome::Accepted)
+        return answerJson(node, order.exchange, 200, "{}");
+    answerText(node, order.exchange, reply->outcome == ControlOutcome::Malformed ? 400 : 409, reply->detail);
+}
+
 static void handleCall(Node& node, const RequestArrived& arrived, const OrderEvacuationCall& call)
 {
-    const std::string what = (call.start ? "evacuation of " : "end of the evacuation of ") + call.domain;
-    if (const auto unable = nodesWithoutEvacuations(node); !unable.empty())
-        return answerUnavailable(node, arrived.exchange, what + ": " + unable.front() + " may not read the command yet");
-    if (call.start)
-        return propose(node, arrived.exchange, StartEvacuation { { .domain = call.domain, .operatorName = arrived.peer, .orderedAt = node.now } }, what);
-    propose(node, arrived.exchange, EndEvacuation { .domain = call.domain, .operatorName = arrived.peer, .now = node.now }, what);
+    orderEvacuation(node, { .exchange = arrived.exchange, .domain = call.domain, .operatorName = arrived.peer, .start = call.start, .arrivedAt = node.now, .done = answerEvacuationOrder });
 }
 
 static void handleCall(Node& node, const RequestArrived& arrived, const EntriesCall& call)
--- a/src/node/ControlFlow.cpp
+++ b/src/node/ControlFlow.cpp
@@ -32,11 +32,11 @@
 {
     INVARIANT(index > node.decisionIndex, "the commands of the decision log are applied in order", "index", index, "applied", node.decisionIndex);
     const auto decoded = decodeControlCommand(command);
-    // Evacuations are no part of the control view: earlier builds could not read it.
-    if (decoded && (std::holds_alternative<StartEvacuation>(*decoded) || std::holds_alternative<EndEvacuation>(*decoded)))
-        return publishEvacuations(node);
     if (!decoded || std::holds_alternative<OpenIntent>(*decoded) || std::holds_alternative<CloseIntent>(*decoded) || std::holds_alternative<CommitUsage>(*decoded))
         return;
+    // Evacuations are no part of the control view, which earlier builds have to read. See publishEvacuations().
+    if (std::holds_alternative<StartEvacuation>(*decoded) || std::holds_alternative<EndEvacuation>(*decoded))
+        return;
     node.decisionIndex = index;
     if (const auto* move = std::get_if<RecordMove>(&*decoded))
         recordDirective(node, index, move->directive);
@@ -172,7 +172,6 @@
 void tickControl(Node& node)
 {
     publishEvacuations(node);
-    tickEvacuations(node);
     if (isLogCurrent(node))
         acceptView(node, buildView(node));
     tickViewTransfer(node);
--- a/src/node/Evacuations.cpp
+++ b/src/node/Evacuations.cpp
@@ -1,17 +1,24 @@
 #include "node/Evacuations.h"
 
+#include "node/CatchUp.h"
 #include "node/FleetFlow.h"
+#include "node/Groups.h"
 #include "node/NodeState.h"
 #include "node/Peers.h"
 #include "wire/Codec.h"
 
 #include <algorithm>
+#include <ctime>
 
 namespace siskinshunt {
 
 static constexpr TimeMs featuresInterval { 1000 };
-// Three frames may be lost before an order is refused.
-static constexpr TimeMs featuresRetention { 4000 };
+// Operators repeat an order elsewhere after 1 s. An order that is still proposed then could be applied after a later one.
+static constexpr TimeMs orderTimeout { 900 };
+// Covers the election of a leader after all voters have restarted.
+static constexpr TimeMs learningTime { 5000 };
+// The decision leader repeats the evacuations for nodes that do not ask for what they have missed.
+static constexpr TimeMs spreadInterval { 2000 };
 // 1,000 evacuations with names of 128 bytes.
 static constexpr size_t maxEvacuationsBytes = 512 << 10;
 
@@ -20,38 +27,102 @@
     return node.evacuations.inForce.contains(domain);
 }
 
+bool knowsEvacuations(const Node& node)
+{
+    const TimeMs startedAt = node.options.startedAtUtc;
+    return node.leadsDecisions || !needsNotices(node) || node.catchUp.currentAt >= startedAt || node.now - startedAt >= learningTime;
+}
+
 std::vector<std::string> nodesWithoutEvacuations(const Node& node)
 {
     std::vector<std::string> out;
+    // The commands are in the log already.
+    if (node.evacuations.sequence)
+        return out;
     for (const auto& [id, member] : node.membership.members) {
         if (!member.status.voter || !isAlive(node.membership, id))
             continue;
         const auto it = node.evacuations.readers.find(id);
-        if (it == node.evacuations.readers.end() || node.now - it->second > featuresRetention)
+        if (it == node.evacuations.readers.end() || it->second < processOf(member.status.incarnation))
             out.push_back(member.identity.name);
     }
+    std::sort(out.begin(), out.end());
     return out;
 }
 
-// Returns whether the set is newer than the known one.
-static bool adoptEvacuations(Node& node, uint64_t sequence, std::map<std::string, Evacuation> evacuations, const std::string& source)
+std::string toRuleLine(const Evacuation& evacuation)
 {
-    auto& state = node.evacuations;
-    if (sequence <= state.sequence)
-        return false;
-    for (const auto& [domain, evacuation] : evacuations) {
-        if (!state.inForce.contains(domain))
+    const auto seconds = static_cast<std::time_t>(evacuation.orderedAt.value / 1000);
+    std::tm utc {};
+    gmtime_r(&seconds, &utc);
+    char at[32];
+    const size_t length = std::strftime(at, sizeof(at), "%Y-%m-%dT%H:%M:%SZ", &utc);
+    return "evacuation " + evacuation.domain + " # " + evacuation.operatorName + ": ordered at " + std::string(at, length);
+}
+
+void orderEvacuation(Node& node, EvacuationOrder order)
+{
+    if (const auto unable = nodesWithoutEvacuations(node); !unable.empty()) {
+        std::string names;
+        for (const auto& name : unable)
+            names += (names.empty() ? "" : ", ") + name;
+        addLog(node, LogLevel::Warning, "evacuation_not_readable", Step::Propose, unable.front(), "an order was refused: these nodes have not told that their build reads it", { { "nodes", names }, { "domain", order.domain } });
+        return order.done(node, order, std::nullopt, "not ordered: " + unable.front() + " has not told that its build reads evacuations");
+    }
+    order.arrivedAt = node.now;
+    node.evacuations.orders.push_back(std::move(order));
+}
+
+void dropEvacuationOrder(Node& node, ExchangeId exchange)
+{
+    std::erase_if(node.evacuations.orders, [&](const auto& it) { return it.exchange == exchange; });
+}
+
+static ControlCommand commandOf(const EvacuationOrder& order)
+{
+    if (order.start)
+        return StartEvacuation { { .domain = order.domain, .operatorName = order.operatorName, .orderedAt = order.arrivedAt } };
+    return EndEvacuation { .domain = order.domain, .operatorName = order.operatorName, .now = order.arrivedAt };
+}
+
+static void proposeOrder(Node& node, const EvacuationOrder& order)
+{
+    proposeCommand(node, decisionGroup, encodeControlCommand(commandOf(order)), orderTimeout, [order](Node& node, bool applied, const std::string& bytes) {
+        const auto reply = applied ? decodeControlReply(bytes) : std::nullopt;
+        addLog(node, reply ? LogLevel::Info : LogLevel::Warning, reply ? "evacuation_ordered" : "evacuation_not_committed", Step::Propose, order.domain, order.start ? "start" : "end",
+            { { "operator", order.operatorName }, { "outcome", reply ? std::string(nameOf(reply->outcome)) : std::string("unknown") }, { "detail", reply ? reply->detail : std::string {} }, { "took_ms", std::to_string((node.now - order.arrivedAt).value) } });
+        order.done(node, order, reply, reply ? std::string {} : "the order is not known to be committed; repeat it");
+    });
+}
+
+// A process that was stopped for a while reads orders whose operators have given up, and repeated them elsewhere, before it reads that they
+// have disconnected.
+void proposeEvacuationOrders(Node& node)
+{
+    for (const auto& order : std::exchange(node.evacuations.orders, {}))
+        proposeOrder(node, order);
+}
+
+static void logChanges(Node& node, uint64_t sequence, const std::map<std::string, Evacuation>& next, const char* source)
+{
+    for (const auto& [domain, evacuation] : next) {
+        if (!isEvacuated(node, domain))
             addLog(node, LogLevel::Info, "evacuation_in_force", Step::Receive, domain, "the upstreams of the failure domain get no new requests",
                 { { "operator", evacuation.operatorName }, { "sequence", std::to_string(sequence) }, { "source", source } });
     }
-    for (const auto& [domain, evacuation] : state.inForce) {
-        if (!evacuations.contains(domain))
-            addLog(node, LogLevel::Info, "evacuation_ended", Step::Receive, domain, "the upstreams of the failure domain get requests again", { { "sequence", std::to_string(sequence) }, { "source", source } });
+    for (const auto& [domain, evacuation] : node.evacuations.inForce) {
+        if (!next.contains(domain))
+            addLog(node, LogLevel::Info, "evacuation_ended", Step::Receive, domain, "the upstreams of the failure domain get requests again",
+                { { "sequence", std::to_string(sequence) }, { "source", source } });
     }
-    state.sequence = sequence;
-    state.inForce = std::move(evacuations);
+}
+
+static void adoptEvacuations(Node& node, uint64_t sequence, std::map<std::string, Evacuation> next, const char* source)
+{
+    logChanges(node, sequence, next, source);
+    node.evacuations.sequence = sequence;
+    node.evacuations.inForce = std::move(next);
     refreshTargets(node);
-    return true;
 }
 
 static std::string encodedEvacuations(const Node& node)
@@ -62,16 +133,24 @@
     return encode(frame);
 }
 
-void publishEvacuations(Node& node)
+static void spreadEvacuations(Node& node)
 {
-    if (!adoptEvacuations(node, node.decisionLog.evacuationSequence, node.decisionLog.evacuations, "decision log"))
-        return;
     const std::string body = encodedEvacuations(node);
     // A member under suspicion is told as well: it may only be slow to answer.
     for (const auto& [id, member] : node.membership.members) {
         if (member.status.state <= MemberState::Suspect)
             sendFrame(node, id, FrameKind::Evacuations, {}, body);
     }
+    node.evacuations.nextSpread = node.now + spreadInterval;
+}
+
+void publishEvacuations(Node& node)
+{
+    const auto& log = node.decisionLog;
+    if (log.evacuationSequence <= node.evacuations.sequence)
+        return;
+    adoptEvacuations(node, log.evacuationSequence, log.evacuations, "decision log");
+    spreadEvacuations(node);
 }
 
 void sendEvacuations(Node& node, NodeId to)
@@ -82,34 +161,56 @@
 
 void receiveEvacuations(Node& node, std::string_view body)
 {
-    const auto frame = decodeOr<EvacuationsFrame>(body, maxEvacuationsBytes);
+    auto frame = decodeOr<EvacuationsFrame>(body, maxEvacuationsBytes);
     if (!frame.sequence)
         return countDrop(node, DropReason::BadBody);
+    if (frame.sequence <= node.evacuations.sequence)
+        return;
     std::map<std::string, Evacuation> evacuations;
-    for (const auto& it : frame.evacuations)
+    for (auto& it : frame.evacuations)
         evacuations.emplace(it.domain, it);
     adoptEvacuations(node, frame.sequence, std::move(evacuations), "frame");
 }
 
+static std::string ownFeatures(const Node& node)
+{
+    return encode(BuildFeaturesFrame { .process = processOf(firstIncarnation(node.options.startedAtUtc)), .features = BuildFeaturesFrame::readsEvacuations });
+}
+
 void receiveBuildFeatures(Node& node, NodeId from, std::string_view body)
 {
     const auto frame = decodeOr<BuildFeaturesFrame>(body, 64);
-    if (frame.features & BuildFeaturesFrame::readsEvacuations)
-        node.evacuations.readers[from] = node.now;
+    if (!frame.process)
+        return countDrop(node, DropReason::BadBody);
+    auto& readers = node.evacuations.readers;
+    if (!(frame.features & BuildFeaturesFrame::readsEvacuations)) {
+        readers.erase(from);
+        return;
+    }
+    // A process that has just started is told at once, so that it can accept orders.
+    if (std::exchange(readers[from], frame.process) != frame.process && node.options.voter)
+        sendFrame(node, from, FrameKind::BuildFeatures, {}, ownFeatures(node));
 }
 
-void tickEvacuations(Node& node)
+static void tellFeatures(Node& node)
 {
     auto& state = node.evacuations;
     if (!node.options.voter || node.now < state.nextFeatures)
         return;
     state.nextFeatures = node.now + featuresInterval;
-    std::erase_if(state.readers, [&](const auto& it) { return node.now - it.second > featuresRetention; });
-    const std::string body = encode(BuildFeaturesFrame { BuildFeaturesFrame::readsEvacuations });
+    std::erase_if(state.readers, [&](const auto& it) { return !findMember(node.membership, it.first); });
+    const std::string body = ownFeatures(node);
     for (const auto& [id, member] : node.membership.members) {
         if (member.status.voter && isAlive(node.membership, id))
             sendFrame(node, id, FrameKind::BuildFeatures, {}, body);
     }
 }
 
+void tickEvacuations(Node& node)
+{
+    tellFeatures(node);
+    if (node.leadsDecisions && node.evacuations.sequence && node.now >= node.evacuations.nextSpread)
+        spreadEvacuations(node);
+}
+
 }
--- a/src/node/Evacuations.h
+++ b/src/node/Evacuations.h
@@ -3,7 +3,9 @@
 #include "control/ControlCommand.h"
 #include "node/NodeIo.h"
 
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,24 +30,51 @@
 struct BuildFeaturesFrame {
     static constexpr uint64_t readsEvacuations = 1;
 
+    uint64_t process = 0; ///< Start time of the sender, as processOf() of its incarnation; 0 is no valid frame.
     uint64_t features = 0; ///< Set of the bits above; later builds add bits.
 
     template <class Archive>
-    void serialize(Archive& archive) { archive(features); }
+    void serialize(Archive& archive) { archive(process, features); }
+};
+
+/// An operator's order to start or end an evacuation, until it is answered.
+struct EvacuationOrder {
+    using Done = std::function<void(Node&, const EvacuationOrder&, const std::optional<ControlReply>&, const std::string& problem)>;
+
+    ExchangeId exchange = 0;
+    std::string domain;
+    std::string operatorName;
+    bool start = false; ///< False ends it.
+    TimeMs arrivedAt;
+    Done done; ///< Gets the reply of the decision log, or a text that says why there is none.
 };
 
 /// What this node knows of evacuations.
 struct EvacuationState {
     uint64_t sequence = 0; ///< 0 if there never was one.
     std::map<std::string, Evacuation> inForce; ///< By failure domain.
-    std::map<NodeId, TimeMs> readers; ///< Nodes with a data folder that read the commands, with the time of their last frame.
+    std::map<NodeId, uint64_t> readers; ///< Processes with a data folder that have told that they read the commands.
+    std::vector<EvacuationOrder> orders; ///< Not proposed yet.
     TimeMs nextFeatures;
+    TimeMs nextSpread;
 };
 
 bool isEvacuated(const Node&, const std::string& domain);
-/// Names of the live nodes with a data folder whose build may not read the commands. While there is one, none may be written: it would
-/// diverge from the others.
+/// Whether this node has the evacuations that were acknowledged before it started. A node that does not know them gives its view to no
+/// node without one, which would send by it at once. Considered true some time after the start, so that a fleet without a leader goes on.
+bool knowsEvacuations(const Node&);
+/// Names of the live nodes with a data folder whose build may not read the commands. Empty once there was an evacuation.
 std::vector<std::string> nodesWithoutEvacuations(const Node&);
+/// Text of an evacuation in the form of a rule line with its comment.
+std::string toRuleLine(const Evacuation&);
+
+/// Proposes the order to the decision log, unless its caller disconnects first, and calls `done`.
+void orderEvacuation(Node&, EvacuationOrder);
+/// Forgets the order of a caller that has disconnected.
+void dropEvacuationOrder(Node&, ExchangeId);
+/// Proposes the waiting orders. Called when all received bytes have been processed.
+void proposeEvacuationOrders(Node&);
+
 /// Adopts the evacuations of this voter's decision log, and tells all known members if they have changed.
 void publishEvacuations(Node&);
 /// Sends the evacuations in force to another node if there ever was one.
--- a/src/node/Metrics.cpp
+++ b/src/node/Metrics.cpp
@@ -61,6 +61,7 @@
     }
     appendGroups(out, node);
     appendValue(out, "rules_revision", {}, static_cast<double>(node.view.rules.revision));
+    appendValue(out, "evacuations", {}, static_cast<double>(node.evacuations.inForce.size()));
     appendValue(out, "calls_in_flight", {}, static_cast<double>(node.calls.size()));
     appendValue(out, "queued_bytes", {}, static_cast<double>(node.queuedBytes));
     appendValue(out, "members_alive", {}, static_cast<double>(liveMembers(node.membership).size()));
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -159,6 +159,7 @@
     for (auto& request : inputs.requests)
         handleRequest(node, std::move(request));
     for (const ExchangeId exchange : inputs.disconnected) {
+        dropEvacuationOrder(node, exchange);
         if (!handleForwardCallerDisconnect(node, exchange))
             handleCallerDisconnect(node, exchange);
     }
@@ -209,6 +210,7 @@
     tickForward(node);
     tickControlCalls(node);
     tickCatchUp(node);
+    tickEvacuations(node);
     tickDuties(node);
     tickVersionOrders(node);
     tickEvidence(node);
@@ -233,8 +235,10 @@
         tickAll(node);
     }
     // Deadlines are checked only when all received answers have been processed.
-    if (allInputPassed)
+    if (allInputPassed) {
         tickCalls(node);
+        proposeEvacuationOrders(node);
+    }
     flushGroups(node);
     tickControl(node);
     flushMembership(node);
--- a/src/node/VersionOrders.cpp
+++ b/src/node/VersionOrders.cpp
@@ -66,7 +66,7 @@
         return canary;
     for (const UpstreamId id : ids->second) {
         const ForwardTarget& target = node.forward.targets.entries.at(id);
-        if (target.version == order.target && !target.leaving && node.now >= target.backoffUntil && (!canary || id < canary))
+        if (target.version == order.target && !target.leaving && !target.evacuated && node.now >= target.backoffUntil && (!canary || id < canary))
             canary = id;
     }
     return canary;
--- a/src/node/ViewTransfer.cpp
+++ b/src/node/ViewTransfer.cpp
@@ -165,7 +165,8 @@
 void receiveFetchView(Node& node, NodeId from, std::string_view body)
 {
     const auto frame = decodeOr<FetchViewFrame>(body, 64, FetchViewFrame { UINT64_MAX });
-    if (frame.viewIndex >= node.view.index)
+    // A node without a view sends by the first one that it gets. A voter that has just started may lack an acknowledged evacuation.
+    if (frame.viewIndex >= node.view.index || (!frame.viewIndex && !knowsEvacuations(node)))
         return sendFrame(node, from, FrameKind::ViewPiece, {}, encode(ViewPieceFrame { .index = node.view.index }));
     auto& encoded = node.viewTransfer.encoded;
     const auto known = std::find_if(encoded.begin(), encoded.end(), [&](const auto& it) { return it.checksum == frame.checksum; });
@@ -175,7 +176,6 @@
     if (!offset)
         addLog(node, LogLevel::Info, "view_sent", Step::Send, nameOfMember(node, from), "another node gets the control view of this node",
             { { "index", std::to_string(view.index) }, { "has", std::to_string(frame.viewIndex) }, { "bytes", std::to_string(view.bytes.size()) } });
-    // A node without a view must know the evacuations before it has rules to send by.
     if (!frame.viewIndex && !offset)
         sendEvacuations(node, from);
     sendFrame(node, from, FrameKind::ViewPiece, {}, encode(ViewPieceFrame { view.index, view.bytes.size(), view.checksum, offset, view.bytes.substr(offset, viewPieceBytes) }));
--- a/src/soak/NodeFleet.h
+++ b/src/soak/NodeFleet.h
@@ -55,7 +55,7 @@
 };
 
 /// Control calls as a platform could have them: POST announces an upstream, DELETE /NAME its shutdown, PUT /NUMBER replaces the
-/// configuration by the rules in its body.
+/// configuration by the rules in its body, POST and DELETE /evacuations/DOMAIN start and end an evacuation.
 std::shared_ptr<const Dialect> makeFleetDialect();
 
 /// Simulates a fleet in virtual time: real nodes driven by step(), with in-memory links, fake disks and simulated upstreams
--- a/src/soak/NodeFleetUpstreams.cpp
+++ b/src/soak/NodeFleetUpstreams.cpp
@@ -19,6 +19,8 @@
 {
     Dialect dialect;
     dialect.decode = [](const HttpRequest& request, const std::string&) -> ControlCall {
+        if (request.target.starts_with("/evacuations/"))
+            return OrderEvacuationCall { .domain = request.target.substr(13), .start = request.method == "POST" };
         if (request.method == "DELETE")
             return LeaveCall { request.target.substr(1) };
         if (request.method == "PUT")
--- a/tests/control/DecisionLogTest.cpp
+++ b/tests/control/DecisionLogTest.cpp
@@ -221,3 +221,78 @@
     const auto plain = decodeControlCommand(encodeState(ControlCommand(put)));
     BOOST_TEST((plain && std::get<PutConfiguration>(*plain).rules == rules));
 }
+
+static StartEvacuation makeEvacuation(const std::string& domain, const std::string& who = "asma")
+{
+    return { { .domain = domain, .operatorName = who, .orderedAt = TimeMs { 1000 } } };
+}
+
+// Guards against a repeated order that is refused, counts as a change, or replaces the name of the operator who was first.
+BOOST_AUTO_TEST_CASE(evacuationOrdersAreIdempotent)
+{
+    DecisionLog log;
+    BOOST_TEST((applyControl(log, EndEvacuation { "north", "asma", {} }).outcome == ControlOutcome::Accepted));
+    BOOST_TEST(log.evacuationSequence == 0U);
+    BOOST_TEST((applyControl(log, makeEvacuation("north")).outcome == ControlOutcome::Accepted));
+    BOOST_TEST((applyControl(log, makeEvacuation("north", "bilal")).outcome == ControlOutcome::Accepted));
+    BOOST_TEST(log.evacuationSequence == 1U);
+    BOOST_TEST(log.evacuations.at("north").operatorName == "asma");
+    BOOST_TEST((applyControl(log, EndEvacuation { "north", "bilal", {} }).outcome == ControlOutcome::Accepted));
+    BOOST_TEST((applyControl(log, EndEvacuation { "north", "bilal", {} }).outcome == ControlOutcome::Accepted));
+    BOOST_TEST((log.evacuations.empty() && log.evacuationSequence == 2U));
+    BOOST_TEST((applyControl(log, makeEvacuation({})).outcome == ControlOutcome::Malformed));
+    BOOST_TEST((applyControl(log, makeEvacuation(std::string(129, 'n'))).outcome == ControlOutcome::Malformed));
+    BOOST_TEST(log.evacuationSequence == 2U);
+}
+
+// Guards against unbounded memory. An order for a domain that is evacuated already needs no room.
+BOOST_AUTO_TEST_CASE(numberOfEvacuationsIsBounded)
+{
+    DecisionLog log;
+    for (size_t n = 0; n < DecisionLog::maxEvacuations; ++n)
+        BOOST_REQUIRE((applyControl(log, makeEvacuation("d" + std::to_string(n))).outcome == ControlOutcome::Accepted));
+    BOOST_TEST((applyControl(log, makeEvacuation("more")).outcome == ControlOutcome::Full));
+    BOOST_TEST((applyControl(log, makeEvacuation("d0")).outcome == ControlOutcome::Accepted));
+}
+
+// Guards against an evacuation that a snapshot loses, and against a sequence number that starts again when none is in force: nodes would
+// ignore the next one.
+BOOST_AUTO_TEST_CASE(snapshotKeepsEvacuations)
+{
+    DecisionLog log;
+    applyControl(log, makeEvacuation("north"));
+    applyControl(log, makeEvacuation("south", "bilal"));
+    applyControl(log, EndEvacuation { "north", "asma", {} });
+    DecisionLog restored;
+    BOOST_REQUIRE(restoreControl(restored, snapshotControl(log)));
+    BOOST_TEST((restored.evacuations.size() == 1U && restored.evacuations.at("south").operatorName == "bilal" && restored.evacuationSequence == 3U));
+    applyControl(log, EndEvacuation { "south", "asma", {} });
+    BOOST_REQUIRE(restoreControl(restored, snapshotControl(log)));
+    BOOST_TEST((restored.evacuations.empty() && restored.evacuationSequence == 4U));
+}
+
+// Guards against snapshots that earlier builds cannot read although there never was an evacuation: their format number is 2.
+BOOST_AUTO_TEST_CASE(snapshotWithoutEvacuationsHasTheEarlierFormat)
+{
+    DecisionLog log;
+    applyControl(log, makeApply("r1", 0, "one"));
+    const std::string before = snapshotControl(log);
+    applyControl(log, EndEvacuation { "north", "asma", {} });
+    BOOST_TEST(snapshotControl(log) == before);
+    const std::string format { 2, 0, 0, 0 };
+    BOOST_TEST(before.find(format) != std::string::npos);
+    BOOST_TEST(before.find(format) <= 1U);
+    applyControl(log, makeEvacuation("north"));
+    BOOST_TEST(snapshotControl(log).find(std::string { 3, 0, 0, 0 }) <= 1U);
+}
+
+// Guards against a changed position of the earlier commands, which is part of their encoding in the logs of earlier builds.
+BOOST_AUTO_TEST_CASE(evacuationCommandsComeLast)
+{
+    BOOST_TEST(ControlCommand(CommitUsage {}).index() == 8U);
+    BOOST_TEST(ControlCommand(StartEvacuation {}).index() == 9U);
+    BOOST_TEST(ControlCommand(EndEvacuation {}).index() == 10U);
+    const auto decoded = decodeControlCommand(encodeControlCommand(makeEvacuation("north")));
+    BOOST_REQUIRE(decoded);
+    BOOST_TEST(std::get<StartEvacuation>(*decoded).evacuation.domain == "north");
+}
--- a/tests/forward/TargetChoiceTest.cpp
+++ b/tests/forward/TargetChoiceTest.cpp
@@ -192,3 +192,20 @@
     BOOST_TEST(maxRequestsAtOneEngine(0) == 72);
     BOOST_TEST(maxRequestsAtOneEngine(costJitterMs(72)) <= 18);
 }
+
+// Guards against requests, retries included, that go into an evacuated failure domain, and against callers that are told to wait for it.
+BOOST_AUTO_TEST_CASE(evacuatedUpstreamsGetNothing)
+{
+    Engines engines(3);
+    for (const uint64_t id : { 1, 2 })
+        engines.at(id).evacuated = true;
+    for (int n = 0; n < 50; ++n)
+        BOOST_REQUIRE(engines.choose({})->target.value == 3U);
+    BOOST_TEST(!engines.choose({ .tried = { UpstreamId { 3 } } }));
+    engines.at(3).evacuated = true;
+    BOOST_TEST(!engines.choose({}));
+    BOOST_TEST(!timeUntilTarget(engines.table, "lm", engines.now).has_value());
+    for (const uint64_t id : { 1, 2, 3 })
+        engines.at(id).unreached = true;
+    BOOST_TEST((reachedShare(engines.table, "lm", engines.now, engines.options.staleAfter) == ReachedShare::Most));
+}
--- a/tests/fuzz/ControlCommands.cpp
+++ b/tests/fuzz/ControlCommands.cpp
@@ -27,7 +27,7 @@
 
 static ControlCommand command(FuzzInput& in)
 {
-    switch (in.below(5)) {
+    switch (in.below(7)) {
     case 0:
         return ApplyRules { .requestId = in.text(), .expectedRevision = in.number(), .text = in.text(), .operatorName = in.text(), .now = time(in) };
     case 1:
@@ -36,6 +36,10 @@
         return BeginEpoch { .leader = { in.number() }, .term = in.number(), .now = time(in) };
     case 3:
         return OpenIntent { .epoch = in.number(), .intent = intent(in) };
+    case 4:
+        return StartEvacuation { { .domain = in.text(), .operatorName = in.text(), .orderedAt = time(in) } };
+    case 5:
+        return EndEvacuation { .domain = in.text(), .operatorName = in.text(), .now = time(in) };
     default:
         return CloseIntent { .id = in.text(), .state = static_cast<IntentState>(in.below(4)), .detail = in.text() };
     }
--- a/tests/platform/ManifestTest.cpp
+++ b/tests/platform/ManifestTest.cpp
@@ -105,6 +105,12 @@
     const auto order = std::get<OrderVersionCall>(decodeCall("POST", "/rollouts", R"({"service":"lm","target":"v2","durationS":12})"));
     BOOST_TEST((order.backend == "lm" && order.target == "v2" && order.within == TimeMs { 12000 }));
     BOOST_TEST(std::get<ReadVersionCall>(decodeCall("GET", "/rollouts/lm")).backend == "lm");
+    const auto start = std::get<OrderEvacuationCall>(decodeCall("POST", "/evacuations/lhr-depot"));
+    BOOST_TEST((start.start && start.domain == "lhr-depot"));
+    const auto end = std::get<OrderEvacuationCall>(decodeCall("DELETE", "/evacuations/lhr-depot"));
+    BOOST_TEST((!end.start && end.domain == "lhr-depot"));
+    BOOST_TEST(std::get<BadCall>(decodeCall("POST", "/evacuations/")).status == 404);
+    BOOST_TEST(std::get<BadCall>(decodeCall("GET", "/evacuations/lhr-depot")).status == 404);
     BOOST_TEST(std::get<BadCall>(decodeCall("POST", "/config")).status == 404);
     BOOST_TEST(std::get<BadCall>(decodeCall("POST", "/rollouts", "{}")).status == 400);
 }
