--- a/src/forward/TargetChoice.cpp
+++ b/src/forward/TargetChoice.cpp
@@ -38,6 +38,8 @@
 {
     if (target.leaving)
         return TargetExclusion::Leaving;
+    if (target.evacuated)
+        return TargetExclusion::Evacuated;
     if (now < target.pausedUntil)
         return TargetExclusion::Paused;
     if (!canSend(target.limit, now))
@@ -127,7 +129,7 @@
     std::optional<TimeMs> earliest;
     for (const UpstreamId id : ids == table.byBackend.end() ? std::vector<UpstreamId> {} : ids->second) {
         const auto it = table.entries.find(id);
-        if (it == table.entries.end() || it->second.leaving)
+        if (it == table.entries.end() || it->second.leaving || it->second.evacuated)
             continue;
         const ForwardTarget& target = it->second;
         const TimeMs pause = std::max(hasPlace(target) ? TimeMs {} : placeWait, target.pausedUntil - now);
--- a/src/forward/TargetChoice.h
+++ b/src/forward/TargetChoice.h
@@ -54,6 +54,7 @@
 enum class TargetExclusion : uint8_t {
     None,
     Leaving,
+    Evacuated, ///< Its failure domain gets no new requests.
     Paused, ///< It has refused a request and wants none before some time.
     OverLimit, ///< It takes no more requests of this node now.
     NoPlace, ///< It is brittle, and this node has no further place there.
@@ -67,6 +68,7 @@
 inline constexpr auto enumNames<TargetExclusion> = std::to_array<EnumName<TargetExclusion>>({
     { TargetExclusion::None, "-" },
     { TargetExclusion::Leaving, "leaving" },
+    { TargetExclusion::Evacuated, "evacuated" },
     { TargetExclusion::Paused, "paused" },
     { TargetExclusion::OverLimit, "over_limit" },
     { TargetExclusion::NoPlace, "no_place" },
--- a/src/node/ControlCalls.cpp
+++ b/src/node/ControlCalls.cpp
@@ -228,6 +228,20 @@
     propagateLeaving(node, arrived.exchange, id, incarnation);
 }
 
+static void answerEvacuationOrder(Node& node, const EvacuationOrder& order, const std::optional<ControlReply>& reply, const std::string& problem)
+{
+    if (!reply)
+        return answerUnavailable(node, order.exchange, problem);
+    if (reply->outcome == ControlOutcome::Accepted)
+        return answerJson(node, order.exchange, 200, "{}");
+    answerText(node, order.exchange, reply->outcome == ControlOutcome::Malformed ? 400 : 409, reply->detail);
+}
+
+static void handleCall(Node& node, const RequestArrived& arrived, const OrderEvacuationCall& call)
+{
+    orderEvacuation(node, { .exchange = arrived.exchange, .domain = call.domain, .operatorName = arrived.peer, .start = call.start, .arrivedAt = node.now, .done = answerEvacuationOrder });
+}
+
 static void handleCall(Node& node, const RequestArrived& arrived, const EntriesCall& call)
 {
     std::vector<std::string> sameDomain;
--- a/src/node/ControlFlow.cpp
+++ b/src/node/ControlFlow.cpp
@@ -34,6 +34,9 @@
     const auto decoded = decodeControlCommand(command);
     if (!decoded || std::holds_alternative<OpenIntent>(*decoded) || std::holds_alternative<CloseIntent>(*decoded) || std::holds_alternative<CommitUsage>(*decoded))
         return;
+    // Evacuations are no part of the control view, which earlier builds have to read. See publishEvacuations().
+    if (std::holds_alternative<StartEvacuation>(*decoded) || std::holds_alternative<EndEvacuation>(*decoded))
+        return;
     node.decisionIndex = index;
     if (const auto* move = std::get_if<RecordMove>(&*decoded))
         recordDirective(node, index, move->directive);
@@ -168,6 +171,7 @@
 
 void tickControl(Node& node)
 {
+    publishEvacuations(node);
     if (isLogCurrent(node))
         acceptView(node, buildView(node));
     tickViewTransfer(node);
