Let the schedules of entry nodes start and end evacuations

Cause: the tests inject one fault each; schedules combine them.

Change: the scenario entries orders evacuations of one failure domain at random voters, repeats each order until it is acknowledged, and checks that nodes in touch send nothing there later than 5 s after the acknowledgement, and know its end as soon.

--- a/src/soak/EntrySoak.cpp
+++ b/src/soak/EntrySoak.cpp
@@ -1,5 +1,6 @@
 #include "api/AnnouncementJson.h"
 #include "node/ForwardFlow.h"
+#include "node/NodeState.h"
 #include "soak/FaultSchedule.h"
 #include "soak/Soak.h"
 
@@ -8,13 +9,16 @@
 
 namespace siskinshunt {
 
-// Upstreams that leave or name limits, while voters and entry nodes fail. Checks what nodes that are in touch send to them.
+// Upstreams that leave or name limits, and a failure domain that is evacuated, while voters and entry nodes fail. Checks what nodes that are
+// in touch send to them.
 
 static constexpr TimeMs drainTime { 2000 };
 static constexpr TimeMs limitWindow { 4000 };
 static constexpr TimeMs limitBindsAfter { 3000 };
 static constexpr TimeMs toldFor { 500 }; ///< A node counts this long after its first answer that names the limit.
 static constexpr TimeMs announceInterval { 1200 };
+static constexpr TimeMs evacuateTime { 5000 }; ///< From the acknowledgement of an order until it binds.
+static constexpr TimeMs orderPatience { 1000 }; ///< After it, operators repeat an order at another voter.
 static constexpr TimeMs upstreamPause { 7000 }; ///< From the notice of a leaving upstream until it starts again.
 
 namespace {
@@ -35,6 +39,14 @@
         std::deque<std::pair<TimeMs, size_t>> window; ///< Arrivals that count, with their node.
     };
 
+    /// Orders for one failure domain, one after the other; each is repeated until it is acknowledged.
+    struct SoakEvacuation {
+        std::string domain;
+        bool start = false; ///< Of the last order.
+        uint64_t call = 0; ///< Of the order, until it is acknowledged.
+        std::optional<TimeMs> acknowledgedAt; ///< Of the last order.
+    };
+
     class EntrySchedule : FaultSchedule {
     public:
         explicit EntrySchedule(uint64_t seed);
@@ -49,8 +61,14 @@
         std::optional<HttpHeaders> answer(size_t node, const UpstreamDispatch&);
         void countLimited(SoakUpstream&, size_t node);
         void checkAware();
+        void sendOrder();
+        void followOrder();
+        void checkEvacuation();
+        bool isEvacuationBinding(bool start) const { return m_evacuation.acknowledgedAt && m_evacuation.start == start && fleet.now - *m_evacuation.acknowledgedAt > evacuateTime; }
 
         std::vector<SoakUpstream> m_upstreams;
+        SoakEvacuation m_evacuation { .domain = "lhr-depot" };
+        Random m_orderRandom; ///< Apart from that of the faults, so that orders do not change which faults a seed gives.
         uint64_t m_requests = 0;
         HeaderNames m_names;
     };
@@ -67,6 +85,7 @@
 
 EntrySchedule::EntrySchedule(uint64_t seed)
     : FaultSchedule(seed, makeOptions)
+    , m_orderRandom(seed + 1)
 {
     // More upstreams keep gossip busier after a restart.
     const size_t upstreams = static_cast<size_t>(random.between(4, fleet.nodes.size() > 50 ? 66 : 16));
@@ -164,6 +183,8 @@
         return headers;
     if (it->leftAt && fleet.now - *it->leftAt > drainTime && isInTouch(node))
         fail(it->name + " got a request " + std::to_string((fleet.now - *it->leftAt).value) + " ms after it had announced that it leaves, from " + fleet.nodes[node].settings.node);
+    if (fleet.upstream(it->name).announced.domain == m_evacuation.domain && isEvacuationBinding(true) && isInTouch(node))
+        fail(it->name + " got a request " + std::to_string((fleet.now - *m_evacuation.acknowledgedAt).value) + " ms after the evacuation of its domain was acknowledged, from " + fleet.nodes[node].settings.node);
     if (it->perSecond) {
         headers.emplace_back(rateLimitHeader, std::to_string(*it->perSecond));
         countLimited(*it, node);
@@ -187,6 +208,45 @@
     }
 }
 
+void EntrySchedule::sendOrder()
+{
+    m_evacuation.call = fleet.post(m_orderRandom.below(voters), { m_evacuation.start ? "POST" : "DELETE", "/evacuations/" + m_evacuation.domain, {}, {} }, ListenerKind::Control);
+}
+
+// Gives the next order from time to time, and repeats it at another voter until it is acknowledged.
+void EntrySchedule::followOrder()
+{
+    if (!m_evacuation.call) {
+        if (!m_orderRandom.chance(0.02))
+            return;
+        m_evacuation.start = !m_evacuation.start;
+        m_evacuation.acknowledgedAt.reset();
+        ++result.faults[m_evacuation.start ? "evacuate" : "evacuation ends"];
+        return sendOrder();
+    }
+    const auto& caller = fleet.caller(m_evacuation.call);
+    if (caller.done && caller.status == 200) {
+        m_evacuation.acknowledgedAt = caller.answeredAt;
+        m_evacuation.call = 0;
+    } else if (caller.done || caller.lost || fleet.now - caller.postedAt > orderPatience) {
+        if (!caller.done && !caller.lost)
+            fleet.disconnectCaller(m_evacuation.call);
+        sendOrder();
+    }
+}
+
+// A node that would send is a fault, and so is one that does not send again.
+void EntrySchedule::checkEvacuation()
+{
+    for (size_t n = voters; n < fleet.nodes.size(); ++n) {
+        if (!isInTouch(n))
+            continue;
+        const bool evacuated = isEvacuated(*fleet.nodes[n].node, m_evacuation.domain);
+        if (isEvacuationBinding(!evacuated))
+            fail(fleet.nodes[n].settings.node + (evacuated ? " does not know the end of the evacuation " : " does not know the evacuation ") + std::to_string((fleet.now - *m_evacuation.acknowledgedAt).value) + " ms after its acknowledgement");
+    }
+}
+
 SoakResult EntrySchedule::run()
 {
     const std::string author = " # Asma: soak\n";
@@ -204,8 +264,10 @@
         sendRequests();
         for (auto& upstream : m_upstreams)
             followNotice(upstream);
+        followOrder();
         fleet.runFor(TimeMs { random.between(50, 250) });
         checkAware();
+        checkEvacuation();
         if (step % cycleSteps == faultSteps)
             recoverAll();
     }
