Wait for knowledge of evacuations only with a view from before the restart

Cause: the wait that keeps restarted voters from handing out a view without the evacuations applied to every start, delayed first starts, and made ConnectionResets/NothingIsLostOrLateInASmallFleet fail. Change: it applies while the view is the stored one.

--- a/src/node/ControlFlow.cpp
+++ b/src/node/ControlFlow.cpp
@@ -154,6 +154,7 @@
     if (!encoded)
         return fail(ErrorCode::Corrupt, Step::Recover, "stored view", "the compressed view is damaged");
     BOOST_LEAF_AUTO(view, decode<ControlView>(*encoded, maxViewBytes, "stored view"));
+    node.restoredViewIndex = view.index;
     adoptView(node, std::move(view));
     return {};
 }
--- a/src/node/NodeState.h
+++ b/src/node/NodeState.h
@@ -181,6 +181,7 @@
     std::optional<ControlView> viewToStore; ///< A newer view that waits until `viewBeingStored` is on disk.
     std::optional<ControlView> viewBeingStored;
     uint64_t viewRequest = 0;
+    uint64_t restoredViewIndex = 0; ///< Index of the view that was on disk at the start; 0 if there was none.
 
     // Consensus.
     DecisionLog decisionLog;
--- a/src/node/ViewTransfer.cpp
+++ b/src/node/ViewTransfer.cpp
@@ -165,8 +165,10 @@
 void receiveFetchView(Node& node, NodeId from, std::string_view body)
 {
     const auto frame = decodeOr<FetchViewFrame>(body, 64, FetchViewFrame { UINT64_MAX });
-    // A node without a view sends by the first one that it gets. A voter that has just started may lack an acknowledged evacuation.
-    if (frame.viewIndex >= node.view.index || (!frame.viewIndex && !knowsEvacuations(node)))
+    // A node without a view sends by the first one that it gets. A voter that has just started with a stored view may lack an acknowledged
+    // evacuation, which the view does not contain.
+    const bool mayLackEvacuations = node.view.index == node.restoredViewIndex && !knowsEvacuations(node);
+    if (frame.viewIndex >= node.view.index || (!frame.viewIndex && mayLackEvacuations))
         return sendFrame(node, from, FrameKind::ViewPiece, {}, encode(ViewPieceFrame { .index = node.view.index }));
     auto& encoded = node.viewTransfer.encoded;
     const auto known = std::find_if(encoded.begin(), encoded.end(), [&](const auto& it) { return it.checksum == frame.checksum; });
