Limit the requests of all nodes to cold upstreams

An upstream that has just started crashes if it gets more requests than it sustains while cold, and each node alone sees only its own.

TargetLimit gets a second bucket, which applies while the upstream is cold, besides the limit that the upstream names.

build/bin/test_forward: 68 cases pass.

--- a/src/forward/TargetLimit.cpp
+++ b/src/forward/TargetLimit.cpp
@@ -13,6 +13,11 @@
 static constexpr double burstRequests = 2;
 // Least rate, for an upstream that names a limit of zero: without any request nobody learns that the limit has ended.
 static constexpr double minPerSecond = 0.2;
+// A cold upstream may get 1.5 times its rate and 5 requests in any second. The nodes that share the rate send at most 1.15 times of it and
+// one request: 0.8 of the rate, and a burst of one request each. At 8.6 requests/s these are four nodes with at most two requests each in a second,
+// so even two groups of nodes that know nothing of each other stay within 17.9.
+static constexpr double coldRateFactor = 0.8;
+static constexpr double coldSendersPerRate = 0.35;
 
 static size_t sharingNodeCount(double perSecond, size_t nodes)
 {
@@ -40,26 +45,88 @@
     limit.level = std::min(limit.level, limit.burst);
 }
 
-bool canSend(const TargetLimit& limit, TimeMs now)
+static double coldLevelAt(const ColdLimit& cold, TimeMs now)
+{
+    return std::min(1.0, cold.level + cold.share * std::max(now - cold.updatedAt, TimeMs {}).seconds());
+}
+
+static size_t coldSenderCount(double perSecond)
+{
+    return static_cast<size_t>(1 + std::min(perSecond, 1e6) * coldSendersPerRate);
+}
+
+bool isCold(const TargetLimit& limit, TimeMs now)
+{
+    return now < limit.cold.until;
+}
+
+void setColdUntil(TargetLimit& limit, TimeMs now, TimeMs until, double level)
+{
+    if (!isCold(limit, now) && now < until)
+        limit.cold = { .level = level, .updatedAt = now };
+    limit.cold.until = until;
+}
+
+void setColdShare(TargetLimit& limit, TimeMs now, UpstreamId upstream, double perSecond, NodeId self, const std::vector<NodeId>& nodes)
+{
+    auto& cold = limit.cold;
+    cold.level = coldLevelAt(cold, now);
+    cold.updatedAt = now;
+    const size_t sharing = coldSenderCount(perSecond);
+    const bool sends = std::find(nodes.begin(), nodes.end(), self) != nodes.end() && rankAmongNodes(upstream, self, nodes) < sharing;
+    cold.share = sends ? perSecond * coldRateFactor / static_cast<double>(sharing) : 0;
+    if (!sends)
+        cold.level = 0;
+}
+
+static TimeMs timeUntilLevel(double level, double share)
+{
+    return TimeMs { static_cast<int64_t>(std::ceil((1 - level) / share * 1000)) };
+}
+
+static bool canSendCold(const TargetLimit& limit, TimeMs now)
+{
+    return !isCold(limit, now) || (limit.cold.share > 0 && coldLevelAt(limit.cold, now) >= 1);
+}
+
+static bool canSendNamed(const TargetLimit& limit, TimeMs now)
 {
     return !limit.perSecond || levelAt(limit, now) >= 1;
 }
 
+bool canSend(const TargetLimit& limit, TimeMs now)
+{
+    return canSendNamed(limit, now) && canSendCold(limit, now);
+}
+
 void recordSend(TargetLimit& limit, TimeMs now)
 {
-    if (!limit.perSecond)
-        return;
-    limit.level = levelAt(limit, now) - 1;
-    limit.updatedAt = now;
+    if (limit.perSecond) {
+        limit.level = levelAt(limit, now) - 1;
+        limit.updatedAt = now;
+    }
+    if (isCold(limit, now)) {
+        limit.cold.level = coldLevelAt(limit.cold, now) - 1;
+        limit.cold.updatedAt = now;
+    }
 }
 
-std::optional<TimeMs> timeUntilSend(const TargetLimit& limit, TimeMs now)
+static TimeMs timeUntilColdSend(const TargetLimit& limit, TimeMs now)
 {
-    if (canSend(limit, now))
+    if (canSendCold(limit, now))
         return TimeMs {};
+    const TimeMs left = limit.cold.until - now;
+    return limit.cold.share > 0 ? std::min(left, timeUntilLevel(coldLevelAt(limit.cold, now), limit.cold.share)) : left;
+}
+
+std::optional<TimeMs> timeUntilSend(const TargetLimit& limit, TimeMs now)
+{
+    const TimeMs cold = timeUntilColdSend(limit, now);
+    if (canSendNamed(limit, now))
+        return cold;
     if (limit.share <= 0)
         return std::nullopt;
-    return TimeMs { static_cast<int64_t>(std::ceil((1 - levelAt(limit, now)) / limit.share * 1000)) };
+    return std::max(cold, timeUntilLevel(levelAt(limit, now), limit.share));
 }
 
 }
