--- a/src/node/Dialect.h
+++ b/src/node/Dialect.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -42,6 +43,7 @@
 /// An upstream announces itself.
 struct AnnounceCall {
     Announcement announcement;
+    std::optional<TimeMs> coldRemaining; ///< For how long the upstream is still cold; none if it does not say.
 };
 
 /// An upstream is about to leave. Only its name is known.
--- a/src/rules/RuleChecks.cpp
+++ b/src/rules/RuleChecks.cpp
@@ -128,6 +128,14 @@
     }
 }
 
+static void checkColdStarts(Checker& checker)
+{
+    for (const auto& rule : checker.rules.coldStarts) {
+        if (!checker.hasRule("backend", rule.name))
+            checker.report(rule.origin, "backend '" + rule.name + "' is not defined; expected the name of a backend rule");
+    }
+}
+
 static void checkCallerKeys(Checker& checker)
 {
     std::map<std::string_view, const CallerKeyRule*> seen;
@@ -152,6 +160,7 @@
     checkVersions(checker);
     checkMoves(checker);
     checkInstances(checker);
+    checkColdStarts(checker);
     checkForwards(checker);
     checkCallerKeys(checker);
 }
--- a/src/rules/RuleKinds.cpp
+++ b/src/rules/RuleKinds.cpp
@@ -271,6 +271,15 @@
     return s_spec;
 }
 
+static const KindSpec<ColdStartRule>& coldStartSpec()
+{
+    static const KindSpec<ColdStartRule> s_spec { "cold-start", &RuleSet::coldStarts, &ColdStartRule::name, {
+                                                                                                                { "duration", true, "a duration from 1ms to 10m", [](ColdStartRule& rule, std::string_view v) { return assignDuration(rule.duration, v, 1_ms, 10_min); } },
+                                                                                                                { "rate", true, "a number from 0.01 to 1000000", [](ColdStartRule& rule, std::string_view v) { return assign(rule.perSecond, parseNumber(v), 0.01, 1e6); } },
+                                                                                                            } };
+    return s_spec;
+}
+
 static const KindSpec<ForwardRule>& forwardSpec()
 {
     static const KindSpec<ForwardRule> s_spec { "forward", &RuleSet::forwards, &ForwardRule::name, {
@@ -364,7 +373,7 @@
 
 std::vector<std::string_view> ruleKindNames()
 {
-    return { "account", "class", "target", "route", "limit", "retry", "version", "move", "price", "instances", "drain", "backend", "forward", "allowance", "caller-key", "intake" };
+    return { "account", "class", "target", "route", "limit", "retry", "version", "move", "price", "instances", "drain", "backend", "cold-start", "forward", "allowance", "caller-key", "intake" };
 }
 
 void addRule(const RuleInput& input, ParsedRules& out)
@@ -374,7 +383,7 @@
         || addRuleOfKind(versionSpec(), input, out) || addRuleOfKind(moveSpec(), input, out) || addRuleOfKind(priceSpec(), input, out)
         || addRuleOfKind(instancesSpec(), input, out) || addRuleOfKind(drainSpec(), input, out)
         || addRuleOfKind(backendSpec(), input, out) || addRuleOfKind(forwardSpec(), input, out) || addRuleOfKind(allowanceSpec(), input, out)
-        || addRuleOfKind(callerKeySpec(), input, out) || addRuleOfKind(intakeSpec(), input, out);
+        || addRuleOfKind(callerKeySpec(), input, out) || addRuleOfKind(intakeSpec(), input, out) || addRuleOfKind(coldStartSpec(), input, out);
     if (known)
         return;
     std::string kinds;
--- a/src/rules/RuleParser.cpp
+++ b/src/rules/RuleParser.cpp
@@ -8,6 +8,8 @@
 namespace siskinshunt {
 
 static constexpr int maxLines = 50000;
+// Earlier builds read a line that begins with it as a comment, so it carries the kinds of rules that they do not know.
+static constexpr std::string_view extensionMark = "#:";
 
 static std::string_view trim(std::string_view text)
 {
@@ -63,13 +65,23 @@
     }
 }
 
+// Position after the mark of an extension line, or 0 if the line is none.
+static size_t extensionStart(std::string_view line)
+{
+    const auto first = line.find_first_not_of(" \t\r");
+    return first != std::string_view::npos && line.substr(first).starts_with(extensionMark) ? first + extensionMark.size() : 0;
+}
+
 static void parseLine(std::string_view line, int number, ParsedRules& out)
 {
-    const auto hash = line.find('#');
-    const std::string_view body = trim(line.substr(0, hash));
+    const size_t start = extensionStart(line);
+    const auto hash = line.find('#', start);
+    const std::string_view body = trim(line.substr(start, hash == std::string_view::npos ? hash : hash - start));
     if (body.empty())
         return;
-    const auto words = splitWords(line.substr(0, hash));
+    auto words = splitWords(line.substr(start, hash == std::string_view::npos ? hash : hash - start));
+    for (auto& word : words)
+        word.column += static_cast<int>(start);
     RuleInput input;
     input.origin = { number, std::string(body), {}, {} };
     const int commentColumn = static_cast<int>(hash == std::string_view::npos ? line.size() : hash) + 1;
--- a/src/rules/RuleSet.h
+++ b/src/rules/RuleSet.h
@@ -189,6 +189,14 @@
     RuleOrigin origin;
 };
 
+/// How much an upstream of a backend takes in the time after its start, in which it is cold.
+struct ColdStartRule {
+    std::string name; ///< The backend.
+    TimeMs duration; ///< For which an upstream is cold after it has started.
+    double perSecond = 0; ///< Requests per second that a cold upstream sustains, from all nodes together.
+    RuleOrigin origin;
+};
+
 /// A route of forwarded requests, selected by host and longest path prefix.
 struct ForwardRule {
     std::string name;
@@ -259,6 +267,7 @@
     std::vector<InstancesRule> instances;
     std::vector<DrainRule> drains;
     std::vector<BackendRule> backends;
+    std::vector<ColdStartRule> coldStarts;
     std::vector<ForwardRule> forwards;
     std::vector<AllowanceRule> allowances;
     std::vector<CallerKeyRule> callerKeys;
--- a/tests/platform/ManifestTest.cpp
+++ b/tests/platform/ManifestTest.cpp
@@ -78,6 +78,21 @@
     BOOST_TEST(isRejected(withReplaced("\"r-1\"", "\"r-1 # x\"")));
 }
 
+// Guards against a cold start that is lost, that earlier builds would refuse the configuration for, or that is made up.
+BOOST_AUTO_TEST_CASE(coldStartsBecomeExtensionLines)
+{
+    const auto rulesOf = [](const std::string& text) { return std::get<PutConfigurationCall>(readManifest(text, "10.0.0.9")).rules; };
+    const auto parsed = parseRules(rulesOf(withReplaced("\"maxConnections\":360", "\"maxConnections\":360,\"coldStartS\":3.0,\"coldPerS\":8.6")));
+    BOOST_REQUIRE_MESSAGE(parsed.problems.empty(), (parsed.problems.empty() ? "" : parsed.problems.front().message));
+    BOOST_REQUIRE(parsed.rules.coldStarts.size() == 1U);
+    BOOST_TEST((parsed.rules.coldStarts[0].name == "lm" && parsed.rules.coldStarts[0].duration == TimeMs { 3000 } && parsed.rules.coldStarts[0].perSecond == 8.6));
+    BOOST_TEST(parsed.rules.coldStarts[0].origin.person == "operator at 10.0.0.9");
+    BOOST_TEST(parsed.rules.text.find("\n#: cold-start lm ") != std::string::npos);
+    BOOST_TEST(rulesOf(manifest).find("cold-start") == std::string::npos);
+    BOOST_TEST(rulesOf(withReplaced("\"maxConnections\":360", "\"maxConnections\":360,\"coldStartS\":0,\"coldPerS\":8.6")).find("cold-start") == std::string::npos);
+    BOOST_TEST(isRejected(withReplaced("\"maxConnections\":360", "\"maxConnections\":360,\"coldStartS\":3.0,\"coldPerS\":\"8.6\"")));
+}
+
 static ControlCall decodeCall(const std::string& method, const std::string& target, const std::string& body = {})
 {
     return makePlatformDialect()->decode({ method, target, {}, body }, "10.0.0.9:4000");
@@ -91,6 +106,9 @@
     BOOST_TEST((call.name == "i-1" && call.model == "lm" && call.domain == "x" && call.address == "10.0.0.1:80" && call.version == "v1"));
     BOOST_TEST((call.leaving && call.reclaimable && call.reclaimIn && call.reclaimIn->value == 2300));
     BOOST_TEST((call.kind == UpstreamKind::Engine && call.load.capacity == 64U && call.incarnation == 1764800000000U && call.sequence == 1U));
+    BOOST_TEST(!std::get<AnnounceCall>(decodeCall("PUT", "/instances/i-1", registration)).coldRemaining.has_value());
+    const auto cold = std::get<AnnounceCall>(decodeCall("PUT", "/instances/i-1", registration.substr(0, registration.size() - 1) + ",\"coldRemainingMs\":2300}")).coldRemaining;
+    BOOST_TEST((cold && *cold == TimeMs { 2300 }));
     for (const char* malformed : { "", "[]", "{}", R"({"service":"lm","address":"a","zone":"x","slots":"64","state":"ready","sequence":1})", R"({"service":"lm","address":"a","zone":"x","slots":6,"state":"asleep","sequence":1})", R"({"service":7,"address":"a","zone":"x","slots":6,"state":"ready","sequence":1})" })
         BOOST_TEST(std::holds_alternative<BadCall>(decodeCall("PUT", "/instances/i-1", malformed)), malformed);
     BOOST_TEST(std::get<LeaveCall>(decodeCall("DELETE", "/instances/i-1")).name == "i-1");
--- a/tests/rules/ForwardRulesTest.cpp
+++ b/tests/rules/ForwardRulesTest.cpp
@@ -49,3 +49,26 @@
     BOOST_TEST(problemsOf(accounts + key("k", "a") + key("l", "b")).find("belongs to account 'a'") != std::string::npos);
     BOOST_TEST(problemsOf(accounts + key("k", "c")).find("account 'c' is not defined") != std::string::npos);
 }
+
+// Guards against extension lines that earlier builds read as comments and that are not checked, or are reported at the wrong place.
+BOOST_AUTO_TEST_CASE(extensionLinesAreRules)
+{
+    const auto parsed = parseRules(backend + "#: cold-start desk duration=3000ms rate=8.6 # Asma: engines fail\n# : a comment\n");
+    BOOST_REQUIRE_MESSAGE(parsed.problems.empty(), problemsOf(parsed.rules.text));
+    BOOST_REQUIRE(parsed.rules.coldStarts.size() == 1U);
+    const auto& rule = parsed.rules.coldStarts[0];
+    BOOST_TEST((rule.name == "desk" && rule.duration == TimeMs { 3000 } && rule.perSecond == 8.6));
+    BOOST_TEST((rule.origin.line == 2 && rule.origin.person == "Asma" && rule.origin.text == "cold-start desk duration=3000ms rate=8.6"));
+    BOOST_TEST(parsed.rules.lines.size() == 2U);
+    BOOST_TEST(problemsOf(backend + "cold-start desk duration=3s rate=8.6 # Asma: as a plain line\n") == "");
+    const auto problemAt = [](const std::string& text) {
+        const auto problems = parseRules(text).problems;
+        return problems.empty() ? std::string {} : toString(problems.front(), "f");
+    };
+    BOOST_TEST(problemAt(backend + "#: cold-start desk duration=3s rate=0 # Asma: test\n").starts_with("f:2:37: rate='0': expected a number"));
+    BOOST_TEST(problemAt(backend + "#: cold-start desk rate=1 # Asma: test\n").starts_with("f:2:15: cold-start 'desk' lacks duration="));
+    BOOST_TEST(problemAt(backend + "#: cold-start desk duration=3s rate=1\n").starts_with("f:2:38: expected a comment"));
+    BOOST_TEST(problemAt(backend + "  #: chill desk # Asma: test\n").starts_with("f:2:6: unknown rule kind 'chill'"));
+    BOOST_TEST(problemAt("#: cold-start gone duration=3s rate=1 # Asma: test\n").starts_with("f:1:1: backend 'gone' is not defined"));
+    BOOST_TEST(problemAt(backend + "#: cold-start desk duration=3s rate=1 # Asma: test\ncold-start desk duration=3s rate=1 # Asma: test\n").starts_with("f:3:12: cold-start 'desk' is already defined on line 2"));
+}
