Tell all nodes of cold upstreams and keep what they get within their rate

Several entry nodes that each send their usual load to an upstream that has just started exceed what it sustains: it crashes. Only the node to which it announces itself hears how long it stays cold.

Entry nodes count an upstream as cold from their first sight of its incarnation, as its newest statement says, or after the end of an evacuation of its domain (evacuationEnded). A node takes no share in its first 2 s. The plan of instances does not give up others for cold ones. Log codes upstream_cold, upstream_warm, bad_cold_states; gauge upstreams_cold; counters forward_sent_to_cold, cold_states_told, cold_states_learned.

--- a/src/forward/FleetPlan.h
+++ b/src/forward/FleetPlan.h
@@ -55,6 +55,8 @@
 struct DomainFleet {
     uint32_t onDemand = 0;
     uint32_t reclaimable = 0;
+    uint32_t coldOnDemand = 0; ///< Of these, cold: they serve only a little yet, so others are not given up for them.
+    uint32_t coldReclaimable = 0;
 };
 
 /// Instances that are wanted in one failure domain.
--- a/src/node/CatchUp.cpp
+++ b/src/node/CatchUp.cpp
@@ -1,6 +1,7 @@
 #include "node/CatchUp.h"
 
 #include "membership/Messages.h"
+#include "node/ColdFlow.h"
 #include "node/ForwardFlow.h"
 #include "node/ForwardReport.h"
 #include "node/LeaderFlow.h"
@@ -78,6 +79,9 @@
     const TimeMs age = node.leadsDecisions ? TimeMs {} : node.now - node.catchUp.currentAt;
     const CatchUpReplyFrame reply { node.owner.incarnation, range.lastNumber, age, std::move(range.notices), node.view.index };
     sendFrame(node, from, FrameKind::CatchUpReply, {}, encode(reply));
+    // The sender has just started, or asks this process for the first time.
+    if (frame.process != node.owner.incarnation)
+        sendColdStates(node, from);
 }
 
 void receiveCatchUpReply(Node& node, NodeId from, std::string_view body)
--- a/src/node/ControlCalls.cpp
+++ b/src/node/ControlCalls.cpp
@@ -1,6 +1,7 @@
 #include "node/ControlCalls.h"
 
 #include "node/Answers.h"
+#include "node/ColdFlow.h"
 #include "node/ForwardFlow.h"
 #include "node/Groups.h"
 #include "node/LeaderFlow.h"
@@ -202,8 +203,11 @@
     const auto upsert = announce(node.membership, node.now, announced, node.membershipOutputs);
     if (upsert == UpsertResult::Collision || upsert == UpsertResult::Full || upsert == UpsertResult::TooLarge)
         return handleCall(node, arrived, BadCall { 400, "the announcement was refused: " + std::string(nameOf(upsert)) });
-    if (const Upstream* upstream = findUpstream(node.membership.upstreams, id))
+    if (const Upstream* upstream = findUpstream(node.membership.upstreams, id)) {
         updateForwardTarget(node, *upstream);
+        if (call.coldRemaining)
+            recordColdStatement(node, *upstream, announced.incarnation, announced.sequence, *call.coldRemaining);
+    }
     // An upstream resends a notice that was not acknowledged; a delayed one still applies to its incarnation.
     if (announcesLeaving)
         return propagateLeaving(node, arrived.exchange, id, announced.incarnation);
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -3,6 +3,7 @@
 #include "base/Hash.h"
 #include "forward/Overload.h"
 #include "node/Answers.h"
+#include "node/ColdFlow.h"
 #include "node/ForwardRelay.h"
 #include "node/ForwardReport.h"
 #include "node/UpstreamLimits.h"
@@ -54,6 +55,7 @@
 void setForwardRules(Node& node)
 {
     node.forward.routes = makeRouteTable(node.rules);
+    setColdRules(node);
     if (node.rules->intakes.empty())
         return;
     const auto& intake = node.rules->intakes.front();
@@ -125,6 +127,7 @@
         addLog(node, upstreamLogLevel(target), "upstream_known", Step::Announce, announced.name, "a new upstream accepts requests", { { "backend", target.backend }, { "address", target.address }, { "version", target.version } });
     const bool started = !known || known->incarnation != announced.incarnation;
     ForwardTarget& entry = upsertTarget(node.forward.targets, target);
+    updateColdTarget(node, entry);
     if (!started)
         return;
     resetReach(node.forward.reach[target.backend]);
@@ -311,6 +314,8 @@
     recordSend(known.limit, node.now);
     if (known.limit.perSecond)
         node.counters.add("forward_sent_to_limited");
+    if (isCold(known.limit, node.now))
+        node.counters.add("forward_sent_to_cold");
     known.own.running += 1;
     forward.hubs.loadChanged = true;
     known.own.prefillTokens[static_cast<size_t>(call.urgency)] += choice.prefillTokens;
--- a/src/node/ForwardReport.cpp
+++ b/src/node/ForwardReport.cpp
@@ -1,5 +1,6 @@
 #include "node/ForwardReport.h"
 
+#include "node/ColdFlow.h"
 #include "node/ForwardFlow.h"
 #include "node/ForwardRelay.h"
 #include "node/Groups.h"
@@ -143,6 +144,7 @@
     expirePeers(forward.allowances, node.now);
     expireParts(forward.parts, node.now);
     expireUsage(forward.usage, node.now);
+    expireColdStates(forward.cold.states, node.now);
     expireNotices(forward.leaving, node.now, leavingRetention);
     expireRelayPeers(node);
     expireCrashEvidence(forward.quarantine, node.now);
@@ -155,6 +157,7 @@
     if (node.now >= forward.nextExpiry)
         expireForward(node);
     tickUpstreamLimits(node);
+    tickColdUpstreams(node);
     tickLoadHub(node);
     if (!acceptsCallers(node))
         return;
--- a/src/node/ForwardState.h
+++ b/src/node/ForwardState.h
@@ -2,6 +2,7 @@
 
 #include "base/Random.h"
 #include "forward/Allowance.h"
+#include "forward/ColdUpstreams.h"
 #include "forward/CrashQuarantine.h"
 #include "forward/FleetPlan.h"
 #include "forward/ForwardCall.h"
@@ -61,6 +62,19 @@
     TimeMs backoff; ///< Length of the last backoff; doubles each time.
 };
 
+/// What this node knows of cold upstreams; see node/ColdFlow.h.
+struct ColdFlowState {
+    std::map<std::string, ColdStartRule, std::less<>> rules; ///< By backend.
+    ColdStates states;
+    ColdSenders senders;
+    std::vector<NodeId> sharing; ///< Nodes that count for the shares; without this one while it has none.
+    std::set<UpstreamId> cold; ///< Targets that count as cold at this node.
+    std::set<UpstreamId> toTell; ///< Upstreams whose statement, made to this node, is told to the others next.
+    TimeMs tellAt; ///< When it is told.
+    TimeMs nextRepeat;
+    TimeMs nextShares;
+};
+
 /// State of request forwarding at this node.
 struct ForwardState {
     HeaderNames headers;
@@ -89,6 +103,7 @@
     std::set<uint64_t> quarantineLogged; ///< Quarantined subjects for which this node has written a line.
     std::set<UpstreamId> limitsToReport; ///< Upstreams whose limits go into the next load report.
     TimeMs nextShares;
+    ColdFlowState cold;
 };
 
 /// A leave call that waits for the acknowledgement of the decision leader.
--- a/src/node/Metrics.cpp
+++ b/src/node/Metrics.cpp
@@ -64,6 +64,8 @@
     appendValue(out, "calls_in_flight", {}, static_cast<double>(node.calls.size()));
     appendValue(out, "queued_bytes", {}, static_cast<double>(node.queuedBytes));
     appendValue(out, "members_alive", {}, static_cast<double>(liveMembers(node.membership).size()));
+    if (!node.forward.cold.rules.empty())
+        appendValue(out, "upstreams_cold", {}, static_cast<double>(node.forward.cold.cold.size()));
     appendValue(out, "upstreams", {}, static_cast<double>(node.membership.upstreams.entries.size()));
     node.out.answers.push_back({ arrived.exchange, AnswerPart::Whole, 200, { { "Content-Type", "text/plain; version=0.0.4" } }, std::move(out) });
 }
--- a/src/node/Peers.cpp
+++ b/src/node/Peers.cpp
@@ -1,6 +1,7 @@
 #include "node/Peers.h"
 
 #include "node/CatchUp.h"
+#include "node/ColdFlow.h"
 #include "node/ControlCalls.h"
 #include "node/ControlFlow.h"
 #include "node/Duties.h"
@@ -91,6 +92,8 @@
         return receiveCatchUp(node, envelope.sender, envelope.body);
     case FrameKind::CatchUpReply:
         return receiveCatchUpReply(node, envelope.sender, envelope.body);
+    case FrameKind::ColdStates:
+        return receiveColdStates(node, envelope.sender, envelope.body);
     case FrameKind::Usage:
         return receiveUsage(node, envelope.sender, envelope.body);
     case FrameKind::Leaving:
--- a/src/node/Scaling.cpp
+++ b/src/node/Scaling.cpp
@@ -46,8 +46,11 @@
     for (const UpstreamId id : ids->second) {
         const ForwardTarget& target = targets.entries.at(id);
         auto& fleet = out[target.domain];
-        if (!target.leaving && node.now - target.lastSeen < replaceAfter)
-            ++(target.reclaimable ? fleet.reclaimable : fleet.onDemand);
+        if (target.leaving || node.now - target.lastSeen >= replaceAfter)
+            continue;
+        ++(target.reclaimable ? fleet.reclaimable : fleet.onDemand);
+        if (isCold(target.limit, node.now))
+            ++(target.reclaimable ? fleet.coldReclaimable : fleet.coldOnDemand);
     }
     return out;
 }
@@ -129,11 +132,13 @@
     return std::nullopt;
 }
 
-// Limits the reduction of a large fleet per order: the load may rise again, and instances take seconds to start.
-static uint32_t limitScaleDown(uint32_t wanted, uint32_t present)
+// Limits the reduction of a large fleet per order: the load may rise again, and instances take seconds to start. Cold instances are kept
+// besides those that are wanted, so that as many of the others stay.
+static uint32_t limitScaleDown(uint32_t wanted, uint32_t present, uint32_t cold)
 {
     const uint32_t maxReduction = std::max(2U, present / 3);
-    return std::max(wanted, present > maxReduction ? present - maxReduction : 0);
+    const uint32_t kept = wanted < present ? std::min(present, wanted + cold) : wanted;
+    return std::max(kept, present > maxReduction ? present - maxReduction : 0);
 }
 
 static std::optional<ScaleOrder> dueOrderOf(Node& node, const BackendRule& backend)
@@ -155,7 +160,7 @@
             const auto& fleet = present.at(domain);
             for (const bool reclaimable : { true, false }) {
                 const uint32_t now = reclaimable ? fleet.reclaimable : fleet.onDemand;
-                const uint32_t n = limitScaleDown(reclaimable ? wanted.reclaimable : wanted.onDemand, now);
+                const uint32_t n = limitScaleDown(reclaimable ? wanted.reclaimable : wanted.onDemand, now, reclaimable ? fleet.coldReclaimable : fleet.coldOnDemand);
                 if ((n > now) != more || (reclaimable && !reclaimableAvailable))
                     continue;
                 if (auto order = orderFor(node, { .backend = backend.name, .domain = domain, .reclaimable = reclaimable }, n, now))
--- a/src/soak/NodeFleet.h
+++ b/src/soak/NodeFleet.h
@@ -54,8 +54,11 @@
     std::shared_ptr<const Dialect> dialect;
 };
 
+constexpr const char* coldTimeHeader = "Cold-Time-Left";
+
 /// Control calls as a platform could have them: POST announces an upstream, DELETE /NAME its shutdown, PUT /NUMBER replaces the
 /// configuration by the rules in its body.
+/// The header `coldTimeHeader` of an announcement says for how many ms the upstream is still cold.
 std::shared_ptr<const Dialect> makeFleetDialect();
 
 /// Simulates a fleet in virtual time: real nodes driven by step(), with in-memory links, fake disks and simulated upstreams
--- a/src/soak/NodeFleetUpstreams.cpp
+++ b/src/soak/NodeFleetUpstreams.cpp
@@ -15,6 +15,12 @@
 static constexpr uint16_t firstForwardPort = 6000;
 static constexpr ExchangeId firstPassedExchange = uint64_t { 1 } << 61;
 
+static std::optional<TimeMs> coldTimeOf(const HttpRequest& request)
+{
+    const auto text = findHeader(request.headers, coldTimeHeader);
+    return text.empty() ? std::nullopt : std::optional(TimeMs { std::stoll(std::string(text)) });
+}
+
 std::shared_ptr<const Dialect> makeFleetDialect()
 {
     Dialect dialect;
@@ -25,7 +31,7 @@
             return PutConfigurationCall { .number = std::stoull(request.target.substr(1)), .rules = request.body, .original = request.body };
         return handle([&]() -> Result<ControlCall> {
             BOOST_LEAF_AUTO(announced, parseAnnouncement(request.body));
-            return ControlCall(AnnounceCall { std::move(announced) }); },
+            return ControlCall(AnnounceCall { std::move(announced), coldTimeOf(request) }); },
             [](const Error& error) { return ControlCall(BadCall { 400, error.detail }); });
     };
     return std::make_shared<const Dialect>(std::move(dialect));
