--- a/tests/node/ColdUpstreamTest.cpp
+++ b/tests/node/ColdUpstreamTest.cpp
@@ -1,6 +1,8 @@
 #include "EntryFleet.h"
+#include "ForwardFixture.h"
 
 #include "node/ColdFlow.h"
+#include "node/Scaling.h"
 
 #include <deque>
 
@@ -266,6 +268,24 @@
     BOOST_CHECK_EQUAL(it.nodesThatKnow("desk-0"), 8U);
 }
 
+// Guards against a plan of instances that gives up engines because others have come, which are cold and serve only a little.
+BOOST_AUTO_TEST_CASE(PlanKeepsEnginesWhileOthersAreCold)
+{
+    const std::string author = " # Asma: test\n";
+    ForwardNode it("backend eng slots=64 max=10" + author + "#: cold-start eng duration=3s rate=8.6" + author);
+    ForwardLoadFrame load;
+    load.toRead["eng"] = 0;
+    recordBackendDemand(*it.node, idOfName<NodeId>("entry-2"), load);
+    it.advance(12_s);
+    for (int n = 0; n < 6; ++n)
+        it.addUpstream("eng-" + std::to_string(n), "eng", static_cast<uint64_t>(it.now.value));
+    BOOST_CHECK(!dueScaleOrder(*it.node));
+    it.advance(coldTime + 400_ms);
+    const auto order = dueScaleOrder(*it.node);
+    BOOST_REQUIRE(order);
+    BOOST_CHECK_LT(order->wanted, 6U);
+}
+
 // Guards against a malformed frame that changes the state of upstreams.
 BOOST_AUTO_TEST_CASE(MalformedFramesChangeNothing)
 {
