--- a/src/node/CatchUp.cpp
+++ b/src/node/CatchUp.cpp
@@ -1,6 +1,7 @@
 #include "node/CatchUp.h"
 
 #include "membership/Messages.h"
+#include "node/ColdFlow.h"
 #include "node/ForwardFlow.h"
 #include "node/ForwardReport.h"
 #include "node/LeaderFlow.h"
@@ -80,6 +81,9 @@
     // Sent first: with the reply, the receiver counts as informed.
     sendEvacuations(node, from);
     sendFrame(node, from, FrameKind::CatchUpReply, {}, encode(reply));
+    // The sender has just started, or asks this process for the first time.
+    if (frame.process != node.owner.incarnation)
+        sendColdStates(node, from);
 }
 
 void receiveCatchUpReply(Node& node, NodeId from, std::string_view body)
--- a/src/node/Evacuations.cpp
+++ b/src/node/Evacuations.cpp
@@ -1,6 +1,7 @@
 #include "node/Evacuations.h"
 
 #include "node/CatchUp.h"
+#include "node/ColdFlow.h"
 #include "node/FleetFlow.h"
 #include "node/Groups.h"
 #include "node/NodeState.h"
@@ -150,9 +151,13 @@
 static void adoptEvacuations(Node& node, uint64_t sequence, std::map<std::string, Evacuation> next, const char* source)
 {
     logChanges(node, sequence, next, source);
+    const auto before = std::exchange(node.evacuations.inForce, std::move(next));
     node.evacuations.sequence = sequence;
-    node.evacuations.inForce = std::move(next);
     refreshTargets(node);
+    for (const auto& [domain, evacuation] : before) {
+        if (!isEvacuated(node, domain))
+            evacuationEnded(node, domain);
+    }
 }
 
 static std::string encodedEvacuations(const Node& node)
