--- a/src/forward/LoadSum.h
+++ b/src/forward/LoadSum.h
@@ -28,6 +28,7 @@
     uint64_t number = 0;
     std::map<UpstreamId, TargetLoad> loads;
     std::map<std::string, double> spent;
+    TimeMs spentAt; ///< When `spent` was read; earlier than the report if it holds the loads alone.
 };
 
 /// The last reports of an entry node, oldest first.
--- a/src/node/ForwardReport.cpp
+++ b/src/node/ForwardReport.cpp
@@ -149,6 +149,16 @@
     std::erase_if(forward.quarantineLogged, [&](uint64_t part) { return !forward.quarantine.suspects.contains(part); });
 }
 
+// Keeps the buckets of all accounts, also of those that this node has not met, so that all nodes know the same of each.
+static void followAllowances(Node& node)
+{
+    auto& forward = node.forward;
+    if (!forward.routes)
+        return;
+    for (const auto& rule : forward.routes->rules->allowances)
+        followAllowance(forward.allowances, node.now, rule);
+}
+
 void tickForward(Node& node)
 {
     auto& forward = node.forward;
@@ -162,6 +172,7 @@
         return usesLoadHubs(node) ? updateHub(node) : void();
     forward.allowances.nodes = forwardNodeCount(node);
     forward.choice.jitterMs = costJitterMs(forward.allowances.nodes);
+    followAllowances(node);
     if (usesLoadHubs(node))
         reportToHub(node);
     else
--- a/src/node/LoadHubs.cpp
+++ b/src/node/LoadHubs.cpp
@@ -91,7 +91,7 @@
     if (hub == node.self || !hub)
         return;
     HubReportFrame frame { .number = ++hubs.lastReportNumber, .load = collectOwnLoad(node) };
-    addReport(hubs.sent, { frame.number, loadsOf(frame.load.loads), frame.load.spent });
+    addReport(hubs.sent, { frame.number, loadsOf(frame.load.loads), frame.load.spent, node.now });
     sendFrame(node, hub, FrameKind::HubReport, {}, encode(frame));
     hubs.loadChanged = false;
 }
@@ -143,8 +143,10 @@
     hubs.nextUpdate = node.now + minUpdateInterval;
     const LoadUpdateFrame frame { .number = ++hubs.lastReportNumber, .loads = compactLoads(ownLoads(node)), .included = {} };
     // The hub still has what the last complete report said of the spending.
-    auto spent = hubs.sent.reports.empty() ? std::map<std::string, double> {} : hubs.sent.reports.back().spent;
-    addReport(hubs.sent, { frame.number, loadsOf(frame.loads), std::move(spent) });
+    SentReport sent = hubs.sent.reports.empty() ? SentReport {} : hubs.sent.reports.back();
+    sent.number = frame.number;
+    sent.loads = loadsOf(frame.loads);
+    addReport(hubs.sent, std::move(sent));
     sendFrame(node, hubs.hub, FrameKind::LoadUpdate, {}, encode(frame));
 }
 
@@ -199,6 +201,8 @@
     recordPlacedParts(node, frame->placed);
     applyReportedLimits(node, frame->limits);
     applyReportedCrashes(node, frame->crashes, false);
+    if (own && own->spentAt.value)
+        recordReportDelay(forward.allowances, node.now - own->spentAt);
     for (const auto& [hub, totals] : frame->spent) {
         if (hub != from) {
             applyPeerSpending(forward.allowances, node.now, hub, totals);
--- a/tests/forward/AllowanceTest.cpp
+++ b/tests/forward/AllowanceTest.cpp
@@ -1,10 +1,13 @@
 #include "forward/Allowance.h"
 
+#include "base/Random.h"
 #include "forward/LoadSum.h"
 #include "forward/RetryLimit.h"
 
+#include <array>
 #include <boost/test/unit_test.hpp>
 #include <deque>
+#include <functional>
 #include <vector>
 
 using namespace siskinshunt;
@@ -230,6 +233,21 @@
     BOOST_TEST(passed <= 60000);
 }
 
+// Guards against a node that follows an account from its start, before it knows what the others have spent, and so begins with a full bucket.
+BOOST_AUTO_TEST_CASE(startedNodeFollowsNoAccountBeforeItKnowsTheOthers)
+{
+    const auto rule = ruleOf(120000, 120000);
+    Allowances started;
+    started.nodes = 7;
+    followAllowance(started, TimeMs { 1000 }, rule);
+    applyPeerSpending(started, TimeMs { 1010 }, NodeId { 2 }, { { "acme", 9e6 } });
+    followAllowance(started, TimeMs { 1020 }, rule);
+    double passed = 0;
+    while (consumeAllowance(started, TimeMs { 1030 }, rule, 1000))
+        passed += 1000;
+    BOOST_TEST(passed <= 60000);
+}
+
 // Guards against refusing large requests forever because they exceed the capacity of the bucket.
 BOOST_AUTO_TEST_CASE(requestLargerThanTheBucketIsAdmitted)
 {
@@ -252,6 +270,311 @@
     BOOST_TEST(passed <= 2000);
 }
 
+namespace {
+
+struct HubFleetOptions {
+    size_t nodes = 60;
+    TimeMs interval { 150 }; ///< Between the reports of a node, and between the sums of a hub.
+    TimeMs transit { 100 }; ///< Of a frame, with the time that it waits for the event loop of the receiver.
+    double rate = 1800000; ///< Of the account, which is also its burst.
+    double share = 3.3; ///< Of its rate that it asks for.
+    double unevenShare = 0; ///< Of its requests that go to the first three nodes.
+    TimeMs begin { 5000 };
+    TimeMs end { 45000 };
+    TimeMs faultAt; ///< 0: no fault.
+    TimeMs faultEnd;
+    bool pauses = false; ///< The first node neither sends nor receives in the time of the fault; otherwise only its frames are lost.
+    bool starts = false; ///< The first node starts at `faultAt` with no state.
+    uint64_t seed = 1;
+};
+
+// Entry nodes in three failure domains that report as in node/LoadHubs.cpp: nodes report to the hub of their domain, and hubs exchange their
+// sums and send all of them to their nodes. Intervals have random phases, so sums of other domains are 2 transits and up to 2 intervals old.
+struct HubFleet {
+    static constexpr size_t domains = 3;
+    struct Hub {
+        MonotonicSum sum;
+        std::map<size_t, uint64_t> included;
+        std::map<size_t, std::map<std::string, double>> others;
+    };
+    struct Frame {
+        TimeMs at;
+        std::function<void()> deliver;
+    };
+
+    explicit HubFleet(const HubFleetOptions& given)
+        : options(given)
+        , random(given.seed)
+        , states(given.nodes)
+        , sent(given.nodes)
+        , numbers(given.nodes)
+        , hubs(domains)
+    {
+        for (auto& state : states)
+            initialise(state);
+        for (size_t n = 0; n < given.nodes + domains; ++n)
+            due.push_back(TimeMs { random.between(0, given.interval.value) });
+    }
+
+    void initialise(Allowances& state) const
+    {
+        state.options.slack = 110000;
+        state.nodes = options.nodes;
+    }
+
+    bool hasFault(size_t n, TimeMs now) const { return n == 0 && !options.starts && now >= options.faultAt && now < options.faultEnd; }
+
+    void post(TimeMs now, std::function<void()> deliver) { frames.push_back({ now + options.transit, std::move(deliver) }); }
+
+    void report(size_t n, TimeMs now)
+    {
+        if (hasFault(n, now))
+            return;
+        followAllowance(states[n], now, ruleOf(options.rate, options.rate));
+        const uint64_t number = ++numbers[n];
+        addReport(sent[n], { .number = number, .loads = {}, .spent = localSpending(states[n]), .spentAt = now });
+        post(now, [this, n, number, spent = localSpending(states[n])] {
+            auto& hub = hubs[n % domains];
+            addTotals(hub.sum, NodeId { n + 1 }, spent);
+            hub.included[n] = number;
+        });
+    }
+
+    void receive(size_t n, TimeMs now, size_t hub, const std::map<size_t, std::map<std::string, double>>& totals, const std::map<size_t, uint64_t>& included)
+    {
+        if (hasFault(n, now))
+            return;
+        const auto it = included.find(n);
+        const SentReport* own = it == included.end() ? nullptr : findReport(sent[n], it->second);
+        if (own)
+            recordReportDelay(states[n], now - own->spentAt);
+        for (const auto& [from, spent] : totals) {
+            auto others = spent;
+            if (from == hub) {
+                if (!own)
+                    continue;
+                for (const auto& [account, total] : own->spent)
+                    others[account] -= total;
+            }
+            applyPeerSpending(states[n], now, NodeId { 1000 + from }, others);
+        }
+    }
+
+    void sendSums(size_t h, TimeMs now)
+    {
+        auto totals = hubs[h].others;
+        totals[h] = hubs[h].sum.sum;
+        for (size_t other = 0; other < domains; ++other) {
+            if (other != h)
+                post(now, [this, h, other, sum = hubs[h].sum.sum] { hubs[other].others[h] = sum; });
+        }
+        for (size_t n = h; n < states.size(); n += domains)
+            post(now, [this, n, h, now, totals, included = hubs[h].included] { receive(n, now + options.transit, h, totals, included); });
+    }
+
+    void tick(TimeMs now)
+    {
+        while (!frames.empty() && frames.front().at <= now) {
+            const auto deliver = std::move(frames.front().deliver);
+            frames.pop_front();
+            deliver();
+        }
+        for (size_t n = 0; n < due.size(); ++n) {
+            if (now < due[n])
+                continue;
+            due[n] += options.interval;
+            n < states.size() ? report(n, now) : sendSums(n - states.size(), now);
+        }
+        if (options.starts && now == options.faultAt) {
+            states[0] = Allowances {};
+            initialise(states[0]);
+            sent[0] = {};
+        }
+    }
+
+    size_t pickNode() { return random.chance(options.unevenShare) ? random.below(3) : random.below(states.size()); }
+
+    HubFleetOptions options;
+    Random random;
+    std::vector<Allowances> states;
+    std::vector<SentReports> sent;
+    std::vector<uint64_t> numbers;
+    std::vector<Hub> hubs;
+    std::vector<TimeMs> due;
+    std::deque<Frame> frames;
+};
+
+struct FleetSpending {
+    double asked = 0;
+    double passed = 0; ///< As a part of what was asked for.
+    double ofRate = 0; ///< As a part of the rate over the last 30 s.
+    double largest = 0; ///< Largest sum in a window, as a part of the limit.
+};
+
+}
+
+// Requests arrive at random and cost 500 to 40,000 tokens.
+static FleetSpending spend(const HubFleetOptions& options)
+{
+    static constexpr double meanCost = 20250;
+    HubFleet fleet(options);
+    const auto rule = ruleOf(options.rate, options.rate);
+    FleetSpending out;
+    SlidingSum sum;
+    double passed = 0;
+    double late = 0;
+    double next = static_cast<double>(options.begin.value);
+    for (TimeMs now {}; now < options.end; now += 10_ms) {
+        fleet.tick(now);
+        for (; next < static_cast<double>(now.value); next += fleet.random.exponential(meanCost / (options.rate * options.share) * 1000)) {
+            const double cost = static_cast<double>(fleet.random.between(500, 40000));
+            const size_t n = fleet.pickNode();
+            if (options.pauses && fleet.hasFault(n, now))
+                continue;
+            out.asked += cost;
+            if (!consumeAllowance(fleet.states[n], now, rule, cost))
+                continue;
+            passed += cost;
+            sum.add(now, cost);
+            late += now >= options.end - TimeMs { 30000 } ? cost : 0;
+        }
+    }
+    out.passed = passed / out.asked;
+    out.ofRate = late / (options.rate * 30);
+    out.largest = sum.largest / limitOf(rule, 110000);
+    BOOST_TEST_MESSAGE(options.nodes << " nodes, rate " << options.rate << ", share " << options.share << ", seed " << options.seed << ": passed " << out.passed << ", of the rate " << out.ofRate << ", largest sum " << out.largest);
+    return out;
+}
+
+namespace {
+
+struct FleetShape {
+    size_t nodes;
+    TimeMs interval;
+};
+
+}
+
+static const auto deployedShapes = std::to_array<FleetShape>({ { 8, 100_ms }, { 60, 150_ms }, { 60, 250_ms } });
+static const auto largeShapes = std::to_array<FleetShape>({ { 200, 300_ms }, { 400, 300_ms } });
+
+template <class Shapes>
+static std::vector<std::pair<std::string, FleetSpending>> floods(const Shapes& shapes, double rate)
+{
+    std::vector<std::pair<std::string, FleetSpending>> out;
+    for (const auto& shape : shapes) {
+        for (const auto& [share, seed] : { std::pair { 3.3, 1 }, { 3.3, 2 }, { 7.0, 3 } }) {
+            const std::string name = std::to_string(shape.nodes) + " nodes, rate " + std::to_string(rate) + ", share " + std::to_string(share);
+            out.emplace_back(name, spend({ .nodes = shape.nodes, .interval = shape.interval, .rate = rate, .share = share, .seed = static_cast<uint64_t>(seed) }));
+        }
+    }
+    return out;
+}
+
+static void checkLimit(const std::vector<std::pair<std::string, FleetSpending>>& results)
+{
+    for (const auto& [name, result] : results)
+        BOOST_TEST(result.largest <= 1.0, name << ": largest sum " << result.largest);
+}
+
+static void checkUse(const std::vector<std::pair<std::string, FleetSpending>>& results)
+{
+    for (const auto& [name, result] : results)
+        BOOST_TEST(result.ofRate >= 0.95, name << ": used " << result.ofRate);
+}
+
+// Load pattern: an account that was idle asks for 3.3 or 7 times its rate at all nodes, with reports of up to 0.9 s. Guards against nodes that
+// find tokens at the same moment, overspend together and repeat it after the debt is paid, and against leaving the allowance unused.
+BOOST_AUTO_TEST_CASE(floodThroughHubsKeepsToTheLimit)
+{
+    for (const double rate : { 600000.0, 1800000.0 }) {
+        const auto results = floods(deployedShapes, rate);
+        checkLimit(results);
+        checkUse(results);
+    }
+}
+
+// The same with more nodes, each of which meets the account seldom, and older reports.
+BOOST_AUTO_TEST_CASE(floodOfManyNodesKeepsToTheLimit)
+{
+    for (const double rate : { 600000.0, 1800000.0 }) {
+        const auto results = floods(largeShapes, rate);
+        checkLimit(results);
+        checkUse(results);
+    }
+}
+
+// The same with an account for which 6 requests a second are admitted, so that chance weighs more.
+BOOST_AUTO_TEST_CASE(floodOfASmallAccountKeepsToTheLimit)
+{
+    checkLimit(floods(deployedShapes, 120000));
+}
+
+BOOST_AUTO_TEST_CASE(floodOfASmallAccountUsesItsRate)
+{
+    checkUse(floods(deployedShapes, 120000));
+}
+
+BOOST_AUTO_TEST_CASE(floodOfASmallAccountAtManyNodesKeepsToTheLimit)
+{
+    const auto results = floods(largeShapes, 120000);
+    checkLimit(results);
+    checkUse(results);
+}
+
+// The same flood while a node starts, pauses for 5 s, or is cut off. Guards against a node that spends in addition to the others because it
+// has an old or no state, and against one that pays the debt of its pause for the rest of the flood.
+BOOST_AUTO_TEST_CASE(floodWithAFaultyNodeKeepsToTheLimit)
+{
+    for (const int nodes : { 8, 60, 200 }) {
+        HubFleetOptions options { .nodes = static_cast<size_t>(nodes), .interval = TimeMs { nodes > 100 ? 300 : 150 }, .faultAt = TimeMs { 15000 } };
+        options.starts = true;
+        BOOST_TEST(spend(options).largest <= 1.0, nodes << " nodes, one starts");
+        options.starts = false;
+        options.faultEnd = TimeMs { 20000 };
+        options.pauses = true;
+        BOOST_TEST(spend(options).largest <= 1.0, nodes << " nodes, one pauses");
+        options.pauses = false;
+        options.faultEnd = TimeMs { 30000 };
+        BOOST_TEST(spend(options).largest <= 1.0, nodes << " nodes, one is cut off");
+        options.faultAt = TimeMs { 4000 };
+        BOOST_TEST(spend(options).largest <= 1.0, nodes << " nodes, one is cut off when the flood begins");
+    }
+}
+
+// Load pattern: an account stays below its rate, with large single requests, spread evenly or with half of its callers at three nodes. Guards
+// against refusing what the whole fleet has tokens for. Small accounts stay further below, since few large requests vary more.
+BOOST_AUTO_TEST_CASE(accountBelowItsRateIsNotRefusedThroughHubs)
+{
+    for (const auto& [rate, share] : { std::pair { 120000.0, 0.55 }, { 600000.0, 0.8 }, { 1800000.0, 0.9 } }) {
+        for (const auto& [nodes, interval] : { std::pair { 8, 100 }, { 60, 150 }, { 200, 300 }, { 400, 300 } }) {
+            for (const double uneven : { 0.0, 0.5 }) {
+                const auto result = spend({ .nodes = static_cast<size_t>(nodes), .interval = TimeMs { interval }, .rate = rate, .share = share, .unevenShare = uneven });
+                BOOST_TEST(result.passed >= 0.999, nodes << " nodes, rate " << rate << ": passed " << result.passed);
+            }
+        }
+    }
+}
+
+// Load pattern: twice the rate for half a second in every two, which the burst covers. Guards against limiting an account at the first sign of demand.
+BOOST_AUTO_TEST_CASE(burstWithinTheAllowanceIsNotRefused)
+{
+    HubFleet fleet({});
+    const auto rule = ruleOf(1800000, 1800000);
+    double asked = 0;
+    double passed = 0;
+    for (TimeMs now {}; now < TimeMs { 30000 }; now += 10_ms) {
+        fleet.tick(now);
+        if (now < TimeMs { 5000 } || now.value % 2000 >= 500)
+            continue;
+        for (int n = 0; n < 2; ++n) {
+            asked += 18000;
+            passed += consumeAllowance(fleet.states[fleet.pickNode()], now, rule, 18000) ? 18000 : 0;
+        }
+    }
+    BOOST_TEST(passed / asked >= 0.999, passed / asked);
+}
+
 // Load pattern: every request fails once. Guards against exceeding the platform's limit in the sum over the nodes.
 BOOST_AUTO_TEST_CASE(retriesStayWithinTheSharedLimit)
 {
--- a/tests/forward/LoadSumTest.cpp
+++ b/tests/forward/LoadSumTest.cpp
@@ -48,7 +48,7 @@
 {
     SentReports sent;
     for (uint64_t n = 1; n <= SentReports::maxReports + 12; ++n)
-        addReport(sent, { n, { { UpstreamId { 1 }, loadOf(static_cast<double>(n)) } }, {} });
+        addReport(sent, { n, { { UpstreamId { 1 }, loadOf(static_cast<double>(n)) } }, {}, {} });
     BOOST_TEST(!findReport(sent, 1));
     const auto* report = findReport(sent, 18);
     BOOST_REQUIRE(report);
