Test small accounts at the seeds that exceeded the limit

Cause: trials of the flood tests with seeds 11 to 13 and 21 to 23 exceeded the limit for an account of 120,000 tokens/s, also at 60 nodes.

--- a/tests/forward/AllowanceTest.cpp
+++ b/tests/forward/AllowanceTest.cpp
@@ -510,6 +510,17 @@
     checkLimit(floods(deployedShapes, 120000));
 }
 
+// Seeds at which 7 times the rate exceeded the limit.
+BOOST_AUTO_TEST_CASE(floodOfASmallAccountAtFoundSeedsKeepsToTheLimit)
+{
+    for (const TimeMs interval : { 150_ms, 250_ms }) {
+        for (const uint64_t seed : { 13, 23 }) {
+            const auto result = spend({ .nodes = 60, .interval = interval, .rate = 120000, .share = 7, .seed = seed });
+            BOOST_TEST(result.largest <= 1.0, "seed " << seed << ": largest sum " << result.largest);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(floodOfASmallAccountUsesItsRate)
 {
     checkUse(floods(deployedShapes, 120000));
