Share engines among accounts over all entry nodes

Cause: fair shares were computed by no node; entry nodes refused by backlog alone, and told all refused callers the same time.

Change: entry nodes meter the work that accounts offer and report it to their hub while requests wait at the engines (AccountDemand); hubs exchange the sums (DomainAccountDemand), compute the admitted parts of accounts above their share and send them back (AccountShares). Admission runs in startAttempt after the choice and before the allowance; refused requests (over_share) are told times to return in order. Shares expire after a second. Retries and streams in progress are neither metered nor refused. An account whose demand fitted when the pressure began was never limited (infinity times zero); a test guards this.

--- a/src/forward/FairAdmission.cpp
+++ b/src/forward/FairAdmission.cpp
@@ -216,6 +216,9 @@
     if (engines.count <= 0 || engines.busy < engines.count * busyFraction)
         return;
     const double measured = std::clamp(sumOf(work.served) / engines.busy, minWorkPerEngine, maxWorkPerEngine);
+    // An engine also counts as busy while an answer is on its way, so less than expected is believed only if requests have to wait.
+    if (measured < pressure.workPerEngine && waitRatio(work, engines, pressure.workPerEngine) < wantedRatio)
+        return;
     pressure.workPerEngine += (measured - pressure.workPerEngine) * (1 - std::exp(-elapsed / capacityMs));
 }
 
@@ -248,7 +251,8 @@
 static bool exceedsShare(BackendPressure& pressure, const std::string& account, double demand, double share, double elapsedSeconds)
 {
     double& reserve = pressure.reserves.try_emplace(account, maxReserveMs).first->second;
-    reserve = std::clamp(reserve + (share - demand) * elapsedSeconds, 0.0, maxReserveMs);
+    // The share is infinite while all demands fit.
+    reserve = std::isinf(share) ? maxReserveMs : std::clamp(reserve + (share - demand) * elapsedSeconds, 0.0, maxReserveMs);
     return demand > share && reserve <= 0;
 }
 
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -65,6 +65,7 @@
     TimeMs expectedWait; ///< Until the first event, estimated when the request was sent.
     uint64_t eventsAtSend = 0; ///< Events of the answer before this attempt.
     double prefillTokens = 0; ///< Prompt tokens that count as load of the target until the first event.
+    double workMs = 0; ///< Expected engine time; 0 before it was offered to an engine.
     double tokensBeforeFirstEvent = 0; ///< Prompt tokens to prefill before the first event, estimated when the request was sent.
     bool usageRecorded = false;
     bool silenceLogged = false; ///< The attempt has been logged as silent.
--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -1,4 +1,5 @@
 #include "node/Answers.h"
+#include "node/FairShares.h"
 #include "node/ForwardFlow.h"
 #include "node/ForwardRelay.h"
 #include "node/UpstreamLimits.h"
@@ -325,6 +326,7 @@
 static void recordFirstEvent(Node& node, ForwardCall& call)
 {
     recordUsageOnce(node, call);
+    recordWorkDone(node, call);
     if (call.tokensBeforeFirstEvent > 0)
         recordPrefillTime(node.forward.choice.prefillEstimator, call.tokensBeforeFirstEvent, static_cast<double>((node.now - call.sentAt).value));
     recordVersionResult(node, call, false);
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -3,6 +3,7 @@
 #include "base/Hash.h"
 #include "forward/Overload.h"
 #include "node/Answers.h"
+#include "node/FairShares.h"
 #include "node/ForwardRelay.h"
 #include "node/ForwardReport.h"
 #include "node/UpstreamLimits.h"
@@ -327,9 +328,22 @@
 }
 
 // A request that may already have run is sent on.
-static bool isOverloaded(const ForwardCall& call, const TargetChoice& choice)
+static bool isOverloaded(const Node& node, const ForwardCall& call, const TargetChoice& choice)
 {
-    return !call.possibleExecutions && isOverloaded(choice, call.rule->target);
+    return !call.possibleExecutions && isOverloaded(choice, call.rule->target, isOverShare(node, call));
+}
+
+// Refuses a request for which the engines have no time: they are busy for too long, or its account is above its share.
+static bool refuseForLoad(Node& node, ForwardCall& call, const TargetChoice& choice)
+{
+    if (refuseOverShare(node, call, choice))
+        return true;
+    if (!isOverloaded(node, call, choice))
+        return false;
+    withdrawAdmission(node, call);
+    const TimeMs backlog { static_cast<int64_t>(choice.backlogMs) };
+    refuseForward(node, call, 503, "overloaded", "all engines are busy for longer than the route's target", isOverShare(node, call) ? std::max(backlog, returnTime(node, call)) : backlog);
+    return true;
 }
 
 bool canSendElsewhere(const Node& node, const ForwardCall& call)
@@ -435,10 +449,12 @@
     if (!choice)
         return refuseForward(node, call, call.possibleExecutions ? 502 : 503, "no_upstream", "no upstream of " + call.backend + " takes requests", call.possibleExecutions ? TimeMs {} : noTargetRetryAfter);
     const ForwardTarget& target = *findTarget(forward.targets, choice->target);
-    if (target.engine && isOverloaded(call, *choice))
-        return refuseForward(node, call, 503, "overloaded", "all engines are busy for longer than the route's target", { static_cast<int64_t>(choice->backlogMs) });
-    if (!chargeAgain(node, call))
+    if (target.engine && refuseForLoad(node, call, *choice))
+        return;
+    if (!chargeAgain(node, call)) {
+        withdrawAdmission(node, call);
         return refuseForward(node, call, 429, "over_allowance", "the account has used its allowance", std::max(timeUntilAllowance(node.forward.allowances, node.now, *call.account, call.cost), minAllowanceRetryAfter));
+    }
     sendAttempt(node, call, target, *choice);
 }
 
--- a/src/node/ForwardReport.cpp
+++ b/src/node/ForwardReport.cpp
@@ -1,5 +1,6 @@
 #include "node/ForwardReport.h"
 
+#include "node/FairShares.h"
 #include "node/ForwardFlow.h"
 #include "node/ForwardRelay.h"
 #include "node/Groups.h"
@@ -156,6 +157,7 @@
         expireForward(node);
     tickUpstreamLimits(node);
     tickLoadHub(node);
+    tickFairShares(node);
     if (!acceptsCallers(node))
         return;
     if (node.now < forward.nextReport)
--- a/src/node/ForwardState.h
+++ b/src/node/ForwardState.h
@@ -13,6 +13,7 @@
 #include "forward/UpstreamReach.h"
 #include "forward/UsageMeter.h"
 #include "node/Dialect.h"
+#include "node/FairShareState.h"
 #include "node/NodeIo.h"
 #include "node/PeerMessages.h"
 
@@ -81,6 +82,7 @@
     std::map<std::string, double> assignedPrefillTokens; ///< Prompt tokens assigned to engines for prefill since the process started, by backend.
     std::vector<PlacedPart> placed; ///< Prompt parts sent to upstreams since the last load report.
     LoadHubState hubs;
+    FairShareState fair;
     TimeMs nextReport;
     TimeMs nextExpiry;
     std::map<std::string, BrittleLimit> brittle; ///< By backend: as last named by one of its upstreams; upstreams that start inherit it.
--- a/src/node/LoadHubs.cpp
+++ b/src/node/LoadHubs.cpp
@@ -68,6 +68,14 @@
     return it == hubs.end() ? NodeId {} : it->second;
 }
 
+std::vector<NodeId> loadHubs(const Node& node)
+{
+    std::vector<NodeId> out;
+    for (const auto& [domain, hub] : hubsByDomain(node))
+        out.push_back(hub);
+    return out;
+}
+
 size_t domainNodeCount(const Node& node)
 {
     return static_cast<size_t>(std::count_if(node.membership.members.begin(), node.membership.members.end(), [&](const auto& it) {
--- a/src/node/LoadHubs.h
+++ b/src/node/LoadHubs.h
@@ -13,6 +13,8 @@
 bool usesLoadHubs(const Node&);
 /// Returns the hub of this node's failure domain; it can be this node.
 NodeId domainHub(const Node&);
+/// Hubs of all failure domains; this node can be one of them.
+std::vector<NodeId> loadHubs(const Node&);
 /// Number of other live members in this node's failure domain.
 size_t domainNodeCount(const Node&);
 /// Reports the load of this node to the hub of its failure domain.
--- a/src/node/Metrics.cpp
+++ b/src/node/Metrics.cpp
@@ -37,6 +37,35 @@
     }
 }
 
+static void appendFairShares(std::string& out, const Node& node)
+{
+    const auto& fair = node.forward.fair;
+    for (const auto& [backend, pressure] : fair.pressure) {
+        const std::string labels = "backend=\"" + backend + "\"";
+        appendValue(out, "fair_under_pressure", labels, pressure.underPressure ? 1 : 0);
+        appendValue(out, "fair_engine_work_ms_per_second", labels, pressure.workPerEngine);
+    }
+    const auto labelsOf = [](const std::string& backend, const std::string& account) {
+        std::string out = "backend=\"";
+        out.append(backend).append("\",account=\"").append(account).append("\"");
+        return out;
+    };
+    for (const auto& [backend, work] : fair.total) {
+        for (const auto& [account, offered] : work.offered)
+            appendValue(out, "fair_offered_ms_per_second", labelsOf(backend, account), sumOf(offered));
+    }
+    for (const auto& [backend, limiter] : fair.limiters) {
+        if (!hasShares(limiter, node.now))
+            continue;
+        for (const auto& [account, parts] : limiter.parts) {
+            std::string labels = labelsOf(backend, account);
+            labels.append(",urgency=\"");
+            for (size_t n = 0; n < parts.size(); ++n)
+                appendValue(out, "fair_admitted_part", labels + std::to_string(n) + "\"", parts[n]);
+        }
+    }
+}
+
 void answerMetrics(Node& node, const RequestArrived& arrived)
 {
     std::string out;
@@ -60,6 +89,7 @@
         }
     }
     appendGroups(out, node);
+    appendFairShares(out, node);
     appendValue(out, "rules_revision", {}, static_cast<double>(node.view.rules.revision));
     appendValue(out, "calls_in_flight", {}, static_cast<double>(node.calls.size()));
     appendValue(out, "queued_bytes", {}, static_cast<double>(node.queuedBytes));
--- a/src/node/Peers.cpp
+++ b/src/node/Peers.cpp
@@ -5,6 +5,7 @@
 #include "node/ControlFlow.h"
 #include "node/Duties.h"
 #include "node/ExplainFlow.h"
+#include "node/FairShares.h"
 #include "node/FleetFlow.h"
 #include "node/ForwardFlow.h"
 #include "node/Groups.h"
@@ -85,6 +86,12 @@
         return receiveLoadUpdate(node, envelope.sender, envelope.body);
     case FrameKind::DomainUpdate:
         return receiveDomainUpdate(node, envelope.sender, envelope.body);
+    case FrameKind::AccountDemand:
+        return receiveAccountDemand(node, envelope.sender, envelope.body);
+    case FrameKind::DomainAccountDemand:
+        return receiveDomainAccountDemand(node, envelope.sender, envelope.body);
+    case FrameKind::AccountShares:
+        return receiveAccountShares(node, envelope.sender, envelope.body);
     case FrameKind::FleetUpdate:
         return receiveFleetUpdate(node, envelope.sender, envelope.body);
     case FrameKind::CatchUp:
--- a/tests/forward/FairAdmissionTest.cpp
+++ b/tests/forward/FairAdmissionTest.cpp
@@ -103,6 +103,23 @@
     BOOST_CHECK_CLOSE(waitRatio(work, engines, 1000), 120 / 0.3 / 500, 1e-6);
 }
 
+// Guards against an account that is never limited because the pressure began while everything still fitted.
+BOOST_AUTO_TEST_CASE(accountIsLimitedAlsoIfItsDemandFittedAtFirst)
+{
+    BackendPressure pressure;
+    TimeMs now { 1000 };
+    updatePressure(pressure, now, workOf(9000, 9000), enginesOf(800));
+    BOOST_CHECK(computeShares(pressure, now, workOf(9000, 9000), enginesOf(800), {}).empty());
+    for (int n = 0; n < 10; ++n) {
+        now += 100_ms;
+        updatePressure(pressure, now, workOf(30000, 10000), enginesOf(800));
+        computeShares(pressure, now, workOf(30000, 10000), enginesOf(800), {});
+    }
+    const auto parts = computeShares(pressure, now, workOf(30000, 10000), enginesOf(800), {});
+    BOOST_REQUIRE(parts.contains("a"));
+    BOOST_CHECK_LT(parts.at("a")[1], 0.5);
+}
+
 // Guards against parts of a hub that has gone: they must not limit anyone for longer than a second.
 BOOST_AUTO_TEST_CASE(sharesExpire)
 {
