--- a/src/experiment/AdminCommands.cpp
+++ b/src/experiment/AdminCommands.cpp
@@ -314,8 +314,39 @@
     return printResource("moves", "Lists the version moves with stage, shares and reason.", "/admin/moves", arguments);
 }
 
+static int explainRoute(const std::vector<std::string>& arguments)
+{
+    AdminOptions options("explain route HOST PATH [--account NAME] [--parts HEX:TOKENS,...] [--prompt-tokens N] [--output-tokens N]",
+        "Shows where a request would go now, and why, without sending it: each candidate with its expected wait and what excludes it.\n"
+        "Asks every node of --address, since nodes may know different loads. Exits with 1 if one of them would refuse the request.");
+    options.addPositional("route", 2);
+    for (const char* name : { "account", "parts", "prompt-tokens", "output-tokens" })
+        options.add(name, "of the request");
+    if (const auto code = options.read(arguments))
+        return *code;
+    if (options.many("route").size() != 2) {
+        std::cerr << "explain route requires a host and a path\n";
+        return exit_codes::usage;
+    }
+    const std::string target = "/admin/explain-route?host=" + encodeQuery(options.many("route")[0]) + "&path=" + encodeQuery(options.many("route")[1]) + "&account=" + encodeQuery(options.text("account"))
+        + "&parts=" + encodeQuery(options.text("parts")) + "&prompt_tokens=" + encodeQuery(options.text("prompt-tokens")) + "&output_tokens=" + encodeQuery(options.text("output-tokens"));
+    int worst = exit_codes::ok;
+    for (const auto& address : options.access.addresses) {
+        AdminAccess access = options.access;
+        access.addresses = { address };
+        const auto answer = callAdmin(access, "GET", target);
+        int code = printAnswer(answer, options.flag("json"));
+        for (const auto& backend : answer.body["backends"].items)
+            code = code == exit_codes::ok && toPlainText(backend["outcome"]) != "sent" ? exit_codes::negative : code;
+        worst = std::max(worst, code);
+    }
+    return worst;
+}
+
 int runExplainCommand(const std::vector<std::string>& arguments)
 {
+    if (!arguments.empty() && arguments.front() == "route")
+        return explainRoute({ arguments.begin() + 1, arguments.end() });
     AdminOptions options("explain ID", "Lists the decisions that concern a call, move, order or instance, from all nodes and in order. Exits with 1 when there are none.");
     options.addPositional("id", 1);
     if (const auto code = options.read(arguments))
@@ -327,6 +358,24 @@
     return code == exit_codes::ok && answer.body["records"].items.empty() ? exit_codes::negative : code;
 }
 
+int runEvacuateCommand(const std::vector<std::string>& arguments)
+{
+    AdminOptions options("evacuate DOMAIN [--end]", "Orders that the upstreams of the failure domain get no new requests, or ends that. Repeating an order has no effect.");
+    options.addPositional("domain", 1);
+    options.addFlag("end", "end the evacuation");
+    if (const auto code = options.read(arguments))
+        return *code;
+    if (!options.require({ "domain" }))
+        return exit_codes::usage;
+    const std::string target = "/admin/evacuations?domain=" + encodeQuery(options.many("domain")[0]);
+    return printAnswer(callAdmin(options.access, options.flag("end") ? "DELETE" : "POST", target), options.flag("json"));
+}
+
+int runEvacuationsCommand(const std::vector<std::string>& arguments)
+{
+    return printResource("evacuations", "Lists the evacuations in force with who ordered them and when.", "/admin/evacuations", arguments);
+}
+
 int runDrainCommand(const std::vector<std::string>& arguments)
 {
     AdminOptions options("drain", "Drains the node at the address: it is removed from the address list and exits when its calls have ended.");
@@ -347,7 +396,7 @@
         return *code;
     auto all = Json::object();
     int code = exit_codes::ok;
-    for (const char* part : { "status", "rules", "rules/history", "upstreams", "moves", "voters" }) {
+    for (const char* part : { "status", "rules", "rules/history", "upstreams", "moves", "evacuations", "voters" }) {
         const auto answer = callAdmin(options.access, "GET", std::string("/admin/") + part);
         all.set(part, Json::object({ { "address", answer.address }, { "status", answer.status }, { "body", answer.body } }));
         code = std::max(code, exitCodeOf(answer));
--- a/src/node/CatchUp.cpp
+++ b/src/node/CatchUp.cpp
@@ -1,6 +1,7 @@
 #include "node/CatchUp.h"
 
 #include "membership/Messages.h"
+#include "node/ColdFlow.h"
 #include "node/ForwardFlow.h"
 #include "node/ForwardReport.h"
 #include "node/LeaderFlow.h"
@@ -22,7 +23,7 @@
 static constexpr size_t maxNotices = 500;
 static constexpr size_t maxCatchUpBytes = 32 << 10;
 
-static bool needsNotices(const Node& node)
+bool needsNotices(const Node& node)
 {
     return acceptsCallers(node) || node.options.settings.listeners.control.port;
 }
@@ -77,7 +78,12 @@
     auto range = noticesAfter(node.forward.leaving, after, maxNotices);
     const TimeMs age = node.leadsDecisions ? TimeMs {} : node.now - node.catchUp.currentAt;
     const CatchUpReplyFrame reply { node.owner.incarnation, range.lastNumber, age, std::move(range.notices), node.view.index };
+    // Sent first: with the reply, the receiver counts as informed.
+    sendEvacuations(node, from);
     sendFrame(node, from, FrameKind::CatchUpReply, {}, encode(reply));
+    // The sender has just started, or asks this process for the first time.
+    if (frame.process != node.owner.incarnation)
+        sendColdStates(node, from);
 }
 
 void receiveCatchUpReply(Node& node, NodeId from, std::string_view body)
--- a/src/node/ControlCalls.cpp
+++ b/src/node/ControlCalls.cpp
@@ -1,6 +1,7 @@
 #include "node/ControlCalls.h"
 
 #include "node/Answers.h"
+#include "node/ColdFlow.h"
 #include "node/ForwardFlow.h"
 #include "node/Groups.h"
 #include "node/LeaderFlow.h"
@@ -202,8 +203,11 @@
     const auto upsert = announce(node.membership, node.now, announced, node.membershipOutputs);
     if (upsert == UpsertResult::Collision || upsert == UpsertResult::Full || upsert == UpsertResult::TooLarge)
         return handleCall(node, arrived, BadCall { 400, "the announcement was refused: " + std::string(nameOf(upsert)) });
-    if (const Upstream* upstream = findUpstream(node.membership.upstreams, id))
+    if (const Upstream* upstream = findUpstream(node.membership.upstreams, id)) {
         updateForwardTarget(node, *upstream);
+        if (call.coldRemaining)
+            recordColdStatement(node, *upstream, announced.incarnation, announced.sequence, *call.coldRemaining);
+    }
     // An upstream resends a notice that was not acknowledged; a delayed one still applies to its incarnation.
     if (announcesLeaving)
         return propagateLeaving(node, arrived.exchange, id, announced.incarnation);
@@ -228,6 +232,20 @@
     propagateLeaving(node, arrived.exchange, id, incarnation);
 }
 
+static void answerEvacuationOrder(Node& node, const EvacuationOrder& order, const std::optional<ControlReply>& reply, const std::string& problem)
+{
+    if (!reply)
+        return answerUnavailable(node, order.exchange, problem);
+    if (reply->outcome == ControlOutcome::Accepted)
+        return answerJson(node, order.exchange, 200, "{}");
+    answerText(node, order.exchange, reply->outcome == ControlOutcome::Malformed ? 400 : 409, reply->detail);
+}
+
+static void handleCall(Node& node, const RequestArrived& arrived, const OrderEvacuationCall& call)
+{
+    orderEvacuation(node, { .exchange = arrived.exchange, .domain = call.domain, .operatorName = arrived.peer, .start = call.start, .arrivedAt = node.now, .done = answerEvacuationOrder });
+}
+
 static void handleCall(Node& node, const RequestArrived& arrived, const EntriesCall& call)
 {
     std::vector<std::string> sameDomain;
--- a/src/node/Dialect.h
+++ b/src/node/Dialect.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -42,6 +43,7 @@
 /// An upstream announces itself.
 struct AnnounceCall {
     Announcement announcement;
+    std::optional<TimeMs> coldRemaining; ///< For how long the upstream is still cold; none if it does not say.
 };
 
 /// An upstream is about to leave. Only its name is known.
@@ -49,12 +51,18 @@
     std::string name;
 };
 
+/// An operator starts or ends the evacuation of a failure domain.
+struct OrderEvacuationCall {
+    std::string domain;
+    bool start = false; ///< False ends it.
+};
+
 /// A caller asks for entry addresses.
 struct EntriesCall {
     std::string domain; ///< Of the caller.
 };
 
-using ControlCall = std::variant<BadCall, PutConfigurationCall, ReadConfigurationCall, OrderVersionCall, ReadVersionCall, AnnounceCall, LeaveCall, EntriesCall>;
+using ControlCall = std::variant<BadCall, PutConfigurationCall, ReadConfigurationCall, OrderVersionCall, ReadVersionCall, AnnounceCall, LeaveCall, OrderEvacuationCall, EntriesCall>;
 
 /// Sent with each call to the platform by the holder of a duty.
 struct DutyHolder {
--- a/src/node/FairShares.cpp
+++ b/src/node/FairShares.cpp
@@ -98,7 +98,7 @@
 
 static bool takesRequests(const Node& node, const ForwardTarget& target)
 {
-    return target.engine && !target.leaving && !target.addressTaken && !isMisdirected(target) && node.now >= target.backoffUntil && node.now - target.lastSeen <= node.forward.choice.staleAfter;
+    return target.engine && !target.leaving && !target.evacuated && !target.addressTaken && !isMisdirected(target) && node.now >= target.backoffUntil && node.now - target.lastSeen <= node.forward.choice.staleAfter;
 }
 
 static BackendEngines enginesOf(const Node& node, const std::string& backend)
--- a/src/node/ForwardReport.cpp
+++ b/src/node/ForwardReport.cpp
@@ -1,5 +1,6 @@
 #include "node/ForwardReport.h"
 
+#include "node/ColdFlow.h"
 #include "node/FairShares.h"
 #include "node/ForwardFlow.h"
 #include "node/ForwardRelay.h"
@@ -144,18 +145,30 @@
     expirePeers(forward.allowances, node.now);
     expireParts(forward.parts, node.now);
     expireUsage(forward.usage, node.now);
+    expireColdStates(forward.cold.states, node.now);
     expireNotices(forward.leaving, node.now, leavingRetention);
     expireRelayPeers(node);
     expireCrashEvidence(forward.quarantine, node.now);
     std::erase_if(forward.quarantineLogged, [&](uint64_t part) { return !forward.quarantine.suspects.contains(part); });
 }
 
+// Keeps the buckets of all accounts, also of those that this node has not met, so that all nodes know the same of each.
+static void followAllowances(Node& node)
+{
+    auto& forward = node.forward;
+    if (!forward.routes)
+        return;
+    for (const auto& rule : forward.routes->rules->allowances)
+        followAllowance(forward.allowances, node.now, rule);
+}
+
 void tickForward(Node& node)
 {
     auto& forward = node.forward;
     if (node.now >= forward.nextExpiry)
         expireForward(node);
     tickUpstreamLimits(node);
+    tickColdUpstreams(node);
     tickLoadHub(node);
     tickFairShares(node);
     if (!acceptsCallers(node))
@@ -164,6 +177,7 @@
         return usesLoadHubs(node) ? updateHub(node) : void();
     forward.allowances.nodes = forwardNodeCount(node);
     forward.choice.jitterMs = costJitterMs(forward.allowances.nodes);
+    followAllowances(node);
     if (usesLoadHubs(node))
         reportToHub(node);
     else
--- a/src/node/NodeState.h
+++ b/src/node/NodeState.h
@@ -13,6 +13,7 @@
 #include "limits/Retry.h"
 #include "membership/Membership.h"
 #include "node/CapacityState.h"
+#include "node/Evacuations.h"
 #include "node/ForwardState.h"
 #include "node/Node.h"
 #include "node/NodeCall.h"
@@ -180,6 +181,7 @@
     std::optional<ControlView> viewToStore; ///< A newer view that waits until `viewBeingStored` is on disk.
     std::optional<ControlView> viewBeingStored;
     uint64_t viewRequest = 0;
+    uint64_t restoredViewIndex = 0; ///< Index of the view that was on disk at the start; 0 if there was none.
 
     // Consensus.
     DecisionLog decisionLog;
@@ -230,6 +232,7 @@
     ForwardState forward;
     ControlCallState controlCalls;
     CatchUpState catchUp;
+    EvacuationState evacuations;
     DutyState duties;
     VersionFollowers versionOrders;
 
--- a/src/node/Peers.cpp
+++ b/src/node/Peers.cpp
@@ -1,6 +1,7 @@
 #include "node/Peers.h"
 
 #include "node/CatchUp.h"
+#include "node/ColdFlow.h"
 #include "node/ControlCalls.h"
 #include "node/ControlFlow.h"
 #include "node/Duties.h"
@@ -98,6 +99,8 @@
         return receiveCatchUp(node, envelope.sender, envelope.body);
     case FrameKind::CatchUpReply:
         return receiveCatchUpReply(node, envelope.sender, envelope.body);
+    case FrameKind::ColdStates:
+        return receiveColdStates(node, envelope.sender, envelope.body);
     case FrameKind::Usage:
         return receiveUsage(node, envelope.sender, envelope.body);
     case FrameKind::Leaving:
@@ -123,6 +126,10 @@
         return receiveExplain(node, envelope.sender, envelope.body);
     case FrameKind::ExplainReply:
         return receiveExplainReply(node, envelope.sender, envelope.body);
+    case FrameKind::Evacuations:
+        return receiveEvacuations(node, envelope.body);
+    case FrameKind::BuildFeatures:
+        return receiveBuildFeatures(node, envelope.sender, envelope.body);
     case FrameKind::ReplaceVoter:
         return receiveReplaceVoter(node, envelope.body);
     default: // Kinds that are not sent yet, and those of later builds.
