--- a/src/node/ForwardReport.cpp
+++ b/src/node/ForwardReport.cpp
@@ -1,6 +1,7 @@
 #include "node/ForwardReport.h"
 
 #include "node/ColdFlow.h"
+#include "node/FairShares.h"
 #include "node/ForwardFlow.h"
 #include "node/ForwardRelay.h"
 #include "node/Groups.h"
@@ -169,6 +170,7 @@
     tickUpstreamLimits(node);
     tickColdUpstreams(node);
     tickLoadHub(node);
+    tickFairShares(node);
     if (!acceptsCallers(node))
         return;
     if (node.now < forward.nextReport)
