Count spending once when the hub of a failure domain changes

Cause: a hub that was frozen adds up, when it is back, what its nodes have reported to the next hub meanwhile, and passes on old sums that waited for it; each rise from an old sum to a newer one counted as new spending. The sums of an own failure domain minus this node's total compared totals with different beginnings. Ruled out: the share of engines (93 refusals beside 6,254 over the allowance at the nodes logged), changes of the configuration. Change: spending is followed by failure domain (forward/DomainSpending): the growth of each hub's sum while it is heard; a silence before another hub is estimated from the rate. Reports skip 1,000 numbers when the hub changes, so that a hub knows that it has missed some.

--- a/src/forward/Allowance.cpp
+++ b/src/forward/Allowance.cpp
@@ -266,6 +266,18 @@
     }
 }
 
+void chargeUnreported(Allowances& state, TimeMs now, NodeId node)
+{
+    const auto it = state.peers.find(node);
+    if (it == state.peers.end())
+        return;
+    const double silence = std::max(now - it->second.lastReportAt, TimeMs {}).seconds();
+    for (const auto& [account, spending] : it->second.accounts) {
+        if (const auto bucket = state.buckets.find(account); bucket != state.buckets.end())
+            bucket->second.level -= spending.rate * silence;
+    }
+}
+
 void recordReportDelay(Allowances& state, TimeMs age)
 {
     static constexpr int64_t weight = 10; // Reports in the moving average.
--- a/src/forward/Allowance.h
+++ b/src/forward/Allowance.h
@@ -91,6 +91,8 @@
 TimeMs timeUntilAllowance(const Allowances&, TimeMs now, const AllowanceRule&, double cost);
 /// Deducts what another node has spent since its last report. `totals` counts from the start of that node.
 void applyPeerSpending(Allowances&, TimeMs now, NodeId, const std::map<std::string, double>& totals);
+/// Deducts the estimated spending of a node since its last report, which its next report will not include.
+void chargeUnreported(Allowances&, TimeMs now, NodeId);
 /// Records how old the spending of this node in a received sum is, as a sample of the age of the spending of the others.
 void recordReportDelay(Allowances&, TimeMs age);
 /// Totals that this node has spent since its start, for its reports to other nodes.
--- a/src/forward/LoadSum.cpp
+++ b/src/forward/LoadSum.cpp
@@ -17,6 +17,11 @@
     }
 }
 
+void rebaseTotals(MonotonicSum& state, NodeId node, const std::map<std::string, double>& totals)
+{
+    state.highest[node] = totals;
+}
+
 void addReport(SentReports& state, SentReport report)
 {
     state.reports.push_back(std::move(report));
--- a/src/forward/LoadSum.h
+++ b/src/forward/LoadSum.h
@@ -22,6 +22,8 @@
 };
 
 void addTotals(MonotonicSum&, NodeId, const std::map<std::string, double>& totals);
+/// Takes the totals as known without adding them: the node has reported to another hub meanwhile.
+void rebaseTotals(MonotonicSum&, NodeId, const std::map<std::string, double>& totals);
 
 /// Report of an entry node on itself, kept in order to subtract it from sums that include it.
 struct SentReport {
--- a/src/node/ForwardState.h
+++ b/src/node/ForwardState.h
@@ -4,6 +4,7 @@
 #include "forward/Allowance.h"
 #include "forward/ColdUpstreams.h"
 #include "forward/CrashQuarantine.h"
+#include "forward/DomainSpending.h"
 #include "forward/FleetPlan.h"
 #include "forward/ForwardCall.h"
 #include "forward/ForwardTarget.h"
@@ -40,10 +41,12 @@
     NodeId hub; ///< Hub of this node's failure domain at the time of the last report.
     uint64_t lastReportNumber = 0;
     SentReports sent;
+    std::map<std::string, DomainSpending> spending; ///< Of the other nodes, by failure domain.
     bool loadChanged = false; ///< The load of this node has changed since it was last reported.
     TimeMs nextUpdate; ///< Not before this time.
     // Used by a hub.
     std::map<NodeId, Reporter> reporters;
+    std::map<NodeId, uint64_t> lastReports; ///< Number of the last complete report of each node that has ever reported to this hub.
     std::map<NodeId, OtherHub> others;
     MonotonicSum spent; ///< Allowance spent in this failure domain, by client account.
     MonotonicSum assignedPrefillTokens; ///< Prompt tokens assigned to engines for prefill in this failure domain, by backend.
--- a/src/node/LoadHubs.cpp
+++ b/src/node/LoadHubs.cpp
@@ -25,6 +25,9 @@
 static constexpr TimeMs minUpdateInterval { 40 };
 // A node that has not reported for this time is left out of the sums.
 static constexpr TimeMs reporterTimeout { 2000 };
+// Added to the number of a node's reports when it begins to report to another hub. A hub tells by it that it has missed reports which another hub has
+// got, and not frames that were lost.
+static constexpr uint64_t hubChangeStep = 1000;
 // Bound on the placed parts kept between two sums. A part that is left out may be prefilled a second time elsewhere.
 static constexpr size_t maxPlacedInSum = 4000;
 
@@ -95,6 +98,7 @@
                                                                                                                : std::string {},
             "this node now reports its load to this hub");
         hubs.hub = hub;
+        hubs.lastReportNumber += hubChangeStep;
     }
     if (hub == node.self || !hub)
         return;
@@ -170,13 +174,25 @@
         hubs.tokensPerMs += (load.tokensPerMs - hubs.tokensPerMs) * (hubs.tokensPerMs > 0 ? 0.1F : 1.0F);
 }
 
+// Whether another hub has summed up the totals that the node has gathered since its last report to this one.
+static bool hasReportedElsewhere(const LoadHubState& hubs, NodeId from, uint64_t number)
+{
+    const auto it = hubs.lastReports.find(from);
+    return it != hubs.lastReports.end() && number >= it->second + hubChangeStep;
+}
+
 void receiveHubReport(Node& node, NodeId from, std::string_view body)
 {
     const auto frame = decodeLoad<HubReportFrame>(node, body);
     if (!frame)
         return;
     auto& hubs = node.forward.hubs;
+    if (hasReportedElsewhere(hubs, from, frame->number)) {
+        rebaseTotals(hubs.spent, from, frame->load.spent);
+        rebaseTotals(hubs.assignedPrefillTokens, from, frame->load.toRead);
+    }
     hubs.reporters[from] = { frame->number, node.now };
+    hubs.lastReports[from] = frame->number;
     addTotals(hubs.spent, from, frame->load.spent);
     addTotals(hubs.assignedPrefillTokens, from, frame->load.toRead);
     recordPrefillRate(hubs, frame->load);
@@ -197,6 +213,26 @@
     hubs.limitsInOtherDomains.insert(news.begin(), news.end());
 }
 
+static std::string domainOf(const Node& node, NodeId hub)
+{
+    const Member* member = findMember(node.membership, hub);
+    return member ? member->identity.domain : std::string {};
+}
+
+// Hubs of a failure domain follow each other, so its spending counts as that of one peer.
+static void applyDomainSpending(Node& node, NodeId hub, const std::map<std::string, double>& totals, const std::map<std::string, double>* own)
+{
+    auto& forward = node.forward;
+    const std::string domain = domainOf(node, hub);
+    const auto peer = idOfName<NodeId>("domain " + domain);
+    auto& spending = forward.hubs.spending[domain];
+    if (addDomainSum(spending, node.now, hub, totals, own) == SumContinuity::Rebased) {
+        node.counters.add("spending_hub_changed");
+        chargeUnreported(forward.allowances, node.now, peer);
+    }
+    applyPeerSpending(forward.allowances, node.now, peer, spending.others);
+}
+
 void receiveFleetLoad(Node& node, NodeId from, std::string_view body)
 {
     const auto frame = decodeLoad<FleetLoadFrame>(node, body);
@@ -212,17 +248,9 @@
     if (own && own->spentAt.value)
         recordReportDelay(forward.allowances, node.now - own->spentAt);
     for (const auto& [hub, totals] : frame->spent) {
-        if (hub != from) {
-            applyPeerSpending(forward.allowances, node.now, hub, totals);
-            continue;
-        }
         // The sum of this node's own failure domain includes what this node has spent.
-        if (!own)
-            continue;
-        auto others = totals;
-        for (const auto& [account, spent] : own->spent)
-            others[account] -= spent;
-        applyPeerSpending(forward.allowances, node.now, hub, others);
+        if (hub != from || own)
+            applyDomainSpending(node, hub, totals, hub == from ? &own->spent : nullptr);
     }
 }
 
