Report capacity and lateness of entry nodes to the voters, and name entry nodes by weight

Entry nodes send NodeCapacity to each voter every second. Voters weight the addresses of a response by it, and name only nodes with a recent report, so that a voter that has just started or was paused does not name dead nodes. A voter that has heard from less than half of the entry nodes within 3 s responds with 503. The daemon measures the lateness of its tick; it is an input of the node.

--- a/src/entry/Daemon.cpp
+++ b/src/entry/Daemon.cpp
@@ -19,6 +19,7 @@
 #include <filesystem>
 #include <random>
 #include <thread>
+#include <utility>
 
 namespace siskinshunt {
 
@@ -104,6 +105,7 @@
         bool m_diskWriteActive = false;
         bool m_drainRequested = false;
         int m_exitCode = 0;
+        TimeMs m_lateness; ///< Of the timer that runs the next tick.
         DiskThread m_diskThread; ///< Declared last: its destructor completes tasks that use the other members.
     };
 
@@ -303,7 +305,9 @@
 
 void Daemon::tick()
 {
-    apply({});
+    Inputs inputs;
+    inputs.lateness = std::exchange(m_lateness, {});
+    apply(std::move(inputs));
     checkSettingsFile();
     flushLog();
     waitForTick(m_settings.timings.tick, false);
@@ -318,6 +322,7 @@
     m_timer.async_wait([this, due, isRepeat](boost::system::error_code ec) {
         if (ec)
             return;
+        m_lateness += std::max(m_clock.now() - due, TimeMs {});
         if (!isRepeat && m_clock.now() - due > m_settings.timings.tick)
             return waitForTick({}, true);
         tick();
--- a/src/node/ControlCalls.cpp
+++ b/src/node/ControlCalls.cpp
@@ -5,6 +5,7 @@
 #include "node/ForwardFlow.h"
 #include "node/Groups.h"
 #include "node/LeaderFlow.h"
+#include "node/NodeCapacity.h"
 #include "node/Peers.h"
 #include "rules/RuleParser.h"
 #include "wire/Codec.h"
@@ -18,9 +19,6 @@
 static constexpr TimeMs proposeTimeout { 2500 };
 static constexpr TimeMs leaveTimeout { 800 };
 static constexpr TimeMs unavailableRetryAfter { 300 };
-// If fewer entry nodes are in the failure domain of the caller, the response also lists those of other domains.
-static constexpr size_t minEntries = 3;
-static constexpr size_t maxEntries = 64;
 
 static void answerText(Node& node, ExchangeId exchange, uint16_t status, const std::string& message)
 {
@@ -248,23 +246,21 @@
 
 static void handleCall(Node& node, const RequestArrived& arrived, const EntriesCall& call)
 {
-    std::vector<std::string> sameDomain;
-    std::vector<std::string> otherDomains;
+    std::vector<EntryCandidate> candidates;
     for (const auto& [id, member] : node.membership.members) {
         const auto& status = member.status;
-        if (!isAlive(node.membership, id) || status.draining || status.voter || !status.rulesRevision)
+        if (!isAlive(node.membership, id) || status.draining || status.voter || !status.rulesRevision || !mayNameEntry(node, member))
             continue;
-        (member.identity.domain == call.domain ? sameDomain : otherDomains).push_back(member.identity.httpAddress);
+        candidates.push_back({ id, member.identity.httpAddress, member.identity.domain == call.domain });
     }
-    std::sort(sameDomain.begin(), sameDomain.end());
-    std::sort(otherDomains.begin(), otherDomains.end());
-    if (sameDomain.size() < minEntries)
-        sameDomain.insert(sameDomain.end(), otherDomains.begin(), otherDomains.end());
-    if (sameDomain.size() > maxEntries)
-        sameDomain.resize(maxEntries);
-    if (sameDomain.empty())
+    if (!knowsEntries(node)) {
+        node.counters.add("directory_unknown");
+        return answerUnavailable(node, arrived.exchange, "less than half of the entry nodes have been heard from");
+    }
+    const auto addresses = nameEntries(node, std::move(candidates), call.domain, arrived.peer);
+    if (addresses.empty())
         return answerUnavailable(node, arrived.exchange, "no entry node is known");
-    answerJson(node, arrived.exchange, 200, node.options.dialect->entriesBody(sameDomain, node.options.settings.timings.entryValid));
+    answerJson(node, arrived.exchange, 200, node.options.dialect->entriesBody(addresses, node.options.settings.timings.entryValid));
 }
 
 void handleControlCall(Node& node, const RequestArrived& arrived)
--- a/src/node/NodeState.h
+++ b/src/node/NodeState.h
@@ -17,6 +17,7 @@
 #include "node/ForwardState.h"
 #include "node/Node.h"
 #include "node/NodeCall.h"
+#include "node/NodeCapacityState.h"
 #include "node/PeerMessages.h"
 #include "orders/Orders.h"
 #include "replica/Replica.h"
@@ -233,6 +234,7 @@
     ControlCallState controlCalls;
     CatchUpState catchUp;
     EvacuationState evacuations;
+    NodeCapacityState nodeCapacity;
     DutyState duties;
     VersionFollowers versionOrders;
 
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -96,6 +96,12 @@
     TimeMs missingTimeout { 30000 }; ///< A voter that no live node has claimed for this long is replaced. Voter ids survive restarts, so only a lost disk or instance is absent for this long.
 };
 
+/// Capacity of the instance; 0 stands for unknown.
+struct CapacitySettings {
+    double cpuShare = 0; ///< Cores.
+    double linkMbps = 0;
+};
+
 /// Settings of one daemon.
 struct Settings {
     std::string node;
@@ -114,6 +120,7 @@
     ForwardSettings forward;
     DutySettings duties;
     VoterSettings voters;
+    CapacitySettings capacity;
     std::string weightStore; ///< "IP:PORT"; empty: none.
     TlsSettings tls;
     InputLimits limits;
