--- a/tests/forward/EntryWeightsTest.cpp
+++ b/tests/forward/EntryWeightsTest.cpp
@@ -85,7 +85,8 @@
 {
     std::vector<EntryCandidate> candidates;
     for (size_t n = 0; n < 30; ++n)
-        candidates.push_back(candidate(n, true, n % 3 == 0 ? 1 : n % 3 == 1 ? 0.5 : 0.2));
+        candidates.push_back(candidate(n, true, n % 3 == 0 ? 1 : n % 3 == 1 ? 0.5
+                                                                            : 0.2));
     const auto seen = frequencies(candidates);
     double worst = 0;
     for (const auto& it : candidates) {
--- a/tests/node/NodeCapacityTest.cpp
+++ b/tests/node/NodeCapacityTest.cpp
@@ -82,8 +82,8 @@
             return out;
         }
 
-        // Kills the nodes, and queries the voters for all domains until the bound has passed by far. Returns the last time after the kill at
-        // which a response named one of them.
+        // Queries all voters for all domains ten times a second, until the time after the end of the nodes. Returns the last time after their
+        // end at which a response named one of them.
         TimeMs lastNamed(const std::set<std::string>& ended, TimeMs endedAt, TimeMs until)
         {
             TimeMs last;
@@ -92,7 +92,9 @@
                     for (size_t k = 0; k < 3; ++k) {
                         if (!fleet.nodes[n].node || fleet.nodes[n].frozen)
                             continue;
-                        for (const auto& it : resolve(n, domainOf(k)).second)
+                        const auto [status, named] = resolve(n, domainOf(k));
+                        refusals += status == 503 ? 1 : 0;
+                        for (const auto& it : named)
                             last = ended.contains(it) ? std::max(last, fleet.now - endedAt) : last;
                     }
                 }
@@ -113,6 +115,7 @@
 
         NodeFleet fleet;
         size_t controls;
+        size_t refusals = 0; ///< Queries of lastNamed() that were refused.
     };
 
     CapacitySettings katasterCapacity(size_t entry)
@@ -202,16 +205,26 @@
     checkFleet(it.fleet);
 }
 
-// Failure: entry nodes are killed, one or two thirds of them at once. Guards against responses that name them later than the rule allows, and
-// against voters that refuse meanwhile although they hear from the rest.
+// Failure: entry nodes are killed, one or two thirds of them at once, with and without a loss of a tenth of the datagrams. Guards against
+// responses that name them later than the rule allows, against voters that refuse when one of many nodes is killed, and against voters that do
+// not answer again when most are.
 BOOST_AUTO_TEST_CASE(killedNodesLeaveTheResponses)
 {
-    for (const size_t count : { 1U, 16U }) {
-        DirectoryFleet it(24, 3);
-        const auto ended = it.killEntries(3, 1, count);
+    struct Case {
+        int entries;
+        int controls;
+        size_t killed;
+        double loss;
+    };
+    for (const auto& [entries, controls, killed, loss] : { Case { 24, 3, 1, 0 }, Case { 24, 3, 16, 0 }, Case { 80, 5, 1, 0.1 }, Case { 80, 5, 53, 0 }, Case { 80, 5, 53, 0.1 } }) {
+        DirectoryFleet it(entries, controls);
+        it.fleet.loss = loss;
+        const auto ended = it.killEntries(it.controls, 1, killed);
         const TimeMs last = it.lastNamed(ended, it.fleet.now, 10_s);
-        BOOST_TEST_MESSAGE(count << " killed: last named after " << last.value << " ms");
+        BOOST_TEST_MESSAGE(killed << " of " << entries << " killed, loss " << loss << ": last named after " << last.value << " ms, " << it.refusals << " of " << 300 * controls << " queries refused");
         BOOST_CHECK_LE(last.value, endedBound.value);
+        if (killed == 1)
+            BOOST_CHECK_EQUAL(it.refusals, 0U);
         BOOST_TEST(it.resolve(0, it.domainOf(0)).first == 200);
         checkFleet(it.fleet);
     }
