--- a/src/forward/EntryWeights.cpp
+++ b/src/forward/EntryWeights.cpp
@@ -23,8 +23,9 @@
 static constexpr double alikeWeights = 0.01;
 static constexpr size_t minEntries = 3;
 static constexpr size_t maxEntries = 64;
-// A single client queries about once per period of validity, and again after a failure.
-static constexpr double queriesOfOneClient = 3;
+// A single client queries about once per period of validity, for which the decaying count is 1.58. With five voters, six to ten clients of one address
+// exceed this at each.
+static constexpr double queriesOfOneClient = 2;
 static constexpr size_t maxClientAddresses = 1024;
 
 void recordLateness(LatenessMeter& meter, TimeMs interval, TimeMs late)
