Take sums of loads only from the hub to which a node reports

Cause: a hub that was frozen sends what had been reported to it before, until it has noticed that its nodes report elsewhere; each of its sums replaced the newer one of the present hub, and busy engines looked idle. Change: sums of other hubs are dropped and counted (load_sums_of_other_hubs).

--- a/src/node/LoadHubs.cpp
+++ b/src/node/LoadHubs.cpp
@@ -213,6 +213,16 @@
     hubs.limitsInOtherDomains.insert(news.begin(), news.end());
 }
 
+// A hub that was frozen sends sums of what was reported to it before, until it has noticed that its nodes report elsewhere.
+static bool isOfOtherHub(Node& node, NodeId from)
+{
+    const NodeId hub = node.forward.hubs.hub;
+    if (!hub || hub == from)
+        return false;
+    node.counters.add("load_sums_of_other_hubs");
+    return true;
+}
+
 static std::string domainOf(const Node& node, NodeId hub)
 {
     const Member* member = findMember(node.membership, hub);
@@ -236,7 +246,7 @@
 void receiveFleetLoad(Node& node, NodeId from, std::string_view body)
 {
     const auto frame = decodeLoad<FleetLoadFrame>(node, body);
-    if (!frame || !acceptsCallers(node))
+    if (!frame || !acceptsCallers(node) || isOfOtherHub(node, from))
         return;
     auto& forward = node.forward;
     const auto included = frame->included.find(node.self);
@@ -273,7 +283,7 @@
 void receiveFleetUpdate(Node& node, NodeId from, std::string_view body)
 {
     const auto frame = decodeLoad<LoadUpdateFrame>(node, body);
-    if (!frame || !acceptsCallers(node))
+    if (!frame || !acceptsCallers(node) || isOfOtherHub(node, from))
         return;
     auto& forward = node.forward;
     const auto included = frame->included.find(node.self);
--- a/tests/node/LoadUpdateTest.cpp
+++ b/tests/node/LoadUpdateTest.cpp
@@ -1,5 +1,6 @@
 #include "EntryFleet.h"
 
+#include "node/LoadHubs.h"
 #include "node/PeerMessages.h"
 
 namespace siskinshunt {
@@ -84,6 +85,30 @@
     BOOST_CHECK_EQUAL(it.nodesWithLoadOtherThan(0), 0U);
 }
 
+// Guards against old sums of a hub that was frozen: until its nodes report to it again it sends what it knew before, and engines look idle.
+BOOST_AUTO_TEST_CASE(OldSumsOfAReturningHubAreIgnored)
+{
+    LoadedFleet it(30, 5);
+    const auto hub = std::find_if(it.fleet.nodes.begin(), it.fleet.nodes.end(), [&](const auto& node) { return node.node->self == domainHub(*it.fleet.nodes.back().node); });
+    BOOST_REQUIRE(hub != it.fleet.nodes.end());
+    const auto frozen = static_cast<size_t>(hub - it.fleet.nodes.begin());
+    it.fleet.freeze(frozen);
+    it.fleet.runFor(4_s);
+    for (size_t n = 1; n <= 5; ++n) {
+        it.fleet.post(it.controls + n * 3, { "GET", "/look/1", { { "Host", "h" }, { HeaderNames {}.requestId, "r" + std::to_string(n) } }, {} }, ListenerKind::Forward);
+        it.fleet.runFor(20_ms);
+    }
+    it.fleet.runFor(600_ms);
+    BOOST_REQUIRE_EQUAL(it.unawareOfLoad(5), 0U);
+    it.fleet.thaw(frozen);
+    size_t most = 0;
+    for (int n = 0; n < 100; ++n) {
+        it.fleet.runFor(20_ms);
+        most = std::max(most, it.unawareOfLoad(5));
+    }
+    BOOST_CHECK_EQUAL(most, 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
