--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -39,6 +39,7 @@
     std::shared_ptr<const RouteTable> routes; ///< The rules in force when it arrived.
     const ForwardRule* rule = nullptr;
     const AllowanceRule* account = nullptr;
+    AllowedRegions regions; ///< That the upstreams and the other entry nodes of the request must be in.
     int urgency = 9;
     TimeMs arrivedAt;
     TimeMs callerDeadline; ///< The caller stops waiting then.
--- a/src/forward/ForwardTarget.h
+++ b/src/forward/ForwardTarget.h
@@ -53,6 +53,7 @@
     std::string name;
     std::string address; ///< "IP:PORT".
     std::string domain;
+    std::string region; ///< Of the failure domain; empty if unknown.
     std::string version;
     std::string backend;
     uint64_t incarnation = 0;
--- a/src/forward/RouteTable.cpp
+++ b/src/forward/RouteTable.cpp
@@ -60,6 +60,7 @@
         if (const auto it = accounts.find(key.account); it != accounts.end())
             table->accountsByKey.emplace(key.tokenSha256, it->second);
     }
+    table->regions = makeRegionRules(set);
     rankPriorities(*table);
     return table;
 }
--- a/src/forward/RouteTable.h
+++ b/src/forward/RouteTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "forward/Regions.h"
 #include "rules/RuleSet.h"
 
 #include <memory>
@@ -15,6 +16,7 @@
     std::unordered_map<std::string, size_t> forwards; ///< Index of the forward rule by host and prefix.
     std::unordered_map<std::string, size_t> accountsByKey; ///< Index of the allowance rule by the key's SHA-256.
     std::unordered_map<std::string, size_t> backends; ///< Index of the backend rule by name.
+    RegionRules regions;
     std::unordered_map<uint32_t, int> ranks; ///< Urgency, 0 to 9, by account priority * 16 + route priority.
 };
 
--- a/src/forward/TargetChoice.cpp
+++ b/src/forward/TargetChoice.cpp
@@ -34,8 +34,15 @@
     return hasPlace(target.brittle, target.own.running, target.others.running, target.slots);
 }
 
+static bool isInRegions(const ForwardTarget& target, const AllowedRegions* regions)
+{
+    return !regions || allowsRegion(*regions, target.region);
+}
+
 static TargetExclusion exclusionOf(const ForwardTarget& target, const ChoiceRequest& request, TimeMs now)
 {
+    if (!isInRegions(target, request.regions))
+        return TargetExclusion::Region;
     if (target.leaving)
         return TargetExclusion::Leaving;
     if (target.evacuated)
@@ -123,13 +130,13 @@
     });
 }
 
-std::optional<TimeMs> timeUntilTarget(const ForwardTargets& table, const std::string& backend, TimeMs now)
+std::optional<TimeMs> timeUntilTarget(const ForwardTargets& table, const std::string& backend, TimeMs now, const AllowedRegions* regions)
 {
     const auto ids = table.byBackend.find(backend);
     std::optional<TimeMs> earliest;
     for (const UpstreamId id : ids == table.byBackend.end() ? std::vector<UpstreamId> {} : ids->second) {
         const auto it = table.entries.find(id);
-        if (it == table.entries.end() || it->second.leaving || it->second.evacuated)
+        if (it == table.entries.end() || it->second.leaving || it->second.evacuated || !isInRegions(it->second, regions))
             continue;
         const ForwardTarget& target = it->second;
         const TimeMs pause = std::max(hasPlace(target) ? TimeMs {} : placeWait, target.pausedUntil - now);
--- a/src/forward/TargetChoice.h
+++ b/src/forward/TargetChoice.h
@@ -5,6 +5,7 @@
 #include "forward/ForwardTarget.h"
 #include "forward/PrefillEstimator.h"
 #include "forward/PromptParts.h"
+#include "forward/Regions.h"
 
 #include <functional>
 #include <optional>
@@ -34,6 +35,7 @@
     std::vector<UpstreamId> tried; ///< Excluded.
     bool triesUnreached = false; ///< Prefers targets that were not reached lately.
     std::function<bool(const ForwardTarget&)> allowed; ///< Filter by version; null accepts all targets.
+    const AllowedRegions* regions = nullptr; ///< Targets elsewhere are excluded; null: the request is bound to none.
 };
 
 /// Range of the random part of the cost for this number of entry nodes; 0 while they report to each other directly.
@@ -62,6 +64,7 @@
     Misdirected,
     Tried,
     NotAllowed, ///< By its version.
+    Region, ///< It is not in a region that the request may use.
 };
 
 template <>
@@ -76,6 +79,7 @@
     { TargetExclusion::Misdirected, "misdirected" },
     { TargetExclusion::Tried, "tried" },
     { TargetExclusion::NotAllowed, "version" },
+    { TargetExclusion::Region, "region" },
 });
 
 /// A target as chooseTarget() sees it.
@@ -89,8 +93,8 @@
 /// All targets of the backend, in the order of their ids. The random parts of the costs are those of the next choice.
 std::vector<TargetExplanation> explainTargets(const ForwardTargets&, const PromptPartIndex&, const ChoiceOptions&, const ChoiceRequest&, TimeMs now, Random);
 /// Time until the first of the targets that take no more requests of this node now, because of the limits or pauses that they
-/// name, takes another one; none if there is no such target.
-std::optional<TimeMs> timeUntilTarget(const ForwardTargets&, const std::string& backend, TimeMs now);
+/// name, takes another one; none if there is no such target. `regions`: as in ChoiceRequest.
+std::optional<TimeMs> timeUntilTarget(const ForwardTargets&, const std::string& backend, TimeMs now, const AllowedRegions* regions = nullptr);
 /// Whether any target that was not tried yet is healthy.
 bool hasHealthyTarget(const ForwardTargets&, const ChoiceOptions&, const ChoiceRequest&, TimeMs now);
 
--- a/src/rules/RuleChecks.cpp
+++ b/src/rules/RuleChecks.cpp
@@ -136,6 +136,18 @@
     }
 }
 
+static void checkRegions(Checker& checker)
+{
+    for (const auto& rule : checker.rules.routeRegions) {
+        if (!checker.hasRule("forward", rule.name))
+            checker.report(rule.origin, "route '" + rule.name + "' is not defined; expected the name of a forward rule");
+    }
+    for (const auto& rule : checker.rules.accountRegions) {
+        if (!checker.hasRule("allowance", rule.name))
+            checker.report(rule.origin, "account '" + rule.name + "' is not defined; expected the name of an allowance rule");
+    }
+}
+
 static void checkCallerKeys(Checker& checker)
 {
     std::map<std::string_view, const CallerKeyRule*> seen;
@@ -161,6 +173,7 @@
     checkMoves(checker);
     checkInstances(checker);
     checkColdStarts(checker);
+    checkRegions(checker);
     checkForwards(checker);
     checkCallerKeys(checker);
 }
--- a/src/rules/RuleKinds.cpp
+++ b/src/rules/RuleKinds.cpp
@@ -280,6 +280,37 @@
     return s_spec;
 }
 
+static bool readRegions(RegionsRule& rule, std::string_view value)
+{
+    for (bool more = true; more;) {
+        const auto comma = value.find(',');
+        const auto name = value.substr(0, comma);
+        if (!isRuleName(name) || std::find(rule.allowed.begin(), rule.allowed.end(), name) != rule.allowed.end())
+            return false;
+        rule.allowed.emplace_back(name);
+        more = comma != std::string_view::npos;
+        value = more ? value.substr(comma + 1) : std::string_view {};
+    }
+    return true;
+}
+
+static FieldSpec<RegionsRule> allowedRegionsField()
+{
+    return { "allowed", true, "names of regions, separated by commas, each once", readRegions };
+}
+
+static const KindSpec<RegionsRule>& routeRegionsSpec()
+{
+    static const KindSpec<RegionsRule> s_spec { "regions route", &RuleSet::routeRegions, &RegionsRule::name, { allowedRegionsField() } };
+    return s_spec;
+}
+
+static const KindSpec<RegionsRule>& accountRegionsSpec()
+{
+    static const KindSpec<RegionsRule> s_spec { "regions account", &RuleSet::accountRegions, &RegionsRule::name, { allowedRegionsField() } };
+    return s_spec;
+}
+
 static const KindSpec<ForwardRule>& forwardSpec()
 {
     static const KindSpec<ForwardRule> s_spec { "forward", &RuleSet::forwards, &ForwardRule::name, {
@@ -371,9 +402,14 @@
     return true;
 }
 
+size_t kindWordCount(std::string_view first, std::string_view second)
+{
+    return first == "regions" && (second == "route" || second == "account") ? 2 : 1;
+}
+
 std::vector<std::string_view> ruleKindNames()
 {
-    return { "account", "class", "target", "route", "limit", "retry", "version", "move", "price", "instances", "drain", "backend", "cold-start", "forward", "allowance", "caller-key", "intake" };
+    return { "account", "class", "target", "route", "limit", "retry", "version", "move", "price", "instances", "drain", "backend", "cold-start", "regions route", "regions account", "forward", "allowance", "caller-key", "intake" };
 }
 
 void addRule(const RuleInput& input, ParsedRules& out)
@@ -383,7 +419,8 @@
         || addRuleOfKind(versionSpec(), input, out) || addRuleOfKind(moveSpec(), input, out) || addRuleOfKind(priceSpec(), input, out)
         || addRuleOfKind(instancesSpec(), input, out) || addRuleOfKind(drainSpec(), input, out)
         || addRuleOfKind(backendSpec(), input, out) || addRuleOfKind(forwardSpec(), input, out) || addRuleOfKind(allowanceSpec(), input, out)
-        || addRuleOfKind(callerKeySpec(), input, out) || addRuleOfKind(intakeSpec(), input, out) || addRuleOfKind(coldStartSpec(), input, out);
+        || addRuleOfKind(callerKeySpec(), input, out) || addRuleOfKind(intakeSpec(), input, out) || addRuleOfKind(coldStartSpec(), input, out)
+        || addRuleOfKind(routeRegionsSpec(), input, out) || addRuleOfKind(accountRegionsSpec(), input, out);
     if (known)
         return;
     std::string kinds;
--- a/src/rules/RuleKinds.h
+++ b/src/rules/RuleKinds.h
@@ -26,6 +26,9 @@
     RuleOrigin origin;
 };
 
+/// Number of words at the start of a line that name its kind: two for "regions route" and "regions account", else one.
+size_t kindWordCount(std::string_view first, std::string_view second);
+
 /// Interprets the line according to its rule kind and adds the rule, or the problems found, to `out`.
 void addRule(const RuleInput&, ParsedRules& out);
 
--- a/src/rules/RuleParser.cpp
+++ b/src/rules/RuleParser.cpp
@@ -47,9 +47,9 @@
     return !origin.person.empty() && !origin.reason.empty();
 }
 
-static void parseFields(const std::vector<Word>& words, RuleInput& input, std::vector<RuleProblem>& problems)
+static void parseFields(const std::vector<Word>& words, size_t first, RuleInput& input, std::vector<RuleProblem>& problems)
 {
-    for (size_t n = 2; n < words.size(); ++n) {
+    for (size_t n = first; n < words.size(); ++n) {
         const auto& word = words[n];
         const auto equals = word.text.find('=');
         if (equals == std::string_view::npos || equals == 0) {
@@ -89,14 +89,18 @@
         out.problems.push_back({ number, commentColumn, "expected a comment '# PERSON: reason' that says who asked for the rule" });
     input.kind = words[0].text;
     input.kindColumn = words[0].column;
-    if (words.size() < 2 || !isRuleNameOrStar(words[1].text)) {
-        const int column = words.size() < 2 ? words[0].column + static_cast<int>(words[0].text.size()) : words[1].column;
+    const size_t kindWords = kindWordCount(words[0].text, words.size() > 1 ? words[1].text : std::string_view {});
+    if (kindWords > 1)
+        input.kind += " " + std::string(words[1].text);
+    if (words.size() <= kindWords || !isRuleNameOrStar(words[kindWords].text)) {
+        const auto& last = words[kindWords - 1];
+        const int column = words.size() <= kindWords ? last.column + static_cast<int>(last.text.size()) : words[kindWords].column;
         out.problems.push_back({ number, column, "expected a name of letters, digits, '.', '_' or '-' after '" + input.kind + "'" });
         return;
     }
-    input.name = words[1].text;
-    input.nameColumn = words[1].column;
-    parseFields(words, input, out.problems);
+    input.name = words[kindWords].text;
+    input.nameColumn = words[kindWords].column;
+    parseFields(words, kindWords + 1, input, out.problems);
     addRule(input, out);
 }
 
--- a/src/rules/RuleSet.h
+++ b/src/rules/RuleSet.h
@@ -197,6 +197,13 @@
     RuleOrigin origin;
 };
 
+/// Regions that requests on a route, or of a client account, may use.
+struct RegionsRule {
+    std::string name; ///< The forward rule, or the client account.
+    std::vector<std::string> allowed;
+    RuleOrigin origin;
+};
+
 /// A route of forwarded requests, selected by host and longest path prefix.
 struct ForwardRule {
     std::string name;
@@ -268,6 +275,8 @@
     std::vector<DrainRule> drains;
     std::vector<BackendRule> backends;
     std::vector<ColdStartRule> coldStarts;
+    std::vector<RegionsRule> routeRegions; ///< By forward rule.
+    std::vector<RegionsRule> accountRegions; ///< By client account.
     std::vector<ForwardRule> forwards;
     std::vector<AllowanceRule> allowances;
     std::vector<CallerKeyRule> callerKeys;
--- a/tests/rules/ForwardRulesTest.cpp
+++ b/tests/rules/ForwardRulesTest.cpp
@@ -72,3 +72,29 @@
     BOOST_TEST(problemAt("#: cold-start gone duration=3s rate=1 # Asma: test\n").starts_with("f:1:1: backend 'gone' is not defined"));
     BOOST_TEST(problemAt(backend + "#: cold-start desk duration=3s rate=1 # Asma: test\ncold-start desk duration=3s rate=1 # Asma: test\n").starts_with("f:3:12: cold-start 'desk' is already defined on line 2"));
 }
+
+// Guards against region constraints that are lost, attached to the wrong kind of rule or to none, or accepted without a region.
+BOOST_AUTO_TEST_CASE(regionsAreRead)
+{
+    const std::string base = backend + "forward plan host=h prefix=/p/ kind=stream timeout=6s to=desk:1 # Asma: test\nallowance acme # Asma: test\n";
+    const auto parsed = parseRules(base + "#: regions route plan allowed=eu-west,eu.north # Asma: contract\n#: regions account acme allowed=eu-west # Omar: contract\n");
+    BOOST_REQUIRE_MESSAGE(parsed.problems.empty(), problemsOf(parsed.rules.text));
+    BOOST_REQUIRE((parsed.rules.routeRegions.size() == 1U && parsed.rules.accountRegions.size() == 1U));
+    BOOST_TEST((parsed.rules.routeRegions[0].name == "plan" && parsed.rules.routeRegions[0].allowed == std::vector<std::string> { "eu-west", "eu.north" }));
+    BOOST_TEST((parsed.rules.accountRegions[0].name == "acme" && parsed.rules.accountRegions[0].allowed == std::vector<std::string> { "eu-west" }));
+    BOOST_TEST((parsed.rules.accountRegions[0].origin.line == 5 && parsed.rules.accountRegions[0].origin.person == "Omar"));
+    BOOST_TEST((parsed.rules.lines.back().kind == "regions account" && parsed.rules.lines.back().name == "acme"));
+    const auto problemAt = [&](const std::string& line) {
+        const auto problems = parseRules(base + line).problems;
+        return problems.empty() ? std::string {} : toString(problems.front(), "f");
+    };
+    BOOST_TEST(problemAt("regions route plan allowed=a # Asma: as a plain line\n") == "");
+    for (const char* value : { "", ",", "a,", ",a", "a,,b", "a,a", "a/b" })
+        BOOST_TEST(problemAt(std::string("#: regions route plan allowed=") + value + " # Asma: test\n").find("expected names of regions") != std::string::npos, value);
+    BOOST_TEST(problemAt("#: regions route plan # Asma: test\n").starts_with("f:4:18: regions route 'plan' lacks allowed="));
+    BOOST_TEST(problemAt("#: regions route # Asma: test\n").starts_with("f:4:17: expected a name"));
+    BOOST_TEST(problemAt("#: regions route acme allowed=a # Asma: test\n").find("route 'acme' is not defined") != std::string::npos);
+    BOOST_TEST(problemAt("#: regions account plan allowed=a # Asma: test\n").find("account 'plan' is not defined") != std::string::npos);
+    BOOST_TEST(problemAt("#: regions plan allowed=a # Asma: test\n").find("unknown rule kind 'regions'") != std::string::npos);
+    BOOST_TEST(problemAt("#: regions route plan allowed=a # Asma: test\n#: regions route plan allowed=b # Asma: test\n").find("is already defined on line 4") != std::string::npos);
+}
