Read the regions of failure domains and of manifests

Cause: the constraints come with manifests (`allowedRegions`), and the regions of failure domains with the settings.

--- a/src/node/Dialect.h
+++ b/src/node/Dialect.h
@@ -60,6 +60,8 @@
 /// A caller asks for entry addresses.
 struct EntriesCall {
     std::string domain; ///< Of the caller.
+    std::string region; ///< Of the caller, as it says; empty if it does not.
+    std::string host; ///< That the caller wants to reach; empty if it does not say.
 };
 
 using ControlCall = std::variant<BadCall, PutConfigurationCall, ReadConfigurationCall, OrderVersionCall, ReadVersionCall, AnnounceCall, LeaveCall, OrderEvacuationCall, EntriesCall>;
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -149,6 +149,7 @@
     reader.name("cluster", settings.cluster, true);
     reader.name("region", settings.region, false);
     reader.name("failure_domain", settings.failureDomain, true);
+    reader.names("regions", settings.regions);
     reader.endpoint("http", settings.http, true);
     reader.endpoint("peer", settings.peer, true);
     readPeerKey(reader, settings, file);
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -5,6 +5,7 @@
 #include "base/TimeMs.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -102,6 +103,7 @@
     std::string cluster;
     std::string region;
     std::string failureDomain;
+    std::map<std::string, std::string, std::less<>> regions; ///< Region of each failure domain.
     Endpoint http; ///< Callers, upstreams and operators.
     Endpoint peer; ///< Gossip over UDP, frames over TCP.
     std::string peerKey; ///< Shared secret of the cluster, 32 to 128 bytes.
--- a/src/settings/SettingsReader.cpp
+++ b/src/settings/SettingsReader.cpp
@@ -119,11 +119,33 @@
     target = std::string_view(value->get_string());
 }
 
+static bool isNameOrEmpty(std::string_view text)
+{
+    static constexpr std::string_view allowed = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-";
+    return text.size() <= 64 && text.find_first_not_of(allowed) == std::string_view::npos;
+}
+
+void SettingsReader::names(std::string_view key, std::map<std::string, std::string, std::less<>>& target)
+{
+    m_state->used.emplace(key);
+    const auto* value = find(*m_state->object, key);
+    if (!value || value->is_null())
+        return;
+    if (!value->is_object())
+        return reportProblem(key, "has the wrong type; allowed: an object of names");
+    for (const auto& member : value->get_object()) {
+        const std::string_view name(member.key());
+        const std::string_view text = member.value().is_string() ? std::string_view(member.value().get_string()) : std::string_view {};
+        if (name.empty() || text.empty() || !isNameOrEmpty(name) || !isNameOrEmpty(text))
+            return reportProblem(key, "holds \"" + std::string(name) + "\": " + json::serialize(member.value()) + "; allowed: names of 1 to 64 letters, digits, '.', '_' or '-'");
+        target.emplace(name, text);
+    }
+}
+
 void SettingsReader::name(std::string_view key, std::string& target, bool required)
 {
     text(key, target, required);
-    static constexpr std::string_view allowed = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-";
-    if (target.size() > 64 || target.find_first_not_of(allowed) != std::string::npos)
+    if (!isNameOrEmpty(target))
         reportProblem(key, "is '" + target + "'; allowed: 1 to 64 letters, digits, '.', '_' or '-'");
 }
 
--- a/src/settings/SettingsReader.h
+++ b/src/settings/SettingsReader.h
@@ -3,6 +3,7 @@
 #include "settings/Settings.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -37,6 +38,8 @@
 
     void text(std::string_view key, std::string& target, bool required);
     void name(std::string_view key, std::string& target, bool required);
+    /// An object whose keys and values are names. null counts as absent, so that a template can pass on a table that its source lacks.
+    void names(std::string_view key, std::map<std::string, std::string, std::less<>>& target);
     void digest(std::string_view key, std::string& target, bool required);
     void boolean(std::string_view key, bool& target);
     void endpoint(std::string_view key, Endpoint& target, bool required);
--- a/tests/platform/ManifestTest.cpp
+++ b/tests/platform/ManifestTest.cpp
@@ -93,6 +93,29 @@
     BOOST_TEST(isRejected(withReplaced("\"maxConnections\":360", "\"maxConnections\":360,\"coldStartS\":3.0,\"coldPerS\":\"8.6\"")));
 }
 
+// Guards against region constraints that are lost or made up, that earlier builds would refuse the configuration for, and against malformed ones that leave a
+// route or an account unbound.
+BOOST_AUTO_TEST_CASE(allowedRegionsBecomeExtensionLines)
+{
+    const auto rulesOf = [](const std::string& text) { return std::get<PutConfigurationCall>(readManifest(text, "10.0.0.9")).rules; };
+    const auto onRoute = [](const std::string& value) { return withReplaced("\"targetGapMs\":250", "\"targetGapMs\":250,\"allowedRegions\":" + value); };
+    const auto onTenant = [](const std::string& value) { return withReplaced("\"plainTokens\":200", "\"plainTokens\":200,\"allowedRegions\":" + value); };
+    const auto route = parseRules(rulesOf(onRoute(R"(["r-eu","r-us","r-eu"])")));
+    BOOST_REQUIRE_MESSAGE(route.problems.empty(), (route.problems.empty() ? "" : route.problems.front().message));
+    BOOST_REQUIRE((route.rules.routeRegions.size() == 1U && route.rules.accountRegions.empty()));
+    BOOST_TEST((route.rules.routeRegions[0].name == "r-1" && route.rules.routeRegions[0].allowed == std::vector<std::string> { "r-eu", "r-us" }));
+    BOOST_TEST(route.rules.text.find("\n#: regions route r-1 allowed=r-eu,r-us # operator at 10.0.0.9") != std::string::npos);
+    const auto tenant = parseRules(rulesOf(onTenant(R"(["r-eu"])")));
+    BOOST_REQUIRE((tenant.problems.empty() && tenant.rules.accountRegions.size() == 1U && tenant.rules.routeRegions.empty()));
+    BOOST_TEST((tenant.rules.accountRegions[0].name == "acme" && tenant.rules.accountRegions[0].allowed == std::vector<std::string> { "r-eu" }));
+    BOOST_TEST(rulesOf(manifest).find("regions") == std::string::npos);
+    BOOST_TEST(rulesOf(onRoute("[]")).find("regions") == std::string::npos);
+    for (const char* malformed : { "\"r-eu\"", "7", "true", "{}", "{\"r-eu\":true}", "[7]", "[\"r-eu\",null]", "[[\"r-eu\"]]", "[\"\"]", "[\"r eu\"]", "[\"r,eu\"]", "[\"r#eu\"]" }) {
+        BOOST_TEST(isRejected(onRoute(malformed)), malformed);
+        BOOST_TEST(isRejected(onTenant(malformed)), malformed);
+    }
+}
+
 static ControlCall decodeCall(const std::string& method, const std::string& target, const std::string& body = {})
 {
     return makePlatformDialect()->decode({ method, target, {}, body }, "10.0.0.9:4000");
@@ -118,6 +141,8 @@
 BOOST_AUTO_TEST_CASE(callsAreDecoded)
 {
     BOOST_TEST(std::get<EntriesCall>(decodeCall("GET", "/resolve?name=h&region=r&zone=x")).domain == "x");
+    const auto entries = std::get<EntriesCall>(decodeCall("GET", "/resolve?name=h.example&region=r&zone=x"));
+    BOOST_TEST((entries.region == "r" && entries.host == "h.example"));
     BOOST_TEST(std::holds_alternative<ReadConfigurationCall>(decodeCall("GET", "/config")));
     BOOST_TEST(std::holds_alternative<PutConfigurationCall>(decodeCall("PUT", "/config", manifest)));
     const auto order = std::get<OrderVersionCall>(decodeCall("POST", "/rollouts", R"({"service":"lm","target":"v2","durationS":12})"));
--- a/tests/settings/SettingsTest.cpp
+++ b/tests/settings/SettingsTest.cpp
@@ -71,3 +71,16 @@
     BOOST_TEST(errorOf(settingsWith(", \"forward\": { \"retry_ratio\": \"x\" }")) == "read_settings s.json: key 'forward.retry_ratio' has the wrong type; allowed: a number");
     BOOST_TEST(errorOf(settingsWith(", \"voters\": { \"target\": 9 }")) == "read_settings s.json: key 'voters.target' is 9; allowed: a whole number from 0 to 7");
 }
+
+// Guards against a map of regions that is read wrongly, and against entries that are dropped without an error, which would leave their domain outside every
+// region.
+BOOST_AUTO_TEST_CASE(regionsOfDomainsAreRead)
+{
+    const auto settings = handle([&] { return parseSettings(settingsWith(", \"regions\": { \"lhr-depot\": \"pk-punjab\", \"jhb-north\": \"za-gauteng\" }"), "s.json"); }, [](const Error&) { return Settings {}; });
+    BOOST_TEST((settings.regions.size() == 2U && settings.regions.at("lhr-depot") == "pk-punjab" && settings.regions.at("jhb-north") == "za-gauteng"));
+    BOOST_TEST(errorOf(settingsWith(", \"regions\": {}")) == "node lhr-depot-1");
+    BOOST_TEST(errorOf(settingsWith(", \"regions\": null")) == "node lhr-depot-1");
+    BOOST_TEST(errorOf(settingsWith(", \"regions\": [\"a\"]")) == "read_settings s.json: key 'regions' has the wrong type; allowed: an object of names");
+    for (const char* entry : { "\"a\": 7", "\"a\": \"\"", "\"\": \"r\"", "\"a\": \"r 1\"", "\"a b\": \"r\"", "\"a\": null", "\"a\": { \"region\": \"r\" }" })
+        BOOST_TEST(errorOf(settingsWith(std::string(", \"regions\": { ") + entry + " }")).starts_with("read_settings s.json: key 'regions' holds "), entry);
+}
