Keep bound requests, relays and directory answers in their regions

Cause: a request that names regions must reach no upstream, and its body no further entry node, in another region. Change: attempts, retries, resumed streams and probes pass the call's regions to the choice; relays leave out entry nodes elsewhere; the directory names nodes that the host's bound routes allow or in the client's region; `explain route` shows the exclusion. A request without a region is refused with 503, no_upstream. Unmapped failure domains are logged (region_unknown).

--- a/src/node/ControlCalls.cpp
+++ b/src/node/ControlCalls.cpp
@@ -6,6 +6,7 @@
 #include "node/Groups.h"
 #include "node/LeaderFlow.h"
 #include "node/Peers.h"
+#include "node/RegionFlow.h"
 #include "rules/RuleParser.h"
 #include "wire/Codec.h"
 
@@ -248,13 +249,18 @@
 
 static void handleCall(Node& node, const RequestArrived& arrived, const EntriesCall& call)
 {
-    std::vector<std::string> sameDomain;
-    std::vector<std::string> otherDomains;
+    std::vector<NodeId> entries;
     for (const auto& [id, member] : node.membership.members) {
         const auto& status = member.status;
-        if (!isAlive(node.membership, id) || status.draining || status.voter || !status.rulesRevision)
-            continue;
-        (member.identity.domain == call.domain ? sameDomain : otherDomains).push_back(member.identity.httpAddress);
+        if (isAlive(node.membership, id) && !status.draining && !status.voter && status.rulesRevision)
+            entries.push_back(id);
+    }
+    keepEntriesInRegions(node, call, entries);
+    std::vector<std::string> sameDomain;
+    std::vector<std::string> otherDomains;
+    for (const NodeId id : entries) {
+        const auto& identity = node.membership.members.at(id).identity;
+        (identity.domain == call.domain ? sameDomain : otherDomains).push_back(identity.httpAddress);
     }
     std::sort(sameDomain.begin(), sameDomain.end());
     std::sort(otherDomains.begin(), otherDomains.end());
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -7,6 +7,7 @@
 #include "node/FairShares.h"
 #include "node/ForwardRelay.h"
 #include "node/ForwardReport.h"
+#include "node/RegionFlow.h"
 #include "node/UpstreamLimits.h"
 #include "node/VersionOrders.h"
 
@@ -47,6 +48,7 @@
     if (options.dialect)
         out.headers = options.dialect->headers;
     out.choice.domain = settings.failureDomain;
+    out.regions.byDomain = regionsOfSettings(settings);
     out.allowances.options.slack = settings.forward.allowanceSlack;
     out.retryLimit = { settings.forward.retryWindow, settings.forward.retryRatio, settings.forward.retryExtra };
     out.usage.window = settings.duties.usageWindow;
@@ -57,6 +59,7 @@
 {
     node.forward.routes = makeRouteTable(node.rules);
     setColdRules(node);
+    checkRegionRules(node);
     if (node.rules->intakes.empty())
         return;
     const auto& intake = node.rules->intakes.front();
@@ -102,6 +105,7 @@
     target.name = announced.name;
     target.address = announced.address;
     target.domain = announced.domain;
+    target.region = regionOfDomain(node, announced.domain);
     target.version = announced.version;
     target.backend = announced.model;
     target.incarnation = announced.incarnation;
@@ -354,7 +358,7 @@
 
 bool canSendElsewhere(const Node& node, const ForwardCall& call)
 {
-    const ChoiceRequest request { .backend = call.backend, .tried = call.tried, .allowed = [&node](const ForwardTarget& target) { return !isVersionExcluded(node, target); } };
+    const ChoiceRequest request { .backend = call.backend, .tried = call.tried, .allowed = [&node](const ForwardTarget& target) { return !isVersionExcluded(node, target); }, .regions = &call.regions };
     return hasHealthyTarget(node.forward.targets, node.forward.choice, request, node.now);
 }
 
@@ -421,7 +425,7 @@
     const auto reach = forward.reach.find(call.backend);
     if (reach != forward.reach.end() && reach->second.lost)
         return true;
-    const ChoiceRequest request { .backend = call.backend, .tried = call.tried, .allowed = [](const ForwardTarget& target) { return target.unreached; } };
+    const ChoiceRequest request { .backend = call.backend, .tried = call.tried, .allowed = [](const ForwardTarget& target) { return target.unreached; }, .regions = &call.regions };
     return hasHealthyTarget(forward.targets, forward.choice, request, node.now);
 }
 
@@ -439,7 +443,7 @@
         return;
     if (!probes && !call.headForwarded && isFutile(node, call, reached))
         return refuseForward(node, call, call.possibleExecutions ? 502 : 503, "no_upstream", "no upstream of " + call.backend + " is reached", call.possibleExecutions ? TimeMs {} : noTargetRetryAfter);
-    ChoiceRequest request { .backend = call.backend, .parts = call.parts, .promptTokens = call.promptTokens, .urgency = call.urgency, .tried = call.tried, .triesUnreached = probes, .allowed = versionFilter(node, call) };
+    ChoiceRequest request { .backend = call.backend, .parts = call.parts, .promptTokens = call.promptTokens, .urgency = call.urgency, .tried = call.tried, .triesUnreached = probes, .allowed = versionFilter(node, call), .regions = &call.regions };
     auto choice = chooseTarget(forward.targets, forward.parts, forward.choice, request, node.now, node.random);
     if (!choice) {
         request.allowed = [&node](const ForwardTarget& target) { return !isVersionExcluded(node, target); };
@@ -450,7 +454,7 @@
         return waitToResume(node, call, false);
     }
     // Only upstreams are left that take no more requests now than they already get.
-    if (const auto wait = timeUntilTarget(forward.targets, call.backend, node.now); !choice && wait && !call.possibleExecutions)
+    if (const auto wait = timeUntilTarget(forward.targets, call.backend, node.now, &call.regions); !choice && wait && !call.possibleExecutions)
         return refuseForward(node, call, 503, "upstream_limit", "the upstreams of " + call.backend + " take no more requests now", std::max(*wait, 1_ms));
     if (!choice)
         return refuseForward(node, call, call.possibleExecutions ? 502 : 503, "no_upstream", "no upstream of " + call.backend + " takes requests", call.possibleExecutions ? TimeMs {} : noTargetRetryAfter);
@@ -473,6 +477,7 @@
     call.routes = forward.routes;
     call.rule = &rule;
     call.account = account;
+    call.regions = allowedRegions(forward.routes->regions, rule.name, account ? std::string_view(account->name) : std::string_view {});
     call.urgency = urgencyOf(*forward.routes, account, rule);
     call.arrivedAt = node.now;
     call.callerDeadline = node.now + metadata.timeLeft.value_or(rule.timeout);
@@ -522,6 +527,8 @@
     // The node to which the caller has sent the request counts it.
     if (!call.fromNode)
         recordFirstSend(forward.retries[call.backend], forward.retryLimit, node.now, call.canResume());
+    if (refuseWithoutRegion(node, call))
+        return;
     startAttempt(node, call);
 }
 
--- a/src/node/ForwardRelay.cpp
+++ b/src/node/ForwardRelay.cpp
@@ -3,6 +3,7 @@
 #include "node/ForwardFlow.h"
 #include "node/ForwardReport.h"
 #include "node/Peers.h"
+#include "node/RegionFlow.h"
 #include "node/UpstreamLimits.h"
 
 #include <algorithm>
@@ -85,7 +86,7 @@
     std::vector<NodeId> served;
     std::vector<NodeId> unknown;
     for (const NodeId id : sendingNodes(node)) {
-        if (id == node.self || std::find(call.relays.begin(), call.relays.end(), id) != call.relays.end())
+        if (id == node.self || std::find(call.relays.begin(), call.relays.end(), id) != call.relays.end() || !mayRelayTo(node, call, id))
             continue;
         const auto it = node.forward.relayPeers.find({ id, call.backend });
         const RelayPeer peer = it == node.forward.relayPeers.end() ? RelayPeer {} : it->second;
--- a/src/node/ForwardState.h
+++ b/src/node/ForwardState.h
@@ -79,6 +79,12 @@
     TimeMs nextShares;
 };
 
+/// What this node knows of regions; see node/RegionFlow.h.
+struct RegionState {
+    DomainRegions byDomain;
+    std::set<std::string> unknown; ///< Failure domains without a region that have been logged since the rules changed.
+};
+
 /// State of request forwarding at this node.
 struct ForwardState {
     HeaderNames headers;
@@ -109,6 +115,7 @@
     std::set<UpstreamId> limitsToReport; ///< Upstreams whose limits go into the next load report.
     TimeMs nextShares;
     ColdFlowState cold;
+    RegionState regions;
 };
 
 /// A leave call that waits for the acknowledgement of the decision leader.
--- a/src/node/Metrics.cpp
+++ b/src/node/Metrics.cpp
@@ -97,6 +97,8 @@
     appendValue(out, "members_alive", {}, static_cast<double>(liveMembers(node.membership).size()));
     if (!node.forward.cold.rules.empty())
         appendValue(out, "upstreams_cold", {}, static_cast<double>(node.forward.cold.cold.size()));
+    if (!node.forward.regions.unknown.empty())
+        appendValue(out, "domains_without_region", {}, static_cast<double>(node.forward.regions.unknown.size()));
     appendValue(out, "upstreams", {}, static_cast<double>(node.membership.upstreams.entries.size()));
     node.out.answers.push_back({ arrived.exchange, AnswerPart::Whole, 200, { { "Content-Type", "text/plain; version=0.0.4" } }, std::move(out) });
 }
--- a/src/node/RouteExplanation.cpp
+++ b/src/node/RouteExplanation.cpp
@@ -24,6 +24,7 @@
         std::vector<PromptPart> parts;
         uint32_t promptTokens = 0;
         uint32_t outputTokens = 0;
+        AllowedRegions regions;
         int urgency = 0;
     };
 
@@ -67,6 +68,7 @@
         return "prompt_tokens, output_tokens: expected whole numbers";
     out.promptTokens = *prompt ? *prompt : std::accumulate(out.parts.begin(), out.parts.end(), 0U, [](uint32_t sum, const PromptPart& part) { return sum + part.tokens; });
     out.outputTokens = *output;
+    out.regions = allowedRegions(routes.regions, out.rule->name, account);
     out.urgency = urgencyOf(routes, out.account, *out.rule);
     return {};
 }
@@ -96,7 +98,7 @@
 static json::object targetJson(const Node& node, const std::string& backend, const TargetExplanation& explained, bool chosen)
 {
     const ForwardTarget& target = node.forward.targets.entries.at(explained.choice.target);
-    return { { "upstream", target.name }, { "backend", backend }, { "chosen", chosen }, { "excluded", nameOf(explained.exclusion) }, { "healthy", explained.healthy }, { "domain", target.domain }, { "version", target.version },
+    return { { "upstream", target.name }, { "backend", backend }, { "chosen", chosen }, { "excluded", nameOf(explained.exclusion) }, { "healthy", explained.healthy }, { "domain", target.domain }, { "region", target.region }, { "version", target.version },
         { "running", rounded(target.own.running + target.others.running) }, { "slots", target.slots }, { "wait_ms", rounded(explained.choice.waitMs) }, { "backlog_ms", rounded(explained.choice.backlogMs) },
         { "prefill_tokens", rounded(explained.choice.prefillTokens) }, { "cost", rounded(explained.cost) }, { "seen_ms_ago", (node.now - target.lastSeen).value } };
 }
@@ -110,7 +112,7 @@
             return { "over_allowance", timeUntilAllowance(copy, node.now, *request.account, cost) };
     }
     if (!chosen) {
-        const auto wait = timeUntilTarget(node.forward.targets, backend, node.now);
+        const auto wait = timeUntilTarget(node.forward.targets, backend, node.now, &request.regions);
         return { wait ? "upstream_limit" : "no_upstream", wait.value_or(TimeMs {}) };
     }
     const ForwardTarget& target = node.forward.targets.entries.at(chosen->choice.target);
@@ -122,7 +124,7 @@
 // Adds the candidates to a list for all backends, and returns what holds for the backend as a whole.
 static json::object backendJson(const Node& node, const ExplainedRequest& request, const BackendShare& share, json::array& candidates)
 {
-    const ChoiceRequest choice { .backend = share.backend, .parts = request.parts, .promptTokens = request.promptTokens, .urgency = request.urgency, .tried = {}, .allowed = [&node](const ForwardTarget& target) { return !isVersionExcluded(node, target); } };
+    const ChoiceRequest choice { .backend = share.backend, .parts = request.parts, .promptTokens = request.promptTokens, .urgency = request.urgency, .tried = {}, .allowed = [&node](const ForwardTarget& target) { return !isVersionExcluded(node, target); }, .regions = &request.regions };
     const auto targets = explainTargets(node.forward.targets, node.forward.parts, node.forward.choice, choice, node.now, node.random);
     const TargetExplanation* chosen = chosenOf(targets);
     const Verdict verdict = verdictOf(node, request, share.backend, chosen);
@@ -148,6 +150,8 @@
         { "target_ms", request.rule->target.value }, { "prompt_tokens", request.promptTokens }, { "rules_revision", node.rules->revision }, { "route_origin", originJson(request.rule->origin) } };
     if (request.account)
         body["account_origin"] = originJson(request.account->origin);
+    if (request.regions.restricted)
+        body["allowed_regions"] = json::array(request.regions.names.begin(), request.regions.names.end());
     body["backends"] = backends;
     body["candidates"] = candidates;
     answerJson(node, arrived.exchange, 200, json::serialize(body));
