--- a/src/node/ControlCalls.cpp
+++ b/src/node/ControlCalls.cpp
@@ -7,6 +7,7 @@
 #include "node/LeaderFlow.h"
 #include "node/NodeCapacity.h"
 #include "node/Peers.h"
+#include "node/RegionFlow.h"
 #include "rules/RuleParser.h"
 #include "wire/Codec.h"
 
@@ -246,12 +247,17 @@
 
 static void handleCall(Node& node, const RequestArrived& arrived, const EntriesCall& call)
 {
-    std::vector<EntryCandidate> candidates;
+    std::vector<NodeId> entries;
     for (const auto& [id, member] : node.membership.members) {
         const auto& status = member.status;
-        if (!isAlive(node.membership, id) || status.draining || status.voter || !status.rulesRevision || !mayNameEntry(node, member))
-            continue;
-        candidates.push_back({ id, member.identity.httpAddress, member.identity.domain == call.domain });
+        if (isAlive(node.membership, id) && !status.draining && !status.voter && status.rulesRevision && mayNameEntry(node, member))
+            entries.push_back(id);
+    }
+    keepEntriesInRegions(node, call, entries);
+    std::vector<EntryCandidate> candidates;
+    for (const NodeId id : entries) {
+        const auto& identity = node.membership.members.at(id).identity;
+        candidates.push_back({ id, identity.httpAddress, identity.domain == call.domain });
     }
     if (!knowsEntries(node)) {
         node.counters.add("directory_unknown");
--- a/tests/settings/SettingsTest.cpp
+++ b/tests/settings/SettingsTest.cpp
@@ -86,3 +86,16 @@
     BOOST_TEST(errorOf(settingsWith(", \"capacity\": { \"cpu_share\": -1 }")).starts_with("read_settings s.json: key 'capacity.cpu_share' is "));
     BOOST_TEST(errorOf(settingsWith(", \"capacity\": { \"link\": 1 }")).starts_with("read_settings s.json: key 'capacity.link' is not known"));
 }
+
+// Guards against a map of regions that is read wrongly, and against entries that are dropped without an error, which would leave their domain outside every
+// region.
+BOOST_AUTO_TEST_CASE(regionsOfDomainsAreRead)
+{
+    const auto settings = handle([&] { return parseSettings(settingsWith(", \"regions\": { \"lhr-depot\": \"pk-punjab\", \"jhb-north\": \"za-gauteng\" }"), "s.json"); }, [](const Error&) { return Settings {}; });
+    BOOST_TEST((settings.regions.size() == 2U && settings.regions.at("lhr-depot") == "pk-punjab" && settings.regions.at("jhb-north") == "za-gauteng"));
+    BOOST_TEST(errorOf(settingsWith(", \"regions\": {}")) == "node lhr-depot-1");
+    BOOST_TEST(errorOf(settingsWith(", \"regions\": null")) == "node lhr-depot-1");
+    BOOST_TEST(errorOf(settingsWith(", \"regions\": [\"a\"]")) == "read_settings s.json: key 'regions' has the wrong type; allowed: an object of names");
+    for (const char* entry : { "\"a\": 7", "\"a\": \"\"", "\"\": \"r\"", "\"a\": \"r 1\"", "\"a b\": \"r\"", "\"a\": null", "\"a\": { \"region\": \"r\" }" })
+        BOOST_TEST(errorOf(settingsWith(std::string(", \"regions\": { ") + entry + " }")).starts_with("read_settings s.json: key 'regions' holds "), entry);
+}
