Choose engines by the learned cost of requests

Routing counts plain prompt tokens and 25 ms per queued request at every engine, whatever the prompts, answers and slots are. Nodes whose reports are late choose the same engines.

Engines are ranked by equivalent tokens, which include attention, by the learned time in a slot divided by the slots, and with a random part that fits the deviations of first events from what was expected. Loads, workMs and the backlog of the fair shares count the same. The header lengthHint names the expected output; its accuracy is learned by account and route. Lines of ended requests name expected and observed cost.

ForwardModel gets hints, classes with a begin and an end, pauses, and a generator of its own for choices, so that runs of both policies have the same requests; the defaults leave its draws as they were.

--- a/src/emulator/ForwardModel.cpp
+++ b/src/emulator/ForwardModel.cpp
@@ -34,6 +34,11 @@
         size_t engine = 0;
         double prefillTokens = 0; ///< As the node has estimated, until the first event.
         double tokensBeforeFirstEvent = 0;
+        PrefillWork prefill;
+        double hint = 0; ///< Tokens; 0 without one.
+        double expectedSlotMs = 0;
+        double firstEventAt = 0;
+        double lastEventAt = 0;
         // At the engine.
         double tokensToPrefill = 0;
         uint32_t tokensDecoded = 0;
@@ -92,11 +97,19 @@
         void admit(ModelEngine&);
         void finish(ModelEngine&, const RequestPtr&);
         void recordFirstEvent(const RequestPtr&);
+        OutputRequest outputRequest(const ModelRequest&) const;
+        double prefillMs(const ModelRequest&) const;
+        void learnFromSend(ModelRequest&, const TargetChoice&);
+        void learnFromFirstEvent(const ModelRequest&);
+        void learnFromEnd(const ModelRequest&);
+        void recordPause(ModelRequest&);
+        void recordLearned();
         void report(size_t node);
         void loadChanged(size_t node);
         void tickReport(size_t node);
         void sumUp(size_t hub);
         double now() const { return m_now; }
+        Random& choiceRandom() { return m_options.separateDraws ? m_choiceRandom : m_random; }
         TimeMs nowMs() const { return { static_cast<int64_t>(m_now) }; }
         ForwardTarget& targetOf(const ModelRequest& it) { return m_nodes[it.node].targets.entries.at(m_engines[it.engine].id); }
 
@@ -109,6 +122,8 @@
 
         const ForwardModelOptions& m_options;
         Random m_random;
+        Random m_hintRandom; ///< Separate, so that hints do not change the other draws.
+        Random m_choiceRandom;
         double m_now = 0;
         uint64_t m_lastEvent = 0;
         std::priority_queue<Event> m_events;
@@ -143,6 +158,37 @@
     return worth > 0 ? earned / worth : 0;
 }
 
+double ForwardModelResult::shareInTime() const
+{
+    uint64_t asked = 0;
+    uint64_t inTime = 0;
+    for (const auto& it : classes) {
+        asked += it.asked;
+        inTime += it.inTime;
+    }
+    return asked ? static_cast<double>(inTime) / static_cast<double>(asked) : 0;
+}
+
+double ForwardModelResult::firstEventMs(double quantile) const
+{
+    std::vector<float> all;
+    for (const auto& it : classes)
+        all.insert(all.end(), it.firstEventMs.begin(), it.firstEventMs.end());
+    if (all.empty())
+        return 0;
+    const auto nth = all.begin() + static_cast<std::ptrdiff_t>(std::min<double>(static_cast<double>(all.size()) - 1, quantile * static_cast<double>(all.size())));
+    std::nth_element(all.begin(), nth, all.end());
+    return *nth;
+}
+
+uint64_t ForwardModelResult::pauses() const
+{
+    uint64_t out = 0;
+    for (const auto& it : classes)
+        out += it.pauses;
+    return out;
+}
+
 ForwardModelOptions largeFleetOptions(size_t nodes, bool updates)
 {
     static constexpr size_t domains = 5;
@@ -161,6 +207,8 @@
 ForwardModel::ForwardModel(const ForwardModelOptions& options)
     : m_options(options)
     , m_random(options.seed)
+    , m_hintRandom(options.seed + 1)
+    , m_choiceRandom(options.seed + 2)
     , m_nodes(options.nodes)
     , m_hubs(options.domains)
 {
@@ -202,10 +250,12 @@
             tokens->second = static_cast<uint32_t>(lognormal(it.parts[n].meanTokens, it.parts[n].spread));
         request->parts.push_back({ hash, tokens->second });
     }
-    request->parts.push_back({ combineHash(1, ++m_lastOwnPart), static_cast<uint32_t>(lognormal(it.ownTokens, it.ownSpread)) });
+    request->parts.push_back({ combineHash(1, ++m_lastOwnPart), static_cast<uint32_t>(std::clamp(lognormal(it.ownTokens, it.ownSpread), it.minOwnTokens, it.maxOwnTokens)) });
     for (const auto& part : request->parts)
         request->promptTokens += part.tokens;
     request->events = static_cast<uint32_t>(lognormal(it.events, it.eventSpread));
+    if (it.hintFactor > 0)
+        request->hint = std::max(1.0, it.hintFactor * request->events * m_options.engine.tokensPerEvent * std::exp(m_hintRandom.normal(0, it.hintSpread)));
     return request;
 }
 
@@ -214,7 +264,7 @@
     const ModelClass& it = m_options.classes[classIndex];
     const double rate = it.perSecond / 1000 * (1 + m_options.swing * std::sin(2 * std::numbers::pi * now() / static_cast<double>(m_options.period.value)));
     const double wait = m_random.exponential(m_options.clump / rate);
-    if (now() + wait > static_cast<double>(m_options.duration.value))
+    if (now() + wait > static_cast<double>(std::min(m_options.duration, it.until).value))
         return;
     at(now() + wait, [this, classIndex] {
         const auto n = static_cast<int>(1 + m_random.exponential(m_options.clump - 1) + m_random.uniform());
@@ -238,7 +288,7 @@
         return;
     }
     request->cameBack = true;
-    request->node = m_random.below(m_nodes.size());
+    request->node = choiceRandom().below(m_nodes.size());
     at(back, [this, request] { attempt(request); });
 }
 
@@ -247,7 +297,7 @@
     const ModelClass& it = m_options.classes[request->classIndex];
     ModelNode& node = m_nodes[request->node];
     const ChoiceRequest wanted { .backend = backendName, .parts = request->parts, .promptTokens = request->promptTokens, .urgency = it.urgency };
-    const auto choice = chooseTarget(node.targets, node.parts, node.choice, wanted, nowMs(), m_random);
+    const auto choice = chooseTarget(node.targets, node.parts, node.choice, wanted, nowMs(), choiceRandom());
     if (!choice)
         return refuse(request, 700);
     if (isOverloaded(*choice, it.target))
@@ -256,6 +306,7 @@
     request->sentAt = now();
     request->prefillTokens = choice->prefillTokens;
     request->tokensBeforeFirstEvent = choice->tokensBeforeFirstEvent;
+    learnFromSend(*request, *choice);
     ForwardTarget& target = targetOf(*request);
     target.own.running += 1;
     target.own.prefillTokens[static_cast<size_t>(it.urgency)] += choice->prefillTokens;
@@ -343,11 +394,67 @@
     at(now() + duration, [this, n, prefilled, tokens] { endStep(n, prefilled, tokens); });
 }
 
+OutputRequest ForwardModel::outputRequest(const ModelRequest& request) const
+{
+    const ModelClass& it = m_options.classes[request.classIndex];
+    return { .account = it.account, .route = it.name, .hint = request.hint };
+}
+
+double ForwardModel::prefillMs(const ModelRequest& request) const
+{
+    const auto& choice = m_nodes[request.node].choice;
+    return equivalentTokens(choice.costs.pairs, request.prefill) / choice.prefillEstimator.tokensPerMs;
+}
+
+void ForwardModel::learnFromSend(ModelRequest& request, const TargetChoice& choice)
+{
+    request.prefill = choice.prefill;
+    if (!m_options.learnsCosts)
+        return;
+    auto& costs = m_nodes[request.node].choice.costs;
+    request.expectedSlotMs = expectedSlotMs(costs, backendName, prefillMs(request), estimateOutput(costs.output, outputRequest(request)));
+    recordSlotUse(costs, std::string(backendName), request.expectedSlotMs);
+}
+
+void ForwardModel::learnFromFirstEvent(const ModelRequest& request)
+{
+    if (m_options.learnsCosts && request.tokensBeforeFirstEvent > 0)
+        recordPrefill(m_nodes[request.node].choice.costs.pairs, { .work = request.prefill, .queuedTokens = std::max(0.0, request.tokensBeforeFirstEvent - request.prefillTokens), .milliseconds = now() - request.sentAt });
+}
+
+void ForwardModel::learnFromEnd(const ModelRequest& request)
+{
+    if (!m_options.learnsCosts)
+        return;
+    auto& costs = m_nodes[request.node].choice.costs;
+    recordOutput(costs.output, outputRequest(request), request.tokensDecoded);
+    recordSlotTime(costs, std::string(backendName), { .prefillMs = prefillMs(request), .decodeMs = now() - request.firstEventAt, .tokens = static_cast<double>(request.tokensDecoded), .expectedMs = request.expectedSlotMs });
+}
+
+void ForwardModel::recordPause(ModelRequest& request)
+{
+    if (request.tokensDecoded % m_options.engine.tokensPerEvent)
+        return;
+    if (now() - request.lastEventAt > static_cast<double>(m_options.pauseTarget.value))
+        ++m_result.classes[request.classIndex].pauses;
+    request.lastEventAt = now();
+}
+
+void ForwardModel::recordLearned()
+{
+    for (const auto& node : m_nodes) {
+        m_result.tokensPerMillionPairs += node.choice.costs.pairs.tokensPerMillionPairs / static_cast<double>(m_nodes.size());
+        m_result.queueDelayMs += queueDelayMs(node.choice.costs, backendName, m_options.engine.slots) / static_cast<double>(m_nodes.size());
+    }
+}
+
 void ForwardModel::recordFirstEvent(const RequestPtr& request)
 {
     const ModelClass& it = m_options.classes[request->classIndex];
     ModelNode& node = m_nodes[request->node];
     request->firstEventSeen = true;
+    request->firstEventAt = request->lastEventAt = now();
+    learnFromFirstEvent(*request);
     if (request->tokensBeforeFirstEvent > 0)
         recordPrefillTime(node.choice.prefillEstimator, request->tokensBeforeFirstEvent, now() - request->sentAt);
     auto& tokens = targetOf(*request).own.prefillTokens[static_cast<size_t>(it.urgency)];
@@ -355,6 +462,7 @@
     loadChanged(request->node);
     const double wait = now() - request->arrivedAt;
     auto& result = m_result.classes[request->classIndex];
+    result.firstEventMs.push_back(static_cast<float>(wait));
     if (wait > static_cast<double>(it.deadline.value))
         return;
     const bool inTime = wait <= static_cast<double>(it.target.value);
@@ -401,10 +509,12 @@
             // Other requests find the prompt in the cache from now on.
             finish(engine, it);
         }
+        recordPause(*it);
         if (it->tokensDecoded < it->events * m_options.engine.tokensPerEvent) {
             left.push_back(it);
             continue;
         }
+        learnFromEnd(*it);
         auto& running = targetOf(*it).own.running;
         running = std::max(0.0, running - 1);
         loadChanged(it->node);
@@ -473,13 +583,14 @@
     for (size_t h = 0; h < m_hubs.size(); ++h)
         at(m_random.uniform() * static_cast<double>(m_options.hubInterval.value), [this, h] { sumUp(h); });
     for (size_t n = 0; n < m_options.classes.size(); ++n)
-        at(1, [this, n] { scheduleArrivals(n); });
+        at(std::max(1.0, static_cast<double>(m_options.classes[n].from.value)), [this, n] { scheduleArrivals(n); });
     while (!m_events.empty() && m_events.top().time <= static_cast<double>(m_options.duration.value)) {
         const auto event = m_events.top();
         m_events.pop();
         m_now = event.time;
         event.run();
     }
+    recordLearned();
     return std::move(m_result);
 }
 
--- a/src/emulator/ForwardModel.h
+++ b/src/emulator/ForwardModel.h
@@ -28,8 +28,15 @@
     std::vector<ModelPart> parts;
     double ownTokens = 0; ///< Mean number of prompt tokens that no other request shares.
     double ownSpread = 0;
+    double minOwnTokens = 1;
+    double maxOwnTokens = 1e9;
     double events = 1; ///< Mean number of events of an answer.
     double eventSpread = 0;
+    std::string_view account; ///< Of its requests.
+    double hintFactor = 0; ///< Hint for the output, as a multiple of its length; 0 for no hints.
+    double hintSpread = 0; ///< Of the logarithm of the hint's error.
+    TimeMs from; ///< Its requests arrive from this time on,
+    TimeMs until { 1000000000 }; ///< and before this one.
 };
 
 /// Mix with long, shared prompts, as the largest deployment has it, with this many requests a second in total.
@@ -63,6 +70,9 @@
     TimeMs hubInterval { 150 }; ///< Between load reports.
     bool reportsAtOnce = false; ///< Nodes report to their hub when their load changes, beside the interval.
     double jitterMs = 0; ///< See ChoiceOptions.
+    bool learnsCosts = false; ///< Nodes learn the costs of requests. Otherwise they count plain prompt tokens and a constant time per queued request.
+    bool separateDraws = false; ///< Choices draw from a generator of their own, so that runs with different policies have the same requests.
+    TimeMs pauseTarget { 500 }; ///< For the time between two events of an answer.
 };
 
 struct ModelClassResult {
@@ -73,12 +83,19 @@
     uint64_t refused = 0; ///< At last; a refused request comes back once.
     double worth = 0;
     double earned = 0;
+    uint64_t pauses = 0; ///< Times between events that exceed the target.
+    std::vector<float> firstEventMs; ///< From the first attempt, for the requests that got one.
 };
 
 struct ForwardModelResult {
     std::vector<ModelClassResult> classes;
 
     double share() const; ///< Worth earned per worth asked for.
+    double shareInTime() const; ///< Requests served in time per request.
+    double firstEventMs(double quantile) const; ///< Over all classes; 0 without answers.
+    uint64_t pauses() const;
+    double tokensPerMillionPairs = 0; ///< Learned by the nodes, mean.
+    double queueDelayMs = 0; ///< The same.
 };
 
 /// The largest deployment's mix on a calm day on 50 engines, with this many entry nodes in five failure domains. `updates`: nodes send load
--- a/src/forward/ForwardCall.cpp
+++ b/src/forward/ForwardCall.cpp
@@ -35,6 +35,7 @@
         return;
     metadata.promptTokens = *in;
     metadata.tokens = uint64_t { *in } + *out;
+    metadata.outputLimit = *out;
 }
 
 ForwardMetadata parseForwardMetadata(const HttpHeaders& headers, const HeaderNames& names)
@@ -44,6 +45,7 @@
     if (const auto left = parseNumber<int64_t>(findHeader(headers, names.timeLeft)); left && *left >= 0)
         metadata.timeLeft = TimeMs { *left };
     parseTokenCounts(findHeader(headers, names.tokens), metadata);
+    metadata.lengthHint = parseDecimal(findHeader(headers, names.lengthHint)).value_or(0);
     metadata.parts = parsePromptParts(findHeader(headers, names.promptParts));
     return metadata;
 }
@@ -85,7 +87,7 @@
 {
     const auto listed = connectionHeaderNames(request.headers);
     const auto isProtected = [&](std::string_view name) {
-        return equalHeaderNames(name, names.requestId) || equalHeaderNames(name, names.tokens) || equalHeaderNames(name, names.promptParts) || equalHeaderNames(name, names.lastEvent);
+        return equalHeaderNames(name, names.requestId) || equalHeaderNames(name, names.tokens) || equalHeaderNames(name, names.lengthHint) || equalHeaderNames(name, names.promptParts) || equalHeaderNames(name, names.lastEvent);
     };
     std::erase_if(request.headers, [&](const auto& header) {
         const auto& name = header.first;
--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -5,6 +5,7 @@
 #include "forward/EventStreamSplitter.h"
 #include "forward/HeaderNames.h"
 #include "forward/PromptParts.h"
+#include "forward/RequestCost.h"
 #include "forward/RouteTable.h"
 
 #include <memory>
@@ -50,6 +51,8 @@
     std::string authorization; ///< As sent by the caller.
     std::vector<PromptPart> parts;
     uint32_t promptTokens = 0;
+    double outputLimit = 0; ///< Maximum number of response tokens; 0 if unknown.
+    double lengthHint = 0; ///< Response tokens that the caller expects; 0 without a hint.
     uint64_t fingerprint = 0; ///< See fingerprintOf().
 
     // The current attempt.
@@ -67,6 +70,10 @@
     double prefillTokens = 0; ///< Prompt tokens that count as load of the target until the first event.
     double workMs = 0; ///< Expected engine time; 0 before it was offered to an engine.
     double tokensBeforeFirstEvent = 0; ///< Prompt tokens to prefill before the first event, estimated when the request was sent.
+    PrefillWork prefill; ///< Prompt tokens to prefill, estimated when the request was sent.
+    double expectedOutput = 0; ///< Response tokens, estimated when the request was sent.
+    double expectedSlotMs = 0; ///< Time in a slot, estimated when the request was sent; 0 until learned.
+    TimeMs firstEventAt; ///< 0 before.
     bool usageRecorded = false;
     bool silenceLogged = false; ///< The attempt has been logged as silent.
     bool silenceRecorded = false; ///< The attempt counts as one that did not reach its upstream.
@@ -102,6 +109,8 @@
     std::optional<TimeMs> timeLeft;
     std::optional<uint64_t> tokens; ///< Prompt tokens plus the maximum number of response tokens.
     uint32_t promptTokens = 0;
+    double outputLimit = 0; ///< Maximum number of response tokens; 0 if absent.
+    double lengthHint = 0; ///< Response tokens that the caller expects; 0 if absent or not a number.
     std::vector<PromptPart> parts;
 };
 
--- a/src/forward/HeaderNames.h
+++ b/src/forward/HeaderNames.h
@@ -11,6 +11,7 @@
     std::string requestId = "Siskinshunt-Request"; ///< ID of one attempt of a caller; upstreams echo it.
     std::string timeLeft = "Siskinshunt-Time-Left"; ///< Milliseconds that the sender continues to wait.
     std::string tokens = "Siskinshunt-Tokens"; ///< "IN,OUT": prompt tokens and the maximum number of response tokens.
+    std::string lengthHint = "Siskinshunt-Expected-Tokens"; ///< Response tokens that the caller expects.
     std::string promptParts = "Siskinshunt-Prompt-Parts"; ///< "HEX:TOKENS,...": parts of the prompt in order.
     std::string lastEvent = "Last-Event-Id"; ///< Event after which to resume a stream.
     // To upstreams.
--- a/src/forward/RequestCost.cpp
+++ b/src/forward/RequestCost.cpp
@@ -8,6 +8,8 @@
 // Time constant of the sums over prefills, in observations. The cost of a pair is a property of the model, so it may be learned slowly.
 static constexpr double memoryPrefills = 1000;
 static constexpr double minPrefills = 60;
+// Time constant of the typical deviation, in observations.
+static constexpr double deviationMemory = 100;
 // Longer observations come from engines that hang or were suspended, as for the prefill rate.
 static constexpr double maxPrefillMs = 5000;
 // Plausible ranges, far wider than those of any known engine.
@@ -16,6 +18,10 @@
 static constexpr double maxTokensPerMillionPairs = 500;
 // Least variance of tokens and of pairs relative to their squared means, and least part of it that is not common to both.
 static constexpr double minVariation = 1e-3;
+// In the model, parts of 0.25, 0.5 and 1 serve alike; without a random part, nodes with the same reports choose the same engines.
+static constexpr double jitterPerDeviation = 0.5;
+// As that of large fleets: a higher value would outweigh a cached prompt part of 6,000 tokens at 40 tokens/ms.
+static constexpr double maxJitterMs = 150;
 
 // Time constant of the sums over ended answers.
 static constexpr double memoryAnswers = 100;
@@ -32,6 +38,12 @@
 // Range of the correction of expected by observed times in a slot.
 static constexpr double maxCorrection = 3;
 
+PrefillWork prefillWork(double promptTokens, double cachedTokens)
+{
+    const double cached = std::clamp(cachedTokens, 0.0, std::max(0.0, promptTokens));
+    return { .newTokens = std::max(0.0, promptTokens - cached), .cachedTokens = cached };
+}
+
 double equivalentTokens(const PairCost& cost, const PrefillWork& work)
 {
     return work.newTokens + cost.tokensPerMillionPairs * work.millionPairs();
@@ -56,10 +68,25 @@
     const double perPair = (py * xx - xy * xp) / determinant;
     const double residual = std::max(0.0, yy - perToken * xy - perPair * py);
     const double error = std::sqrt(residual * xx / determinant / std::max(1.0, cost.n - 3));
+    cost.fitted = true;
+    cost.baseMs = (cost.y - perToken * cost.x - perPair * cost.p) / cost.w;
+    cost.msPerToken = perToken;
+    cost.msPerMillionPairs = perPair;
     const double tokenMs = std::clamp(perToken, 1 / maxTokensPerMs, 1 / minTokensPerMs);
     cost.tokensPerMillionPairs = std::clamp((perPair - error) / tokenMs, 0.0, maxTokensPerMillionPairs);
 }
 
+// Engines that were busier than known, or were slow for a moment, give observations far off the fit. They count less (Huber's weights).
+static double outlierWeight(PairCost& cost, double x, double p, double y)
+{
+    if (!cost.fitted)
+        return 1;
+    const double deviation = std::abs(y - cost.baseMs - cost.msPerToken * x - cost.msPerMillionPairs * p);
+    const double typical = cost.deviationMs;
+    cost.deviationMs = typical > 0 ? typical + (deviation - typical) / deviationMemory : deviation;
+    return typical > 0 && deviation > typical ? typical / deviation : 1;
+}
+
 void recordPrefill(PairCost& cost, const PrefillObservation& it)
 {
     const double own = it.work.newTokens;
@@ -67,10 +94,10 @@
         return;
     // Much of the wait behind other requests is not known to this node, because reports tell it late.
     const double part = own / (own + it.queuedTokens);
-    const double weight = part * part;
     const double x = own + it.queuedTokens;
     const double p = it.work.millionPairs();
     const double y = it.milliseconds;
+    const double weight = part * part * outlierWeight(cost, x, p, y);
     const double decay = 1 - 1 / memoryPrefills;
     const auto add = [&](double& sum, double value) { sum = sum * decay + weight * value; };
     cost.n = cost.n * decay + 1;
@@ -88,6 +115,11 @@
         fitPairCost(cost);
 }
 
+double unknownWorkJitterMs(const PairCost& cost)
+{
+    return std::min(maxJitterMs, jitterPerDeviation * cost.deviationMs);
+}
+
 static const SlotTime* findLearned(const RequestCosts& costs, std::string_view backend)
 {
     const auto it = costs.slotTimes.find(backend);
--- a/src/forward/RequestCost.h
+++ b/src/forward/RequestCost.h
@@ -18,6 +18,9 @@
     double millionPairs() const { return newTokens * (cachedTokens + newTokens / 2) / 1e6; }
 };
 
+/// Prefill of a prompt of which an engine caches the first tokens.
+PrefillWork prefillWork(double promptTokens, double cachedTokens);
+
 /// Time to the first event of one attempt.
 struct PrefillObservation {
     PrefillWork work;
@@ -41,12 +44,23 @@
     double xy = 0;
     double py = 0;
     double yy = 0;
+
+    // The fit, for the weights of further observations.
+    bool fitted = false;
+    double baseMs = 0;
+    double msPerToken = 0;
+    double msPerMillionPairs = 0;
+    double deviationMs = 0; ///< Decaying mean of the deviations from the fit.
 };
 
 void recordPrefill(PairCost&, const PrefillObservation&);
 /// Tokens of a plain prompt at the engine's rate that take as long to prefill.
 double equivalentTokens(const PairCost&, const PrefillWork&);
 
+/// Range of a random part of the cost that fits the deviations of first events from what was expected: they come mostly from work that
+/// other nodes have sent since their reports. 0 until learned.
+double unknownWorkJitterMs(const PairCost&);
+
 /// Learns for how long requests of a backend occupy a slot.
 struct SlotTime {
     double ended = 0; ///< Answers recorded, limited to the time constant.
--- a/src/forward/TargetChoice.cpp
+++ b/src/forward/TargetChoice.cpp
@@ -7,8 +7,6 @@
 
 namespace siskinshunt {
 
-// Queueing delay at a full engine per queued request: the mean time of a request in a slot divided by the number of slots.
-static constexpr double queueDelayMsPerRequest = 25;
 // Keeps requests of a session at one target while the costs of targets differ little.
 static constexpr double affinityBonusMs = 25;
 
@@ -88,16 +86,18 @@
 static RankedTarget rankEngine(const ForwardTarget& target, const PromptPartIndex& index, const ChoiceOptions& options, const ChoiceRequest& request, TimeMs now, UpstreamId preferred, Random& random)
 {
     const double running = target.own.running + target.others.running;
-    const double prefillTokens = std::max(0.0, static_cast<double>(request.promptTokens) - cachedPrefixTokens(index, now, request.parts, target.id));
+    const PrefillWork prefill = prefillWork(request.promptTokens, cachedPrefixTokens(index, now, request.parts, target.id));
+    const double prefillTokens = equivalentTokens(options.costs.pairs, prefill);
     const double queued = std::max(0.0, running - target.slots + 1);
     const double queuedTokens = target.own.prefillTokensUpTo(request.urgency) + target.others.prefillTokensUpTo(request.urgency);
-    const double backlog = queuedTokens / options.prefillEstimator.tokensPerMs + queued * queueDelayMsPerRequest;
+    const double backlog = queuedTokens / options.prefillEstimator.tokensPerMs + queued * queueDelayMs(options.costs, target.backend, target.slots);
     const double wait = options.prefillEstimator.baseMs + prefillTokens / options.prefillEstimator.tokensPerMs + backlog;
     const double domainCost = target.domain == options.domain ? 0 : options.crossDomainPenalty * affinityBonusMs;
     // A busier engine also generates tokens more slowly, which the time to the first event does not include.
     const double crowding = running / std::max(1u, target.slots) * affinityBonusMs;
-    const double jitter = options.jitterMs > 0 ? random.uniform() * options.jitterMs : 0;
-    return { wait + domainCost + crowding + jitter - (target.id == preferred ? affinityBonusMs : 0), { target.id, wait, prefillTokens, queuedTokens + prefillTokens, backlog } };
+    const double jitterRange = std::max(options.jitterMs, unknownWorkJitterMs(options.costs.pairs));
+    const double jitter = jitterRange > 0 ? random.uniform() * jitterRange : 0;
+    return { wait + domainCost + crowding + jitter - (target.id == preferred ? affinityBonusMs : 0), { target.id, wait, prefillTokens, prefill, queuedTokens + prefillTokens, backlog } };
 }
 
 static RankedTarget rankService(const ForwardTarget& target, const ChoiceOptions& options, Random& random)
--- a/src/forward/TargetChoice.h
+++ b/src/forward/TargetChoice.h
@@ -5,6 +5,7 @@
 #include "forward/ForwardTarget.h"
 #include "forward/PrefillEstimator.h"
 #include "forward/PromptParts.h"
+#include "forward/RequestCost.h"
 
 #include <functional>
 #include <optional>
@@ -20,6 +21,7 @@
     /// engine until the next reports. It grows with the number of nodes.
     double jitterMs = 0;
     PrefillEstimator prefillEstimator; ///< Updated from observations while running.
+    RequestCosts costs; ///< The same.
     /// A target that was not seen for longer is chosen only if there is no healthy one. As UpstreamTableOptions::noNewWorkAfter,
     /// so that a target counts as stale as soon as its last observer withdraws its observation.
     TimeMs staleAfter { 3000 };
@@ -42,7 +44,8 @@
 struct TargetChoice {
     UpstreamId target;
     double waitMs = 0; ///< Expected time to the first event; 0 unless the target is an engine.
-    double prefillTokens = 0; ///< Prompt tokens of the request that the target has to prefill.
+    double prefillTokens = 0; ///< Prompt tokens of the request that the target has to prefill, as equivalent tokens of a plain prompt.
+    PrefillWork prefill; ///< The same, as they are.
     double tokensBeforeFirstEvent = 0; ///< The same, including those of other requests before it.
     double backlogMs = 0; ///< Share of the wait that other requests cause.
 };
--- a/src/node/FairShares.cpp
+++ b/src/node/FairShares.cpp
@@ -1,6 +1,7 @@
 #include "node/FairShares.h"
 
 #include "base/Hash.h"
+#include "node/CostFlow.h"
 #include "node/ForwardFlow.h"
 #include "node/ForwardReport.h"
 #include "node/LoadHubs.h"
@@ -19,8 +20,6 @@
 static constexpr double fixedWorkMs = 10;
 // Nothing is reported while requests wait for a smaller part of their target at the engines: the backend is far from any pressure.
 static constexpr double reportedWaitRatio = 0.05;
-// Delay at a full engine per queued request, as in the choice of targets.
-static constexpr double queueDelayMsPerRequest = 25;
 // An account that was not refused for this time is logged as no longer limited.
 static constexpr TimeMs limitedRetention { 5000 };
 
@@ -68,7 +67,7 @@
 {
     if (!isFirstAttempt(call) || call.workMs > 0)
         return false;
-    call.workMs = choice.prefillTokens / tokensPerMs(node) + fixedWorkMs;
+    call.workMs = engineWorkMs(node, call, choice, choice.prefillTokens / tokensPerMs(node) + fixedWorkMs);
     recordOffer(node.forward.fair.meters[call.backend], node.now, accountOf(call), call.urgency, call.workMs, call.rule->target);
     if (admitWork(limiterOf(node, call.backend), node.now, accountOf(call), call.urgency, call.workMs, call.fingerprint))
         return false;
@@ -114,7 +113,7 @@
             continue;
         TargetLoad load = it->second.own;
         load += it->second.others;
-        const double queueMs = std::max(0.0, load.running - it->second.slots + 1) * queueDelayMsPerRequest;
+        const double queueMs = std::max(0.0, load.running - it->second.slots + 1) * queueDelayMs(node.forward.choice.costs, backend, it->second.slots);
         ++out.count;
         out.busy += load.prefillTokensUpTo(urgencyLevels - 1) > 0 || queueMs > 0 ? 1 : 0;
         double tokens = 0;
--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -1,4 +1,5 @@
 #include "node/Answers.h"
+#include "node/CostFlow.h"
 #include "node/FairShares.h"
 #include "node/ForwardFlow.h"
 #include "node/ForwardRelay.h"
@@ -327,6 +328,7 @@
 {
     recordUsageOnce(node, call);
     recordWorkDone(node, call);
+    recordCostAtFirstEvent(node, call);
     if (call.tokensBeforeFirstEvent > 0)
         recordPrefillTime(node.forward.choice.prefillEstimator, call.tokensBeforeFirstEvent, static_cast<double>((node.now - call.sentAt).value));
     recordVersionResult(node, call, false);
@@ -409,6 +411,7 @@
         return handleAttemptEnd(node, call, AttemptEnd::Broken, "the stream ended in the middle of an event");
     }
     recordUsageOnce(node, call);
+    recordCostAtEnd(node, call);
     const bool upstreamError = !call.headForwarded && call.status >= 500;
     if (!stream)
         recordVersionResult(node, call, upstreamError);
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -4,6 +4,7 @@
 #include "forward/Overload.h"
 #include "node/Answers.h"
 #include "node/ColdFlow.h"
+#include "node/CostFlow.h"
 #include "node/FairShares.h"
 #include "node/ForwardRelay.h"
 #include "node/ForwardReport.h"
@@ -179,11 +180,13 @@
 {
     const bool good = outcome == "answered";
     const auto elapsedText = [&](TimeMs at) { return at.value ? std::to_string((at - call.arrivedAt).value) : std::string("-"); };
-    addLog(node, good ? LogLevel::Info : LogLevel::Warning, good ? "forward_answered" : "forward_ended", Step::Route, call.targetName, std::string(outcome),
-        { { "request", call.requestId }, { "fingerprint", formatHash(call.fingerprint) }, { "route", call.rule->name }, { "account", call.account ? call.account->name : "" }, { "backend", call.backend },
-            { "status", std::to_string(call.status) }, { "stage", std::string(nameOf(call.stage)) }, { "sends", std::to_string(call.sendCount) }, { "may_have_run", std::to_string(call.possibleExecutions) },
-            { "sent_ms", elapsedText(call.sentAt) }, { "expected_wait_ms", std::to_string(call.expectedWait.value) }, { "last_byte_ms", elapsedText(call.lastByteAt) }, { "took_ms", std::to_string((node.now - call.arrivedAt).value) },
-            { "left_ms", std::to_string((call.deadline - node.now).value) }, { "forwarded_bytes", std::to_string(call.forwardedBytes) }, { "rules", std::to_string(call.routes->rules->revision) } });
+    std::vector<std::pair<std::string, std::string>> fields { { "request", call.requestId }, { "fingerprint", formatHash(call.fingerprint) }, { "route", call.rule->name }, { "account", call.account ? call.account->name : "" }, { "backend", call.backend },
+        { "status", std::to_string(call.status) }, { "stage", std::string(nameOf(call.stage)) }, { "sends", std::to_string(call.sendCount) }, { "may_have_run", std::to_string(call.possibleExecutions) },
+        { "sent_ms", elapsedText(call.sentAt) }, { "expected_wait_ms", std::to_string(call.expectedWait.value) }, { "last_byte_ms", elapsedText(call.lastByteAt) }, { "took_ms", std::to_string((node.now - call.arrivedAt).value) },
+        { "left_ms", std::to_string((call.deadline - node.now).value) }, { "forwarded_bytes", std::to_string(call.forwardedBytes) }, { "rules", std::to_string(call.routes->rules->revision) } };
+    const auto cost = costFields(node, call);
+    fields.insert(fields.end(), cost.begin(), cost.end());
+    addLog(node, good ? LogLevel::Info : LogLevel::Warning, good ? "forward_answered" : "forward_ended", Step::Route, call.targetName, std::string(outcome), std::move(fields));
     node.counters.add("forward_" + std::string(outcome));
     recordHistogram(node, call, outcome);
     releaseTarget(node, call);
@@ -310,6 +313,7 @@
     call.prefillTokens = choice.prefillTokens;
     call.tokensBeforeFirstEvent = choice.tokensBeforeFirstEvent;
     call.expectedWait = { static_cast<int64_t>(choice.waitMs) };
+    recordCostAtSend(node, call, choice, known);
     call.tried.push_back(target.id);
     if (known.unreached)
         known.probeUntil = node.now + probeConnectTimeout;
@@ -482,6 +486,8 @@
     call.authorization = findHeader(arrived.request.headers, "Authorization");
     call.parts = std::move(metadata.parts);
     call.promptTokens = metadata.promptTokens;
+    call.outputLimit = metadata.outputLimit;
+    call.lengthHint = metadata.lengthHint;
     call.fingerprint = fingerprintOf(arrived.request, account ? account->name : std::string_view {});
     call.request = requestForUpstreams(std::move(arrived.request), forward.headers, account ? account->name : std::string {}, call.urgency);
     return call;
--- a/src/node/ForwardRelay.cpp
+++ b/src/node/ForwardRelay.cpp
@@ -141,6 +141,7 @@
     call.relays.push_back(to);
     call.expectedWait = {};
     call.tokensBeforeFirstEvent = 0;
+    call.expectedOutput = 0;
     node.counters.add("forward_relayed");
     addLog(node, LogLevel::Info, "forward_relayed", Step::Route, member->identity.name, "sent by way of another entry node, which may reach more upstreams",
         { { "request", call.requestId }, { "backend", call.backend }, { "unreachable", std::to_string(call.unreachable) }, { "relays", std::to_string(call.relays.size()) } });
--- a/tests/forward/ForwardCallTest.cpp
+++ b/tests/forward/ForwardCallTest.cpp
@@ -23,25 +23,28 @@
 BOOST_AUTO_TEST_CASE(connectionHeaderCannotRemoveTheRequestId)
 {
     const HeaderNames names;
-    HttpRequest request { "GET", "/a", { { "Connection", names.requestId + ", Host, " + names.tokens }, { "Host", "h" }, { names.requestId, "r" }, { names.tokens, "1,2" } }, "" };
+    HttpRequest request { "GET", "/a", { { "Connection", names.requestId + ", Host, " + names.tokens + ", " + names.lengthHint }, { "Host", "h" }, { names.requestId, "r" }, { names.tokens, "1,2" }, { names.lengthHint, "7" } }, "" };
     const auto made = requestForUpstreams(std::move(request), names, {}, 0);
     BOOST_TEST(findHeader(made.headers, "Host") == "h");
     BOOST_TEST(findHeader(made.headers, names.requestId) == "r");
     BOOST_TEST(findHeader(made.headers, names.tokens) == "1,2");
+    BOOST_TEST(findHeader(made.headers, names.lengthHint) == "7");
 }
 
 // Guards against token counts and prompt parts from malformed headers.
 BOOST_AUTO_TEST_CASE(malformedMetadataIsIgnored)
 {
     const HeaderNames names;
-    const auto metadata = parseForwardMetadata({ { names.timeLeft, "5000" }, { names.tokens, "1460,80" }, { names.promptParts, "5c1e07a2:800,91bd3f06:410" } }, names);
+    const auto metadata = parseForwardMetadata({ { names.timeLeft, "5000" }, { names.tokens, "1460,80" }, { names.lengthHint, "35" }, { names.promptParts, "5c1e07a2:800,91bd3f06:410" } }, names);
     BOOST_TEST(metadata.timeLeft->value == 5000);
     BOOST_TEST(*metadata.tokens == 1540U);
     BOOST_TEST(metadata.promptTokens == 1460U);
+    BOOST_TEST(metadata.outputLimit == 80);
+    BOOST_TEST(metadata.lengthHint == 35);
     BOOST_REQUIRE(metadata.parts.size() == 2U);
     BOOST_TEST(metadata.parts[1].hash == 0x91bd3f06U);
-    const auto odd = parseForwardMetadata({ { names.timeLeft, "-1" }, { names.tokens, "14" }, { names.promptParts, "5c1e07a2:800,zz:1" } }, names);
-    BOOST_TEST((!odd.timeLeft && !odd.tokens && odd.parts.empty()));
+    const auto odd = parseForwardMetadata({ { names.timeLeft, "-1" }, { names.tokens, "14" }, { names.lengthHint, "-3" }, { names.promptParts, "5c1e07a2:800,zz:1" } }, names);
+    BOOST_TEST((!odd.timeLeft && !odd.tokens && odd.lengthHint == 0 && odd.outputLimit == 0 && odd.parts.empty()));
 }
 
 // Guards against partial or repeated events when a stream is resumed, at any split of its bytes.
--- a/tests/forward/RequestCostTest.cpp
+++ b/tests/forward/RequestCostTest.cpp
@@ -55,6 +55,19 @@
     }
 }
 
+// Failure: nodes whose knowledge of other nodes' work is late all choose the same engine, or a node that predicts exactly chooses at random.
+BOOST_AUTO_TEST_CASE(jitterFollowsTheDeviations)
+{
+    BOOST_TEST(unknownWorkJitterMs({}) == 0);
+    PairCost exact;
+    for (int n = 0; n < 400; ++n)
+        recordPrefill(exact, { .work = { .newTokens = 100.0 * (1 + n % 37) }, .milliseconds = 30 + 2.5 * (1 + n % 37) });
+    BOOST_TEST(unknownWorkJitterMs(exact) < 1);
+    const PairCost late = learnPairs(0.74, 30, 600, 1);
+    BOOST_TEST(unknownWorkJitterMs(late) > 20);
+    BOOST_TEST(unknownWorkJitterMs(late) <= 150);
+}
+
 // Failure: new tokens after a long cached prefix count as much as the same number without one.
 BOOST_AUTO_TEST_CASE(tokensAfterACachedPrefixCostMore)
 {
