--- a/src/node/Evacuations.cpp
+++ b/src/node/Evacuations.cpp
@@ -31,6 +31,8 @@
 
 bool knowsEvacuations(const Node& node)
 {
+    if (!node.options.settings.evacuations && !node.evacuations.sequence)
+        return true;
     const TimeMs startedAt = node.options.startedAtUtc;
     return node.leadsDecisions || !needsNotices(node) || node.catchUp.currentAt >= startedAt || node.now - startedAt >= learningTime;
 }
--- a/src/node/Evacuations.h
+++ b/src/node/Evacuations.h
@@ -61,7 +61,8 @@
 
 bool isEvacuated(const Node&, const std::string& domain);
 /// Whether this node has the evacuations that were acknowledged before it started. A node that does not know them gives its view to no
-/// node without one, which would send by it at once. Considered true some time after the start, so that a fleet without a leader goes on.
+/// node without one, which would send by it at once. Considered true some time after the start, so that a fleet without a leader goes on, and
+/// always where the settings say that no evacuations are ordered and none ever was.
 bool knowsEvacuations(const Node&);
 /// Names of the live nodes with a data folder whose build may not read the commands. Empty once there was an evacuation.
 std::vector<std::string> nodesWithoutEvacuations(const Node&);
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -174,6 +174,7 @@
     readLimits(reader, settings.limits);
     readTimings(reader, settings.timings);
     reader.integer("ledger_groups", settings.ledgerGroups, 0, 64);
+    reader.boolean("evacuations", settings.evacuations);
     reader.integer("queue_bytes", settings.queueBytes, 1 << 20, 1 << 30);
     reader.enumeration("log_level", settings.logLevel);
     reader.finish();
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -123,6 +123,7 @@
     DutySettings duties;
     VoterSettings voters;
     CapacitySettings capacity;
+    bool evacuations = true; ///< Operators may order evacuations of failure domains, so a node that starts without a view waits until it knows them.
     std::string weightStore; ///< "IP:PORT"; empty: none.
     TlsSettings tls;
     InputLimits limits;
--- a/tests/node/EvacuationTest.cpp
+++ b/tests/node/EvacuationTest.cpp
@@ -301,6 +301,24 @@
     }
 }
 
+// Guards against entry nodes that are without rules for the time of an election after the loss of all power, where nobody orders evacuations.
+BOOST_AUTO_TEST_CASE(FirstViewsDoNotWaitWhereNoEvacuationsAreOrdered)
+{
+    EvacuationFleet it(20, 9);
+    for (auto& node : it.fleet.nodes)
+        node.settings.evacuations = false;
+    // Without a majority of the voters there is no leader.
+    for (size_t n = 0; n < it.fleet.nodes.size(); ++n)
+        it.fleet.kill(n, true);
+    it.run(2_s);
+    it.fleet.start(0);
+    for (size_t n = it.controls; n < it.fleet.nodes.size(); ++n)
+        it.fleet.start(n);
+    it.run(1500_ms);
+    for (size_t n = it.controls; n < it.fleet.nodes.size(); ++n)
+        BOOST_CHECK(it.fleet.nodes[n].node->rules);
+}
+
 // Guards against repeated orders that are refused, or that count as changes.
 BOOST_AUTO_TEST_CASE(RepeatedOrdersAreAcknowledgedAgain)
 {
