--- a/src/entry/Daemon.cpp
+++ b/src/entry/Daemon.cpp
@@ -19,7 +19,6 @@
 #include <filesystem>
 #include <random>
 #include <thread>
-#include <utility>
 
 namespace siskinshunt {
 
@@ -105,7 +104,6 @@
         bool m_diskWriteActive = false;
         bool m_drainRequested = false;
         int m_exitCode = 0;
-        TimeMs m_lateness; ///< Of the timer that runs the next tick.
         DiskThread m_diskThread; ///< Declared last: its destructor completes tasks that use the other members.
     };
 
@@ -305,9 +303,7 @@
 
 void Daemon::tick()
 {
-    Inputs inputs;
-    inputs.lateness = std::exchange(m_lateness, {});
-    apply(std::move(inputs));
+    apply({});
     checkSettingsFile();
     flushLog();
     waitForTick(m_settings.timings.tick, false);
@@ -322,7 +318,6 @@
     m_timer.async_wait([this, due, isRepeat](boost::system::error_code ec) {
         if (ec)
             return;
-        m_lateness += std::max(m_clock.now() - due, TimeMs {});
         if (!isRepeat && m_clock.now() - due > m_settings.timings.tick)
             return waitForTick({}, true);
         tick();
--- a/src/node/ControlCalls.cpp
+++ b/src/node/ControlCalls.cpp
@@ -5,7 +5,6 @@
 #include "node/ForwardFlow.h"
 #include "node/Groups.h"
 #include "node/LeaderFlow.h"
-#include "node/NodeCapacity.h"
 #include "node/Peers.h"
 #include "node/RegionFlow.h"
 #include "rules/RuleParser.h"
@@ -20,6 +19,9 @@
 static constexpr TimeMs proposeTimeout { 2500 };
 static constexpr TimeMs leaveTimeout { 800 };
 static constexpr TimeMs unavailableRetryAfter { 300 };
+// If fewer entry nodes are in the failure domain of the caller, the response also lists those of other domains.
+static constexpr size_t minEntries = 3;
+static constexpr size_t maxEntries = 64;
 
 static void answerText(Node& node, ExchangeId exchange, uint16_t status, const std::string& message)
 {
@@ -250,23 +252,25 @@
     std::vector<NodeId> entries;
     for (const auto& [id, member] : node.membership.members) {
         const auto& status = member.status;
-        if (isAlive(node.membership, id) && !status.draining && !status.voter && status.rulesRevision && mayNameEntry(node, member))
+        if (isAlive(node.membership, id) && !status.draining && !status.voter && status.rulesRevision)
             entries.push_back(id);
     }
     keepEntriesInRegions(node, call, entries);
-    std::vector<EntryCandidate> candidates;
+    std::vector<std::string> sameDomain;
+    std::vector<std::string> otherDomains;
     for (const NodeId id : entries) {
         const auto& identity = node.membership.members.at(id).identity;
-        candidates.push_back({ id, identity.httpAddress, identity.domain == call.domain });
+        (identity.domain == call.domain ? sameDomain : otherDomains).push_back(identity.httpAddress);
     }
-    if (!knowsEntries(node)) {
-        node.counters.add("directory_unknown");
-        return answerUnavailable(node, arrived.exchange, "less than half of the entry nodes have been heard from");
-    }
-    const auto addresses = nameEntries(node, std::move(candidates), call.domain, arrived.peer);
-    if (addresses.empty())
+    std::sort(sameDomain.begin(), sameDomain.end());
+    std::sort(otherDomains.begin(), otherDomains.end());
+    if (sameDomain.size() < minEntries)
+        sameDomain.insert(sameDomain.end(), otherDomains.begin(), otherDomains.end());
+    if (sameDomain.size() > maxEntries)
+        sameDomain.resize(maxEntries);
+    if (sameDomain.empty())
         return answerUnavailable(node, arrived.exchange, "no entry node is known");
-    answerJson(node, arrived.exchange, 200, node.options.dialect->entriesBody(addresses, node.options.settings.timings.entryValid));
+    answerJson(node, arrived.exchange, 200, node.options.dialect->entriesBody(sameDomain, node.options.settings.timings.entryValid));
 }
 
 void handleControlCall(Node& node, const RequestArrived& arrived)
--- a/src/node/Metrics.cpp
+++ b/src/node/Metrics.cpp
@@ -66,24 +66,6 @@
     }
 }
 
-static void appendEntryWeights(std::string& out, const Node& node)
-{
-    for (const auto& [id, entry] : node.nodeCapacity.entries) {
-        const Member* member = findMember(node.membership, id);
-        if (!member)
-            continue;
-        const std::string labels = "entry=\"" + member->identity.name + "\"";
-        appendValue(out, "directory_entry_weight", labels, entry.weight);
-        appendValue(out, "directory_entry_lateness_seconds", labels, entry.lateness.seconds());
-        appendValue(out, "directory_entry_in_flight", labels, static_cast<double>(entry.inFlight));
-    }
-    for (const auto& [name, domain] : node.nodeCapacity.domains) {
-        const std::string labels = "domain=\"" + name + "\"";
-        appendValue(out, "directory_domain_weight", labels, domain.current);
-        appendValue(out, "directory_domain_usual_weight", labels, domain.usual);
-    }
-}
-
 void answerMetrics(Node& node, const RequestArrived& arrived)
 {
     std::string out;
@@ -108,7 +90,6 @@
     }
     appendGroups(out, node);
     appendFairShares(out, node);
-    appendEntryWeights(out, node);
     appendValue(out, "rules_revision", {}, static_cast<double>(node.view.rules.revision));
     appendValue(out, "evacuations", {}, static_cast<double>(node.evacuations.inForce.size()));
     appendValue(out, "calls_in_flight", {}, static_cast<double>(node.calls.size()));
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -15,7 +15,6 @@
 #include "node/Groups.h"
 #include "node/LeaderFlow.h"
 #include "node/MovesFlow.h"
-#include "node/NodeCapacity.h"
 #include "node/NodeState.h"
 #include "node/Peers.h"
 #include "node/PlatformPoll.h"
@@ -139,8 +138,6 @@
 
 static void processInputs(Node& node, Inputs&& inputs)
 {
-    if (inputs.lateness)
-        recordOwnLateness(node, *inputs.lateness);
     if (inputs.drain && !node.draining) {
         node.draining = true;
         node.drainSince = node.now;
@@ -214,7 +211,6 @@
     tickControlCalls(node);
     tickCatchUp(node);
     tickEvacuations(node);
-    tickNodeCapacity(node);
     tickDuties(node);
     tickVersionOrders(node);
     tickEvidence(node);
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -7,7 +7,6 @@
 
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,7 +37,6 @@
     std::vector<DiskCompletion> completions;
     std::vector<GroupId> pinning; ///< Groups that prevent the deletion of old log segments and should take a snapshot.
     std::vector<std::string> seeds; ///< New seed addresses, "IP:PORT", after a reload of the settings.
-    std::optional<TimeMs> lateness; ///< Of a tick: how late its timer ran. Not an input that is waited for, so it does not count in isEmpty().
     bool drain = false; ///< Shut down gracefully: first leave the entry addresses, then end the process.
 
     bool isEmpty() const { return requests.empty() && disconnected.empty() && events.empty() && datagrams.empty() && frames.empty() && completions.empty() && pinning.empty() && seeds.empty() && !drain; }
--- a/src/node/NodeState.h
+++ b/src/node/NodeState.h
@@ -17,7 +17,6 @@
 #include "node/ForwardState.h"
 #include "node/Node.h"
 #include "node/NodeCall.h"
-#include "node/NodeCapacityState.h"
 #include "node/PeerMessages.h"
 #include "orders/Orders.h"
 #include "replica/Replica.h"
@@ -234,7 +233,6 @@
     ControlCallState controlCalls;
     CatchUpState catchUp;
     EvacuationState evacuations;
-    NodeCapacityState nodeCapacity;
     DutyState duties;
     VersionFollowers versionOrders;
 
--- a/src/node/Peers.cpp
+++ b/src/node/Peers.cpp
@@ -13,7 +13,6 @@
 #include "node/LeaderFlow.h"
 #include "node/LoadHubs.h"
 #include "node/MovesFlow.h"
-#include "node/NodeCapacity.h"
 #include "node/VersionOrders.h"
 #include "node/ViewTransfer.h"
 #include "node/VoterRepair.h"
@@ -131,8 +130,6 @@
         return receiveEvacuations(node, envelope.body);
     case FrameKind::BuildFeatures:
         return receiveBuildFeatures(node, envelope.sender, envelope.body);
-    case FrameKind::NodeCapacity:
-        return receiveNodeCapacity(node, envelope.sender, envelope.sentAt, envelope.body);
     case FrameKind::ReplaceVoter:
         return receiveReplaceVoter(node, envelope.body);
     default: // Kinds that are not sent yet, and those of later builds.
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -117,10 +117,6 @@
         item.integer("target", settings.voters.target, 0, 7);
         item.duration("missing_ms", settings.voters.missingTimeout, 100, 3600000);
     });
-    reader.object("capacity", [&](SettingsReader& item) {
-        item.number("cpu_share", settings.capacity.cpuShare, 0, 1024);
-        item.number("link_mbps", settings.capacity.linkMbps, 0, 1e6);
-    });
 }
 
 // `seed_port` replaces the ports of all seeds, which can be listed with another port of their instances.
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -97,12 +97,6 @@
     TimeMs missingTimeout { 30000 }; ///< A voter that no live node has claimed for this long is replaced. Voter ids survive restarts, so only a lost disk or instance is absent for this long.
 };
 
-/// Capacity of the instance; 0 stands for unknown.
-struct CapacitySettings {
-    double cpuShare = 0; ///< Cores.
-    double linkMbps = 0;
-};
-
 /// Settings of one daemon.
 struct Settings {
     std::string node;
@@ -122,7 +116,6 @@
     ForwardSettings forward;
     DutySettings duties;
     VoterSettings voters;
-    CapacitySettings capacity;
     bool evacuations = true; ///< Operators may order evacuations of failure domains, so a node that starts without a view waits until it knows them.
     std::string weightStore; ///< "IP:PORT"; empty: none.
     TlsSettings tls;
--- a/src/soak/NodeFleet.cpp
+++ b/src/soak/NodeFleet.cpp
@@ -185,13 +185,9 @@
 {
     if (nodes[n].generation != generation || !nodes[n].node)
         return;
-    const TimeMs late = nodes[n].lateness;
-    if (!nodes[n].frozen) {
-        Inputs inputs;
-        inputs.lateness = late;
-        deliver(n, generation, std::move(inputs));
-    }
-    scheduleAfter(options.tick + late, [this, n, generation] { tickNode(n, generation); });
+    if (!nodes[n].frozen)
+        deliver(n, generation, {});
+    scheduleAfter(options.tick, [this, n, generation] { tickNode(n, generation); });
 }
 
 template <class T>
@@ -328,7 +324,7 @@
     it.postedAt = now;
     it.lost = !nodes[n].node;
     Inputs inputs;
-    inputs.requests.push_back({ number, std::move(request), callerAddress, listener });
+    inputs.requests.push_back({ number, std::move(request), "127.0.0.1:9", listener });
     scheduleAfter(1_ms, [this, n, generation = it.generation, inputs = std::move(inputs)]() mutable { deliver(n, generation, std::move(inputs)); });
     return number;
 }
--- a/src/soak/NodeFleet.h
+++ b/src/soak/NodeFleet.h
@@ -56,8 +56,8 @@
 
 constexpr const char* coldTimeHeader = "Cold-Time-Left";
 
-/// Control calls as a platform could have them: POST announces an upstream, DELETE /NAME its shutdown, GET /resolve/DOMAIN asks for entry
-/// addresses, PUT /NUMBER replaces the configuration by the rules in its body, POST and DELETE /evacuations/DOMAIN start and end an evacuation.
+/// Control calls as a platform could have them: POST announces an upstream, DELETE /NAME its shutdown, PUT /NUMBER replaces the
+/// configuration by the rules in its body, POST and DELETE /evacuations/DOMAIN start and end an evacuation.
 /// The header `coldTimeHeader` of an announcement says for how many ms the upstream is still cold.
 std::shared_ptr<const Dialect> makeFleetDialect();
 
@@ -72,7 +72,6 @@
         NodePtr node;
         uint64_t generation = 0; ///< Incremented when the process ends; events for an earlier generation are dropped.
         bool frozen = false;
-        TimeMs lateness; ///< By which its ticks run late.
         Inputs bufferedInputs; ///< Inputs that arrived while the process was frozen.
         std::vector<DiskRequest> pendingDiskRequests;
         bool writing = false;
@@ -175,7 +174,6 @@
     std::function<uint16_t(const UpstreamDispatch&)> forwardStatus; ///< Status of that answer; null: 200.
     int streamFaultAfter = 2;
     std::map<uint64_t, Caller> callers;
-    std::string callerAddress = "127.0.0.1:9"; ///< Of the callers that post requests from now on.
     std::vector<std::string> discardedPools;
     std::vector<std::string> violations;
 
--- a/src/soak/NodeFleetUpstreams.cpp
+++ b/src/soak/NodeFleetUpstreams.cpp
@@ -27,8 +27,6 @@
     dialect.decode = [](const HttpRequest& request, const std::string&) -> ControlCall {
         if (request.target.starts_with("/evacuations/"))
             return OrderEvacuationCall { .domain = request.target.substr(13), .start = request.method == "POST" };
-        if (request.target.starts_with("/resolve/"))
-            return EntriesCall { request.target.substr(9) };
         if (request.method == "DELETE")
             return LeaveCall { request.target.substr(1) };
         if (request.method == "PUT")
@@ -38,12 +36,6 @@
             return ControlCall(AnnounceCall { std::move(announced), coldTimeOf(request) }); },
             [](const Error& error) { return ControlCall(BadCall { 400, error.detail }); });
     };
-    dialect.entriesBody = [](const std::vector<std::string>& addresses, TimeMs) {
-        std::string out;
-        for (const auto& it : addresses)
-            out += it + "\n";
-        return out;
-    };
     return std::make_shared<const Dialect>(std::move(dialect));
 }
 
--- a/tests/settings/SettingsTest.cpp
+++ b/tests/settings/SettingsTest.cpp
@@ -72,21 +72,6 @@
     BOOST_TEST(errorOf(settingsWith(", \"voters\": { \"target\": 9 }")) == "read_settings s.json: key 'voters.target' is 9; allowed: a whole number from 0 to 7");
 }
 
-// Guards against losing the capacity of a node, against treating an absent one as a value, and against impossible values.
-BOOST_AUTO_TEST_CASE(capacityIsRead)
-{
-    const auto read = [](const std::string& more) {
-        return handle([&] { return parseSettings(settingsWith(more), "s.json"); }, [](const Error&) { return Settings {}; }).capacity;
-    };
-    const auto both = read(R"(, "capacity": { "cpu_share": 0.12, "link_mbps": 10 })");
-    BOOST_TEST((both.cpuShare == 0.12 && both.linkMbps == 10));
-    const auto one = read(R"(, "capacity": { "cpu_share": 0.12, })");
-    BOOST_TEST((one.cpuShare == 0.12 && one.linkMbps == 0));
-    BOOST_TEST((read("").cpuShare == 0 && read(", \"capacity\": { }").linkMbps == 0));
-    BOOST_TEST(errorOf(settingsWith(", \"capacity\": { \"cpu_share\": -1 }")).starts_with("read_settings s.json: key 'capacity.cpu_share' is "));
-    BOOST_TEST(errorOf(settingsWith(", \"capacity\": { \"link\": 1 }")).starts_with("read_settings s.json: key 'capacity.link' is not known"));
-}
-
 // Guards against a map of regions that is read wrongly, and against entries that are dropped without an error, which would leave their domain outside every
 // region.
 BOOST_AUTO_TEST_CASE(regionsOfDomainsAreRead)
