--- a/review/rig/main.cpp
+++ b/review/rig/main.cpp
@@ -411,6 +411,43 @@
         play, counts, sent, [&](const auto&, const auto& it) { return it.status == 200 && it.tookMs > usual * 3; }, "median time of a stream " + std::to_string(usual) + " ms before the order, " + std::to_string(median(counts.budgetEnds, steadyMs())) + " ms after its time budget");
 }
 
+// A new version whose answers take eight times as long, which is longer than callers wait.
+static int playSlowVersion(Play& play)
+{
+    static constexpr int workMs = 150;
+    static constexpr int slowness = 8;
+    Deployment deployment(play.root, play.folder, play.record, s_fronts, s_cores);
+    Cloud cloud(deployment);
+    deployment.startAll();
+    Operator user(deployment);
+    if (user.order("PUT", "/config", manifest(1, "desk", "desk.example", "non_idempotent"), 20000).status() != 200)
+        return fail(play, "no acknowledged manifest");
+    const auto startWorking = [&](const std::string& version, int first, int work) {
+        std::vector<std::unique_ptr<Runner>> out;
+        static const char* const zones[] = { "lhr-depot", "lhr-gulberg", "lhr-shahdara" };
+        for (int n = 0; n < 3; ++n)
+            out.push_back(std::make_unique<Runner>(deployment, Runner::Options { .id = "i-" + randomId().substr(0, 8), .service = "desk", .version = version, .zone = zones[n], .address = { deployment.address(2, first + n), deployment.ports().runner }, .slots = 24, .workMs = work }));
+        return out;
+    };
+    auto old = startWorking("v1", 1, workMs);
+    sleepMs(4000);
+    Clients clients(deployment, { .host = "desk.example", .path = "/desk/a", .zone = "lhr-depot", .count = 80, .perSecond = 40, .headers = {} });
+    sleepMs(5000);
+    auto fresh = startWorking("v2", 11, play.trouble ? workMs * slowness : workMs);
+    sleepMs(3000);
+    RolloutCounts counts;
+    if (!followRollout(play, user, old, fresh, counts))
+        return fail(play, "the rollout was not acknowledged");
+    clients.stop();
+    const auto sent = clients.sent();
+    std::set<std::string> ran;
+    for (const auto& run : counts.newRuns)
+        ran.insert(run.request);
+    const auto unanswered = std::count_if(sent.begin(), sent.end(), [&](const auto& it) { return ran.contains(it.request) && it.status != 200; });
+    return judgeExposure(
+        play, counts, sent, [](const auto&, const auto& it) { return it.status != 200; }, std::to_string(unanswered) + " bookings ran and their answers did not reach the callers in time");
+}
+
 // The process of the first seed is killed right after its first start, before the other machines are up.
 static int playFounder(Play& play)
 {
@@ -453,7 +490,7 @@
         Play play { argv[2], folder, record, !trouble || std::string(trouble) != "0" };
         if (!std::filesystem::exists(play.root + "/target/bin/siskinshunt"))
             return fail(play, "target/bin/siskinshunt is missing: run the build of the deploy file");
-        const std::map<std::string, int (*)(Play&)> cases { { "address", playAddress }, { "foreign-server", playForeignServer }, { "stale-order", playStaleOrder }, { "version-under-load", playVersionUnderLoad }, { "slow-streams", playSlowStreams }, { "founder", playFounder } };
+        const std::map<std::string, int (*)(Play&)> cases { { "address", playAddress }, { "foreign-server", playForeignServer }, { "stale-order", playStaleOrder }, { "version-under-load", playVersionUnderLoad }, { "slow-streams", playSlowStreams }, { "slow-version", playSlowVersion }, { "founder", playFounder } };
         const auto it = cases.find(name);
         result = it == cases.end() ? fail(play, "no such case: " + name) : it->second(play);
     }
