--- a/src/entry/Daemon.cpp
+++ b/src/entry/Daemon.cpp
@@ -414,7 +414,7 @@
     BOOST_LEAF_AUTO(node, makeNode(std::move(options), clock.now()));
     try {
         return Daemon(daemonOptions, clock, std::move(node), std::move(folder)).run();
-    } catch (const boost::system::system_error& error) {
+    } catch (const std::exception& error) {
         return fail(ErrorCode::Io, Step::Accept, toString(settings.http), error.what());
     }
 }
--- a/src/entry/PeerTransport.cpp
+++ b/src/entry/PeerTransport.cpp
@@ -52,6 +52,7 @@
         tcp::socket socket;
         Clock::time_point lastReceived;
         Clock::time_point lastUsed;
+        bool unreadable = false; ///< The address of the peer cannot be read; frames to it are dropped.
         uint64_t generation = 0; ///< Changes when a connection is opened or closed; coroutines of an earlier connection end.
     };
     using LinkPtr = boost::intrusive_ptr<Link>;
@@ -211,9 +212,17 @@
 asio::awaitable<void> PeerTransport::Impl::runLink(LinkPtr link)
 {
     const auto self = shared_from_this();
-    const tcp::endpoint endpoint(asio::ip::make_address(link->peer.ip), link->peer.port);
+    error_code ec;
+    const tcp::endpoint endpoint(asio::ip::make_address(link->peer.ip, ec), link->peer.port);
+    if (ec) {
+        // The link stays in the table, so that the line is not repeated with each frame.
+        link->unreadable = true;
+        logLoss(*link, "peer_address_unreadable", "frames to a peer without a readable address are dropped", link->queue.size());
+        link->queue.clear();
+        co_return;
+    }
     while (!stopping) {
-        error_code ec;
+        ec = {};
         if (link->queue.empty() && Clock::now() - link->lastUsed > linkIdleTimeout)
             break;
         link->socket = tcp::socket(context);
@@ -283,7 +292,7 @@
         link->peer = frame.peer;
     }
     link->lastUsed = Clock::now();
-    if (frame.bytes.empty())
+    if (frame.bytes.empty() || link->unreadable)
         return;
     if (link->queuedBytes + frame.bytes.size() > m_impl->options.maxQueuedBytes) {
         if (!link->framesDropped++)
--- a/src/entry/UpstreamConnection.cpp
+++ b/src/entry/UpstreamConnection.cpp
@@ -72,9 +72,11 @@
     m_dispatch = dispatch.dispatch;
     renewDeadline(dispatch.connectTimeout);
     const auto endpoint = parseEndpoint(m_address);
-    if (!endpoint)
+    error_code addressError;
+    const auto ip = asio::ip::make_address(endpoint ? endpoint->ip : std::string {}, addressError);
+    if (addressError)
         return fail(UpstreamFailure::ConnectFailed, "not an IP:PORT address: " + m_address);
-    m_socket.async_connect({ asio::ip::make_address(endpoint->ip), endpoint->port }, [self = shared_from_this(), dispatch](const error_code& ec) {
+    m_socket.async_connect({ ip, endpoint->port }, [self = shared_from_this(), dispatch](const error_code& ec) {
         if (self->m_phase != Phase::Connecting)
             return;
         if (ec)
@@ -255,8 +257,10 @@
     if (at == std::string_view::npos)
         return;
     int seconds = 0;
-    std::from_chars(value.data() + at + 8, value.data() + value.size(), seconds);
-    m_idleLimit = std::max(std::chrono::milliseconds(0), std::chrono::milliseconds(seconds * 1000) - idleMargin);
+    const auto [end, ec] = std::from_chars(value.data() + at + 8, value.data() + value.size(), seconds);
+    if (ec != std::errc {})
+        return;
+    m_idleLimit = std::max(std::chrono::milliseconds(0), std::chrono::milliseconds(std::chrono::seconds(seconds)) - idleMargin);
 }
 
 void UpstreamConnection::finish()
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -98,9 +98,26 @@
         { { "leaving_ms_ago", upstream.leavingSince ? std::to_string((node.now - *upstream.leavingSince).value) : std::string("-") } });
 }
 
+// Announcements are checked where they arrive; nodes of earlier builds accepted any address and spread it. Logged once per address.
+static void excludeUnreadableAddress(Node& node, const Upstream& upstream)
+{
+    auto& logged = node.forward.unreadableAddresses[upstream.id];
+    if (logged != upstream.announced.address) {
+        logged = upstream.announced.address;
+        addLog(node, LogLevel::Warning, "upstream_address_unreadable", Step::Announce, upstream.announced.name, "the upstream gets no requests: its address is not IP:PORT", { { "address", logged } });
+    }
+    if (!findTarget(node.forward.targets, upstream.id))
+        return;
+    removeTarget(node.forward.targets, upstream.id);
+    forgetUpstream(node.forward.parts, upstream.id);
+}
+
 void updateForwardTarget(Node& node, const Upstream& upstream)
 {
     const auto& announced = upstream.announced;
+    const ForwardTarget* known = findTarget(node.forward.targets, upstream.id);
+    if ((!known || known->address != announced.address) && !parseEndpoint(announced.address))
+        return excludeUnreadableAddress(node, upstream);
     ForwardTarget target;
     target.id = upstream.id;
     target.name = announced.name;
@@ -119,7 +136,6 @@
     target.leaving = announced.leaving || isRecordedLeaving(node, upstream.id, announced.incarnation);
     const BackendRule* backend = node.forward.routes ? findBackend(*node.forward.routes, announced.model) : nullptr;
     target.engine = backend && backend->slots > 0;
-    const ForwardTarget* known = findTarget(node.forward.targets, upstream.id);
     if (known && known->incarnation != announced.incarnation) {
         forgetUpstream(node.forward.parts, upstream.id);
         node.out.discardedPools.push_back(known->address);
@@ -148,6 +164,7 @@
         addLog(node, upstreamLogLevel(*target), "upstream_forgotten", Step::Announce, target->name, "removed: no announcement from the upstream for too long");
     removeTarget(node.forward.targets, id);
     forgetUpstream(node.forward.parts, id);
+    node.forward.unreadableAddresses.erase(id);
 }
 
 void clearPendingPrefill(ForwardTarget& target, ForwardCall& call)
--- a/src/node/ForwardState.h
+++ b/src/node/ForwardState.h
@@ -90,6 +90,7 @@
     HeaderNames headers;
     std::shared_ptr<const RouteTable> routes; ///< Null until a rule set is in force.
     ForwardTargets targets;
+    std::map<UpstreamId, std::string> unreadableAddresses; ///< Of announced upstreams that are no targets for it.
     PromptPartIndex parts;
     ChoiceOptions choice;
     Allowances allowances;
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -2,6 +2,8 @@
 
 #include "settings/SettingsReader.h"
 
+#include <arpa/inet.h>
+#include <array>
 #include <charconv>
 #include <filesystem>
 #include <fstream>
@@ -18,22 +20,15 @@
     return endpoint.ip + ":" + std::to_string(endpoint.port);
 }
 
+// The sockets read addresses with inet_pton() too, so every accepted text is an address to them.
 static bool isIpv4(std::string_view text)
 {
-    int parts = 0;
-    while (parts < 4) {
-        const auto dot = text.find('.');
-        const auto part = text.substr(0, dot);
-        unsigned n = 0;
-        const auto [end, ec] = std::from_chars(part.data(), part.data() + part.size(), n);
-        if (part.empty() || part.size() > 3 || ec != std::errc {} || end != part.data() + part.size() || n > 255)
-            return false;
-        ++parts;
-        if (dot == std::string_view::npos)
-            return parts == 4;
-        text.remove_prefix(dot + 1);
-    }
-    return false;
+    std::array<char, INET_ADDRSTRLEN> buf {};
+    if (text.size() >= buf.size() || text.find('\0') != std::string_view::npos)
+        return false;
+    text.copy(buf.data(), text.size());
+    in_addr address {};
+    return ::inet_pton(AF_INET, buf.data(), &address) == 1;
 }
 
 std::optional<Endpoint> parseEndpoint(std::string_view text)
--- a/src/storage/Storage.cpp
+++ b/src/storage/Storage.cpp
@@ -3,6 +3,7 @@
 #include "storage/SnapshotFile.h"
 
 #include <algorithm>
+#include <charconv>
 #include <cstdio>
 
 namespace siskinshunt {
@@ -81,7 +82,11 @@
 Result<void> Storage::readSegment(const std::string& name, bool last)
 {
     BOOST_LEAF_AUTO(file, m_disk.read(name));
-    Segment segment { .number = std::stoull(name.substr(4)), .maxIndex = {} };
+    Segment segment { .number = 0, .maxIndex = {} };
+    const auto digits = std::string_view(name).substr(4);
+    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), segment.number);
+    if (ec != std::errc {} || end != digits.data() + digits.size())
+        return fail(ErrorCode::Corrupt, Step::Recover, name, "not the name of a log segment; move the file out of the data folder");
     for (size_t offset = 0; offset < file.size();) {
         const BatchReadResult read = readBatch(file, offset, m_sequence ? m_sequence + 1 : 0);
         if (read.state == BatchState::Corrupt || (read.state == BatchState::Torn && !last))
--- a/tests/entry/UpstreamClientTest.cpp
+++ b/tests/entry/UpstreamClientTest.cpp
@@ -302,3 +302,23 @@
     });
     BOOST_TEST(client.sendRequest(upstream.address(), "a", TimeMs { 250 }) == "200 late end");
 }
+
+// Guards against an exception in the event loop when a record names an address that cannot be read: only this request fails.
+BOOST_AUTO_TEST_CASE(unreadableAddressFailsTheRequestOnly)
+{
+    ScriptedUpstream upstream({ { { makeResponse("b", "two") } } });
+    Client client;
+    for (const std::string& address : { std::string("127.000.000.001:80"), std::string("127.0.0.1\0.9:80", 15), std::string("desk.example:80"), std::string("127.0.0.1:99999"), std::string() })
+        BOOST_TEST(client.sendRequest(address, "a") == " connect_failed");
+    BOOST_TEST(client.sendRequest(upstream.address(), "b") == "200 two end");
+}
+
+// Guards against an idle limit that overflows: the Keep-Alive timeout of an upstream is any number.
+BOOST_AUTO_TEST_CASE(anyKeepAliveTimeoutIsRead)
+{
+    for (const std::string timeout : { "3000000", "2147483647", "99999999999999999999", "-5", "x", "" }) {
+        ScriptedUpstream upstream({ { { makeResponse("a", "one", "Keep-Alive: timeout=" + timeout + "\r\n") } } });
+        Client client;
+        BOOST_TEST(client.sendRequest(upstream.address(), "a") == "200 one end");
+    }
+}
--- a/tests/node/ForwardTest.cpp
+++ b/tests/node/ForwardTest.cpp
@@ -549,6 +549,37 @@
         BOOST_TEST(fleet.nodes[n].node->forward.hubs.hub.value != 0);
 }
 
+// Guards against requests to an upstream whose address cannot be read: a node of an earlier build accepted and spread such records.
+BOOST_AUTO_TEST_CASE(RecordsWithAnUnreadableAddressAreNoTargets)
+{
+    ForwardNode it;
+    Announcement announced;
+    announced.name = "other-writer";
+    announced.address = "127.032.002.009:8080";
+    announced.model = "desk";
+    announced.incarnation = 7;
+    announced.load.capacity = 100;
+    const auto report = [&](const std::string& address) {
+        announced.address = address;
+        ++announced.sequence;
+        announce(it.node->membership, it.now, announced, it.node->membershipOutputs);
+        it.run({});
+    };
+    const auto id = idOfName<UpstreamId>("other-writer");
+    report("127.032.002.009:8080");
+    report("127.032.002.009:8080");
+    BOOST_TEST(!findTarget(it.node->forward.targets, id));
+    BOOST_TEST(std::count_if(it.logs.begin(), it.logs.end(), [](const auto& line) { return line.code == "upstream_address_unreadable"; }) == 1);
+    it.post("/book/1");
+    BOOST_TEST(it.dispatches.empty());
+    report("127.0.0.9:8080");
+    BOOST_TEST(findTarget(it.node->forward.targets, id));
+    report("127.0.0.9");
+    BOOST_TEST(!findTarget(it.node->forward.targets, id));
+    report("127.0.0.9:8080");
+    BOOST_TEST(findTarget(it.node->forward.targets, id));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/tests/settings/SettingsTest.cpp
+++ b/tests/settings/SettingsTest.cpp
@@ -84,3 +84,14 @@
     for (const char* entry : { "\"a\": 7", "\"a\": \"\"", "\"\": \"r\"", "\"a\": \"r 1\"", "\"a b\": \"r\"", "\"a\": null", "\"a\": { \"region\": \"r\" }" })
         BOOST_TEST(errorOf(settingsWith(std::string(", \"regions\": { ") + entry + " }")).starts_with("read_settings s.json: key 'regions' holds "), entry);
 }
+
+// Guards against addresses that are accepted here and refused by the sockets: inet_pton() refuses padded numbers, and a C string ends
+// at its first zero byte.
+BOOST_AUTO_TEST_CASE(endpointsAreReadAsTheSocketsReadThem)
+{
+    BOOST_TEST(toString(parseEndpoint("127.0.0.1:8080").value_or(Endpoint {})) == "127.0.0.1:8080");
+    BOOST_TEST(toString(parseEndpoint("10.0.0.0:1").value_or(Endpoint {})) == "10.0.0.0:1");
+    for (const std::string_view text : { "127.032.002.009:8080", "01.0.0.1:80", "127.0.0.00:80", "127.0.0:80", "127.0.0.1.1:80", "127.0.0.256:80", "127.0.0.-1:80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0", "127.0.0.1:65536", "127.0.0.1:+80", ":80", "", "[::1]:80", " 127.0.0.1:80" })
+        BOOST_TEST(!parseEndpoint(text), text);
+    BOOST_TEST(!parseEndpoint(std::string_view("127.0.0.1\0.9:80", 15)));
+}
