Reject orders for versions that are older than the order in force

Cause: an order names a backend and a version only. The decision log took a copy for a repeat while the order in force had the same version, and for a new order otherwise, and a voter proposed what it read however old it was. Ruled out: the log itself, whose order is right, and proposals of a former leader, which are cut or come before later entries.

Change: OrderVersion carries the sequence that the proposing node knew when it read the order; the log refuses it as stale when another order has come since. It is written once all live nodes with a data folder have told that they read it. A node that stood still for 0.7 s or more refuses orders and deregistrations with 503 for 1 s, and a version order waits until the end of its connection would have been read. A stale order is answered with 503 and logged.

--- a/src/control/ControlCommand.h
+++ b/src/control/ControlCommand.h
@@ -163,6 +163,16 @@
     void serialize(Archive& archive) { archive(backend, target, within, now); }
 };
 
+/// Starts a version order unless the backend's order has changed since the proposer knew it: a copy of an order that was delayed on its way,
+/// and given up or repeated elsewhere meanwhile, is rejected as stale. A resend of the order in force is accepted without effect.
+struct OrderVersion {
+    StartVersionOrder order;
+    uint64_t knownSequence = 0; ///< Sequence of the backend's order that the proposer knew when it received this one; 0 for none.
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(order, knownSequence); }
+};
+
 /// Progress of a version order, recorded by the decision leader. Rejected unless the epoch is the current one.
 struct RecordVersionOrder {
     uint64_t epoch = 0;
@@ -210,7 +220,7 @@
 };
 
 /// New commands are added at the end: the position is part of their encoding. See docs/decisions/compatibility.md, rule 3.
-using ControlCommand = std::variant<ApplyRules, RecordMove, BeginEpoch, OpenIntent, CloseIntent, PutConfiguration, StartVersionOrder, RecordVersionOrder, CommitUsage, StartEvacuation, EndEvacuation>;
+using ControlCommand = std::variant<ApplyRules, RecordMove, BeginEpoch, OpenIntent, CloseIntent, PutConfiguration, StartVersionOrder, RecordVersionOrder, CommitUsage, StartEvacuation, EndEvacuation, OrderVersion>;
 
 enum class ControlOutcome : uint8_t {
     Accepted,
--- a/src/control/DecisionLog.cpp
+++ b/src/control/DecisionLog.cpp
@@ -229,7 +229,8 @@
 // Until this long after its time limit, a repeat of a rolled-back order counts as a resend instead of a new order.
 static constexpr TimeMs resendWindow { 10000 };
 
-static ControlReply applyTo(DecisionLog& log, const StartVersionOrder& command)
+// `knownSequence`: as in OrderVersion; none for a command of an earlier build.
+static ControlReply startVersionOrder(DecisionLog& log, const StartVersionOrder& command, std::optional<uint64_t> knownSequence)
 {
     if (command.backend.empty() || command.backend.size() > maxNameBytes || command.target.empty() || command.target.size() > maxNameBytes)
         return replyOf(log, ControlOutcome::Malformed, "a backend and a version of at most 128 bytes are needed");
@@ -237,13 +238,25 @@
     const bool sameTarget = it != log.versionOrders.end() && it->second.target == command.target;
     if (sameTarget && (it->second.state != VersionOrderState::RolledBack || command.now - it->second.orderedAt < it->second.within + resendWindow))
         return replyOf(log, ControlOutcome::Accepted, std::string(nameOf(it->second.state)));
+    const uint64_t sequence = it == log.versionOrders.end() ? 0 : it->second.sequence;
+    if (knownSequence && *knownSequence != sequence)
+        return replyOf(log, ControlOutcome::Stale, "the order is older than sequence " + std::to_string(sequence) + ": it knew " + std::to_string(*knownSequence));
     if (it == log.versionOrders.end() && log.versionOrders.size() >= DecisionLog::keptMoves)
         return replyOf(log, ControlOutcome::Full, "too many version orders");
-    const uint64_t sequence = it == log.versionOrders.end() ? 1 : it->second.sequence + 1;
-    log.versionOrders[command.backend] = { .backend = command.backend, .target = command.target, .orderedAt = command.now, .within = command.within, .sequence = sequence, .reason = {} };
+    log.versionOrders[command.backend] = { .backend = command.backend, .target = command.target, .orderedAt = command.now, .within = command.within, .sequence = sequence + 1, .reason = {} };
     return replyOf(log, ControlOutcome::Accepted);
 }
 
+static ControlReply applyTo(DecisionLog& log, const StartVersionOrder& command)
+{
+    return startVersionOrder(log, command, std::nullopt);
+}
+
+static ControlReply applyTo(DecisionLog& log, const OrderVersion& command)
+{
+    return startVersionOrder(log, command.order, command.knownSequence);
+}
+
 static ControlReply applyTo(DecisionLog& log, const RecordVersionOrder& command)
 {
     if (command.epoch != log.epoch)
--- a/src/node/AdminFlow.cpp
+++ b/src/node/AdminFlow.cpp
@@ -346,6 +346,9 @@
     const auto& method = arrived.request.method;
     if (path == "/admin/rules" && method == "POST")
         return applyRules(node, arrived, name);
+    // Rules name the revision that they replace. Other orders could have been given up, and others could have followed.
+    if (method != "GET" && isInputAgeUnknown(node))
+        return answerRefusal(node, arrived.exchange, { RefusalCode::Unavailable, RunStatus::NotRun, "this node stood still and does not know when the order arrived; send it again", {}, applyRetryAfter });
     if (path == "/admin/drain" && method == "POST")
         return startDrain(node, arrived, name);
     if (path == "/admin/voters" && method == "POST")
--- a/src/node/Answers.cpp
+++ b/src/node/Answers.cpp
@@ -2,6 +2,8 @@
 
 #include "base/Hash.h"
 
+#include <boost/json.hpp>
+
 namespace siskinshunt {
 
 void answerJson(Node& node, ExchangeId exchange, uint16_t status, std::string body, HttpHeaders headers)
@@ -10,6 +12,18 @@
     node.out.answers.push_back({ exchange, AnswerPart::Whole, status, std::move(headers), std::move(body) });
 }
 
+void answerMessage(Node& node, ExchangeId exchange, uint16_t status, const std::string& message)
+{
+    answerJson(node, exchange, status, boost::json::serialize(boost::json::object { { "message", message } }));
+}
+
+void answerUnavailable(Node& node, ExchangeId exchange, const std::string& message)
+{
+    static constexpr TimeMs retryAfter { 300 };
+    addLog(node, LogLevel::Warning, "control_unavailable", Step::Propose, {}, message);
+    answerJson(node, exchange, 503, boost::json::serialize(boost::json::object { { "message", message } }), { { "Retry-After", std::to_string(retryAfter.seconds()) } });
+}
+
 void answerRefusal(Node& node, ExchangeId exchange, const Refusal& refusal)
 {
     HttpHeaders headers { { std::string(headers::run), std::string(nameOf(refusal.run)) } };
--- a/src/node/Answers.h
+++ b/src/node/Answers.h
@@ -7,6 +7,10 @@
 
 /// Answers an exchange with a JSON body.
 void answerJson(Node&, ExchangeId, uint16_t status, std::string body, HttpHeaders headers = {});
+/// Answers a control call with a JSON body that holds the message.
+void answerMessage(Node&, ExchangeId, uint16_t status, const std::string& message);
+/// Answers a control call with 503 and Retry-After, and logs the message. The caller may send it again, to any node.
+void answerUnavailable(Node&, ExchangeId, const std::string& message);
 /// Refuses a request for which no call was created; states that it was not run.
 void refuseRequest(Node&, ExchangeId, RefusalCode, std::string message, TimeMs retryAfter = {});
 /// Answers an exchange with a refusal, which determines status, headers and body.
--- a/src/node/ControlCalls.cpp
+++ b/src/node/ControlCalls.cpp
@@ -18,22 +18,10 @@
 // Operators time out after about a second and then retry on another node.
 static constexpr TimeMs proposeTimeout { 2500 };
 static constexpr TimeMs leaveTimeout { 800 };
-static constexpr TimeMs unavailableRetryAfter { 300 };
 // If fewer entry nodes are in the failure domain of the caller, the response also lists those of other domains.
 static constexpr size_t minEntries = 3;
 static constexpr size_t maxEntries = 64;
 
-static void answerText(Node& node, ExchangeId exchange, uint16_t status, const std::string& message)
-{
-    answerJson(node, exchange, status, boost::json::serialize(boost::json::object { { "message", message } }));
-}
-
-static void answerUnavailable(Node& node, ExchangeId exchange, const std::string& message)
-{
-    addLog(node, LogLevel::Warning, "control_unavailable", Step::Propose, {}, message);
-    answerJson(node, exchange, 503, boost::json::serialize(boost::json::object { { "message", message } }), { { "Retry-After", std::to_string(unavailableRetryAfter.seconds()) } });
-}
-
 static Group* decisionGroupOf(Node& node)
 {
     const auto it = node.groups.find(decisionGroup);
@@ -60,7 +48,7 @@
 static void handleCall(Node& node, const RequestArrived& arrived, const BadCall& call)
 {
     addLog(node, LogLevel::Warning, "control_refused", Step::Decode, arrived.peer, call.message, { { "status", std::to_string(call.status) }, { "target", arrived.request.target } });
-    answerText(node, arrived.exchange, call.status, call.message);
+    answerMessage(node, arrived.exchange, call.status, call.message);
 }
 
 static void propose(Node& node, ExchangeId exchange, const ControlCommand& command, const std::string& what)
@@ -72,7 +60,7 @@
         addLog(node, LogLevel::Info, "control_committed", Step::Propose, what, std::string(nameOf(decoded->outcome)), { { "detail", decoded->detail }, { "revision", std::to_string(decoded->revision) } });
         if (decoded->outcome == ControlOutcome::Accepted)
             return answerJson(node, exchange, 200, "{}");
-        answerText(node, exchange, decoded->outcome == ControlOutcome::Malformed ? 400 : 409, decoded->detail);
+        answerMessage(node, exchange, decoded->outcome == ControlOutcome::Malformed ? 400 : 409, decoded->detail);
     });
 }
 
@@ -93,9 +81,22 @@
     answerJson(node, arrived.exchange, 200, node.decisionLog.configuration);
 }
 
+// What a stopped process or machine reads when it goes on may be older than its sender's patience: the same call was then sent to another
+// node, and others may have followed.
+static bool refuseUnknownAge(Node& node, const RequestArrived& arrived)
+{
+    if (!isInputAgeUnknown(node))
+        return false;
+    addLog(node, LogLevel::Warning, "order_age_unknown", Step::Receive, arrived.peer, "refused: this node stood still and does not know when the call arrived",
+        { { "target", arrived.request.target }, { "stalled_ms", std::to_string(node.lastStall.value) } });
+    answerUnavailable(node, arrived.exchange, "this node stood still and does not know when the call arrived; send it again");
+    return true;
+}
+
 static void handleCall(Node& node, const RequestArrived& arrived, const OrderVersionCall& call)
 {
-    propose(node, arrived.exchange, StartVersionOrder { .backend = call.backend, .target = call.target, .within = call.within, .now = node.now }, "version " + call.target + " of " + call.backend);
+    if (!refuseUnknownAge(node, arrived))
+        orderVersion(node, arrived.exchange, { .backend = call.backend, .target = call.target, .within = call.within, .now = node.now });
 }
 
 static void handleCall(Node& node, const RequestArrived& arrived, const ReadVersionCall& call)
@@ -104,7 +105,7 @@
         return;
     const auto it = node.decisionLog.versionOrders.find(call.backend);
     if (it == node.decisionLog.versionOrders.end())
-        return answerText(node, arrived.exchange, 404, "no version of " + call.backend + " has been ordered");
+        return answerMessage(node, arrived.exchange, 404, "no version of " + call.backend + " has been ordered");
     answerJson(node, arrived.exchange, 200, node.options.dialect->versionBody(it->second));
 }
 
@@ -217,6 +218,9 @@
 
 static void handleCall(Node& node, const RequestArrived& arrived, const LeaveCall& call)
 {
+    // A late call would mark an upstream as leaving that has started again under its name.
+    if (refuseUnknownAge(node, arrived))
+        return;
     const auto id = idOfName<UpstreamId>(call.name);
     const Upstream* known = findUpstream(node.membership.upstreams, id);
     // Other nodes may know a later incarnation than this one, or only they know the upstream. Incarnations are start times in the
@@ -239,11 +243,13 @@
         return answerUnavailable(node, order.exchange, problem);
     if (reply->outcome == ControlOutcome::Accepted)
         return answerJson(node, order.exchange, 200, "{}");
-    answerText(node, order.exchange, reply->outcome == ControlOutcome::Malformed ? 400 : 409, reply->detail);
+    answerMessage(node, order.exchange, reply->outcome == ControlOutcome::Malformed ? 400 : 409, reply->detail);
 }
 
 static void handleCall(Node& node, const RequestArrived& arrived, const OrderEvacuationCall& call)
 {
+    if (refuseUnknownAge(node, arrived))
+        return;
     orderEvacuation(node, { .exchange = arrived.exchange, .domain = call.domain, .operatorName = arrived.peer, .start = call.start, .arrivedAt = node.now, .done = answerEvacuationOrder });
 }
 
@@ -276,7 +282,7 @@
 void handleControlCall(Node& node, const RequestArrived& arrived)
 {
     if (!node.options.dialect)
-        return answerText(node, arrived.exchange, 404, "this node has no dialect for such calls");
+        return answerMessage(node, arrived.exchange, 404, "this node has no dialect for such calls");
     const ControlCall call = node.options.dialect->decode(arrived.request, arrived.peer);
     std::visit([&](const auto& it) { handleCall(node, arrived, it); }, call);
 }
--- a/src/node/Evacuations.cpp
+++ b/src/node/Evacuations.cpp
@@ -13,8 +13,6 @@
 
 namespace siskinshunt {
 
-// An answer takes a round trip; the operator waits for 1 s.
-static constexpr TimeMs featuresTimeout { 300 };
 // Operators repeat an order elsewhere after 1 s. An order that is still proposed then could be applied after a later one.
 static constexpr TimeMs orderTimeout { 900 };
 // Covers the election of a leader after all voters have restarted.
@@ -39,19 +37,8 @@
 
 std::vector<std::string> nodesWithoutEvacuations(const Node& node)
 {
-    std::vector<std::string> out;
-    // The commands are in the log already.
-    if (node.evacuations.sequence)
-        return out;
-    for (const auto& [id, member] : node.membership.members) {
-        if (!member.status.voter || !isAlive(node.membership, id))
-            continue;
-        const auto it = node.evacuations.readers.find(id);
-        if (it == node.evacuations.readers.end() || it->second < processOf(member.status.incarnation))
-            out.push_back(member.identity.name);
-    }
-    std::sort(out.begin(), out.end());
-    return out;
+    // The commands are in the log already once there was one.
+    return node.evacuations.sequence ? std::vector<std::string> {} : nodesWithoutFeature(node, BuildFeaturesFrame::readsEvacuations);
 }
 
 std::string toRuleLine(const Evacuation& evacuation)
@@ -64,22 +51,6 @@
     return "evacuation " + evacuation.domain + " # " + evacuation.operatorName + ": ordered at " + std::string(at, length);
 }
 
-static std::string ownFeatures(const Node& node, bool question)
-{
-    return encode(BuildFeaturesFrame { .process = processOf(firstIncarnation(node.options.startedAtUtc)), .features = BuildFeaturesFrame::readsEvacuations, .question = question });
-}
-
-// Nothing is sent before the first order, so that fleets without evacuations run as before.
-static void askFeatures(Node& node)
-{
-    std::erase_if(node.evacuations.readers, [&](const auto& it) { return !findMember(node.membership, it.first); });
-    const std::string body = ownFeatures(node, true);
-    for (const auto& [id, member] : node.membership.members) {
-        if (member.status.voter && isAlive(node.membership, id))
-            sendFrame(node, id, FrameKind::BuildFeatures, {}, body);
-    }
-}
-
 void orderEvacuation(Node& node, EvacuationOrder order)
 {
     if (!nodesWithoutEvacuations(node).empty())
@@ -209,21 +180,6 @@
     adoptEvacuations(node, frame.sequence, std::move(evacuations), "frame");
 }
 
-void receiveBuildFeatures(Node& node, NodeId from, std::string_view body)
-{
-    const auto frame = decodeOr<BuildFeaturesFrame>(body, 64);
-    if (!frame.process)
-        return countDrop(node, DropReason::BadBody);
-    auto& readers = node.evacuations.readers;
-    if (!(frame.features & BuildFeaturesFrame::readsEvacuations)) {
-        readers.erase(from);
-        return;
-    }
-    readers[from] = frame.process;
-    if (frame.question && node.options.voter)
-        sendFrame(node, from, FrameKind::BuildFeatures, {}, ownFeatures(node, false));
-}
-
 void tickEvacuations(Node& node)
 {
     if (node.leadsDecisions && node.evacuations.sequence && node.now >= node.evacuations.nextSpread)
--- a/src/node/Evacuations.h
+++ b/src/node/Evacuations.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/ControlCommand.h"
+#include "node/BuildFeatures.h"
 #include "node/NodeIo.h"
 
 #include <functional>
@@ -26,18 +27,6 @@
     void serialize(Archive& archive) { archive(sequence, evacuations); }
 };
 
-/// What a build reads. Nodes with a data folder ask each other when the first evacuation is ordered.
-struct BuildFeaturesFrame {
-    static constexpr uint64_t readsEvacuations = 1;
-
-    uint64_t process = 0; ///< Start time of the sender, as processOf() of its incarnation; 0 is no valid frame.
-    uint64_t features = 0; ///< Set of the bits above; later builds add bits.
-    bool question = false; ///< The receiver answers with its own features.
-
-    template <class Archive>
-    void serialize(Archive& archive) { archive(process, features, question); }
-};
-
 /// An operator's order to start or end an evacuation, until it is answered.
 struct EvacuationOrder {
     using Done = std::function<void(Node&, const EvacuationOrder&, const std::optional<ControlReply>&, const std::string& problem)>;
@@ -54,7 +43,6 @@
 struct EvacuationState {
     uint64_t sequence = 0; ///< 0 if there never was one.
     std::map<std::string, Evacuation> inForce; ///< By failure domain.
-    std::map<NodeId, uint64_t> readers; ///< Processes with a data folder that have told that they read the commands.
     std::vector<EvacuationOrder> orders; ///< Not proposed yet; wait until all nodes with a data folder have told what they read.
     TimeMs nextSpread;
 };
@@ -81,7 +69,6 @@
 /// Sends the evacuations in force to another node if there ever was one.
 void sendEvacuations(Node&, NodeId to);
 void receiveEvacuations(Node&, std::string_view body);
-void receiveBuildFeatures(Node&, NodeId from, std::string_view body);
 void tickEvacuations(Node&);
 
 }
--- a/src/node/ForwardState.h
+++ b/src/node/ForwardState.h
@@ -18,6 +18,7 @@
 #include "node/FairShareState.h"
 #include "node/NodeIo.h"
 #include "node/PeerMessages.h"
+#include "node/VersionOrderCalls.h"
 
 #include <memory>
 #include <set>
@@ -139,6 +140,7 @@
 struct ControlCallState {
     uint64_t lastRequest = 0;
     std::map<uint64_t, PendingLeave> leaves; ///< Waiting for the decision leader, by request number.
+    std::vector<PendingVersionOrder> versionOrders; ///< Not proposed yet.
 };
 
 /// Demand for a backend, from the load reports of the entry nodes.
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -160,6 +160,7 @@
         handleRequest(node, std::move(request));
     for (const ExchangeId exchange : inputs.disconnected) {
         dropEvacuationOrder(node, exchange);
+        dropVersionOrder(node, exchange);
         if (!handleForwardCallerDisconnect(node, exchange))
             handleCallerDisconnect(node, exchange);
     }
@@ -221,11 +222,32 @@
     tickDrain(node);
 }
 
+// Below the time after which senders give up and turn to another node, so that what was read after a shorter stall is still wanted.
+static constexpr TimeMs minStall { 700 };
+// Connections that were opened during a stall are accepted and read in later polls than the first, and bytes that the network holds are sent
+// again.
+static constexpr TimeMs unknownAgeTime { 1000 };
+
+static void noteStall(Node& node, TimeMs stall)
+{
+    if (stall < minStall)
+        return;
+    node.resumedAt = node.now;
+    node.lastStall = stall;
+    addLog(node, LogLevel::Warning, "resumed", Step::Receive, {}, "the process stood still", { { "stalled_ms", std::to_string(stall.value) } });
+}
+
+bool isInputAgeUnknown(const Node& node)
+{
+    return node.resumedAt && node.now - *node.resumedAt < unknownAgeTime;
+}
+
 void step(Node& node, TimeMs now, Inputs&& inputs, Outputs& out)
 {
     INVARIANT(now >= node.now, "the time of a node is monotonic", "now", now.value, "was", node.now.value);
-    node.now = now;
+    const TimeMs pause = now - std::exchange(node.now, now);
     std::swap(node.out, out);
+    noteStall(node, pause);
     const bool allInputPassed = inputs.isEmpty();
     processInputs(node, std::move(inputs));
     if (allInputPassed && acceptsCallers(node))
@@ -238,6 +260,7 @@
     if (allInputPassed) {
         tickCalls(node);
         proposeEvacuationOrders(node);
+        proposeVersionOrders(node);
     }
     flushGroups(node);
     tickControl(node);
--- a/src/node/NodeState.h
+++ b/src/node/NodeState.h
@@ -169,6 +169,8 @@
     uint64_t cluster = 0;
     MacKey key;
     TimeMs now;
+    std::optional<TimeMs> resumedAt; ///< When the process last went on after a stall.
+    TimeMs lastStall; ///< Length of that stall.
     TimeMs nextTick;
     Random random { 1 };
     Outputs out;
@@ -235,6 +237,7 @@
     EvacuationState evacuations;
     DutyState duties;
     VersionFollowers versionOrders;
+    KnownBuilds builds;
 
     // Shutdown.
     bool draining = false;
@@ -249,6 +252,8 @@
 // Shared functions of the node; not part of its public interface.
 
 void addLog(Node&, LogLevel, std::string code, Step, std::string peer, std::string text, std::vector<std::pair<std::string, std::string>> fields = {});
+/// Whether what is read now may have arrived long ago, since the process or its machine stood still until about now.
+bool isInputAgeUnknown(const Node&);
 /// Returns the call id as 16 hexadecimal digits, the form that callers see.
 std::string formatCallId(CallId);
 /// Parses the form of formatCallId().
--- a/src/node/Peers.cpp
+++ b/src/node/Peers.cpp
@@ -1,5 +1,6 @@
 #include "node/Peers.h"
 
+#include "node/BuildFeatures.h"
 #include "node/CatchUp.h"
 #include "node/ColdFlow.h"
 #include "node/ControlCalls.h"
--- a/src/soak/NodeFleet.h
+++ b/src/soak/NodeFleet.h
@@ -57,7 +57,8 @@
 constexpr const char* coldTimeHeader = "Cold-Time-Left";
 
 /// Control calls as a platform could have them: POST announces an upstream, DELETE /NAME its shutdown, PUT /NUMBER replaces the
-/// configuration by the rules in its body, POST and DELETE /evacuations/DOMAIN start and end an evacuation.
+/// configuration by the rules in its body, POST and DELETE /evacuations/DOMAIN start and end an evacuation, POST /versions/BACKEND/VERSION orders a
+/// version within 20 s.
 /// The header `coldTimeHeader` of an announcement says for how many ms the upstream is still cold.
 std::shared_ptr<const Dialect> makeFleetDialect();
 
--- a/src/soak/NodeFleetUpstreams.cpp
+++ b/src/soak/NodeFleetUpstreams.cpp
@@ -27,6 +27,10 @@
     dialect.decode = [](const HttpRequest& request, const std::string&) -> ControlCall {
         if (request.target.starts_with("/evacuations/"))
             return OrderEvacuationCall { .domain = request.target.substr(13), .start = request.method == "POST" };
+        if (request.target.starts_with("/versions/")) {
+            const auto slash = request.target.rfind('/');
+            return OrderVersionCall { .backend = request.target.substr(10, slash - 10), .target = request.target.substr(slash + 1), .within = 20_s };
+        }
         if (request.method == "DELETE")
             return LeaveCall { request.target.substr(1) };
         if (request.method == "PUT")
--- a/tests/control/DecisionLogTest.cpp
+++ b/tests/control/DecisionLogTest.cpp
@@ -182,6 +182,57 @@
     BOOST_TEST((log.versionOrders.at("lm").state == VersionOrderState::RolledBack));
 }
 
+static OrderVersion makeOrder(const std::string& target, uint64_t knownSequence, TimeMs now)
+{
+    return { .order = { .backend = "lm", .target = target, .within = TimeMs { 12000 }, .now = now }, .knownSequence = knownSequence };
+}
+
+static ControlOutcome endOrder(DecisionLog& log, VersionOrderState state)
+{
+    auto order = log.versionOrders.at("lm");
+    order.state = state;
+    ++order.sequence;
+    return applyControl(log, RecordVersionOrder { .epoch = log.epoch, .order = order }).outcome;
+}
+
+// Guards against an order that was given up or repeated elsewhere and takes effect late: it would undo a later acknowledged one.
+BOOST_AUTO_TEST_CASE(lateCopyOfAVersionOrderHasNoEffect)
+{
+    DecisionLog log;
+    // Two copies of the order are on their way; neither of their nodes knew an order.
+    const auto copy = makeOrder("v2", 0, TimeMs { 1000 });
+    BOOST_TEST((applyControl(log, copy).outcome == ControlOutcome::Accepted));
+    BOOST_TEST((applyControl(log, copy).outcome == ControlOutcome::Accepted));
+    BOOST_TEST(log.versionOrders.at("lm").sequence == 1U);
+    BOOST_TEST((endOrder(log, VersionOrderState::RolledBack) == ControlOutcome::Accepted));
+    BOOST_TEST((applyControl(log, copy).outcome == ControlOutcome::Accepted));
+    BOOST_TEST((log.versionOrders.at("lm").state == VersionOrderState::RolledBack));
+    BOOST_TEST((applyControl(log, makeOrder("v3", 2, TimeMs { 5000 })).outcome == ControlOutcome::Accepted));
+    // Also with a clock that is ahead, and at any later time.
+    for (const TimeMs now : { TimeMs { 1000 }, TimeMs { 9000 }, TimeMs { 900000 } })
+        BOOST_TEST((applyControl(log, makeOrder("v2", 0, now)).outcome == ControlOutcome::Stale));
+    BOOST_TEST((applyControl(log, makeOrder("v2", 1, TimeMs { 9000 })).outcome == ControlOutcome::Stale));
+    BOOST_TEST(log.versionOrders.at("lm").target == "v3");
+    BOOST_TEST((endOrder(log, VersionOrderState::Completed) == ControlOutcome::Accepted));
+    BOOST_TEST((applyControl(log, makeOrder("v2", 3, TimeMs { 9000 })).outcome == ControlOutcome::Stale));
+    // A node that knows the order in force gives the operator's new order for the former version.
+    BOOST_TEST((applyControl(log, makeOrder("v2", 4, TimeMs { 60000 })).outcome == ControlOutcome::Accepted));
+    BOOST_TEST((log.versionOrders.at("lm").target == "v2" && log.versionOrders.at("lm").state == VersionOrderState::Running));
+}
+
+// Guards against a leader change or a restart between read and commit that lets the late copy in: the state comes from a snapshot then.
+BOOST_AUTO_TEST_CASE(lateCopyHasNoEffectAfterASnapshot)
+{
+    DecisionLog log;
+    applyControl(log, makeOrder("v2", 0, TimeMs { 1000 }));
+    endOrder(log, VersionOrderState::RolledBack);
+    applyControl(log, makeOrder("v3", 2, TimeMs { 5000 }));
+    DecisionLog restored;
+    BOOST_REQUIRE(restoreControl(restored, snapshotControl(log)));
+    BOOST_TEST((applyControl(restored, makeOrder("v2", 0, TimeMs { 6000 })).outcome == ControlOutcome::Stale));
+    BOOST_TEST(restored.versionOrders.at("lm").target == "v3");
+}
+
 // Guards against a history of large texts that exhausts memory and disk of the voters.
 BOOST_AUTO_TEST_CASE(oldTextsAreForgottenByTheirSize)
 {
--- a/tests/fuzz/ControlCommands.cpp
+++ b/tests/fuzz/ControlCommands.cpp
@@ -25,9 +25,14 @@
     return { .id = in.text(), .kind = static_cast<IntentKind>(in.below(3)), .action = in.text(), .target = in.text(), .domain = in.text(), .machine = in.text(), .reclaimable = in.below(2) == 1, .model = in.text(), .version = in.text(), .state = static_cast<IntentState>(in.below(4)), .detail = in.text(), .created = time(in), .epoch = in.number() };
 }
 
+static StartVersionOrder startVersionOrder(FuzzInput& in)
+{
+    return { .backend = in.text(), .target = in.text(), .within = { static_cast<int64_t>(in.byte()) }, .now = time(in) };
+}
+
 static ControlCommand command(FuzzInput& in)
 {
-    switch (in.below(7)) {
+    switch (in.below(9)) {
     case 0:
         return ApplyRules { .requestId = in.text(), .expectedRevision = in.number(), .text = in.text(), .operatorName = in.text(), .now = time(in) };
     case 1:
@@ -40,18 +45,35 @@
         return StartEvacuation { { .domain = in.text(), .operatorName = in.text(), .orderedAt = time(in) } };
     case 5:
         return EndEvacuation { .domain = in.text(), .operatorName = in.text(), .now = time(in) };
+    case 6:
+        return startVersionOrder(in);
+    case 7:
+        return OrderVersion { .order = startVersionOrder(in), .knownSequence = in.below(4) };
     default:
         return CloseIntent { .id = in.text(), .state = static_cast<IntentState>(in.below(4)), .detail = in.text() };
     }
 }
 
+static std::map<std::string, uint64_t> sequences(const DecisionLog& log)
+{
+    std::map<std::string, uint64_t> out;
+    for (const auto& [backend, order] : log.versionOrders)
+        out[backend] = order.sequence;
+    return out;
+}
+
 static void apply(DecisionLog& log, const ControlCommand& command)
 {
     const auto revision = log.revision;
     const auto epoch = log.epoch;
+    const auto orders = sequences(log);
     const auto reply = applyControl(log, command);
     INVARIANT(decodeControlReply(encodeControlReply(reply)).has_value(), "an encoded reply decodes");
     INVARIANT(log.revision >= revision && log.revision <= revision + 1, "a revision rises by at most one", "from", revision, "to", log.revision);
+    for (const auto& [backend, sequence] : orders)
+        INVARIANT(log.versionOrders.at(backend).sequence >= sequence, "the sequence of an order never decreases", "backend", backend);
+    if (const auto* order = std::get_if<OrderVersion>(&command); order && reply.outcome == ControlOutcome::Stale)
+        INVARIANT(sequences(log) == orders, "a stale order changes nothing", "backend", order->order.backend);
     INVARIANT(log.epoch >= epoch, "an epoch never decreases", "from", epoch, "to", log.epoch);
 }
 
