Complete ordered versions on evidence under the load of an instance

Callers saw: v2, which fails half of its requests at the usual load of an instance, was completed after 80% of its time.

Cause: one instance got 7% of the requests, a fifth of the usual load of one, and the next step was all traffic. A completion at 80% by itself gives a version that was not found bad more than the limit. Attempts that ended with the caller's time left no result, streams counted at their first event, and results were kept without the order to which they belong. Ruled out: lost reports (the leader had all 7% without a failure) and the trip of single nodes, which came after the completion.

Change: versions/Rollout decides purely on the reports: base share of 1%, bursts at 1.5 times the load that each instance would carry within what the exposure limit allows, the last one right before the completion at 95% of the time. Requests sent, slow answers, slow streams and callers who leave count. The other versions in the same windows are the baseline, and the node with the most bad results is left out in a second look.

--- a/src/forward/ForwardCall.h
+++ b/src/forward/ForwardCall.h
@@ -81,6 +81,11 @@
     bool silenceCounted = false; ///< The attempt counts as a failure of its upstream.
     TimeMs lastByteAt;
     TimeMs resumeAt; ///< In stage Waiting: start of the next attempt.
+    bool resultRecorded = false; ///< The attempt counts as answered or failed for its version.
+    bool timeRecorded = false; ///< Its time was compared with that of other versions.
+    bool paceRecorded = false; ///< The same for the pace of its stream.
+    TimeMs firstBodyAt; ///< Start of its stream; 0 before.
+    uint64_t bodyBytes = 0; ///< Of its stream, after those that came first.
     bool needsPermit = false; ///< In stage Waiting: the next attempt also needs a retry permit.
 
     // All attempts.
--- a/src/node/ForwardEvents.cpp
+++ b/src/node/ForwardEvents.cpp
@@ -384,6 +384,7 @@
     if (isStreaming(call)) {
         if (call.prefillTokens > 0 || !call.usageRecorded)
             recordFirstEvent(node, call);
+        recordVersionBody(node, call, event.bytes.size());
         if (!call.canResume() && !isEventStream(call.headers))
             return forwardBody(node, call, std::move(event.bytes));
         std::string events = call.events.push(event.bytes);
@@ -413,8 +414,7 @@
     recordUsageOnce(node, call);
     recordCostAtEnd(node, call);
     const bool upstreamError = !call.headForwarded && call.status >= 500;
-    if (!stream)
-        recordVersionResult(node, call, upstreamError);
+    stream ? recordVersionStreamEnd(node, call) : recordVersionResult(node, call, upstreamError);
     if (upstreamError) {
         // Another entry node has tried other upstreams already.
         const bool canSendAgain = !call.relay && call.rule->kind == ForwardKind::Repeatable && call.possibleExecutions < call.rule->attempts && call.deadline - node.now > minSilenceTimeout / 2;
@@ -530,6 +530,7 @@
 {
     if (node.now >= call.deadline) {
         const bool possiblyExecuted = call.possibleExecutions > 0;
+        recordVersionOutOfTime(node, call);
         cancelDispatch(node, call);
         return refuseForward(node, call, possiblyExecuted ? 504 : 503, "out_of_time", "no answer within the time of the request");
     }
@@ -537,6 +538,7 @@
         call.needsPermit = false;
         return startAttempt(node, call);
     }
+    recordVersionProgress(node, call);
     if (!isUnanswered(node, call))
         return;
     if (call.stage == ForwardStage::Sent && !std::exchange(call.silenceRecorded, true)) {
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -307,6 +307,7 @@
     call.silenceCounted = false;
     call.eventsAtSend = call.events.events();
     call.sentAt = node.now;
+    recordVersionSend(node, call);
     UpstreamDispatch dispatch;
     dispatch.dispatch = call.dispatch;
     dispatch.address = std::move(destination.address);
@@ -561,6 +562,7 @@
     if (it == node.forward.calls.end())
         return false;
     ForwardCall& call = *it->second;
+    recordVersionCallerGone(node, call);
     cancelDispatch(node, call);
     endForward(node, call, "caller_gone");
     return true;
--- a/src/node/ForwardState.h
+++ b/src/node/ForwardState.h
@@ -183,17 +183,29 @@
 /// State of this node for the open version orders.
 struct VersionFollowers {
     struct Follower {
-        std::string target;
+        TimeMs seenAt; ///< When this process first saw the order.
         bool tripped = false; ///< This node sends no more requests to the target version.
-        std::map<std::pair<std::string, bool>, VersionCounts> counts; ///< By route and whether the request went to the target version.
+        std::map<std::string, RouteResults> results; ///< By route.
+        std::map<std::string, RouteLimits> limits; ///< By route; as the decision leader has told.
+        UpstreamId burstInstance;
+        double burstShare = 0;
+        TimeMs burstEnd;
         int failuresInRow = 0;
     };
+    struct Led {
+        TimeMs orderedAt;
+        std::string target;
+        Rollout rollout;
+        std::map<NodeId, VersionResults> results; ///< The last of each node.
+    };
 
     std::map<std::string, VersionOrder> orders; ///< In force, by backend.
     std::map<std::string, Follower> followers;
     TimeMs nextReport;
+    TimeMs nextEvidence; ///< Of a report in the form of earlier builds.
     // Used by the decision leader.
-    std::map<NodeId, VersionEvidenceFrame> evidence;
+    std::map<std::string, Led> led; ///< By backend.
+    std::map<NodeId, VersionEvidenceFrame> evidence; ///< Of nodes of earlier builds; without the order to which it belongs.
     std::map<std::string, TimeMs> nextStep; ///< By backend.
     std::set<std::string> recording;
 };
--- a/src/node/PeerMessages.h
+++ b/src/node/PeerMessages.h
@@ -10,6 +10,7 @@
 #include "forward/TargetLimit.h"
 #include "versions/Evidence.h"
 #include "versions/MoveTypes.h"
+#include "versions/Rollout.h"
 #include "wire/Compact.h"
 
 #include <array>
@@ -67,6 +68,8 @@
     SpendingUpdate, ///< From an entry node to its hub: allowance spent.
     DomainSpending, ///< Between hubs: the sum over the sender's failure domain.
     FleetSpending, ///< From a hub to the entry nodes that report to it: allowance spent by failure domain.
+    VersionResults, ///< A VersionResultsFrame from an entry node to the decision leader.
+    VersionBurst, ///< A VersionBurstFrame from the decision leader to all nodes.
 };
 
 template <>
@@ -114,6 +117,8 @@
     { FrameKind::SpendingUpdate, "spending_update" },
     { FrameKind::DomainSpending, "domain_spending" },
     { FrameKind::FleetSpending, "fleet_spending" },
+    { FrameKind::VersionResults, "version_results" },
+    { FrameKind::VersionBurst, "version_burst" },
 });
 
 /// Asks a voter to propose a command; resent with the same request number until answered.
@@ -358,6 +363,39 @@
     void serialize(Archive& archive) { archive(counts, tripped); }
 };
 
+/// Results of the order of one backend on one node. The order is named by its target and time, so that results of an earlier one do not count.
+struct VersionResults {
+    std::string backend;
+    std::string target;
+    TimeMs orderedAt; ///< UTC.
+    bool tripped = false; ///< This node has excluded the target version.
+    std::vector<RouteResults> routes; ///< Since the start of the order.
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(backend, target, orderedAt, tripped, routes); }
+};
+
+struct VersionResultsFrame {
+    std::vector<VersionResults> orders;
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(orders); }
+};
+
+/// The decision leader has one new instance tested under load. Also tells from when on requests count as slow.
+struct VersionBurstFrame {
+    std::string backend;
+    std::string target;
+    TimeMs orderedAt; ///< UTC.
+    UpstreamId instance;
+    double share = 0; ///< Share of the backend's requests; 0: no burst.
+    TimeMs length; ///< From the receipt on.
+    std::map<std::string, RouteLimits> limits; ///< By route.
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(backend, target, orderedAt, instance, share, length, limits); }
+};
+
 constexpr size_t maxForwardLoadBytes = 512 << 10;
 constexpr size_t maxViewBytes = 12 << 20; ///< Decompressed.
 constexpr size_t maxEvidenceBytes = 1 << 20;
--- a/src/node/Peers.cpp
+++ b/src/node/Peers.cpp
@@ -110,6 +110,10 @@
         return receiveLeavingAcknowledged(node, envelope.body);
     case FrameKind::ViewNotice:
         return receiveViewNotice(node, envelope.sender, envelope.body);
+    case FrameKind::VersionResults:
+        return receiveVersionResults(node, envelope.sender, envelope.body);
+    case FrameKind::VersionBurst:
+        return receiveVersionBurst(node, envelope.body);
     case FrameKind::VersionEvidence:
         return receiveVersionEvidence(node, envelope.sender, envelope.body);
     case FrameKind::TableDigest:
--- a/src/node/VersionOrders.cpp
+++ b/src/node/VersionOrders.cpp
@@ -6,36 +6,40 @@
 #include "wire/Codec.h"
 
 #include <algorithm>
-#include <optional>
+#include <cmath>
 
 namespace siskinshunt {
 
-// Share of a backend's requests that goes to the canary while the move is running. A faulty version can fail at any time,
-// so the share stays below the 10% that the platform allows until the move ends.
-static constexpr double canaryShare = 0.07;
-// The move completes after this fraction of its time.
-static constexpr double completionFraction = 0.8;
 static constexpr TimeMs stepInterval { 300 };
 static constexpr TimeMs reportInterval { 300 };
+static constexpr TimeMs evidenceInterval { 900 };
 static constexpr TimeMs recordTimeout { 2000 };
-// A node stops using a version after this many consecutive failures, or after this many in total above this failure rate.
-static constexpr int tripConsecutiveFailures = 3;
-static constexpr uint64_t tripFailures = 5;
+// A node stops using a version after this many consecutive failures, or as many as have less than this probability by the failure rate of
+// the other versions.
+static constexpr int minTripFailures = 3;
+static constexpr int maxTripFailures = 20;
+static constexpr double tripProbability = 1e-4;
+// The same in total, above this rate.
+static constexpr uint32_t tripTotalFailures = 5;
 static constexpr double tripFailureRate = 0.25;
-// The leader rolls back a version that fails this much more often than the old one or is slower by this factor.
-static constexpr uint64_t minRollbackFailures = 4;
-static constexpr double extraFailureRate = 0.08;
-static constexpr uint64_t minLatencySamples = 12;
-static constexpr double maxLatencyRatio = 2.0;
+// A stream shows its pace in this time.
+static constexpr TimeMs paceTime { 2000 };
+// A proposer's clock may be behind; with a clock ahead, the time at which the order was seen is nearer.
+static constexpr TimeMs maxProposalTime { 1000 };
 static constexpr size_t maxEvidenceFrame = 512 << 10;
 
+static bool isSameOrder(const VersionOrder& a, const VersionOrder& b)
+{
+    return a.target == b.target && a.orderedAt == b.orderedAt;
+}
+
 void followVersionOrders(Node& node)
 {
     auto& state = node.versionOrders;
     for (const auto& order : node.view.versionOrders) {
         auto& known = state.orders[order.backend];
-        if (known.target != order.target || known.orderedAt != order.orderedAt)
-            state.followers[order.backend] = { .target = order.target };
+        if (!isSameOrder(known, order))
+            state.followers[order.backend] = { .seenAt = node.now };
         if (known.state != order.state || known.target != order.target)
             addLog(node, LogLevel::Info, "version_order", Step::Order, order.backend, std::string(nameOf(order.state)), { { "target", order.target }, { "sequence", std::to_string(order.sequence) }, { "reason", order.reason } });
         known = order;
@@ -57,21 +61,42 @@
     return order->state == VersionOrderState::RolledBack || (order->state == VersionOrderState::Running && it != node.versionOrders.followers.end() && it->second.tripped);
 }
 
-// The only upstream of the new version that gets requests before the move ends, so that it is tested under load.
+static bool isUsable(const Node& node, const ForwardTarget& target)
+{
+    return !target.leaving && !target.evacuated && !target.addressTaken && node.now >= target.backoffUntil;
+}
+
+// The only upstream of the new version that gets requests before the move ends. One that is still cold would look slow.
 static UpstreamId canaryOf(const Node& node, const VersionOrder& order)
 {
     UpstreamId canary;
+    bool canaryIsCold = true;
     const auto ids = node.forward.targets.byBackend.find(order.backend);
     if (ids == node.forward.targets.byBackend.end())
         return canary;
     for (const UpstreamId id : ids->second) {
         const ForwardTarget& target = node.forward.targets.entries.at(id);
-        if (target.version == order.target && !target.leaving && !target.evacuated && node.now >= target.backoffUntil && (!canary || id < canary))
+        if (target.version != order.target || !isUsable(node, target))
+            continue;
+        const bool cold = isCold(target.limit, node.now);
+        if (!canary || std::pair(cold, id) < std::pair(canaryIsCold, canary)) {
             canary = id;
+            canaryIsCold = cold;
+        }
     }
     return canary;
 }
 
+// During a burst, the instance that the decision leader has named, if this node can use it.
+static UpstreamId testedInstance(Node& node, const VersionOrder& order, const VersionFollowers::Follower& follower)
+{
+    const bool bursting = node.now < follower.burstEnd;
+    if (!node.random.chance(bursting ? follower.burstShare : rolloutBaseShare))
+        return {};
+    const ForwardTarget* named = bursting ? findTarget(node.forward.targets, follower.burstInstance) : nullptr;
+    return named && named->version == order.target && isUsable(node, *named) ? named->id : canaryOf(node, order);
+}
+
 std::function<bool(const ForwardTarget&)> versionFilter(Node& node, const ForwardCall& call)
 {
     const VersionOrder* order = orderOf(node, call.backend);
@@ -79,121 +104,267 @@
         return nullptr;
     if (order->state == VersionOrderState::Completed)
         return [target = order->target](const ForwardTarget& it) { return it.version == target; };
-    const bool excluded = order->state == VersionOrderState::RolledBack || node.versionOrders.followers[call.backend].tripped;
-    const UpstreamId canary = !excluded && node.random.chance(canaryShare) ? canaryOf(node, *order) : UpstreamId {};
-    if (canary)
-        return [canary](const ForwardTarget& it) { return it.id == canary; };
+    const auto& follower = node.versionOrders.followers[call.backend];
+    const bool excluded = order->state == VersionOrderState::RolledBack || follower.tripped;
+    if (const UpstreamId tested = excluded ? UpstreamId {} : testedInstance(node, *order, follower))
+        return [tested](const ForwardTarget& it) { return it.id == tested; };
     return [target = order->target](const ForwardTarget& it) { return it.version != target; };
 }
 
-void recordVersionResult(Node& node, const ForwardCall& call, bool failed)
+namespace {
+
+    // Where the results of an attempt count.
+    struct ResultPlace {
+        VersionFollowers::Follower* follower = nullptr; ///< Null if no order is running.
+        RolloutCounts* counts = nullptr;
+        RouteLimits limits;
+        const VersionOrder* order = nullptr;
+        bool isTargetVersion = false;
+    };
+
+}
+
+static ResultPlace placeOf(Node& node, const ForwardCall& call)
 {
+    auto& state = node.versionOrders;
+    if (state.orders.empty() || call.relay)
+        return {};
     const VersionOrder* order = orderOf(node, call.backend);
     const ForwardTarget* target = findTarget(node.forward.targets, call.target);
     if (!order || order->state != VersionOrderState::Running || !target)
-        return;
-    auto& follower = node.versionOrders.followers[call.backend];
+        return {};
+    auto& follower = state.followers[call.backend];
+    // What was sent before the order did not come under its shares.
+    if (call.sentAt < follower.seenAt)
+        return {};
+    auto& results = follower.results[call.rule->name];
+    results.route = call.rule->name;
     const bool isTargetVersion = target->version == order->target;
-    auto& counts = follower.counts[{ call.rule->name, isTargetVersion }];
-    counts.backend = call.backend;
-    counts.route = call.rule->name;
-    counts.target = isTargetVersion;
-    ++counts.answers;
-    counts.failures += failed;
-    counts.milliseconds += static_cast<double>((node.now - call.sentAt).value);
-    if (!isTargetVersion)
+    const auto limits = follower.limits.find(call.rule->name);
+    // An upstream that is still cold is slow for another reason than its version.
+    const bool timed = limits != follower.limits.end() && !isCold(target->limit, node.now);
+    return { &follower, isTargetVersion ? &results.after : &results.before, timed ? limits->second : RouteLimits {}, order, isTargetVersion };
+}
+
+void recordVersionSend(Node& node, ForwardCall& call)
+{
+    call.resultRecorded = call.timeRecorded = call.paceRecorded = false;
+    call.firstBodyAt = {};
+    call.bodyBytes = 0;
+    if (const auto place = placeOf(node, call); place.follower)
+        ++place.counts->started;
+}
+
+static void recordTime(const ResultPlace& place, ForwardCall& call, bool slow)
+{
+    if (!place.limits.answer || std::exchange(call.timeRecorded, true))
         return;
+    ++place.counts->timed;
+    place.counts->slow += slow;
+}
+
+static int tripFailures(const RolloutCounts& before)
+{
+    const double rate = (before.failures + 1.0) / (before.ended + 10.0);
+    return std::clamp(static_cast<int>(std::ceil(std::log(tripProbability) / std::log(std::min(rate, 0.99)))), minTripFailures, maxTripFailures);
+}
+
+static void tripIfBad(Node& node, const ForwardCall& call, const ResultPlace& place, bool failed)
+{
+    auto& follower = *place.follower;
+    const RolloutCounts& before = follower.results[call.rule->name].before;
+    const RolloutCounts& after = *place.counts;
     follower.failuresInRow = failed ? follower.failuresInRow + 1 : 0;
-    const bool aboveFailureRate = counts.failures >= tripFailures && static_cast<double>(counts.failures) > tripFailureRate * static_cast<double>(counts.answers);
-    if (follower.tripped || (follower.failuresInRow < tripConsecutiveFailures && !aboveFailureRate))
+    const double usualRate = (before.failures + 1.0) / (before.ended + 10.0);
+    const bool aboveFailureRate = after.failures >= tripTotalFailures && after.failures > (tripFailureRate + 2 * usualRate) * after.ended;
+    if (follower.tripped || (follower.failuresInRow < tripFailures(before) && !aboveFailureRate))
         return;
     follower.tripped = true;
     node.versionOrders.nextReport = node.now;
-    addLog(node, LogLevel::Warning, "version_tripped", Step::Route, call.backend, "this node stopped using the new version", { { "target", order->target }, { "route", call.rule->name }, { "failures", std::to_string(counts.failures) }, { "answers", std::to_string(counts.answers) } });
+    addLog(node, LogLevel::Warning, "version_tripped", Step::Route, call.backend, "this node stopped using the new version", { { "target", place.order->target }, { "route", call.rule->name }, { "failures", std::to_string(after.failures) }, { "answers", std::to_string(after.ended) } });
 }
 
-static VersionEvidenceFrame localEvidence(const Node& node)
+void recordVersionResult(Node& node, ForwardCall& call, bool failed)
 {
-    VersionEvidenceFrame frame;
+    const auto place = placeOf(node, call);
+    if (!place.follower)
+        return;
+    const bool first = !std::exchange(call.resultRecorded, true);
+    // A stream that has begun can still fail.
+    if (!first && !failed)
+        return;
+    const auto waited = static_cast<float>((node.now - call.sentAt).value);
+    place.counts->ended += first;
+    place.counts->failures += failed;
+    if (first)
+        place.counts->milliseconds += waited;
+    if (first && !failed)
+        recordTime(place, call, waited > place.limits.answer);
+    if (place.isTargetVersion)
+        tripIfBad(node, call, place, failed);
+}
+
+void recordVersionOutOfTime(Node& node, ForwardCall& call)
+{
+    if (!call.dispatch || call.stage == ForwardStage::Connecting)
+        return;
+    if (!call.resultRecorded)
+        return recordVersionResult(node, call, true);
+    recordVersionStreamEnd(node, call);
+}
+
+void recordVersionCallerGone(Node& node, ForwardCall& call)
+{
+    if (!call.dispatch || call.stage == ForwardStage::Connecting)
+        return;
+    if (call.resultRecorded)
+        return recordVersionStreamEnd(node, call);
+    const auto place = placeOf(node, call);
+    if (!place.follower)
+        return;
+    const auto usual = place.limits.answer > 0 ? static_cast<double>(place.limits.answer) : static_cast<double>(call.rule->target.value);
+    if (static_cast<double>((node.now - call.sentAt).value) > usual)
+        recordVersionResult(node, call, true);
+}
+
+static void recordPace(const ResultPlace& place, ForwardCall& call, TimeMs now)
+{
+    const TimeMs lasted = now - call.firstBodyAt;
+    if (lasted <= TimeMs {} || std::exchange(call.paceRecorded, true))
+        return;
+    const float pace = static_cast<float>(lasted.value) / static_cast<float>(std::max<uint64_t>(1, call.bodyBytes));
+    ++place.counts->paced;
+    place.counts->pace += pace;
+    if (!place.limits.pace)
+        return;
+    ++place.counts->comparedPaces;
+    place.counts->slowPaces += pace > place.limits.pace;
+}
+
+void recordVersionBody(Node& node, ForwardCall& call, size_t bytes)
+{
+    if (!call.firstBodyAt.value) {
+        call.firstBodyAt = node.now;
+        return;
+    }
+    call.bodyBytes += bytes;
+}
+
+void recordVersionStreamEnd(Node& node, ForwardCall& call)
+{
+    const auto place = placeOf(node, call);
+    // A stream of one event has no pace.
+    if (place.follower && call.firstBodyAt.value && call.bodyBytes)
+        recordPace(place, call, node.now);
+}
+
+void recordVersionProgress(Node& node, ForwardCall& call)
+{
+    if (!call.dispatch || call.stage == ForwardStage::Connecting || (call.timeRecorded && call.paceRecorded))
+        return;
+    const auto place = placeOf(node, call);
+    if (!place.follower)
+        return;
+    if (!call.resultRecorded && place.limits.answer > 0 && static_cast<float>((node.now - call.sentAt).value) > place.limits.answer)
+        recordTime(place, call, true);
+    if (call.firstBodyAt.value && node.now - call.firstBodyAt >= paceTime)
+        recordPace(place, call, node.now);
+}
+
+static VersionResultsFrame ownResults(const Node& node)
+{
+    VersionResultsFrame frame;
     for (const auto& [backend, follower] : node.versionOrders.followers) {
         const VersionOrder* order = orderOf(node, backend);
-        if (!order || order->state != VersionOrderState::Running)
+        if (!order || order->state != VersionOrderState::Running || follower.results.empty())
             continue;
-        for (const auto& [key, counts] : follower.counts)
-            frame.counts.push_back(counts);
-        if (follower.tripped)
-            frame.tripped.push_back(backend);
+        VersionResults results { .backend = backend, .target = order->target, .orderedAt = order->orderedAt, .tripped = follower.tripped, .routes = {} };
+        for (const auto& [route, counts] : follower.results)
+            results.routes.push_back(counts);
+        frame.orders.push_back(std::move(results));
     }
     return frame;
 }
 
-static void reportEvidence(Node& node)
+// For a decision leader of an earlier build.
+static VersionEvidenceFrame evidenceOf(const VersionResultsFrame& results)
 {
-    if (node.now < node.versionOrders.nextReport)
+    VersionEvidenceFrame frame;
+    for (const auto& order : results.orders) {
+        for (const auto& route : order.routes) {
+            for (const bool isTarget : { false, true }) {
+                const RolloutCounts& counts = isTarget ? route.after : route.before;
+                frame.counts.push_back({ .backend = order.backend, .route = route.route, .target = isTarget, .answers = counts.ended, .failures = counts.failures, .milliseconds = static_cast<double>(counts.milliseconds) });
+            }
+        }
+        if (order.tripped)
+            frame.tripped.push_back(order.backend);
+    }
+    return frame;
+}
+
+static void reportResults(Node& node)
+{
+    auto& state = node.versionOrders;
+    if (node.now < state.nextReport)
         return;
-    node.versionOrders.nextReport = node.now + reportInterval;
-    const auto frame = localEvidence(node);
+    state.nextReport = node.now + reportInterval;
+    const auto frame = ownResults(node);
     const NodeId leader = decisionLeader(node);
-    if (frame.counts.empty() || !leader || leader == node.self)
+    if (frame.orders.empty() || !leader || leader == node.self)
         return;
-    sendFrame(node, leader, FrameKind::VersionEvidence, {}, encode(frame));
+    sendFrame(node, leader, FrameKind::VersionResults, {}, encode(frame));
+    if (node.now < state.nextEvidence)
+        return;
+    state.nextEvidence = node.now + evidenceInterval;
+    sendFrame(node, leader, FrameKind::VersionEvidence, {}, encode(evidenceOf(frame)));
 }
 
-void receiveVersionEvidence(Node& node, NodeId from, std::string_view body)
+static void addResults(Node& node, NodeId from, VersionResults results)
 {
-    node.versionOrders.evidence[from] = decodeOr<VersionEvidenceFrame>(body, maxEvidenceFrame);
+    const auto it = node.versionOrders.led.find(results.backend);
+    // Results of an order that has ended say nothing of the next one.
+    if (it == node.versionOrders.led.end() || it->second.target != results.target || it->second.orderedAt != results.orderedAt)
+        return;
+    it->second.results[from] = std::move(results);
 }
 
-namespace {
-
-    struct Sums {
-        VersionCounts before;
-        VersionCounts after;
-    };
-
+void receiveVersionResults(Node& node, NodeId from, std::string_view body)
+{
+    auto frame = decodeOr<VersionResultsFrame>(body, maxEvidenceFrame);
+    for (auto& results : frame.orders)
+        addResults(node, from, std::move(results));
 }
 
-static void addCounts(VersionCounts& sum, const VersionCounts& counts)
+void receiveVersionEvidence(Node& node, NodeId from, std::string_view body)
 {
-    sum.answers += counts.answers;
-    sum.failures += counts.failures;
-    sum.milliseconds += counts.milliseconds;
+    if (node.leadsDecisions)
+        node.versionOrders.evidence[from] = decodeOr<VersionEvidenceFrame>(body, maxEvidenceFrame);
 }
 
-// Compares the counts of both versions; returns the fault of the new one, if any.
-static std::optional<std::string> findFault(const Sums& sums)
+void receiveVersionBurst(Node& node, std::string_view body)
 {
-    const auto rate = [](const VersionCounts& it) { return it.answers ? static_cast<double>(it.failures) / static_cast<double>(it.answers) : 0; };
-    const auto mean = [](const VersionCounts& it) { return it.answers ? it.milliseconds / static_cast<double>(it.answers) : 0; };
-    if (sums.after.failures >= minRollbackFailures && rate(sums.after) > 2 * rate(sums.before) + extraFailureRate)
-        return "fails more often: " + std::to_string(sums.after.failures) + " of " + std::to_string(sums.after.answers);
-    if (sums.after.answers >= minLatencySamples && sums.before.answers >= minLatencySamples && mean(sums.after) > maxLatencyRatio * mean(sums.before))
-        return "is slower: " + std::to_string(static_cast<int64_t>(mean(sums.after))) + " ms against " + std::to_string(static_cast<int64_t>(mean(sums.before)));
-    return std::nullopt;
+    const auto frame = decodeOr<VersionBurstFrame>(body, maxEvidenceFrame);
+    const VersionOrder* order = orderOf(node, frame.backend);
+    if (!order || order->state != VersionOrderState::Running || order->target != frame.target || order->orderedAt != frame.orderedAt)
+        return;
+    auto& follower = node.versionOrders.followers[frame.backend];
+    follower.limits = frame.limits;
+    if (!(frame.share > 0))
+        return;
+    follower.burstInstance = frame.instance;
+    follower.burstShare = std::min(1.0, frame.share);
+    follower.burstEnd = node.now + std::clamp(frame.length, TimeMs {}, TimeMs { 10000 });
 }
 
-static std::optional<std::string> findBackendFault(const Node& node, const std::string& backend)
+static void spreadBurst(Node& node, const VersionOrder& order, const VersionFollowers::Led& led, const RolloutDecision& decision)
 {
-    std::map<std::string, Sums> routes;
-    Sums all;
-    const auto addFrame = [&](const VersionEvidenceFrame& frame) {
-        for (const auto& counts : frame.counts) {
-            if (counts.backend != backend)
-                continue;
-            addCounts(counts.target ? routes[counts.route].after : routes[counts.route].before, counts);
-            addCounts(counts.target ? all.after : all.before, counts);
-        }
-    };
-    for (const auto& [from, frame] : node.versionOrders.evidence) {
-        addFrame(frame);
-        if (std::find(frame.tripped.begin(), frame.tripped.end(), backend) != frame.tripped.end())
-            return "a node stopped using it after failures";
-    }
-    for (const auto& [route, sums] : routes) {
-        if (auto fault = findFault(sums))
-            return "on route " + route + ": " + *fault;
+    const std::string body = encode(VersionBurstFrame { .backend = order.backend, .target = order.target, .orderedAt = order.orderedAt, .instance = canaryOf(node, order), .share = decision.share, .length = decision.length, .limits = led.rollout.limits });
+    for (const auto& [id, member] : node.membership.members) {
+        if (id != node.self && isAlive(node.membership, id))
+            sendFrame(node, id, FrameKind::VersionBurst, {}, body);
     }
-    return findFault(all);
+    receiveVersionBurst(node, body);
 }
 
 static void recordState(Node& node, VersionOrder order, VersionOrderState state, std::string reason)
@@ -207,29 +378,83 @@
         [backend = order.backend](Node& node, bool, const std::string&) { node.versionOrders.recording.erase(backend); });
 }
 
+static VersionFollowers::Led& ledOrder(Node& node, const VersionOrder& order)
+{
+    auto& led = node.versionOrders.led[order.backend];
+    if (led.target == order.target && led.orderedAt == order.orderedAt)
+        return led;
+    const auto follower = node.versionOrders.followers.find(order.backend);
+    const TimeMs seenAt = follower == node.versionOrders.followers.end() ? node.now : follower->second.seenAt;
+    led = { .orderedAt = order.orderedAt, .target = order.target, .rollout = startRollout(std::min(seenAt, order.orderedAt + maxProposalTime), order.within), .results = {} };
+    // Evidence in the form of earlier builds does not name its order.
+    node.versionOrders.evidence.clear();
+    return led;
+}
+
+static void addEarlierBuilds(const Node& node, const std::string& backend, RolloutReports& reports)
+{
+    for (const auto& [from, frame] : node.versionOrders.evidence) {
+        if (reports.nodes.contains(from))
+            continue;
+        std::map<std::string, RouteResults> routes;
+        for (const auto& it : frame.counts) {
+            if (it.backend != backend)
+                continue;
+            auto& counts = it.target ? routes[it.route].after : routes[it.route].before;
+            counts.started = counts.ended = static_cast<uint32_t>(it.answers);
+            counts.failures = static_cast<uint32_t>(it.failures);
+            counts.milliseconds = static_cast<float>(it.milliseconds);
+            routes[it.route].route = it.route;
+        }
+        for (auto& [route, results] : routes)
+            reports.nodes[from].push_back(std::move(results));
+    }
+}
+
+static RolloutReports reportsOf(const Node& node, const VersionOrder& order, const VersionFollowers::Led& led)
+{
+    RolloutReports reports;
+    for (const auto& [from, results] : led.results)
+        reports.nodes[from] = results.routes;
+    addEarlierBuilds(node, order.backend, reports);
+    const auto ids = node.forward.targets.byBackend.find(order.backend);
+    if (ids == node.forward.targets.byBackend.end())
+        return reports;
+    for (const UpstreamId id : ids->second) {
+        const ForwardTarget& target = node.forward.targets.entries.at(id);
+        if (isUsable(node, target))
+            ++(target.version == order.target ? reports.newInstances : reports.oldInstances);
+    }
+    return reports;
+}
+
 static void stepOrder(Node& node, const VersionOrder& order)
 {
     if (order.state != VersionOrderState::Running || node.versionOrders.recording.contains(order.backend))
         return;
-    if (const auto fault = findBackendFault(node, order.backend))
-        return recordState(node, order, VersionOrderState::RolledBack, *fault);
-    const double elapsedFraction = static_cast<double>((node.now - order.orderedAt).value) / static_cast<double>(std::max<int64_t>(1, order.within.value));
-    if (elapsedFraction < completionFraction)
-        return;
-    if (canaryOf(node, order))
-        return recordState(node, order, VersionOrderState::Completed, "no fault was found in the time given");
-    if (elapsedFraction >= 1)
-        recordState(node, order, VersionOrderState::RolledBack, "no upstream of the version takes requests");
+    auto& led = ledOrder(node, order);
+    for (auto& results : ownResults(node).orders)
+        addResults(node, node.self, std::move(results));
+    const auto& forward = node.options.settings.forward;
+    const auto decision = stepRollout(led.rollout, reportsOf(node, order, led), { .exposureShare = forward.exposureShare, .exposureExtra = forward.exposureExtra }, node.now);
+    if (decision.action == RolloutAction::Burst)
+        addLog(node, LogLevel::Info, "version_burst", Step::Order, order.backend, decision.reason, { { "target", order.target }, { "share", std::to_string(decision.share) }, { "ms", std::to_string(decision.length.value) }, { "sent_before", std::to_string(led.rollout.startedAfter) }, { "of", std::to_string(led.rollout.started) } });
+    if (decision.action == RolloutAction::Burst || std::exchange(led.rollout.limitsChanged, false))
+        spreadBurst(node, order, led, decision);
+    if (decision.action == RolloutAction::Complete)
+        recordState(node, order, VersionOrderState::Completed, decision.reason);
+    if (decision.action == RolloutAction::RollBack)
+        recordState(node, order, VersionOrderState::RolledBack, decision.reason);
 }
 
 void tickVersionOrders(Node& node)
 {
-    reportEvidence(node);
+    reportResults(node);
     if (!node.leadsDecisions || !node.leader.epoch) {
         node.versionOrders.evidence.clear();
+        node.versionOrders.led.clear();
         return;
     }
-    node.versionOrders.evidence[node.self] = localEvidence(node);
     for (const auto& [backend, order] : node.decisionLog.versionOrders) {
         auto& next = node.versionOrders.nextStep[backend];
         if (node.now < next)
--- a/src/node/VersionOrders.h
+++ b/src/node/VersionOrders.h
@@ -12,10 +12,27 @@
 std::function<bool(const ForwardTarget&)> versionFilter(Node&, const ForwardCall&);
 /// Whether requests are not routed to the upstream's version.
 bool isVersionExcluded(const Node&, const ForwardTarget&);
-/// Records the result of an attempt for the version of its upstream.
-void recordVersionResult(Node&, const ForwardCall&, bool failed);
-/// Reports evidence to the decision leader; as the leader, steps the orders.
+
+// Results of an attempt for the version of its upstream, while an order of its backend is running. Each attempt counts once.
+
+/// The attempt is sent.
+void recordVersionSend(Node&, ForwardCall&);
+/// The attempt was answered, or its stream has begun; or it failed.
+void recordVersionResult(Node&, ForwardCall&, bool failed);
+/// The time of the request is over.
+void recordVersionOutOfTime(Node&, ForwardCall&);
+/// The caller has left: a failure if it had waited for longer than answers take.
+void recordVersionCallerGone(Node&, ForwardCall&);
+/// Bytes of the stream have arrived.
+void recordVersionBody(Node&, ForwardCall&, size_t bytes);
+void recordVersionStreamEnd(Node&, ForwardCall&);
+/// Counts attempts that are slow before they end.
+void recordVersionProgress(Node&, ForwardCall&);
+
+/// Reports results to the decision leader; as the leader, steps the orders.
 void tickVersionOrders(Node&);
+void receiveVersionResults(Node&, NodeId from, std::string_view body);
+void receiveVersionBurst(Node&, std::string_view body);
 void receiveVersionEvidence(Node&, NodeId from, std::string_view body);
 
 }
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -97,6 +97,8 @@
         item.number("retry_ratio", settings.forward.retryRatio, 0, 10);
         item.number("retry_extra", settings.forward.retryExtra, 0, 1e9);
         item.duration("retry_window_ms", settings.forward.retryWindow, 100, 3600000);
+        item.number("exposure_share", settings.forward.exposureShare, 0, 1);
+        item.number("exposure_extra", settings.forward.exposureExtra, 0, 1e9);
         item.number("allowance_slack", settings.forward.allowanceSlack, 0, 1e12);
     });
     reader.object("duties", [&](SettingsReader& item) {
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -77,6 +77,8 @@
     double retryRatio = 0.2; ///< Retries per request, by backend.
     double retryExtra = 20; ///< Additional retries per window.
     TimeMs retryWindow { 10000 };
+    double exposureShare = 0.1; ///< Share of a backend's requests that a faulty version may get until the time limit of its order.
+    double exposureExtra = 50; ///< Additional requests.
     double allowanceSlack = 0; ///< Tokens that an account can use beyond its allowance in a window.
 };
 
--- /dev/null
+++ b/tests/node/VersionOrderTest.cpp
@@ -0,0 +1,160 @@
+#include "FleetFixture.h"
+#include "ForwardFixture.h"
+
+#include <deque>
+
+namespace siskinshunt {
+
+namespace {
+
+    // Entry nodes under load and two versions of a backend; the callers wait for a second.
+    struct VersionFleet {
+        explicit VersionFleet(uint64_t seed = 1)
+            : fleet(makeOptions(seed))
+        {
+            for (int n = 0; n < 3; ++n)
+                fleet.addUpstream("desk-" + std::to_string(n), UpstreamKind::Service, "desk", "lhr-depot");
+            startForwardFleet(fleet);
+            fleet.forwardAnswer = [this](size_t, const UpstreamDispatch& dispatch) -> std::optional<HttpHeaders> {
+                const auto& version = fleet.upstreams.at(dispatch.address).announced.version;
+                ++all;
+                if (version == target) {
+                    ++sent;
+                    arrivals[dispatch.address].push_back(fleet.now);
+                }
+                return HttpHeaders { { names.requestId, dispatch.idValue }, { names.receipt, "proof" } };
+            };
+            fleet.forwardStatus = [this](const UpstreamDispatch& dispatch) -> uint16_t {
+                return fleet.upstreams.at(dispatch.address).announced.version == target && fails && fails(dispatch.address) ? 500 : 200;
+            };
+            fleet.runFor(3_s);
+        }
+
+        static NodeFleetOptions makeOptions(uint64_t seed)
+        {
+            auto options = forwardFleetOptions(4, 5);
+            options.seed = seed;
+            options.dialect = makeFleetDialect();
+            return options;
+        }
+
+        void addVersion(const std::string& version)
+        {
+            for (int n = 0; n < 3; ++n) {
+                const std::string name = "desk-" + version + "-" + std::to_string(n);
+                fleet.addUpstream(name, UpstreamKind::Service, "desk", "lhr-depot");
+                fleet.upstream(name).announced.version = version;
+            }
+        }
+
+        void order(const std::string& version)
+        {
+            target = version;
+            const auto call = fleet.post(0, { "POST", "/versions/desk/" + version, {}, {} }, ListenerKind::Control);
+            BOOST_REQUIRE(waitFor(fleet, call, 2_s));
+            BOOST_REQUIRE_EQUAL(fleet.caller(call).status, 200U);
+            addVersion(version);
+            all = sent = 0;
+        }
+
+        // Sixty requests a second on the average.
+        void run(TimeMs duration)
+        {
+            for (const TimeMs end = fleet.now + duration; fleet.now < end; fleet.runFor(10_ms)) {
+                for (size_t n = 5; n < fleet.nodes.size(); ++n) {
+                    if (fleet.random.chance(0.15))
+                        fleet.post(n, { "POST", "/book/1", { { "Host", "h" }, { names.requestId, "r" + std::to_string(++requests) }, { names.timeLeft, "1000" } }, "b" }, ListenerKind::Forward);
+                }
+            }
+        }
+
+        // Whether the instance got the usual load of one in the last second.
+        bool isLoaded(const std::string& address)
+        {
+            auto& times = arrivals[address];
+            while (!times.empty() && fleet.now - times.front() > 1_s)
+                times.pop_front();
+            return times.size() >= 20;
+        }
+
+        VersionOrderState state()
+        {
+            return fleet.nodes[fleet.decisionLeader()].node->decisionLog.versionOrders.at("desk").state;
+        }
+
+        // The rule of the platform: a tenth of the requests until the time limit, and 50.
+        void checkExposure() const { BOOST_CHECK_MESSAGE(static_cast<double>(sent) <= 0.1 * static_cast<double>(all) + 50, sent << " of " << all << " requests went to the bad version"); }
+
+        NodeFleet fleet;
+        HeaderNames names;
+        std::string target;
+        std::function<bool(const std::string& address)> fails;
+        std::map<std::string, std::deque<TimeMs>> arrivals;
+        uint64_t all = 0;
+        uint64_t sent = 0;
+        uint64_t requests = 0;
+    };
+
+}
+
+BOOST_AUTO_TEST_SUITE(VersionOrders)
+
+// Guards against a version that is completed on the evidence of a small share: it fails at the usual load of an instance.
+BOOST_AUTO_TEST_CASE(VersionThatFailsUnderLoadIsTakenBack)
+{
+    VersionFleet it;
+    it.run(2_s);
+    it.fails = [&](const std::string& address) { return it.isLoaded(address) && it.fleet.random.chance(0.5); };
+    it.order("v2");
+    it.run(20_s);
+    BOOST_CHECK_EQUAL(nameOf(it.state()), "rolled_back");
+    it.checkExposure();
+}
+
+// Guards against a sound version that is not completed in time, also right after a bad one: its results were counted for the next.
+BOOST_AUTO_TEST_CASE(SoundVersionIsCompletedAfterABadOne)
+{
+    VersionFleet it;
+    it.run(2_s);
+    it.fails = [&](const std::string&) { return it.target == "v2" && it.fleet.random.chance(0.6); };
+    it.order("v2");
+    it.run(8_s);
+    BOOST_CHECK_EQUAL(nameOf(it.state()), "rolled_back");
+    it.order("v3");
+    it.run(20_s);
+    BOOST_CHECK_EQUAL(nameOf(it.state()), "completed");
+}
+
+// Guards against a version without evidence because its answers come later than callers wait.
+BOOST_AUTO_TEST_CASE(VersionThatAnswersTooLateIsTakenBack)
+{
+    VersionFleet it;
+    it.run(2_s);
+    it.order("v2");
+    for (int n = 0; n < 3; ++n)
+        it.fleet.upstream("desk-v2-" + std::to_string(n)).latency = 1200_ms;
+    it.run(20_s);
+    BOOST_CHECK_EQUAL(nameOf(it.state()), "rolled_back");
+    it.checkExposure();
+}
+
+// Guards against evidence and shares that are lost with the decision leader.
+BOOST_AUTO_TEST_CASE(LeaderChangeDuringAnOrder)
+{
+    for (const bool bad : { false, true }) {
+        VersionFleet it;
+        it.run(2_s);
+        it.fails = [&](const std::string& address) { return bad && it.isLoaded(address) && it.fleet.random.chance(0.5); };
+        it.order("v2");
+        it.run(4_s);
+        it.fleet.kill(it.fleet.decisionLeader(), false);
+        it.run(16_s);
+        BOOST_CHECK_EQUAL(nameOf(it.state()), bad ? "rolled_back" : "completed");
+        if (bad)
+            it.checkExposure();
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
--- /dev/null
+++ b/tests/versions/RolloutTest.cpp
@@ -0,0 +1,82 @@
+#include "RolloutModel.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace siskinshunt;
+
+static constexpr int seeds = 200;
+
+static void check(const char* name, const RolloutRates& rates)
+{
+    BOOST_TEST_MESSAGE(name << ": completed " << rates.completed << ", rolled back " << rates.rolledBack << ", over the exposure limit " << rates.overExposed << " of " << rates.runs
+                            << "; bad answers " << static_cast<double>(rates.bad) / rates.runs << " a run, at most " << rates.most << " requests to the new version");
+}
+
+static void checkGood(const char* name, const RolloutScenario& scenario)
+{
+    const auto rates = runRollouts(scenario, seeds);
+    check(name, rates);
+    // 1 in 100 may be taken back, as for the moves of the product's own rules.
+    BOOST_TEST(rates.rolledBack <= seeds / 100, name);
+    BOOST_TEST(rates.completed >= seeds - seeds / 100, name);
+}
+
+static void checkBad(const char* name, const RolloutScenario& scenario)
+{
+    const auto rates = runRollouts(scenario, seeds);
+    check(name, rates);
+    BOOST_TEST(rates.rolledBack >= seeds - seeds / 100, name);
+    BOOST_TEST(rates.overExposed == 0, name);
+}
+
+BOOST_AUTO_TEST_SUITE(Rollouts)
+
+// Guards against a sound version that is taken back, or completed after its time limit.
+BOOST_AUTO_TEST_CASE(SoundVersionIsCompletedInTime)
+{
+    checkGood("sound", {});
+    checkGood("sound, 12 s", { .within = 12_s });
+    checkGood("sound, 500 a second", { .perSecond = 500, .oldInstances = 12, .newInstances = 12 });
+    checkGood("sound, 6 a second", { .perSecond = 6 });
+    checkGood("sound, 1 a second", { .perSecond = 1 });
+    checkGood("sound, one instance", { .oldInstances = 1, .newInstances = 1 });
+    checkGood("sound, fewer new instances", { .oldInstances = 6, .newInstances = 2 });
+}
+
+// Guards against a sound version that is taken back for what hits the others as well, or the path of one node only.
+BOOST_AUTO_TEST_CASE(SoundVersionIsCompletedInSpiteOfTrouble)
+{
+    checkGood("sound, outages", { .trouble = RolloutTrouble::Outage });
+    checkGood("sound, lossy path", { .trouble = RolloutTrouble::LossyPath });
+    checkGood("sound, failing backend", { .trouble = RolloutTrouble::BusyBackend });
+}
+
+// Guards against a bad version that is completed, or that gets more than a tenth of the requests and 50 before the time limit.
+BOOST_AUTO_TEST_CASE(BadVersionIsTakenBackWithinTheExposureLimit)
+{
+    checkBad("fails at once", { .fault = RolloutFault::AtOnce });
+    checkBad("fails at once, 3 of 10", { .fault = RolloutFault::AtOnce, .failureRate = 0.3 });
+    checkBad("fails late", { .fault = RolloutFault::Late });
+    checkBad("fails under load", { .fault = RolloutFault::UnderLoad });
+    checkBad("fails under load, 12 s", { .fault = RolloutFault::UnderLoad, .within = 12_s });
+    checkBad("fails under load, 500 a second", { .fault = RolloutFault::UnderLoad, .perSecond = 500, .oldInstances = 12, .newInstances = 12 });
+    checkBad("slow", { .fault = RolloutFault::Slow });
+    checkBad("slower than callers wait", { .fault = RolloutFault::Silent });
+    checkBad("slow streams", { .fault = RolloutFault::SlowStreams });
+}
+
+// Guards against a fault of one route that the results of the others hide.
+BOOST_AUTO_TEST_CASE(BadRouteIsFound)
+{
+    checkBad("fails on one route of ten", { .fault = RolloutFault::OneRoute, .perSecond = 200, .oldInstances = 4, .newInstances = 4 });
+}
+
+// Guards against faults that trouble hides.
+BOOST_AUTO_TEST_CASE(BadVersionIsTakenBackInSpiteOfTrouble)
+{
+    checkBad("fails at once, outages", { .fault = RolloutFault::AtOnce, .trouble = RolloutTrouble::Outage });
+    checkBad("fails under load, lossy path", { .fault = RolloutFault::UnderLoad, .trouble = RolloutTrouble::LossyPath });
+    checkBad("fails at once, failing backend", { .fault = RolloutFault::AtOnce, .trouble = RolloutTrouble::BusyBackend });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
