Send an ordered version a few requests early

Change: about ten requests at a share of 10% after the first second, then 0.5%; bursts from a fifth of the time on.

--- a/src/versions/Rollout.cpp
+++ b/src/versions/Rollout.cpp
@@ -18,7 +18,12 @@
 static constexpr TimeMs minBurstLength { 300 };
 // Time in which the results of a burst have been reported.
 static constexpr TimeMs settleTime { 700 };
-static constexpr double firstBurstFraction = 0.25;
+// The first requests come soon and without load, so that a version that fails always is found with few of them.
+static constexpr TimeMs probeDelay { 1000 };
+static constexpr double probeShare = 0.1;
+static constexpr double probeRequests = 10;
+static constexpr TimeMs maxProbeLength { 3000 };
+static constexpr double firstBurstFraction = 0.2;
 static constexpr double burstPauseFraction = 0.15;
 // Part of the exposure limit that is planned with: requests are counted when they have been sent, and reported later.
 static constexpr double plannedExposure = 0.95;
@@ -321,8 +326,19 @@
     return { .left = limit - static_cast<double>(rollout.startedAfter) - reserved, .burst = share * rollout.perMs, .share = share };
 }
 
+static RolloutDecision startProbe(Rollout& rollout, TimeMs now)
+{
+    if (now < rollout.startedAt + probeDelay || rollout.perMs <= 0)
+        return {};
+    rollout.probed = true;
+    const TimeMs length { static_cast<int64_t>(std::min(probeRequests / (probeShare * rollout.perMs), 1e9)) };
+    rollout.burstEnd = now + std::clamp(length, minBurstLength, maxProbeLength);
+    return { .action = RolloutAction::Burst, .share = probeShare, .length = rollout.burstEnd - now, .reason = "first requests to one new instance" };
+}
+
 static RolloutDecision startBurst(Rollout& rollout, const Budget& budget, TimeMs length, TimeMs now)
 {
+    rollout.burst = rollout.probed = true;
     rollout.burstEnd = now + length;
     rollout.testedRecently.clear();
     return { .action = RolloutAction::Burst, .share = budget.share, .length = length, .reason = "one new instance gets the load that each of them would carry" };
@@ -337,9 +353,11 @@
             return startBurst(rollout, budget, std::clamp(affordable(budget.left), minBurstLength, lastBurstLength), now);
         return {};
     }
+    if (!rollout.probed)
+        return startProbe(rollout, now);
     const TimeMs first = rollout.startedAt + TimeMs { static_cast<int64_t>(firstBurstFraction * static_cast<double>(rollout.within.value)) };
     const TimeMs pause { static_cast<int64_t>(burstPauseFraction * static_cast<double>(rollout.within.value)) };
-    const TimeMs next = rollout.burstEnd.value ? rollout.burstEnd + pause : first;
+    const TimeMs next = rollout.burst ? rollout.burstEnd + pause : first;
     if (now < next || now + burstLength + settleTime > lastBurstAt)
         return {};
     // What the last burst needs is kept.
@@ -361,7 +379,7 @@
     if (hasFewRequests)
         return now >= completeAt ? RolloutDecision { .action = RolloutAction::Complete, .reason = "no fault was found; the backend has few requests" } : RolloutDecision {};
     const TimeMs lastBurstAt = completeAt - settleTime - lastBurstLength;
-    if (now >= completeAt && rollout.burstEnd >= lastBurstAt && now >= rollout.burstEnd + settleTime)
+    if (now >= completeAt && rollout.burst && rollout.burstEnd >= lastBurstAt && now >= rollout.burstEnd + settleTime)
         return { .action = RolloutAction::Complete, .reason = "no fault was found under the load of an instance" };
     if (now < rollout.burstEnd + settleTime)
         return {};
--- a/src/versions/Rollout.h
+++ b/src/versions/Rollout.h
@@ -108,12 +108,14 @@
     uint64_t startedAfter = 0; ///< Requests sent to the version that was ordered.
     double perMs = 0; ///< Recent requests, moving average.
     TimeMs lastStep;
-    TimeMs burstEnd; ///< Of the last burst; 0 before the first.
+    bool probed = false; ///< The first requests have been sent.
+    bool burst = false; ///< There was a burst.
+    TimeMs burstEnd; ///< Of the last burst, or of the first requests.
     bool limitsChanged = false; ///< `limits` has to be told to the entry nodes.
 };
 
 /// Share of the requests that goes to one new instance outside of bursts.
-constexpr double rolloutBaseShare = 0.01;
+constexpr double rolloutBaseShare = 0.005;
 
 Rollout startRollout(TimeMs startedAt, TimeMs within);
 RolloutDecision stepRollout(Rollout&, const RolloutReports&, const RolloutSettings&, TimeMs now);
