Complete no version without results of its last burst

Cause: a version whose instances accept no connection leaves no results, and was completed without any. Found by reading; VersionWithoutResultsIsTakenBack shows it in the model. Counts of the last windows were rounded, so that a count of 1 never decayed.

Change: the completion needs a result since the last burst began, else the version is rolled back at the time limit; counts of windows are truncated.

--- a/src/versions/Rollout.cpp
+++ b/src/versions/Rollout.cpp
@@ -46,7 +46,7 @@
 static constexpr double windowDeviations = 0.2;
 static constexpr uint64_t minBaseline = 20;
 static constexpr double slowFactor = 3;
-static constexpr double recentWeight = 0.7; // Of the former windows, in the counts of the other versions.
+static constexpr double recentWeight = 0.75; // Of the former windows, in the counts of the other versions.
 static constexpr double rateWeight = 0.2; // Of a new window, in the rate of requests.
 // Requests in the time limit below which no burst is owed: nearly all of them may go to a bad version.
 static constexpr double fewRequests = 40;
@@ -94,7 +94,7 @@
 static void decay(RolloutCounts& counts)
 {
     for (auto* n : { &counts.ended, &counts.failures, &counts.timed, &counts.slow, &counts.comparedPaces, &counts.slowPaces })
-        *n = static_cast<uint32_t>(std::lround(*n * recentWeight));
+        *n = static_cast<uint32_t>(*n * recentWeight);
 }
 
 namespace {
@@ -308,8 +308,8 @@
     // Requests that the version may still get before its last burst.
     struct Budget {
         double left = 0;
-        double burst = 0; ///< Requests in ms of a burst.
-        double share = 0;
+        double burst = 0; ///< Requests in each ms of a burst.
+        double share = 0; ///< Of the requests, in a burst.
     };
 
 }
@@ -365,6 +365,18 @@
     return length >= burstLength / 2 ? startBurst(rollout, budget, length, now) : RolloutDecision {};
 }
 
+// Requests that the new version has answered, or failed, since the last burst began.
+static uint64_t resultsOfBurst(const Rollout& rollout)
+{
+    const auto all = rollout.testedRecently.find({});
+    uint64_t n = 0;
+    if (all == rollout.testedRecently.end())
+        return n;
+    for (const auto& [node, it] : all->second)
+        n += it.after.ended;
+    return n;
+}
+
 RolloutDecision stepRollout(Rollout& rollout, const RolloutReports& reports, const RolloutSettings& settings, TimeMs now)
 {
     addReports(rollout, reports, now);
@@ -379,8 +391,11 @@
     if (hasFewRequests)
         return now >= completeAt ? RolloutDecision { .action = RolloutAction::Complete, .reason = "no fault was found; the backend has few requests" } : RolloutDecision {};
     const TimeMs lastBurstAt = completeAt - settleTime - lastBurstLength;
-    if (now >= completeAt && rollout.burst && rollout.burstEnd >= lastBurstAt && now >= rollout.burstEnd + settleTime)
-        return { .action = RolloutAction::Complete, .reason = "no fault was found under the load of an instance" };
+    if (now >= completeAt && rollout.burst && rollout.burstEnd >= lastBurstAt && now >= rollout.burstEnd + settleTime) {
+        if (resultsOfBurst(rollout))
+            return { .action = RolloutAction::Complete, .reason = "no fault was found under the load of an instance" };
+        return now >= limit ? RolloutDecision { .action = RolloutAction::RollBack, .reason = "its instances have answered no requests" } : RolloutDecision {};
+    }
     if (now < rollout.burstEnd + settleTime)
         return {};
     return planBurst(rollout, budgetOf(rollout, reports, settings, now), lastBurstAt, now);
--- a/tests/versions/RolloutTest.cpp
+++ b/tests/versions/RolloutTest.cpp
@@ -79,4 +79,20 @@
     checkBad("fails at once, failing backend", { .fault = RolloutFault::AtOnce, .trouble = RolloutTrouble::BusyBackend });
 }
 
+// Guards against a version that is completed without evidence, since no connection to its instances can be made.
+BOOST_AUTO_TEST_CASE(VersionWithoutResultsIsTakenBack)
+{
+    auto rollout = startRollout({}, 24_s);
+    RolloutReports reports { .nodes = {}, .oldInstances = 3, .newInstances = 3 };
+    auto& results = reports.nodes[NodeId { 1 }];
+    results.push_back({ .route = "busy" });
+    RolloutDecision decision;
+    for (TimeMs now; now < 30_s && (decision.action == RolloutAction::Wait || decision.action == RolloutAction::Burst); now += 300_ms) {
+        results[0].before.started = results[0].before.ended = static_cast<uint32_t>(now.value / 16);
+        results[0].before.milliseconds = static_cast<float>(results[0].before.ended) * 100;
+        decision = stepRollout(rollout, reports, {}, now);
+    }
+    BOOST_TEST((decision.action == RolloutAction::RollBack), decision.reason);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
