--- a/src/node/ForwardState.h
+++ b/src/node/ForwardState.h
@@ -182,6 +182,7 @@
 
 /// State of this node for the open version orders.
 struct VersionFollowers {
+    /// What this node knows and does of an order as an entry node.
     struct Follower {
         TimeMs seenAt; ///< When this process first saw the order.
         bool tripped = false; ///< This node sends no more requests to the target version.
@@ -192,6 +193,7 @@
         TimeMs burstEnd;
         int failuresInRow = 0;
     };
+    /// An order that this node steps as the decision leader. `orderedAt` and `target` tell it from others of the backend.
     struct Led {
         TimeMs orderedAt;
         std::string target;
--- a/src/node/VersionOrders.cpp
+++ b/src/node/VersionOrders.cpp
@@ -61,6 +61,7 @@
     return order->state == VersionOrderState::RolledBack || (order->state == VersionOrderState::Running && it != node.versionOrders.followers.end() && it->second.tripped);
 }
 
+// Whether requests of this node can go to the upstream now.
 static bool isUsable(const Node& node, const ForwardTarget& target)
 {
     return !target.leaving && !target.evacuated && !target.addressTaken && node.now >= target.backoffUntil;
