Answer control calls by the reply of the decision log in one place

The mapping of outcomes to 200, 400 and 409 stood in ControlCalls twice, and the calls for version orders wrote it a third time. answerControlReply() serves all three; only the stale order keeps an answer of its own.

--- a/src/node/Answers.cpp
+++ b/src/node/Answers.cpp
@@ -24,6 +24,13 @@
     answerJson(node, exchange, 503, boost::json::serialize(boost::json::object { { "message", message } }), { { "Retry-After", std::to_string(retryAfter.seconds()) } });
 }
 
+void answerControlReply(Node& node, ExchangeId exchange, const ControlReply& reply)
+{
+    if (reply.outcome == ControlOutcome::Accepted)
+        return answerJson(node, exchange, 200, "{}");
+    answerMessage(node, exchange, reply.outcome == ControlOutcome::Malformed ? 400 : 409, reply.detail);
+}
+
 void answerRefusal(Node& node, ExchangeId exchange, const Refusal& refusal)
 {
     HttpHeaders headers { { std::string(headers::run), std::string(nameOf(refusal.run)) } };
--- a/src/node/Answers.h
+++ b/src/node/Answers.h
@@ -11,6 +11,8 @@
 void answerMessage(Node&, ExchangeId, uint16_t status, const std::string& message);
 /// Answers a control call with 503 and Retry-After, and logs the message. The caller may send it again, to any node.
 void answerUnavailable(Node&, ExchangeId, const std::string& message);
+/// Answers a control call by the reply of the decision log: 200 if accepted, 400 if malformed, otherwise 409.
+void answerControlReply(Node&, ExchangeId, const ControlReply&);
 /// Refuses a request for which no call was created; states that it was not run.
 void refuseRequest(Node&, ExchangeId, RefusalCode, std::string message, TimeMs retryAfter = {});
 /// Answers an exchange with a refusal, which determines status, headers and body.
--- a/src/node/ControlCalls.cpp
+++ b/src/node/ControlCalls.cpp
@@ -58,9 +58,7 @@
         if (!decoded)
             return answerUnavailable(node, exchange, what + " is not known to be committed");
         addLog(node, LogLevel::Info, "control_committed", Step::Propose, what, std::string(nameOf(decoded->outcome)), { { "detail", decoded->detail }, { "revision", std::to_string(decoded->revision) } });
-        if (decoded->outcome == ControlOutcome::Accepted)
-            return answerJson(node, exchange, 200, "{}");
-        answerMessage(node, exchange, decoded->outcome == ControlOutcome::Malformed ? 400 : 409, decoded->detail);
+        answerControlReply(node, exchange, *decoded);
     });
 }
 
@@ -241,9 +239,7 @@
 {
     if (!reply)
         return answerUnavailable(node, order.exchange, problem);
-    if (reply->outcome == ControlOutcome::Accepted)
-        return answerJson(node, order.exchange, 200, "{}");
-    answerMessage(node, order.exchange, reply->outcome == ControlOutcome::Malformed ? 400 : 409, reply->detail);
+    answerControlReply(node, order.exchange, *reply);
 }
 
 static void handleCall(Node& node, const RequestArrived& arrived, const OrderEvacuationCall& call)
--- a/src/node/VersionOrderCalls.cpp
+++ b/src/node/VersionOrderCalls.cpp
@@ -48,17 +48,10 @@
     if (!reply)
         return answerUnavailable(node, order.exchange, what + " is not known to be committed");
     addLog(node, LogLevel::Info, "control_committed", Step::Propose, what, std::string(nameOf(reply->outcome)), { { "detail", reply->detail }, { "known_sequence", std::to_string(order.knownSequence) } });
-    switch (reply->outcome) {
-    case ControlOutcome::Accepted:
-        return answerJson(node, order.exchange, 200, "{}");
-    case ControlOutcome::Stale:
-        addLog(node, LogLevel::Warning, "order_refused_as_old", Step::Propose, order.order.backend, reply->detail, { { "target", order.order.target }, { "waited_ms", std::to_string((node.now - order.arrivedAt).value) } });
-        return answerUnavailable(node, order.exchange, "not ordered, " + reply->detail);
-    case ControlOutcome::Malformed:
-        return answerMessage(node, order.exchange, 400, reply->detail);
-    default:
-        return answerMessage(node, order.exchange, 409, reply->detail);
-    }
+    if (reply->outcome != ControlOutcome::Stale)
+        return answerControlReply(node, order.exchange, *reply);
+    addLog(node, LogLevel::Warning, "order_refused_as_old", Step::Propose, order.order.backend, reply->detail, { { "target", order.order.target }, { "waited_ms", std::to_string((node.now - order.arrivedAt).value) } });
+    answerUnavailable(node, order.exchange, "not ordered, " + reply->detail);
 }
 
 static void proposeOrder(Node& node, const PendingVersionOrder& order, bool isReadable)
