--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the scripts of review/6 and later into target/review-2/. Needs g++ only.
+# Builds the stand-ins of the scripts of review/7 and later into target/review-2/. Needs g++ only.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
