Remove voters of lost disks at once, and count missing time at all voters

Cause: a voter without its disk stayed in the group for missing_ms (6 s) counted by the leader alone, so its replacement took 7.5 s, and began again with each leader. After four to seven losses a majority of the voter ids had no disk.

Change: a voter id names its node, so a node that is back with another data folder shows that its former voter is gone; the leader removes it at once, unless it still answers, and takes in the successor.

Ruled out: a shorter time-out alone.

--- a/src/entry/Daemon.cpp
+++ b/src/entry/Daemon.cpp
@@ -116,7 +116,7 @@
         return out;
     BOOST_LEAF_ASSIGN(out.disk, FileDisk::open(settings.dataFolder));
     std::random_device device;
-    const VoterId newVoter { static_cast<uint64_t>(device()) << 32 | device() | 1 };
+    const VoterId newVoter = makeVoterId(idOfName<NodeId>(settings.node), static_cast<uint64_t>(device()) << 32 | device());
     BOOST_LEAF_AUTO(identity, openIdentity(*out.disk, { .cluster = settings.cluster, .node = settings.node, .voter = newVoter }));
     out.voter = identity.voter;
     BOOST_LEAF_ASSIGN(out.storage, openRetryingStorage(*out.disk, { .cluster = hash64(settings.cluster) }));
--- a/src/node/AdminFlow.cpp
+++ b/src/node/AdminFlow.cpp
@@ -168,7 +168,7 @@
         for (const auto& it : state.members)
             members.push_back(json::object { { "node", nodeName(node, nodeOfVoter(node, it.voter)) }, { "learner", it.learner }, { "lag", it.lag } });
         out.push_back(json::object { { "group", id.value }, { "kind", group.ledger ? "ledger" : "decisions" }, { "role", nameOf(state.role) }, { "term", state.term },
-            { "leader", nodeName(node, nodeOfVoter(node, state.leader)) }, { "commit", state.commit }, { "applied", state.applied }, { "voters", voters }, { "followers", members }, { "failure", state.failure } });
+            { "leader", nodeName(node, nodeOfVoter(node, state.leader)) }, { "commit", state.commit }, { "applied", state.applied }, { "voters", voters }, { "majority_alive", group.repair.majorityAlive }, { "followers", members }, { "failure", state.failure } });
     }
     return out;
 }
--- a/src/node/Metrics.cpp
+++ b/src/node/Metrics.cpp
@@ -1,6 +1,7 @@
 #include "node/Metrics.h"
 
 #include "node/Groups.h"
+#include "node/VoterRepair.h"
 
 #include <cstdio>
 
@@ -34,6 +35,9 @@
         appendValue(out, "group_term", labels, static_cast<double>(state.term));
         appendValue(out, "group_applied", labels, static_cast<double>(state.applied));
         appendValue(out, "group_leader", labels, state.role == Role::Leader ? 1 : 0);
+        appendValue(out, "group_voters", labels, static_cast<double>(state.voters.size()));
+        appendValue(out, "group_voters_alive", labels, static_cast<double>(countLiveVoters(node, state.voters)));
+        appendValue(out, "group_majority_alive", labels, group.repair.majorityAlive ? 1 : 0);
     }
 }
 
--- a/src/node/NodeState.h
+++ b/src/node/NodeState.h
@@ -18,6 +18,7 @@
 #include "node/Node.h"
 #include "node/NodeCall.h"
 #include "node/PeerMessages.h"
+#include "node/VoterRepairState.h"
 #include "orders/Orders.h"
 #include "replica/Replica.h"
 #include "routing/Router.h"
@@ -71,8 +72,7 @@
     std::map<uint64_t, LocalProposal> proposals; ///< By proposal id.
     TimeMs nextSweep; ///< Next scan for due takeovers, unknown outcomes and expired calls.
     std::set<CallId> sweeping; ///< Calls for which a sweep command is in flight.
-    std::map<VoterId, TimeMs> missingSince; ///< Voters that belong to no live node; used by the voter repair.
-    TimeMs nextRepair;
+    VoterRepair repair;
 };
 
 /// Latency histograms of one client account and class, in microseconds.
--- a/src/node/VoterRepair.cpp
+++ b/src/node/VoterRepair.cpp
@@ -6,37 +6,86 @@
 #include "wire/Codec.h"
 
 #include <algorithm>
+#include <tuple>
+#include <utility>
 
 namespace siskinshunt {
 
-static constexpr TimeMs repairInterval { 300 };
+static constexpr TimeMs checkInterval { 300 };
+// While members of the group are replaced, each step follows the commit of the one before.
+static constexpr TimeMs stepInterval { 100 };
+// After a longer pause of this process, its view of the other nodes is out of date.
+static constexpr TimeMs maxCheckGap { 1000 };
+// A learner that has received nothing for this long, such as one with a full disk, makes room for another spare.
+static constexpr TimeMs learnerTimeout { 3000 };
+// Without a leader for longer, a group looks for the cause. Elections take about a second.
+static constexpr TimeMs leaderlessTimeout { 5000 };
 
-static void updateMissing(Node& node, Group& group, const std::vector<VoterId>& voters)
+static bool contains(const std::vector<VoterId>& list, VoterId voter)
 {
-    std::erase_if(group.missingSince, [&](const auto& it) { return std::find(voters.begin(), voters.end(), it.first) == voters.end(); });
+    return std::find(list.begin(), list.end(), voter) != list.end();
+}
+
+static void updateMissing(Node& node, VoterRepair& repair, const std::vector<VoterId>& voters)
+{
+    if (node.now - repair.checkedAt > maxCheckGap)
+        repair.missingSince.clear();
+    repair.checkedAt = node.now;
+    std::erase_if(repair.missingSince, [&](const auto& it) { return !contains(voters, it.first); });
     for (const VoterId voter : voters) {
         if (nodeOfVoter(node, voter))
-            group.missingSince.erase(voter);
+            repair.missingSince.erase(voter);
         else
-            group.missingSince.try_emplace(voter, node.now);
+            repair.missingSince.try_emplace(voter, node.now);
     }
 }
 
-static VoterId lostVoter(const Node& node, const Group& group, const std::vector<VoterId>& voters)
+// Whether the voter belongs to no live node and does not answer this leader either. Gossip alone can report a process that is alive as
+// replaced, when two processes have the same name for a moment.
+static bool isSilent(const Node& node, const ReplicaStatus& state, VoterId voter)
 {
-    for (const auto& [voter, replacement] : node.replacements) {
-        if (replacement.until > node.now && std::find(voters.begin(), voters.end(), voter) != voters.end())
+    const auto it = std::find_if(state.members.begin(), state.members.end(), [&](const FollowerStatus& it) { return it.voter == voter; });
+    return it != state.members.end() && it->sinceReply >= node.options.settings.timings.electionMin && !nodeOfVoter(node, voter);
+}
+
+// Whether the voter's node is back with another data folder, so that its own one is lost.
+static bool hasLostDisk(const Node& node, VoterId voter)
+{
+    if (isVoterOfNode(voter, node.self))
+        return voter != node.options.voter;
+    return std::any_of(node.membership.members.begin(), node.membership.members.end(), [&](const auto& it) {
+        const VoterId current = it.second.status.voter;
+        return isVoterOfNode(voter, it.first) && current && current != voter && isAlive(node.membership, it.first);
+    });
+}
+
+static VoterId voterWithLostDisk(const Node& node, const ReplicaStatus& state)
+{
+    const auto it = std::find_if(state.voters.begin(), state.voters.end(), [&](VoterId voter) { return isSilent(node, state, voter) && hasLostDisk(node, voter); });
+    return it == state.voters.end() ? VoterId {} : *it;
+}
+
+static VoterId missingVoter(const Node& node, const VoterRepair& repair, const ReplicaStatus& state)
+{
+    for (const auto& [voter, since] : repair.missingSince) {
+        if (node.now - since >= node.options.settings.voters.missingTimeout && isSilent(node, state, voter))
             return voter;
     }
-    for (const auto& [voter, since] : group.missingSince) {
-        if (node.now - since >= node.options.settings.voters.missingTimeout)
+    return {};
+}
+
+// The voter that an operator has ordered to replace, if it still belongs to the group.
+static VoterId orderedVoter(const Node& node, const ReplicaStatus& state)
+{
+    for (const auto& [voter, replacement] : node.replacements) {
+        if (replacement.until > node.now && contains(state.voters, voter))
             return voter;
     }
     return {};
 }
 
-// Selects a live voter outside the group, from the failure domain with the fewest voters of the group.
-static VoterId spareVoter(const Node& node, const ReplicaStatus& state)
+// Selects a live voter outside the group, from the failure domain with the fewest voters of the group. Learners that were given up come last.
+static VoterId spareVoter(const Node& node, const VoterRepair& repair, const ReplicaStatus& state)
 {
     std::map<std::string, int> perDomain;
     const auto domainOf = [&](VoterId voter) -> std::string {
@@ -48,67 +97,126 @@
     };
     for (const VoterId voter : state.voters)
         ++perDomain[domainOf(voter)];
-    std::vector<std::pair<int, VoterId>> spares;
+    std::vector<std::tuple<TimeMs, int, VoterId>> spares;
     for (const auto& [id, member] : node.membership.members) {
         const VoterId voter = member.status.voter;
-        const bool inGroup = std::find(state.voters.begin(), state.voters.end(), voter) != state.voters.end();
-        if (voter && !inGroup && isAlive(node.membership, id) && !member.status.draining)
-            spares.emplace_back(perDomain[member.identity.domain], voter);
+        if (!voter || contains(state.voters, voter) || contains(state.learners, voter) || !isAlive(node.membership, id) || member.status.draining)
+            continue;
+        const auto givenUp = repair.givenUp.find(voter);
+        spares.emplace_back(givenUp == repair.givenUp.end() ? TimeMs {} : givenUp->second, perDomain[member.identity.domain], voter);
     }
-    std::sort(spares.begin(), spares.end());
-    return spares.empty() ? VoterId {} : spares.front().second;
+    return spares.empty() ? VoterId {} : std::get<VoterId>(*std::min_element(spares.begin(), spares.end()));
 }
 
-static void logChange(Node& node, const Group& group, std::string code, VoterId voter, std::string text)
+static void change(Node& node, Group& group, MemberChange change, VoterId voter, const char* code, const char* text)
 {
-    addLog(node, LogLevel::Warning, std::move(code), Step::Propose, "group " + std::to_string(group.id.value), std::move(text), { { "voter", formatCallId(CallId { voter.value }) } });
+    changeMembers(*group.replica, change, voter);
+    if (std::exchange(group.repair.lastLogged, { code, voter }) == std::pair<std::string, VoterId>(code, voter))
+        return;
+    addLog(node, LogLevel::Warning, code, Step::Propose, "group " + std::to_string(group.id.value), text, { { "voter", formatCallId(CallId { voter.value }) } });
 }
 
-// Adds one live spare if the group has fewer voters than the configured target.
-static void growGroup(Node& node, Group& group, const ReplicaStatus& state)
+static void removeLearner(Node& node, Group& group, VoterId learner, const char* text)
 {
-    if (state.voters.size() >= node.options.settings.voters.target)
-        return;
-    if (const VoterId spare = spareVoter(node, state)) {
-        logChange(node, group, "voter_added", spare, "the group has fewer voters than configured");
-        changeMembers(*group.replica, MemberChange::AddLearner, spare);
+    change(node, group, MemberChange::Remove, learner, "learner_removed", text);
+}
+
+// Whether the learner has received nothing for too long while another spare waits.
+static bool isStuck(const Node& node, Group& group, const ReplicaStatus& state, VoterId learner)
+{
+    auto& progress = group.repair.learner;
+    const auto it = std::find_if(state.members.begin(), state.members.end(), [&](const FollowerStatus& it) { return it.voter == learner; });
+    const uint64_t received = it == state.members.end() ? 0 : it->match + it->snapshotOffset;
+    if (progress.voter != learner || progress.received != received)
+        progress = { learner, received, node.now };
+    return node.now - progress.at >= learnerTimeout && spareVoter(node, group.repair, state);
+}
+
+static void continueLearner(Node& node, Group& group, const ReplicaStatus& state)
+{
+    const VoterId learner = state.learners.front();
+    if (!nodeOfVoter(node, learner))
+        return removeLearner(node, group, learner, "the learner is no longer alive");
+    if (isStuck(node, group, state, learner)) {
+        group.repair.givenUp[learner] = node.now;
+        return removeLearner(node, group, learner, "the learner receives nothing; another spare takes its place");
+    }
+    changeMembers(*group.replica, MemberChange::Promote, learner);
+}
+
+// Proposes the next change of the group's members. Returns false if there is none to make.
+//
+// The order never lowers the number of losses that the group bears, of 2n voters n - 1 and of 2n + 1 voters n. A voter without its disk counts
+// as lost already, so it is removed first, whatever the size: the group needs no spare for that, and is ready for the next loss after one
+// commit. One that is only missing may come back with its disk: among an odd number it is removed after a spare was promoted. Among an even
+// number it adds nothing, whether it comes back or not.
+static bool changeGroup(Node& node, Group& group, const ReplicaStatus& state)
+{
+    if (const VoterId lost = voterWithLostDisk(node, state)) {
+        change(node, group, MemberChange::Remove, lost, "voter_removed", "the node of the voter is back without the voter's data");
+        return true;
+    }
+    const VoterId ordered = orderedVoter(node, state);
+    const VoterId replaced = ordered ? ordered : missingVoter(node, group.repair, state);
+    const bool isReplaced = ordered ? contains(state.voters, node.replacements.at(ordered).add) : state.voters.size() % 2 == 0;
+    if (replaced && isReplaced) {
+        change(node, group, MemberChange::Remove, replaced, "voter_removed", "the voter is missing and the group does not need it");
+        return true;
+    }
+    if (!state.learners.empty()) {
+        continueLearner(node, group, state);
+        return true;
     }
+    if (!replaced && state.voters.size() >= node.options.settings.voters.target)
+        return false;
+    const VoterId spare = ordered ? node.replacements.at(ordered).add : spareVoter(node, group.repair, state);
+    if (!spare)
+        return false;
+    if (replaced)
+        change(node, group, MemberChange::AddLearner, spare, "voter_replacement_started", "a voter is missing; adding a spare as learner");
+    else
+        change(node, group, MemberChange::AddLearner, spare, "voter_added", "the group has fewer voters than configured");
+    return true;
+}
+
+size_t countLiveVoters(const Node& node, const std::vector<VoterId>& voters)
+{
+    return static_cast<size_t>(std::count_if(voters.begin(), voters.end(), [&](VoterId it) { return static_cast<bool>(nodeOfVoter(node, it)); }));
+}
+
+// Reports a group that cannot have a leader, because the nodes of half of its voters or more are gone.
+static void watchMajority(Node& node, Group& group, const ReplicaStatus& state)
+{
+    auto& repair = group.repair;
+    if (state.leader || state.voters.empty() || !repair.leaderKnownAt.value)
+        repair.leaderKnownAt = node.now;
+    const size_t live = countLiveVoters(node, state.voters);
+    const bool alive = node.now - repair.leaderKnownAt < leaderlessTimeout || live > state.voters.size() / 2;
+    if (std::exchange(repair.majorityAlive, alive) == alive)
+        return;
+    const std::string peer = "group " + std::to_string(group.id.value);
+    const std::vector<std::pair<std::string, std::string>> fields { { "alive", std::to_string(live) }, { "voters", std::to_string(state.voters.size()) } };
+    if (alive)
+        addLog(node, LogLevel::Info, "majority_back", Step::Propose, peer, "a majority of the voters is alive again", fields);
+    else
+        addLog(node, LogLevel::Error, "majority_lost", Step::Propose, peer, "the group accepts no changes until nodes with the data folders of a majority of its voters are back", fields);
 }
 
 void repairVoters(Node& node, Group& group)
 {
-    if (node.now < group.nextRepair || !leadsGroup(node, group))
+    auto& repair = group.repair;
+    if (node.now < repair.nextCheck)
         return;
-    group.nextRepair = node.now + repairInterval;
+    repair.nextCheck = node.now + checkInterval;
     const auto state = status(*group.replica);
-    updateMissing(node, group, state.voters);
-    const VoterId lost = lostVoter(node, group, state.voters);
-    if (!state.learners.empty()) {
-        const VoterId learner = state.learners.front();
-        if (!nodeOfVoter(node, learner)) {
-            logChange(node, group, "learner_removed", learner, "the learner is no longer alive");
-            changeMembers(*group.replica, MemberChange::Remove, learner);
-        } else
-            changeMembers(*group.replica, MemberChange::Promote, learner);
+    updateMissing(node, repair, state.voters);
+    watchMajority(node, group, state);
+    if (!leadsGroup(node, group)) {
+        repair.lastLogged = {};
         return;
     }
-    if (!lost)
-        return growGroup(node, group, state);
-    // Once the spare is a voter, the lost one can be removed.
-    const auto order = node.replacements.find(lost);
-    const bool grown = order != node.replacements.end()
-        ? std::find(state.voters.begin(), state.voters.end(), order->second.add) != state.voters.end()
-        : state.voters.size() % 2 == 0;
-    if (grown) {
-        logChange(node, group, "voter_removed", lost, "the voter was lost and has been replaced");
-        changeMembers(*group.replica, MemberChange::Remove, lost);
-        return;
-    }
-    const VoterId spare = order != node.replacements.end() ? order->second.add : spareVoter(node, state);
-    if (spare) {
-        logChange(node, group, "voter_replacement_started", spare, "a voter is missing; adding a spare as learner");
-        changeMembers(*group.replica, MemberChange::AddLearner, spare);
-    }
+    if (!state.membersCommitted || changeGroup(node, group, state))
+        repair.nextCheck = node.now + stepInterval;
 }
 
 namespace {
--- a/src/node/VoterRepair.h
+++ b/src/node/VoterRepair.h
@@ -4,9 +4,12 @@
 
 namespace siskinshunt {
 
-/// Replaces a voter that has had no live node for longer than the configured time: adds a live spare as learner, promotes it
-/// once it has caught up, then removes the lost voter. One change at a time; on the group's leader only.
+/// Counts for how long voters of the group have been missing, and replaces lost ones as the group's leader, one change at a time: a voter
+/// whose node is back without its data at once, any other one when it has had no live node for longer than the configured time and a live spare
+/// is there. Also reports a group without a majority.
 void repairVoters(Node&, Group&);
+/// Number of the voters that belong to a live node.
+size_t countLiveVoters(const Node&, const std::vector<VoterId>&);
 /// Handles an operator's order: every group replaces voter `remove` with `add`, as if it had been lost.
 void replaceVoter(Node&, VoterId remove, VoterId add);
 void receiveReplaceVoter(Node&, std::string_view body);
--- a/src/replica/Replica.cpp
+++ b/src/replica/Replica.cpp
@@ -362,6 +362,7 @@
         .snapshotIndex = replica.snapshotIndex,
         .voters = raft.members.voters,
         .learners = raft.members.learners,
+        .membersCommitted = raft.membersIndex <= raft.commit,
         .members = {},
         .droppedMessages = replica.dropped,
         .failure = replica.failure,
@@ -369,7 +370,7 @@
     if (raft.role != Role::Leader)
         return out;
     for (const auto& [peer, progress] : raft.progress)
-        out.members.push_back({ peer, isLearner(raft.members, peer), progress.match, out.lastIndex - progress.match, raft.now - progress.lastReply });
+        out.members.push_back({ peer, isLearner(raft.members, peer), progress.match, out.lastIndex - progress.match, raft.now - progress.lastReply, progress.state == SendState::Snapshot ? progress.offset : 0 });
     return out;
 }
 
--- a/src/replica/Replica.h
+++ b/src/replica/Replica.h
@@ -68,7 +68,8 @@
     bool learner = false;
     uint64_t match = 0; ///< Highest index known to be durable on the member.
     uint64_t lag = 0; ///< Number of entries of the leader that the member lacks.
-    TimeMs sinceReply; ///< Time since its last reply.
+    TimeMs sinceReply; ///< Time since its last reply, or since the leadership or the membership began.
+    uint64_t snapshotOffset = 0; ///< Bytes of a snapshot in transfer that it has received.
 };
 
 /// Status for operators. `members` is set on the leader only.
@@ -84,6 +85,7 @@
     uint64_t snapshotIndex = 0;
     std::vector<VoterId> voters;
     std::vector<VoterId> learners;
+    bool membersCommitted = false; ///< Whether `voters` and `learners` are committed; no further change is accepted before.
     std::vector<FollowerStatus> members;
     uint64_t droppedMessages = 0; ///< Messages of another cluster or group, to another voter, or malformed.
     std::string failure; ///< Reason why the replica has stopped; empty while it runs.
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -96,7 +96,7 @@
 struct VoterSettings {
     bool bootstrap = false; ///< First start of the cluster: the seeds become the initial voters.
     uint32_t target = 0; ///< Number of voters that the group grows to; 0: left to operators.
-    TimeMs missingTimeout { 30000 }; ///< A voter that no live node has claimed for this long is replaced. Voter ids survive restarts, so only a lost disk or instance is absent for this long.
+    TimeMs missingTimeout { 30000 }; ///< A voter that no live node has claimed for this long is replaced by a spare. One whose node is back with another data folder is replaced at once.
 };
 
 /// Settings of one daemon.
--- a/src/soak/NodeFleet.cpp
+++ b/src/soak/NodeFleet.cpp
@@ -49,10 +49,12 @@
         settings.timings.tick = options.tick;
         settings.timings.entryValid = options.entryValid;
         settings.ledgerGroups = options.ledgerGroups;
+        settings.voters.target = options.targetVoters;
+        settings.voters.missingTimeout = options.missingVoterTimeout;
         if (n < static_cast<size_t>(options.disks)) {
             settings.dataFolder = "data";
             nodes[n].disk = std::make_unique<FakeDisk>();
-            nodes[n].voter = VoterId { 1000 + n };
+            nodes[n].voter = options.voterIdsNameNodes ? makeVoterId(idOfName<NodeId>(settings.node), random.next()) : VoterId { 1000 + n };
             if (options.forwards)
                 settings.listeners.control = { "127.0.0.1", static_cast<uint16_t>(5000 + n) };
         } else if (options.forwards) {
@@ -153,6 +155,15 @@
     std::erase_if(m_idleConnections, [&](const auto& it) { return it.first.first == n; });
 }
 
+void NodeFleet::loseDisk(size_t n)
+{
+    kill(n, true);
+    auto& it = nodes[n];
+    it.disk = std::make_unique<FakeDisk>();
+    it.voter = makeVoterId(idOfName<NodeId>(it.settings.node), random.next());
+    it.revision = 0;
+}
+
 void NodeFleet::freeze(size_t n)
 {
     nodes[n].frozen = true;
--- a/src/soak/NodeFleet.h
+++ b/src/soak/NodeFleet.h
@@ -45,6 +45,9 @@
     TimeMs tick { 50 };
     TimeMs entryValid { 3000 };
     uint32_t ledgerGroups = 4;
+    uint32_t targetVoters = 0; ///< Voters to which the groups grow; 0: as many as are bootstrapped.
+    TimeMs missingVoterTimeout { 30000 };
+    bool voterIdsNameNodes = false; ///< The first voter ids are made by makeVoterId(); otherwise they are as those of earlier builds.
     bool forwards = false; ///< The nodes without a data folder accept callers whose requests are forwarded.
     /// Rate of the link of a node without a data folder and of one with it, in each direction; 0: unlimited. Frames queue for it, datagrams
     /// do not.
@@ -122,6 +125,8 @@
     void start(size_t node);
     /// Kills the process; with `powerLoss`, unsynced data of its disk is lost as well.
     void kill(size_t node, bool powerLoss);
+    /// Kills the process and empties its disk, so that its next start makes a new voter.
+    void loseDisk(size_t node);
     void freeze(size_t node);
     void thaw(size_t node);
     /// Blocks or unblocks the link from one node to another, in that direction only.
