Send suspected voters the messages of their groups

Callers saw: pauses in which no change is acknowledged while datagrams between voters are lost.

Cause: messages of a group went only to voters that gossip sees as alive. A leader was silent towards a suspected one, lost its lease and was replaced.

--- a/src/node/Groups.cpp
+++ b/src/node/Groups.cpp
@@ -90,6 +90,17 @@
     return {};
 }
 
+// The node to which messages for the voter are sent. One that is only suspected gets them too: datagrams can be lost while connections work,
+// and a leader that is silent towards a voter loses its lease.
+static NodeId addresseeOf(const Node& node, VoterId voter)
+{
+    for (const auto& [id, member] : node.membership.members) {
+        if (member.status.voter == voter && member.status.state <= MemberState::Suspect)
+            return id;
+    }
+    return {};
+}
+
 bool leadsGroup(const Node& node, const Group& group)
 {
     return canRead(*group.replica, node.now);
@@ -310,7 +321,7 @@
         for (auto& [id, group] : node.groups) {
             auto out = collectOutputs(*group.replica);
             for (auto& message : out.messages) {
-                if (const NodeId to = nodeOfVoter(node, message.to))
+                if (const NodeId to = addresseeOf(node, message.to))
                     sendFrame(node, to, FrameKind::Consensus, id, encode(message));
             }
             for (auto& request : out.disk)
--- a/tests/node/VoterRepairTest.cpp
+++ b/tests/node/VoterRepairTest.cpp
@@ -230,6 +230,20 @@
     BOOST_TEST((std::find(voters.begin(), voters.end(), voter) != voters.end()));
 }
 
+// Guards against a leader that falls silent towards a voter, and so loses its lease, because datagrams between them are lost.
+BOOST_AUTO_TEST_CASE(suspectedVoterGetsMessages)
+{
+    RepairFleet it(3, 3);
+    const size_t leader = it.fleet.decisionLeader();
+    const uint64_t epoch = it.fleet.nodes[leader].node->decisionLog.epoch;
+    it.fleet.loss = 1;
+    it.fleet.runFor(3_s);
+    it.fleet.loss = 0;
+    it.fleet.runFor(2_s);
+    BOOST_TEST(it.fleet.decisionLeader() == leader);
+    BOOST_TEST(it.fleet.nodes[leader].node->decisionLog.epoch == epoch);
+}
+
 // Guards against a repair that waits for a learner whose disk takes no bytes, while another spare is there.
 BOOST_AUTO_TEST_CASE(learnerWithAFullDiskIsGivenUp)
 {
