Keep what is known of a version beyond its order

Cause: a backend had one order, and each version but its target counted as sound. The next order dropped what was known of the version on trial.

Change: the decision log keeps the last order of each version of a backend (OrderVersionAmong, written once all nodes with a data folder read it), and the views carry them.

Ruled out: refusing the second order. An operator who takes back a bad version is then kept from it for the rest of the time limit.

--- a/src/control/ControlCommand.h
+++ b/src/control/ControlCommand.h
@@ -128,6 +128,7 @@
     Running,
     Completed,
     RolledBack,
+    GivenUp, ///< Replaced by an order for another version while it was running. Only past orders have this state.
 };
 
 template <>
@@ -135,6 +136,7 @@
     { VersionOrderState::Running, "running" },
     { VersionOrderState::Completed, "completed" },
     { VersionOrderState::RolledBack, "rolled_back" },
+    { VersionOrderState::GivenUp, "given_up" },
 });
 
 /// An operator's order to move the traffic of a backend to a version within a time limit.
@@ -173,6 +175,17 @@
     void serialize(Archive& archive) { archive(order, knownSequence); }
 };
 
+/// As OrderVersion, for builds that keep what is known of each version; see DecisionLog::pastVersionOrders.
+struct OrderVersionAmong {
+    OrderVersion order;
+    std::vector<std::string> present; ///< Versions of which the proposer knew upstreams, at most `maxPresent`.
+
+    static constexpr size_t maxPresent = 32;
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(order, present); }
+};
+
 /// Progress of a version order, recorded by the decision leader. Rejected unless the epoch is the current one.
 struct RecordVersionOrder {
     uint64_t epoch = 0;
@@ -220,7 +233,7 @@
 };
 
 /// New commands are added at the end: the position is part of their encoding. See docs/decisions/compatibility.md, rule 3.
-using ControlCommand = std::variant<ApplyRules, RecordMove, BeginEpoch, OpenIntent, CloseIntent, PutConfiguration, StartVersionOrder, RecordVersionOrder, CommitUsage, StartEvacuation, EndEvacuation, OrderVersion>;
+using ControlCommand = std::variant<ApplyRules, RecordMove, BeginEpoch, OpenIntent, CloseIntent, PutConfiguration, StartVersionOrder, RecordVersionOrder, CommitUsage, StartEvacuation, EndEvacuation, OrderVersion, OrderVersionAmong>;
 
 enum class ControlOutcome : uint8_t {
     Accepted,
--- a/src/control/DecisionLog.cpp
+++ b/src/control/DecisionLog.cpp
@@ -252,6 +252,49 @@
     return startVersionOrder(log, command, std::nullopt);
 }
 
+static void keepVersion(std::map<std::string, VersionOrder>& past, VersionOrder order)
+{
+    const std::string version = order.target;
+    past[version] = std::move(order);
+    if (past.size() <= DecisionLog::keptVersions)
+        return;
+    past.erase(std::min_element(past.begin(), past.end(), [](const auto& a, const auto& b) { return a.second.orderedAt < b.second.orderedAt; }));
+}
+
+// Records how the order that was in force ends by the next one. A version that was in use before its order stays in use.
+static void endVersionOrder(std::map<std::string, VersionOrder>& past, VersionOrder order)
+{
+    const auto known = past.find(order.target);
+    if (order.state != VersionOrderState::Completed && known != past.end() && known->second.state == VersionOrderState::Completed)
+        return;
+    if (order.state == VersionOrderState::Running)
+        order.state = VersionOrderState::GivenUp;
+    keepVersion(past, std::move(order));
+}
+
+static ControlReply applyTo(DecisionLog& log, const OrderVersionAmong& command)
+{
+    const StartVersionOrder& start = command.order.order;
+    const bool isLong = std::any_of(command.present.begin(), command.present.end(), [](const std::string& it) { return it.size() > maxNameBytes; });
+    if (isLong || command.present.size() > OrderVersionAmong::maxPresent)
+        return replyOf(log, ControlOutcome::Malformed, "the versions that are present break their bounds");
+    const auto it = log.versionOrders.find(start.backend);
+    const auto before = it == log.versionOrders.end() ? std::nullopt : std::optional(it->second);
+    auto reply = startVersionOrder(log, start, command.order.knownSequence);
+    const auto started = log.versionOrders.find(start.backend);
+    if (started == log.versionOrders.end() || (before && started->second.sequence == before->sequence))
+        return reply;
+    auto& past = log.pastVersionOrders[start.backend];
+    if (before)
+        return endVersionOrder(past, *before), reply;
+    // Upstreams of the ordered version may have registered before their order, so it counts as in use only if there is no other.
+    for (const std::string& version : command.present) {
+        if (version != start.target || command.present.size() == 1)
+            keepVersion(past, { .backend = start.backend, .target = version, .state = VersionOrderState::Completed, .reason = "in use before the first order" });
+    }
+    return reply;
+}
+
 static ControlReply applyTo(DecisionLog& log, const OrderVersion& command)
 {
     return startVersionOrder(log, command.order, command.knownSequence);
@@ -269,6 +312,10 @@
     if (command.order.target != it->second.target || command.order.sequence <= it->second.sequence || command.order.state > VersionOrderState::RolledBack || command.order.reason.size() > maxReasonBytes)
         return replyOf(log, ControlOutcome::Stale, "sequence " + std::to_string(it->second.sequence) + " is recorded");
     it->second = command.order;
+    // The upstreams of all other versions end now.
+    const auto past = log.pastVersionOrders.find(command.order.backend);
+    if (command.order.state == VersionOrderState::Completed && past != log.pastVersionOrders.end())
+        std::erase_if(past->second, [](const auto& it) { return it.second.state == VersionOrderState::Completed; });
     return replyOf(log, ControlOutcome::Accepted);
 }
 
@@ -344,7 +391,7 @@
 }
 
 struct ControlSnapshot {
-    uint32_t format = 2; ///< Format 1 lacks configuration, version orders and usage, format 2 evacuations.
+    uint32_t format = 2; ///< Format 1 lacks configuration, version orders and usage, format 2 evacuations, format 3 past version orders.
     uint64_t revision = 0;
     std::vector<RulesRevision> history;
     std::map<std::string, AnsweredRequest> requests;
@@ -362,6 +409,7 @@
     std::map<int64_t, std::map<std::string, uint64_t>> usage;
     std::map<std::string, Evacuation> evacuations;
     uint64_t evacuationSequence = 0;
+    std::map<std::string, std::map<std::string, VersionOrder>> pastVersionOrders;
 
     template <class Archive>
     void serialize(Archive& archive)
@@ -372,14 +420,23 @@
             archive(configurationNumber, configuration, versionOrders, usage);
         if (format >= 3)
             archive(evacuations, evacuationSequence);
+        if (format >= 4)
+            archive(pastVersionOrders);
     }
 };
 
+// Earlier builds read the snapshots that hold nothing new to them.
+static uint32_t snapshotFormat(const DecisionLog& log)
+{
+    if (!log.pastVersionOrders.empty())
+        return 4;
+    return log.evacuationSequence ? 3 : 2;
+}
+
 std::string snapshotControl(const DecisionLog& log)
 {
     return encodeState(ControlSnapshot {
-        // Builds that know no evacuations read all other snapshots.
-        .format = log.evacuationSequence ? 3U : 2U,
+        .format = snapshotFormat(log),
         .revision = log.revision,
         .history = { log.history.begin(), log.history.end() },
         .requests = log.requests,
@@ -397,12 +454,13 @@
         .usage = log.usage,
         .evacuations = log.evacuations,
         .evacuationSequence = log.evacuationSequence,
+        .pastVersionOrders = log.pastVersionOrders,
     });
 }
 
 static bool isConsistent(const ControlSnapshot& snapshot)
 {
-    if (snapshot.format < 1 || snapshot.format > 3 || snapshot.revision != (snapshot.history.empty() ? 0 : snapshot.history.back().revision))
+    if (snapshot.format < 1 || snapshot.format > 4 || snapshot.revision != (snapshot.history.empty() ? 0 : snapshot.history.back().revision))
         return false;
     for (size_t n = 1; n < snapshot.history.size(); ++n) {
         if (snapshot.history[n].revision != snapshot.history[n - 1].revision + 1)
@@ -434,6 +492,7 @@
     restored.usage = std::move(snapshot.usage);
     restored.evacuations = std::move(snapshot.evacuations);
     restored.evacuationSequence = snapshot.evacuationSequence;
+    restored.pastVersionOrders = std::move(snapshot.pastVersionOrders);
     log = std::move(restored);
     return true;
 }
--- a/src/control/DecisionLog.h
+++ b/src/control/DecisionLog.h
@@ -42,6 +42,7 @@
     static constexpr size_t keptTextBytes = 4 << 20; ///< Total size of the kept texts; the latest text is always kept.
     static constexpr size_t keptUsageWindows = 200;
     static constexpr size_t maxEvacuations = 1000;
+    static constexpr size_t keptVersions = 32; ///< Versions of a backend in `pastVersionOrders`; the one that was ordered first is evicted first.
 
     uint64_t revision = 0; ///< Current revision; 0 before the first rules.
     std::deque<RulesRevision> history; ///< Oldest first; the last one is current.
@@ -53,7 +54,10 @@
     std::deque<std::string> endedIntents; ///< Oldest first.
     uint64_t configurationNumber = 0; ///< Number of the active configuration; 0 if none.
     std::string configuration; ///< The active configuration as received.
-    std::map<std::string, VersionOrder> versionOrders; ///< By backend.
+    std::map<std::string, VersionOrder> versionOrders; ///< In force, by backend.
+    /// What is known of the versions of a backend from before its order in force: the last order of each version, as it ended. A version that
+    /// was in use before the first order of the backend counts as completed. By backend and version.
+    std::map<std::string, std::map<std::string, VersionOrder>> pastVersionOrders;
     std::map<int64_t, std::map<std::string, uint64_t>> usage; ///< Committed counts by usage window.
     std::map<std::string, Evacuation> evacuations; ///< In force, by failure domain.
     uint64_t evacuationSequence = 0; ///< Increases with each change of `evacuations`; 0 if there never was one.
--- a/src/node/BuildFeatures.cpp
+++ b/src/node/BuildFeatures.cpp
@@ -8,7 +8,7 @@
 
 namespace siskinshunt {
 
-static constexpr uint64_t ownFeatureBits = BuildFeaturesFrame::readsEvacuations | BuildFeaturesFrame::readsOrderVersion;
+static constexpr uint64_t ownFeatureBits = BuildFeaturesFrame::readsEvacuations | BuildFeaturesFrame::readsOrderVersion | BuildFeaturesFrame::readsOrderVersionAmong;
 
 std::vector<std::string> nodesWithoutFeature(const Node& node, uint64_t feature)
 {
--- a/src/node/BuildFeatures.h
+++ b/src/node/BuildFeatures.h
@@ -17,6 +17,7 @@
 struct BuildFeaturesFrame {
     static constexpr uint64_t readsEvacuations = 1;
     static constexpr uint64_t readsOrderVersion = 2;
+    static constexpr uint64_t readsOrderVersionAmong = 4;
 
     uint64_t process = 0; ///< Start time of the sender, as processOf() of its incarnation; 0 is no valid frame.
     uint64_t features = 0; ///< Set of the bits above; later builds add bits.
--- a/src/node/ControlFlow.cpp
+++ b/src/node/ControlFlow.cpp
@@ -51,8 +51,15 @@
     view.moves = recordedMoves(node.decisionLog);
     view.epoch = node.decisionLog.epoch;
     view.ledgerGroups = node.options.settings.ledgerGroups;
-    for (const auto& [backend, order] : node.decisionLog.versionOrders)
+    // The last order of a backend is the one in force, so that earlier builds end with it.
+    for (const auto& [backend, order] : node.decisionLog.versionOrders) {
+        const auto past = node.decisionLog.pastVersionOrders.find(backend);
+        if (past != node.decisionLog.pastVersionOrders.end()) {
+            for (const auto& [version, known] : past->second)
+                view.versionOrders.push_back(known);
+        }
         view.versionOrders.push_back(order);
+    }
     return view;
 }
 
--- a/src/node/ForwardFlow.cpp
+++ b/src/node/ForwardFlow.cpp
@@ -380,7 +380,7 @@
 
 bool canSendElsewhere(const Node& node, const ForwardCall& call)
 {
-    const ChoiceRequest request { .backend = call.backend, .tried = call.tried, .allowed = [&node](const ForwardTarget& target) { return !isVersionExcluded(node, target); }, .regions = &call.regions };
+    const ChoiceRequest request { .backend = call.backend, .tried = call.tried, .allowed = versionFallback(node, call.backend), .regions = &call.regions };
     return hasHealthyTarget(node.forward.targets, node.forward.choice, request, node.now);
 }
 
@@ -468,7 +468,7 @@
     ChoiceRequest request { .backend = call.backend, .parts = call.parts, .promptTokens = call.promptTokens, .urgency = call.urgency, .tried = call.tried, .triesUnreached = probes, .allowed = versionFilter(node, call), .regions = &call.regions };
     auto choice = chooseTarget(forward.targets, forward.parts, forward.choice, request, node.now, node.random);
     if (!choice) {
-        request.allowed = [&node](const ForwardTarget& target) { return !isVersionExcluded(node, target); };
+        request.allowed = versionFallback(node, call.backend);
         choice = chooseTarget(forward.targets, forward.parts, forward.choice, request, node.now, node.random);
     }
     if (!choice && call.headForwarded) {
--- a/src/node/ForwardState.h
+++ b/src/node/ForwardState.h
@@ -202,6 +202,7 @@
     };
 
     std::map<std::string, VersionOrder> orders; ///< In force, by backend.
+    std::map<std::string, std::map<std::string, VersionOrder>> past; ///< As DecisionLog::pastVersionOrders.
     std::map<std::string, Follower> followers;
     TimeMs nextReport;
     TimeMs nextEvidence; ///< Of a report in the form of earlier builds.
--- a/src/node/PeerMessages.h
+++ b/src/node/PeerMessages.h
@@ -173,7 +173,7 @@
     std::vector<MoveDirective> moves;
     uint64_t epoch = 0;
     uint32_t ledgerGroups = 0; ///< Group count of the node that built the view; a node with another count refuses once calls.
-    std::vector<VersionOrder> versionOrders;
+    std::vector<VersionOrder> versionOrders; ///< Of each backend the past orders of other versions, then the order in force.
 
     template <class Archive>
     void serialize(Archive& archive) { archive(index, rules, moves, epoch, ledgerGroups, versionOrders); }
--- a/src/node/RouteExplanation.cpp
+++ b/src/node/RouteExplanation.cpp
@@ -124,7 +124,7 @@
 // Adds the candidates to a list for all backends, and returns what holds for the backend as a whole.
 static json::object backendJson(const Node& node, const ExplainedRequest& request, const BackendShare& share, json::array& candidates)
 {
-    const ChoiceRequest choice { .backend = share.backend, .parts = request.parts, .promptTokens = request.promptTokens, .urgency = request.urgency, .tried = {}, .allowed = [&node](const ForwardTarget& target) { return !isVersionExcluded(node, target); }, .regions = &request.regions };
+    const ChoiceRequest choice { .backend = share.backend, .parts = request.parts, .promptTokens = request.promptTokens, .urgency = request.urgency, .tried = {}, .allowed = versionFallback(node, share.backend), .regions = &request.regions };
     const auto targets = explainTargets(node.forward.targets, node.forward.parts, node.forward.choice, choice, node.now, node.random);
     const TargetExplanation* chosen = chosenOf(targets);
     const Verdict verdict = verdictOf(node, request, share.backend, chosen);
--- a/src/node/VersionOrderCalls.cpp
+++ b/src/node/VersionOrderCalls.cpp
@@ -5,6 +5,7 @@
 #include "node/NodeState.h"
 
 #include <algorithm>
+#include <set>
 
 namespace siskinshunt {
 
@@ -25,7 +26,7 @@
 
 void orderVersion(Node& node, ExchangeId exchange, StartVersionOrder order)
 {
-    if (!nodesWithoutFeature(node, BuildFeaturesFrame::readsOrderVersion).empty())
+    if (!nodesWithoutFeature(node, BuildFeaturesFrame::readsOrderVersionAmong).empty())
         askFeatures(node);
     const uint64_t known = knownSequence(node, order.backend);
     node.controlCalls.versionOrders.push_back({ .exchange = exchange, .order = std::move(order), .knownSequence = known, .arrivedAt = node.now });
@@ -41,6 +42,20 @@
     });
 }
 
+// Versions of which this node knows upstreams, also leaving ones.
+static std::vector<std::string> presentVersions(const Node& node, const std::string& backend)
+{
+    std::set<std::string> versions;
+    const auto ids = node.forward.targets.byBackend.find(backend);
+    if (ids != node.forward.targets.byBackend.end()) {
+        for (const UpstreamId id : ids->second)
+            versions.insert(node.forward.targets.entries.at(id).version);
+    }
+    while (versions.size() > OrderVersionAmong::maxPresent)
+        versions.erase(std::prev(versions.end()));
+    return { versions.begin(), versions.end() };
+}
+
 static void answerOrder(Node& node, const PendingVersionOrder& order, bool applied, const std::string& bytes)
 {
     const auto reply = applied ? decodeControlReply(bytes) : std::nullopt;
@@ -54,11 +69,23 @@
     answerUnavailable(node, order.exchange, "not ordered, " + reply->detail);
 }
 
-static void proposeOrder(Node& node, const PendingVersionOrder& order, bool isReadable)
+// The command of the newest form that all nodes with a data folder read.
+static ControlCommand commandOf(const Node& node, const PendingVersionOrder& order)
+{
+    if (!nodesWithoutFeature(node, BuildFeaturesFrame::readsOrderVersion).empty())
+        return order.order;
+    const OrderVersion dated { .order = order.order, .knownSequence = order.knownSequence };
+    if (!nodesWithoutFeature(node, BuildFeaturesFrame::readsOrderVersionAmong).empty())
+        return dated;
+    return OrderVersionAmong { .order = dated, .present = presentVersions(node, order.order.backend) };
+}
+
+static void proposeOrder(Node& node, const PendingVersionOrder& order)
 {
-    const ControlCommand command = isReadable ? ControlCommand(OrderVersion { .order = order.order, .knownSequence = order.knownSequence }) : ControlCommand(order.order);
+    const ControlCommand command = commandOf(node, order);
+    const bool isDated = !std::holds_alternative<StartVersionOrder>(command);
     const TimeMs waited = node.now - order.arrivedAt;
-    proposeCommand(node, decisionGroup, encodeControlCommand(command), (isReadable ? proposeTimeout : undatedTimeout) - waited,
+    proposeCommand(node, decisionGroup, encodeControlCommand(command), (isDated ? proposeTimeout : undatedTimeout) - waited,
         [order](Node& node, bool applied, const std::string& bytes) { answerOrder(node, order, applied, bytes); });
 }
 
@@ -66,13 +93,13 @@
 {
     if (node.controlCalls.versionOrders.empty())
         return;
-    const bool isReadable = nodesWithoutFeature(node, BuildFeaturesFrame::readsOrderVersion).empty();
+    const bool isReadable = nodesWithoutFeature(node, BuildFeaturesFrame::readsOrderVersionAmong).empty();
     for (auto& order : std::exchange(node.controlCalls.versionOrders, {})) {
         const TimeMs waited = node.now - order.arrivedAt;
         if (waited < settleTime || (!isReadable && waited < featuresTimeout))
             node.controlCalls.versionOrders.push_back(std::move(order));
         else
-            proposeOrder(node, order, isReadable);
+            proposeOrder(node, order);
     }
 }
 
--- a/src/node/VersionOrders.cpp
+++ b/src/node/VersionOrders.cpp
@@ -36,7 +36,13 @@
 void followVersionOrders(Node& node)
 {
     auto& state = node.versionOrders;
-    for (const auto& order : node.view.versionOrders) {
+    state.past.clear();
+    for (size_t n = 0; n < node.view.versionOrders.size(); ++n) {
+        const VersionOrder& order = node.view.versionOrders[n];
+        if (n + 1 < node.view.versionOrders.size() && node.view.versionOrders[n + 1].backend == order.backend) {
+            state.past[order.backend][order.target] = order;
+            continue;
+        }
         auto& known = state.orders[order.backend];
         if (!isSameOrder(known, order))
             state.followers[order.backend] = { .seenAt = node.now };
@@ -52,13 +58,63 @@
     return it == node.versionOrders.orders.end() ? nullptr : &it->second;
 }
 
-bool isVersionExcluded(const Node& node, const ForwardTarget& target)
+namespace {
+
+    enum class VersionStanding : uint8_t {
+        InUse, ///< Was there before any order, or its order was completed.
+        Unknown, ///< Its upstreams came without an order.
+        OnTrial, ///< Its order is running.
+        Bad, ///< It was rolled back or given up, or this node has stopped using it.
+    };
+
+}
+
+static VersionStanding standingOf(const VersionOrder& order, const std::map<std::string, VersionOrder>* past, bool tripped, const std::string& version)
 {
-    const VersionOrder* order = orderOf(node, target.backend);
-    if (!order || order->target != target.version)
-        return false;
-    const auto it = node.versionOrders.followers.find(target.backend);
-    return order->state == VersionOrderState::RolledBack || (order->state == VersionOrderState::Running && it != node.versionOrders.followers.end() && it->second.tripped);
+    const auto known = past ? past->find(version) : decltype(past->find(version)) {};
+    const bool isKnown = past && known != past->end();
+    if (isKnown && known->second.state == VersionOrderState::Completed)
+        return VersionStanding::InUse;
+    if (version == order.target) {
+        if (order.state == VersionOrderState::Completed)
+            return VersionStanding::InUse;
+        return order.state == VersionOrderState::RolledBack || tripped ? VersionStanding::Bad : VersionStanding::OnTrial;
+    }
+    if (isKnown)
+        return VersionStanding::Bad;
+    // Without past orders, an earlier build has taken the order: all versions but its target count as in use.
+    return past ? VersionStanding::Unknown : VersionStanding::InUse;
+}
+
+static std::function<VersionStanding(const std::string& version)> standings(const Node& node, const VersionOrder& order)
+{
+    const auto past = node.versionOrders.past.find(order.backend);
+    const auto follower = node.versionOrders.followers.find(order.backend);
+    const bool tripped = follower != node.versionOrders.followers.end() && follower->second.tripped;
+    return [order = &order, past = past == node.versionOrders.past.end() ? nullptr : &past->second, tripped](const std::string& version) { return standingOf(*order, past, tripped, version); };
+}
+
+// Whether an upstream of the backend has the standing and serves. One that is only busy does; one that cannot be reached or is silent does not.
+static bool hasStanding(const Node& node, const std::string& backend, const std::function<VersionStanding(const std::string&)>& standing, VersionStanding wanted)
+{
+    const auto ids = node.forward.targets.byBackend.find(backend);
+    return ids != node.forward.targets.byBackend.end() && std::any_of(ids->second.begin(), ids->second.end(), [&](UpstreamId id) {
+        const ForwardTarget& target = node.forward.targets.entries.at(id);
+        return !target.leaving && !target.unreached && node.now - target.lastSeen <= node.forward.choice.staleAfter && standing(target.version) == wanted;
+    });
+}
+
+std::function<bool(const ForwardTarget&)> versionFallback(const Node& node, const std::string& backend)
+{
+    const VersionOrder* order = orderOf(node, backend);
+    if (!order)
+        return nullptr;
+    const auto standing = standings(node, *order);
+    const bool othersServe = hasStanding(node, backend, standing, VersionStanding::InUse) || hasStanding(node, backend, standing, VersionStanding::Unknown);
+    return [standing, othersServe](const ForwardTarget& it) {
+        const auto found = standing(it.version);
+        return found != VersionStanding::Bad && (found != VersionStanding::OnTrial || !othersServe);
+    };
 }
 
 // Whether requests of this node can go to the upstream now.
@@ -105,11 +161,14 @@
         return nullptr;
     if (order->state == VersionOrderState::Completed)
         return [target = order->target](const ForwardTarget& it) { return it.version == target; };
-    const auto& follower = node.versionOrders.followers[call.backend];
-    const bool excluded = order->state == VersionOrderState::RolledBack || follower.tripped;
-    if (const UpstreamId tested = excluded ? UpstreamId {} : testedInstance(node, *order, follower))
-        return [tested](const ForwardTarget& it) { return it.id == tested; };
-    return [target = order->target](const ForwardTarget& it) { return it.version != target; };
+    const auto standing = standings(node, *order);
+    if (standing(order->target) == VersionStanding::OnTrial) {
+        if (const UpstreamId tested = testedInstance(node, *order, node.versionOrders.followers[call.backend]))
+            return [tested](const ForwardTarget& it) { return it.id == tested; };
+    }
+    // Upstreams that came without an order serve only if there are no others.
+    const auto wanted = hasStanding(node, call.backend, standing, VersionStanding::InUse) ? VersionStanding::InUse : VersionStanding::Unknown;
+    return [standing, wanted](const ForwardTarget& it) { return standing(it.version) == wanted; };
 }
 
 namespace {
@@ -415,6 +474,7 @@
 static RolloutReports reportsOf(const Node& node, const VersionOrder& order, const VersionFollowers::Led& led)
 {
     RolloutReports reports;
+    const auto standing = standings(node, order);
     for (const auto& [from, results] : led.results)
         reports.nodes[from] = results.routes;
     addEarlierBuilds(node, order.backend, reports);
@@ -423,12 +483,34 @@
         return reports;
     for (const UpstreamId id : ids->second) {
         const ForwardTarget& target = node.forward.targets.entries.at(id);
-        if (isUsable(node, target))
-            ++(target.version == order.target ? reports.newInstances : reports.oldInstances);
+        if (!isUsable(node, target))
+            continue;
+        reports.newInstances += target.version == order.target;
+        reports.oldInstances += target.version != order.target && standing(target.version) != VersionStanding::Bad;
     }
     return reports;
 }
 
+// A version that was in use before its order needs no evidence. It is completed as late as another one: the platform then ends the upstreams of
+// all other versions, whose requests in progress have that long to end.
+static RolloutDecision stepKnownVersion(const Rollout& rollout, const RolloutReports& reports, TimeMs now)
+{
+    const TimeMs limit = rollout.startedAt + rollout.within;
+    if (reports.newInstances)
+        return now >= limit - completionMargin(rollout.within) ? RolloutDecision { .action = RolloutAction::Complete, .reason = "the version was in use before the order" } : RolloutDecision {};
+    return now >= limit ? RolloutDecision { .action = RolloutAction::RollBack, .reason = "no upstream of the version takes requests" } : RolloutDecision {};
+}
+
+// What the target may get. A trial that was ended within its time limit has used some of the requests that a version may get beyond the share.
+static RolloutSettings rolloutSettings(const Node& node, const VersionOrder& order)
+{
+    const auto& forward = node.options.settings.forward;
+    const auto past = node.versionOrders.past.find(order.backend);
+    const auto known = past == node.versionOrders.past.end() ? decltype(past->second.end()) {} : past->second.find(order.target);
+    const bool isTriedAgain = past != node.versionOrders.past.end() && known != past->second.end() && known->second.orderedAt + known->second.within > order.orderedAt;
+    return { .exposureShare = forward.exposureShare, .exposureExtra = isTriedAgain ? 0 : forward.exposureExtra };
+}
+
 static void stepOrder(Node& node, const VersionOrder& order)
 {
     if (order.state != VersionOrderState::Running || node.versionOrders.recording.contains(order.backend))
@@ -436,8 +518,9 @@
     auto& led = ledOrder(node, order);
     for (auto& results : ownResults(node).orders)
         addResults(node, node.self, std::move(results));
-    const auto& forward = node.options.settings.forward;
-    const auto decision = stepRollout(led.rollout, reportsOf(node, order, led), { .exposureShare = forward.exposureShare, .exposureExtra = forward.exposureExtra }, node.now);
+    const auto reports = reportsOf(node, order, led);
+    const bool isInUse = standings(node, order)(order.target) == VersionStanding::InUse;
+    const auto decision = isInUse ? stepKnownVersion(led.rollout, reports, node.now) : stepRollout(led.rollout, reports, rolloutSettings(node, order), node.now);
     if (decision.action == RolloutAction::Burst)
         addLog(node, LogLevel::Info, "version_burst", Step::Order, order.backend, decision.reason, { { "target", order.target }, { "share", std::to_string(decision.share) }, { "ms", std::to_string(decision.length.value) }, { "sent_before", std::to_string(led.rollout.startedAfter) }, { "of", std::to_string(led.rollout.started) } });
     if (decision.action == RolloutAction::Burst || std::exchange(led.rollout.limitsChanged, false))
--- a/src/node/VersionOrders.h
+++ b/src/node/VersionOrders.h
@@ -10,8 +10,9 @@
 void followVersionOrders(Node&);
 /// Returns a filter for the upstreams that a request can use by their version; null if all are allowed.
 std::function<bool(const ForwardTarget&)> versionFilter(Node&, const ForwardCall&);
-/// Whether requests are not routed to the upstream's version.
-bool isVersionExcluded(const Node&, const ForwardTarget&);
+/// Returns a filter for the upstreams of the backend that a request can use if versionFilter() leaves none: not those of a version that was
+/// taken back or given up, and those of a version on trial only if there is no upstream of a version in use.
+std::function<bool(const ForwardTarget&)> versionFallback(const Node&, const std::string& backend);
 
 // Results of an attempt for the version of its upstream, while an order of its backend is running. Each attempt counts once.
 
--- a/tests/control/DecisionLogTest.cpp
+++ b/tests/control/DecisionLogTest.cpp
@@ -195,6 +195,63 @@
     return applyControl(log, RecordVersionOrder { .epoch = log.epoch, .order = order }).outcome;
 }
 
+static void orderAmong(DecisionLog& log, const std::string& target, std::vector<std::string> present, TimeMs now)
+{
+    const auto it = log.versionOrders.find("lm");
+    const uint64_t known = it == log.versionOrders.end() ? 0 : it->second.sequence;
+    BOOST_TEST((applyControl(log, OrderVersionAmong { .order = makeOrder(target, known, now), .present = std::move(present) }).outcome == ControlOutcome::Accepted));
+}
+
+static std::string pastOf(const DecisionLog& log)
+{
+    std::string out;
+    for (const auto& [version, order] : log.pastVersionOrders.at("lm"))
+        out += version + "=" + std::string(nameOf(order.state)) + " ";
+    return out;
+}
+
+// Guards against a version that counts as sound because its order was replaced or has ended.
+BOOST_AUTO_TEST_CASE(pastVersionOrdersAreKept)
+{
+    DecisionLog log;
+    orderAmong(log, "v2", { "v1", "v2" }, 1_s);
+    BOOST_TEST(pastOf(log) == "v1=completed ");
+    orderAmong(log, "v1", { "v1", "v2" }, 2_s);
+    BOOST_TEST(pastOf(log) == "v1=completed v2=given_up ");
+    orderAmong(log, "v2", { "v1", "v2" }, 3_s);
+    BOOST_TEST(pastOf(log) == "v1=completed v2=given_up ");
+    endOrder(log, VersionOrderState::RolledBack);
+    orderAmong(log, "v3", { "v1", "v2", "v3", "v9" }, 4_s);
+    BOOST_TEST(pastOf(log) == "v1=completed v2=rolled_back ");
+    DecisionLog restored;
+    BOOST_REQUIRE(restoreControl(restored, snapshotControl(log)));
+    BOOST_TEST(pastOf(restored) == pastOf(log));
+    endOrder(restored, VersionOrderState::Completed);
+    BOOST_TEST(pastOf(restored) == "v2=rolled_back ");
+    orderAmong(restored, "v4", { "v3" }, 5_s);
+    BOOST_TEST(pastOf(restored) == "v2=rolled_back v3=completed ");
+}
+
+// Guards against a resend or a late copy that changes what is known of a version.
+BOOST_AUTO_TEST_CASE(repeatedOrderKeepsPastVersionOrders)
+{
+    DecisionLog log;
+    orderAmong(log, "v2", { "v1" }, 1_s);
+    orderAmong(log, "v1", { "v1", "v2" }, 2_s);
+    const auto before = pastOf(log);
+    BOOST_TEST((applyControl(log, OrderVersionAmong { .order = makeOrder("v1", 2, 3_s), .present = {} }).outcome == ControlOutcome::Accepted));
+    BOOST_TEST((applyControl(log, OrderVersionAmong { .order = makeOrder("v2", 0, 3_s), .present = {} }).outcome == ControlOutcome::Stale));
+    BOOST_TEST(pastOf(log) == before);
+}
+
+// Guards against a trial without end: the only version of a backend is ordered.
+BOOST_AUTO_TEST_CASE(onlyVersionCountsAsInUse)
+{
+    DecisionLog log;
+    orderAmong(log, "v1", { "v1" }, 1_s);
+    BOOST_TEST(pastOf(log) == "v1=completed ");
+}
+
 // Guards against an order that was given up or repeated elsewhere and takes effect late: it would undo a later acknowledged one.
 BOOST_AUTO_TEST_CASE(lateCopyOfAVersionOrderHasNoEffect)
 {
--- a/tests/fuzz/ControlCommands.cpp
+++ b/tests/fuzz/ControlCommands.cpp
@@ -32,7 +32,7 @@
 
 static ControlCommand command(FuzzInput& in)
 {
-    switch (in.below(9)) {
+    switch (in.below(10)) {
     case 0:
         return ApplyRules { .requestId = in.text(), .expectedRevision = in.number(), .text = in.text(), .operatorName = in.text(), .now = time(in) };
     case 1:
@@ -49,6 +49,8 @@
         return startVersionOrder(in);
     case 7:
         return OrderVersion { .order = startVersionOrder(in), .knownSequence = in.below(4) };
+    case 8:
+        return OrderVersionAmong { .order = { .order = startVersionOrder(in), .knownSequence = in.below(4) }, .present = { in.text(), in.text() } };
     default:
         return CloseIntent { .id = in.text(), .state = static_cast<IntentState>(in.below(4)), .detail = in.text() };
     }
--- a/tests/node/VersionOrderTest.cpp
+++ b/tests/node/VersionOrderTest.cpp
@@ -12,12 +12,15 @@
         explicit VersionFleet(uint64_t seed = 1)
             : fleet(makeOptions(seed))
         {
-            for (int n = 0; n < 3; ++n)
+            for (int n = 0; n < 3; ++n) {
                 fleet.addUpstream("desk-" + std::to_string(n), UpstreamKind::Service, "desk", "lhr-depot");
+                fleet.upstream("desk-" + std::to_string(n)).announced.version = "v1";
+            }
             startForwardFleet(fleet);
             fleet.forwardAnswer = [this](size_t, const UpstreamDispatch& dispatch) -> std::optional<HttpHeaders> {
                 const auto& version = fleet.upstreams.at(dispatch.address).announced.version;
                 ++all;
+                ++sentTo[version];
                 if (version == target) {
                     ++sent;
                     arrivals[dispatch.address].push_back(fleet.now);
@@ -25,6 +28,8 @@
                 return HttpHeaders { { names.requestId, dispatch.idValue }, { names.receipt, "proof" } };
             };
             fleet.forwardStatus = [this](const UpstreamDispatch& dispatch) -> uint16_t {
+                if (!badVersion.empty() && fleet.upstreams.at(dispatch.address).announced.version == badVersion && fleet.random.chance(0.25))
+                    return 500;
                 return fleet.upstreams.at(dispatch.address).announced.version == target && fails && fails(dispatch.address) ? 500 : 200;
             };
             fleet.runFor(3_s);
@@ -50,11 +55,17 @@
         void order(const std::string& version)
         {
             target = version;
+            give(version);
+            addVersion(version);
+            all = sent = 0;
+        }
+
+        // Gives the order without new upstreams.
+        void give(const std::string& version)
+        {
             const auto call = fleet.post(0, { "POST", "/versions/desk/" + version, {}, {} }, ListenerKind::Control);
             BOOST_REQUIRE(waitFor(fleet, call, 2_s));
             BOOST_REQUIRE_EQUAL(fleet.caller(call).status, 200U);
-            addVersion(version);
-            all = sent = 0;
         }
 
         // Sixty requests a second on the average.
@@ -88,7 +99,9 @@
         NodeFleet fleet;
         HeaderNames names;
         std::string target;
-        std::function<bool(const std::string& address)> fails;
+        std::function<bool(const std::string& address)> fails; ///< Requests of the version that was ordered with order().
+        std::string badVersion; ///< Fails a quarter of its requests.
+        std::map<std::string, uint64_t> sentTo; ///< Requests by version.
         std::map<std::string, std::deque<TimeMs>> arrivals;
         uint64_t all = 0;
         uint64_t sent = 0;
@@ -155,6 +168,96 @@
     }
 }
 
+// Guards against a bad version that becomes an ordinary one because the operator orders the former version while it is on trial.
+BOOST_AUTO_TEST_CASE(FormerVersionOrderedDuringABadOne)
+{
+    VersionFleet it;
+    it.badVersion = "v2";
+    it.run(2_s);
+    it.order("v2");
+    it.run(2_s);
+    it.give("v1");
+    it.run(1_s);
+    const uint64_t before = it.sentTo["v2"];
+    it.run(19_s);
+    BOOST_CHECK_EQUAL(it.sentTo["v2"], before);
+    BOOST_CHECK_EQUAL(nameOf(it.state()), "completed");
+}
+
+// Guards against the same by an order for a third version, while the bad one is on trial or its instances still wait for their end.
+BOOST_AUTO_TEST_CASE(ThirdVersionOrderedDuringOrAfterABadOne)
+{
+    for (const TimeMs trial : { 2_s, 10_s }) {
+        VersionFleet it;
+        it.badVersion = "v2";
+        it.run(2_s);
+        it.order("v2");
+        it.run(trial);
+        it.order("v3");
+        it.run(1_s);
+        const uint64_t before = it.sentTo["v2"];
+        it.run(19_s);
+        BOOST_CHECK_EQUAL(it.sentTo["v2"], before);
+        BOOST_CHECK_EQUAL(nameOf(it.state()), "completed");
+    }
+}
+
+// Guards against a version that gets all it may get once more with each order.
+BOOST_AUTO_TEST_CASE(GivenUpVersionOrderedAgain)
+{
+    VersionFleet it;
+    it.badVersion = "v2";
+    it.run(2_s);
+    it.order("v2");
+    it.run(2_s);
+    it.give("v1");
+    it.run(1_s);
+    it.give("v2");
+    it.run(17_s);
+    BOOST_CHECK_EQUAL(nameOf(it.state()), "rolled_back");
+    BOOST_CHECK_LE(static_cast<double>(it.sentTo["v2"]), 0.1 * static_cast<double>(it.all) + 50);
+}
+
+// Guards against what is known of a version in the memory of a process only.
+BOOST_AUTO_TEST_CASE(GivenUpVersionStaysSoAfterRestarts)
+{
+    VersionFleet it;
+    it.badVersion = "v2";
+    it.run(2_s);
+    it.order("v2");
+    it.run(2_s);
+    it.give("v1");
+    it.run(1_s);
+    const uint64_t before = it.sentTo["v2"];
+    for (const auto& node : it.fleet.nodes) {
+        if (node.disk)
+            it.fleet.post(0, { "POST", "/admin/snapshot", { { "Authorization", "Bearer omar" } }, {} });
+    }
+    it.run(300_ms);
+    for (size_t n = 0; n < it.fleet.nodes.size(); ++n) {
+        it.fleet.kill(n, true);
+        it.fleet.start(n);
+    }
+    it.run(10_s);
+    BOOST_CHECK_GT(it.sentTo["v1"], before);
+    BOOST_CHECK_EQUAL(it.sentTo["v2"], before);
+}
+
+// Guards against all requests for a version on trial while the others are only busy, and against none for it when they are gone.
+BOOST_AUTO_TEST_CASE(VersionOnTrialServesOnlyWhenTheOthersAreGone)
+{
+    VersionFleet it;
+    it.run(2_s);
+    it.order("v2");
+    it.run(2_s);
+    const uint64_t before = it.sentTo["v2"];
+    BOOST_CHECK_LE(before, 40U);
+    for (int n = 0; n < 3; ++n)
+        it.fleet.stop("desk-" + std::to_string(n));
+    it.run(13_s);
+    BOOST_CHECK_GT(it.sentTo["v2"], before + 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
