--- a/tests/control/DecisionLogTest.cpp
+++ b/tests/control/DecisionLogTest.cpp
@@ -199,7 +199,8 @@
 {
     const auto it = log.versionOrders.find("lm");
     const uint64_t known = it == log.versionOrders.end() ? 0 : it->second.sequence;
-    BOOST_TEST((applyControl(log, OrderVersionAmong { .order = makeOrder(target, known, now), .present = std::move(present) }).outcome == ControlOutcome::Accepted));
+    const OrderVersionAmong command { .order = makeOrder(target, known, now), .present = std::move(present) };
+    BOOST_TEST((applyControl(log, command).outcome == ControlOutcome::Accepted));
 }
 
 static std::string pastOf(const DecisionLog& log)
