--- a/src/node/VersionOrders.cpp
+++ b/src/node/VersionOrders.cpp
@@ -502,13 +502,14 @@
 }
 
 // What the target may get. A trial that was ended within its time limit has used some of the requests that a version may get beyond the share.
+// Without any of them, bursts are too short to show a version that fails under load.
 static RolloutSettings rolloutSettings(const Node& node, const VersionOrder& order)
 {
     const auto& forward = node.options.settings.forward;
     const auto past = node.versionOrders.past.find(order.backend);
     const auto known = past == node.versionOrders.past.end() ? decltype(past->second.end()) {} : past->second.find(order.target);
     const bool isTriedAgain = past != node.versionOrders.past.end() && known != past->second.end() && known->second.orderedAt + known->second.within > order.orderedAt;
-    return { .exposureShare = forward.exposureShare, .exposureExtra = isTriedAgain ? 0 : forward.exposureExtra };
+    return { .exposureShare = forward.exposureShare, .exposureExtra = isTriedAgain ? forward.exposureExtra / 2 : forward.exposureExtra };
 }
 
 static void stepOrder(Node& node, const VersionOrder& order)
--- a/tests/versions/RolloutModel.h
+++ b/tests/versions/RolloutModel.h
@@ -38,6 +38,10 @@
     int oldInstances = 3;
     int newInstances = 3;
     TimeMs within { 24000 };
+    /// When an order for the former version ends the first trial, and when the version is ordered again; 0: there is one order only. The
+    /// result is that of the last order.
+    TimeMs givenUpAt;
+    TimeMs orderedAgainAt;
 };
 
 struct RolloutResult {
@@ -46,6 +50,8 @@
     TimeMs endedAt; ///< Since the order.
     uint64_t all = 0; ///< Requests until the time limit.
     uint64_t after = 0; ///< Of these, those to the new version.
+    uint64_t allOfFirst = 0; ///< The same until the time limit of the first order, if there are two.
+    uint64_t afterOfFirst = 0;
     uint64_t bad = 0; ///< Bad answers of the new version until the time limit.
     std::string reason;
 };
@@ -69,7 +75,9 @@
     RolloutResult run()
     {
         static constexpr TimeMs tick { 10 };
-        for (m_now = {}; m_now < m_scenario.within; m_now += tick) {
+        for (m_now = {}; m_now < m_scenario.orderedAgainAt + m_scenario.within; m_now += tick) {
+            if (m_scenario.orderedAgainAt.value && m_now == m_scenario.orderedAgainAt)
+                orderAgain();
             if (m_now.value % 1000 == 0)
                 m_outage = m_scenario.trouble == RolloutTrouble::Outage && m_random.chance(0.1);
             endAttempts();
@@ -77,7 +85,7 @@
                 if (m_random.chance(std::min(1.0, mean)))
                     arrive();
             }
-            if (m_now.value % 300 == 0 && !m_result.completed && !m_result.rolledBack)
+            if (m_now.value % 300 == 0 && isOnTrial())
                 step();
         }
         return m_result;
@@ -96,9 +104,29 @@
 
     static constexpr std::array<const char*, 3> routes { "busy", "usual", "quiet" };
 
+    bool isOnTrial() const
+    {
+        const bool givenUp = m_scenario.givenUpAt.value && m_now >= m_scenario.givenUpAt && m_now < m_scenario.orderedAgainAt;
+        return !givenUp && !m_result.completed && !m_result.rolledBack;
+    }
+
+    // As rolloutSettings() of the node.
+    void orderAgain()
+    {
+        m_rollout = startRollout(m_now, m_scenario.within);
+        m_reports.nodes.clear();
+        for (int n = 0; n < m_scenario.nodes; ++n)
+            m_reports.nodes[NodeId { static_cast<uint64_t>(n + 1) }];
+        m_attempts.clear();
+        m_burstEnd = {};
+        if (m_now < m_scenario.within)
+            m_settings.exposureExtra /= 2;
+        m_result = { .allOfFirst = m_result.all, .afterOfFirst = m_result.after };
+    }
+
     bool usesNew()
     {
-        if (m_result.completed || m_result.rolledBack)
+        if (!isOnTrial())
             return m_result.completed;
         return m_random.chance(m_now < m_burstEnd ? m_burstShare : rolloutBaseShare);
     }
@@ -110,6 +138,10 @@
         attempt.route = m_random.chance(0.6) ? 0 : m_random.chance(0.75) ? 1
                                                                          : 2;
         attempt.after = usesNew();
+        if (m_scenario.orderedAgainAt.value && m_now >= m_scenario.orderedAgainAt && m_now < m_scenario.within) {
+            ++m_result.allOfFirst;
+            m_result.afterOfFirst += attempt.after;
+        }
         attempt.failed = m_random.chance(m_scenario.trouble == RolloutTrouble::BusyBackend ? 1.0 / 7 : m_outage ? 0.3
                                                                                                                 : 0.005);
         // A mean of 100 ms with a long tail.
@@ -211,7 +243,7 @@
 
     void step()
     {
-        const auto decision = stepRollout(m_rollout, m_reports, {}, m_now);
+        const auto decision = stepRollout(m_rollout, m_reports, m_settings, m_now);
         if (decision.action == RolloutAction::Burst) {
             m_burstEnd = m_now + decision.length;
             m_burstShare = decision.share;
@@ -229,6 +261,7 @@
     Random m_random;
     Rollout m_rollout;
     RolloutReports m_reports;
+    RolloutSettings m_settings;
     RolloutResult m_result;
     std::deque<Attempt> m_attempts;
     std::deque<TimeMs> m_sentAfter;
@@ -256,7 +289,8 @@
         ++out.runs;
         out.completed += result.completed;
         out.rolledBack += result.rolledBack;
-        out.overExposed += static_cast<double>(result.after) > 0.1 * static_cast<double>(result.all) + 50;
+        const auto isOver = [](uint64_t after, uint64_t all) { return static_cast<double>(after) > 0.1 * static_cast<double>(all) + 50; };
+        out.overExposed += isOver(result.after, result.all) || isOver(result.afterOfFirst, result.allOfFirst);
         out.bad += result.bad;
         out.most = std::max(out.most, result.after);
     }
--- a/tests/versions/RolloutTest.cpp
+++ b/tests/versions/RolloutTest.cpp
@@ -95,4 +95,18 @@
     BOOST_TEST((decision.action == RolloutAction::RollBack), decision.reason);
 }
 
+// Guards against a version that is ordered, given up for the former one and ordered again: a sound one has to be completed in time, a bad one
+// taken back within the exposure limit of both orders.
+BOOST_AUTO_TEST_CASE(VersionIsOrderedAgain)
+{
+    for (const TimeMs givenUpAt : { 2_s, 6_s, 15_s }) {
+        const TimeMs again = givenUpAt + 2_s;
+        checkGood("sound, ordered again", { .givenUpAt = givenUpAt, .orderedAgainAt = again });
+        checkGood("sound, ordered again, 500 a second", { .perSecond = 500, .oldInstances = 12, .newInstances = 12, .givenUpAt = givenUpAt, .orderedAgainAt = again });
+        checkBad("fails at once, ordered again", { .fault = RolloutFault::AtOnce, .givenUpAt = givenUpAt, .orderedAgainAt = again });
+        checkBad("fails under load, ordered again", { .fault = RolloutFault::UnderLoad, .givenUpAt = givenUpAt, .orderedAgainAt = again });
+        checkBad("slow, ordered again", { .fault = RolloutFault::Slow, .givenUpAt = givenUpAt, .orderedAgainAt = again });
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
