--- a/src/control/DecisionLog.cpp
+++ b/src/control/DecisionLog.cpp
@@ -285,8 +285,10 @@
     if (started == log.versionOrders.end() || (before && started->second.sequence == before->sequence))
         return reply;
     auto& past = log.pastVersionOrders[start.backend];
-    if (before)
-        return endVersionOrder(past, *before), reply;
+    if (before) {
+        endVersionOrder(past, *before);
+        return reply;
+    }
     // Upstreams of the ordered version may have registered before their order, so it counts as in use only if there is no other.
     for (const std::string& version : command.present) {
         if (version != start.target || command.present.size() == 1)
--- a/src/node/VoterRepair.cpp
+++ b/src/node/VoterRepair.cpp
@@ -108,7 +108,7 @@
     return spares.empty() ? VoterId {} : std::get<VoterId>(*std::min_element(spares.begin(), spares.end()));
 }
 
-static void change(Node& node, Group& group, MemberChange change, VoterId voter, const char* code, const char* text)
+static void proposeChange(Node& node, Group& group, MemberChange change, VoterId voter, const char* code, const char* text)
 {
     changeMembers(*group.replica, change, voter);
     if (std::exchange(group.repair.lastLogged, { code, voter }) == std::pair<std::string, VoterId>(code, voter))
@@ -118,7 +118,7 @@
 
 static void removeLearner(Node& node, Group& group, VoterId learner, const char* text)
 {
-    change(node, group, MemberChange::Remove, learner, "learner_removed", text);
+    proposeChange(node, group, MemberChange::Remove, learner, "learner_removed", text);
 }
 
 // Whether the learner has received nothing for too long while another spare waits.
@@ -153,14 +153,14 @@
 static bool changeGroup(Node& node, Group& group, const ReplicaStatus& state)
 {
     if (const VoterId lost = voterWithLostDisk(node, state)) {
-        change(node, group, MemberChange::Remove, lost, "voter_removed", "the node of the voter is back without the voter's data");
+        proposeChange(node, group, MemberChange::Remove, lost, "voter_removed", "the node of the voter is back without the voter's data");
         return true;
     }
     const VoterId ordered = orderedVoter(node, state);
     const VoterId replaced = ordered ? ordered : missingVoter(node, group.repair, state);
     const bool isReplaced = ordered ? contains(state.voters, node.replacements.at(ordered).add) : state.voters.size() % 2 == 0;
     if (replaced && isReplaced) {
-        change(node, group, MemberChange::Remove, replaced, "voter_removed", "the voter is missing and the group does not need it");
+        proposeChange(node, group, MemberChange::Remove, replaced, "voter_removed", "the voter is missing and the group does not need it");
         return true;
     }
     if (!state.learners.empty()) {
@@ -173,9 +173,9 @@
     if (!spare)
         return false;
     if (replaced)
-        change(node, group, MemberChange::AddLearner, spare, "voter_replacement_started", "a voter is missing; adding a spare as learner");
+        proposeChange(node, group, MemberChange::AddLearner, spare, "voter_replacement_started", "a voter is missing; adding a spare as learner");
     else
-        change(node, group, MemberChange::AddLearner, spare, "voter_added", "the group has fewer voters than configured");
+        proposeChange(node, group, MemberChange::AddLearner, spare, "voter_added", "the group has fewer voters than configured");
     return true;
 }
 
