--- a/src/node/VersionOrders.cpp
+++ b/src/node/VersionOrders.cpp
@@ -69,29 +69,43 @@
 
 }
 
-static VersionStanding standingOf(const VersionOrder& order, const std::map<std::string, VersionOrder>* past, bool tripped, const std::string& version)
+using PastOrders = std::map<std::string, VersionOrder>; // By version.
+
+// Null if nothing is known of the backend's versions: an earlier build has taken its order.
+static const PastOrders* pastOrders(const Node& node, const std::string& backend)
+{
+    const auto it = node.versionOrders.past.find(backend);
+    return it == node.versionOrders.past.end() ? nullptr : &it->second;
+}
+
+static const VersionOrder* findOrder(const PastOrders* past, const std::string& version)
+{
+    if (!past)
+        return nullptr;
+    const auto it = past->find(version);
+    return it == past->end() ? nullptr : &it->second;
+}
+
+static VersionStanding standingOf(const VersionOrder& order, const PastOrders* past, bool tripped, const std::string& version)
 {
-    const auto known = past ? past->find(version) : decltype(past->find(version)) {};
-    const bool isKnown = past && known != past->end();
-    if (isKnown && known->second.state == VersionOrderState::Completed)
+    const VersionOrder* known = findOrder(past, version);
+    if (known && known->state == VersionOrderState::Completed)
         return VersionStanding::InUse;
     if (version == order.target) {
         if (order.state == VersionOrderState::Completed)
             return VersionStanding::InUse;
         return order.state == VersionOrderState::RolledBack || tripped ? VersionStanding::Bad : VersionStanding::OnTrial;
     }
-    if (isKnown)
+    if (known)
         return VersionStanding::Bad;
-    // Without past orders, an earlier build has taken the order: all versions but its target count as in use.
     return past ? VersionStanding::Unknown : VersionStanding::InUse;
 }
 
 static std::function<VersionStanding(const std::string& version)> standings(const Node& node, const VersionOrder& order)
 {
-    const auto past = node.versionOrders.past.find(order.backend);
     const auto follower = node.versionOrders.followers.find(order.backend);
     const bool tripped = follower != node.versionOrders.followers.end() && follower->second.tripped;
-    return [order = &order, past = past == node.versionOrders.past.end() ? nullptr : &past->second, tripped](const std::string& version) { return standingOf(*order, past, tripped, version); };
+    return [order = &order, past = pastOrders(node, order.backend), tripped](const std::string& version) { return standingOf(*order, past, tripped, version); };
 }
 
 // Whether an upstream of the backend has the standing and serves. One that is only busy does; one that cannot be reached or is silent does not.
@@ -506,9 +520,8 @@
 static RolloutSettings rolloutSettings(const Node& node, const VersionOrder& order)
 {
     const auto& forward = node.options.settings.forward;
-    const auto past = node.versionOrders.past.find(order.backend);
-    const auto known = past == node.versionOrders.past.end() ? decltype(past->second.end()) {} : past->second.find(order.target);
-    const bool isTriedAgain = past != node.versionOrders.past.end() && known != past->second.end() && known->second.orderedAt + known->second.within > order.orderedAt;
+    const VersionOrder* former = findOrder(pastOrders(node, order.backend), order.target);
+    const bool isTriedAgain = former && former->orderedAt + former->within > order.orderedAt;
     return { .exposureShare = forward.exposureShare, .exposureExtra = isTriedAgain ? forward.exposureExtra / 2 : forward.exposureExtra };
 }
 
