Begin three tests of second version orders in one place

Three cases of VersionOrders repeated the same steps: a bad version is on trial and the former one is ordered. No check, bound or seed is changed.

--- a/tests/node/VersionOrderTest.cpp
+++ b/tests/node/VersionOrderTest.cpp
@@ -68,6 +68,17 @@
             BOOST_REQUIRE_EQUAL(fleet.caller(call).status, 200U);
         }
 
+        // Orders v2, which is bad, and the former version while v2 is on trial.
+        void takeBackBadVersion()
+        {
+            badVersion = "v2";
+            run(2_s);
+            order("v2");
+            run(2_s);
+            give("v1");
+            run(1_s);
+        }
+
         // Sixty requests a second on the average.
         void run(TimeMs duration)
         {
@@ -172,12 +183,7 @@
 BOOST_AUTO_TEST_CASE(FormerVersionOrderedDuringABadOne)
 {
     VersionFleet it;
-    it.badVersion = "v2";
-    it.run(2_s);
-    it.order("v2");
-    it.run(2_s);
-    it.give("v1");
-    it.run(1_s);
+    it.takeBackBadVersion();
     const uint64_t before = it.sentTo["v2"];
     it.run(19_s);
     BOOST_CHECK_EQUAL(it.sentTo["v2"], before);
@@ -206,12 +212,7 @@
 BOOST_AUTO_TEST_CASE(GivenUpVersionOrderedAgain)
 {
     VersionFleet it;
-    it.badVersion = "v2";
-    it.run(2_s);
-    it.order("v2");
-    it.run(2_s);
-    it.give("v1");
-    it.run(1_s);
+    it.takeBackBadVersion();
     it.give("v2");
     it.run(17_s);
     BOOST_CHECK_EQUAL(nameOf(it.state()), "rolled_back");
@@ -222,12 +223,7 @@
 BOOST_AUTO_TEST_CASE(GivenUpVersionStaysSoAfterRestarts)
 {
     VersionFleet it;
-    it.badVersion = "v2";
-    it.run(2_s);
-    it.order("v2");
-    it.run(2_s);
-    it.give("v1");
-    it.run(1_s);
+    it.takeBackBadVersion();
     const uint64_t before = it.sentTo["v2"];
     for (const auto& node : it.fleet.nodes) {
         if (node.disk)
