Take the rate of a version order's requests from a whole window

Callers saw: a bad version whose first requests were too few to show it kept getting the base share until the last burst, at two thirds of its time limit. Cause: the first step of an order may come in the moment after it. One request in that millisecond counted as a rate of 1000 in a second, and the first requests, planned as ten, were ended after 300 ms. Not the cause: isOnOnePath(), since with 12 nodes the model is late nearly as often as with 3. Change: requests are collected until the window is 200 ms long. FirstStepSoonAfterTheOrderGivesNoRate fails before (300 ms).

--- a/src/versions/Rollout.cpp
+++ b/src/versions/Rollout.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <utility>
 
 namespace siskinshunt {
 
@@ -48,6 +49,8 @@
 static constexpr double slowFactor = 3;
 static constexpr double recentWeight = 0.75; // Of the former windows, in the counts of the other versions.
 static constexpr double rateWeight = 0.2; // Of a new window, in the rate of requests.
+// The first step may come in the same moment as the order: a single request would then count as a rate of a thousand in a second.
+static constexpr TimeMs minRateWindow { 200 };
 // Requests in the time limit below which no burst is owed: nearly all of them may go to a bad version.
 static constexpr double fewRequests = 40;
 
@@ -194,10 +197,13 @@
     const uint64_t started = all.before.started + after;
     rollout.started += started;
     rollout.startedAfter += after;
-    const auto elapsed = static_cast<double>(std::max<int64_t>(1, (now - rollout.lastStep).value));
-    const double perMs = static_cast<double>(started) / elapsed;
+    rollout.startedInWindow += started;
+    const TimeMs elapsed = now - rollout.windowStart;
+    if (elapsed < minRateWindow)
+        return;
+    const double perMs = static_cast<double>(std::exchange(rollout.startedInWindow, 0)) / static_cast<double>(elapsed.value);
     rollout.perMs = rollout.perMs > 0 ? rollout.perMs + rateWeight * (perMs - rollout.perMs) : perMs;
-    rollout.lastStep = now;
+    rollout.windowStart = now;
 }
 
 static void addReports(Rollout& rollout, const RolloutReports& reports, TimeMs now)
@@ -299,7 +305,7 @@
     Rollout out;
     out.startedAt = startedAt;
     out.within = within;
-    out.lastStep = startedAt;
+    out.windowStart = startedAt;
     return out;
 }
 
--- a/src/versions/Rollout.h
+++ b/src/versions/Rollout.h
@@ -107,7 +107,8 @@
     uint64_t started = 0; ///< Requests sent to any version.
     uint64_t startedAfter = 0; ///< Requests sent to the version that was ordered.
     double perMs = 0; ///< Recent requests, moving average.
-    TimeMs lastStep;
+    TimeMs windowStart; ///< Of the requests that are not part of the rate yet.
+    uint64_t startedInWindow = 0;
     bool probed = false; ///< The first requests have been sent.
     bool burst = false; ///< There was a burst.
     TimeMs burstEnd; ///< Of the last burst, or of the first requests.
--- a/tests/versions/RolloutTest.cpp
+++ b/tests/versions/RolloutTest.cpp
@@ -79,6 +79,26 @@
     checkBad("fails at once, failing backend", { .fault = RolloutFault::AtOnce, .trouble = RolloutTrouble::BusyBackend });
 }
 
+// Guards against a rate of requests that rests on the moment between the order and the first step: the first requests were too few to show
+// anything.
+BOOST_AUTO_TEST_CASE(FirstStepSoonAfterTheOrderGivesNoRate)
+{
+    auto rollout = startRollout({}, 24_s);
+    RolloutReports reports { .nodes = {}, .oldInstances = 3, .newInstances = 3 };
+    auto& results = reports.nodes[NodeId { 1 }];
+    results.push_back({ .route = "busy" });
+    RolloutDecision decision;
+    for (TimeMs now { 1 }; now < 3_s && decision.action == RolloutAction::Wait; now += 300_ms) {
+        results[0].before.started = results[0].before.ended = 1 + static_cast<uint32_t>(now.value * 60 / 1000);
+        decision = stepRollout(rollout, reports, {}, now);
+    }
+    BOOST_TEST((decision.action == RolloutAction::Burst));
+    // Ten requests, at a tenth of 60 in a second.
+    BOOST_TEST(decision.length.value >= 1500);
+    BOOST_TEST(decision.length.value <= 1800);
+}
+
+
 // Guards against a version that is completed without evidence, since no connection to its instances can be made.
 BOOST_AUTO_TEST_CASE(VersionWithoutResultsIsTakenBack)
 {
