Send a version the first ten requests that were planned

Cause: the first requests were a share for a planned time, so chance, entry nodes that had stopped using the version and a wrong rate left some versions with two or three of the ten, too few for a decision. Change: until the first burst they go on until ten have been sent; the limit is not touched, since ten were planned.

--- a/src/versions/Rollout.cpp
+++ b/src/versions/Rollout.cpp
@@ -337,7 +337,8 @@
     if (now < rollout.startedAt + probeDelay || rollout.perMs <= 0)
         return {};
     rollout.probed = true;
-    const TimeMs length { static_cast<int64_t>(std::min(probeRequests / (probeShare * rollout.perMs), 1e9)) };
+    const double requests = probeRequests - static_cast<double>(rollout.startedAfter);
+    const TimeMs length { static_cast<int64_t>(std::min(requests / (probeShare * rollout.perMs), 1e9)) };
     rollout.burstEnd = now + std::clamp(length, minBurstLength, maxProbeLength);
     return { .action = RolloutAction::Burst, .share = probeShare, .length = rollout.burstEnd - now, .reason = "first requests to one new instance" };
 }
@@ -359,9 +360,9 @@
             return startBurst(rollout, budget, std::clamp(affordable(budget.left), minBurstLength, lastBurstLength), now);
         return {};
     }
-    if (!rollout.probed)
-        return startProbe(rollout, now);
     const TimeMs first = rollout.startedAt + TimeMs { static_cast<int64_t>(firstBurstFraction * static_cast<double>(rollout.within.value)) };
+    if (!rollout.probed || (now < first && static_cast<double>(rollout.startedAfter) < probeRequests))
+        return startProbe(rollout, now);
     const TimeMs pause { static_cast<int64_t>(burstPauseFraction * static_cast<double>(rollout.within.value)) };
     const TimeMs next = rollout.burst ? rollout.burstEnd + pause : first;
     if (now < next || now + burstLength + settleTime > lastBurstAt)
--- a/tests/versions/RolloutTest.cpp
+++ b/tests/versions/RolloutTest.cpp
@@ -98,6 +98,20 @@
     BOOST_TEST(decision.length.value <= 1800);
 }
 
+// Guards against first requests that are too few by chance, so that a version that always fails is found only under the load of an instance.
+BOOST_AUTO_TEST_CASE(VersionThatAlwaysFailsIsFoundByItsFirstRequests)
+{
+    for (const int nodes : { 3, 7, 12 }) {
+        const RolloutScenario scenario { .fault = RolloutFault::AtOnce, .failureRate = 1, .nodes = nodes };
+        int late = 0;
+        for (int seed = 1; seed <= seeds; ++seed) {
+            const auto result = RolloutModel(scenario, static_cast<uint64_t>(seed)).run();
+            late += !result.rolledBack || result.endedAt >= scenario.within / 5;
+        }
+        BOOST_TEST_MESSAGE(nodes << " nodes: found later " << late << " of " << seeds);
+        BOOST_TEST(late <= seeds / 100, nodes << " nodes");
+    }
+}
 
 // Guards against a version that is completed without evidence, since no connection to its instances can be made.
 BOOST_AUTO_TEST_CASE(VersionWithoutResultsIsTakenBack)
