End the requests at other versions before an order is completed

Callers saw: requests in progress at the former version were cut at the completion, when the platform ends its upstreams without a drain. Cause: the entry nodes sent ordinary requests to it until they read the record of the completion. Change: when the completion is decided, the leader tells all nodes to use the target only (VersionSwitch, a new kind of frame) and records the completion half the margin later, at least 0.5 s before the time limit. A step falls on the beginning of the margin, so that its time is not lost to the interval. A fault that shows in between still takes the version back. Why it keeps the limit: the requests of the margin were planned as those of a completed version already.

--- a/src/node/ForwardState.h
+++ b/src/node/ForwardState.h
@@ -191,6 +191,7 @@
         UpstreamId burstInstance;
         double burstShare = 0;
         TimeMs burstEnd;
+        TimeMs switchedUntil; ///< Requests go to the target version only; the others are about to end.
         int failuresInRow = 0;
     };
     /// An order that this node steps as the decision leader. `orderedAt` and `target` tell it from others of the backend.
@@ -198,6 +199,8 @@
         TimeMs orderedAt;
         std::string target;
         Rollout rollout;
+        RolloutDecision completion; ///< If it was decided.
+        TimeMs switchedAt; ///< When the completion was decided and the entry nodes were told to use the target version only; 0 before.
         std::map<NodeId, VersionResults> results; ///< The last of each node.
     };
 
--- a/src/node/PeerMessages.h
+++ b/src/node/PeerMessages.h
@@ -70,6 +70,7 @@
     FleetSpending, ///< From a hub to the entry nodes that report to it: allowance spent by failure domain.
     VersionResults, ///< A VersionResultsFrame from an entry node to the decision leader.
     VersionBurst, ///< A VersionBurstFrame from the decision leader to all nodes.
+    VersionSwitch, ///< A VersionSwitchFrame from the decision leader to all nodes.
 };
 
 template <>
@@ -119,6 +120,7 @@
     { FrameKind::FleetSpending, "fleet_spending" },
     { FrameKind::VersionResults, "version_results" },
     { FrameKind::VersionBurst, "version_burst" },
+    { FrameKind::VersionSwitch, "version_switch" },
 });
 
 /// Asks a voter to propose a command; resent with the same request number until answered.
@@ -396,6 +398,17 @@
     void serialize(Archive& archive) { archive(backend, target, orderedAt, instance, share, length, limits); }
 };
 
+/// An order is about to be completed: requests go to its target only, so that those at the other versions end before these do.
+struct VersionSwitchFrame {
+    std::string backend;
+    std::string target;
+    TimeMs orderedAt; ///< UTC.
+    TimeMs length; ///< From the receipt on.
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(backend, target, orderedAt, length); }
+};
+
 constexpr size_t maxForwardLoadBytes = 512 << 10;
 constexpr size_t maxViewBytes = 12 << 20; ///< Decompressed.
 constexpr size_t maxEvidenceBytes = 1 << 20;
--- a/src/node/Peers.cpp
+++ b/src/node/Peers.cpp
@@ -114,6 +114,8 @@
         return receiveVersionResults(node, envelope.sender, envelope.body);
     case FrameKind::VersionBurst:
         return receiveVersionBurst(node, envelope.body);
+    case FrameKind::VersionSwitch:
+        return receiveVersionSwitch(node, envelope.body);
     case FrameKind::VersionEvidence:
         return receiveVersionEvidence(node, envelope.sender, envelope.body);
     case FrameKind::TableDigest:
--- a/src/node/VersionOrders.cpp
+++ b/src/node/VersionOrders.cpp
@@ -27,6 +27,8 @@
 // A proposer's clock may be behind; with a clock ahead, the time at which the order was seen is nearer.
 static constexpr TimeMs maxProposalTime { 1000 };
 static constexpr size_t maxEvidenceFrame = 512 << 10;
+// Longest time for which an entry node follows a burst or a switch without hearing of it again.
+static constexpr TimeMs maxDirective { 10000 };
 
 static bool isSameOrder(const VersionOrder& a, const VersionOrder& b)
 {
@@ -108,16 +110,21 @@
     return [order = &order, past = pastOrders(node, order.backend), tripped](const std::string& version) { return standingOf(*order, past, tripped, version); };
 }
 
-// Whether an upstream of the backend has the standing and serves. One that is only busy does; one that cannot be reached or is silent does not.
-static bool hasStanding(const Node& node, const std::string& backend, const std::function<VersionStanding(const std::string&)>& standing, VersionStanding wanted)
+// Whether an upstream of such a version serves. One that is only busy does; one that cannot be reached or is silent does not.
+static bool serves(const Node& node, const std::string& backend, const std::function<bool(const std::string& version)>& isWanted)
 {
     const auto ids = node.forward.targets.byBackend.find(backend);
     return ids != node.forward.targets.byBackend.end() && std::any_of(ids->second.begin(), ids->second.end(), [&](UpstreamId id) {
         const ForwardTarget& target = node.forward.targets.entries.at(id);
-        return !target.leaving && !target.unreached && node.now - target.lastSeen <= node.forward.choice.staleAfter && standing(target.version) == wanted;
+        return !target.leaving && !target.unreached && node.now - target.lastSeen <= node.forward.choice.staleAfter && isWanted(target.version);
     });
 }
 
+static bool hasStanding(const Node& node, const std::string& backend, const std::function<VersionStanding(const std::string&)>& standing, VersionStanding wanted)
+{
+    return serves(node, backend, [&](const std::string& version) { return standing(version) == wanted; });
+}
+
 std::function<bool(const ForwardTarget&)> versionFallback(const Node& node, const std::string& backend)
 {
     const VersionOrder* order = orderOf(node, backend);
@@ -168,6 +175,14 @@
     return named && named->version == order.target && isUsable(node, *named) ? named->id : canaryOf(node, order);
 }
 
+// Whether the order is about to be completed, and its target is there to take all requests.
+static bool isSwitched(const Node& node, const VersionOrder& order)
+{
+    const auto follower = node.versionOrders.followers.find(order.backend);
+    return order.state == VersionOrderState::Running && follower != node.versionOrders.followers.end() && node.now < follower->second.switchedUntil
+        && serves(node, order.backend, [&](const std::string& version) { return version == order.target; });
+}
+
 std::function<bool(const ForwardTarget&)> versionFilter(Node& node, const ForwardCall& call)
 {
     const VersionOrder* order = orderOf(node, call.backend);
@@ -176,7 +191,10 @@
     if (order->state == VersionOrderState::Completed)
         return [target = order->target](const ForwardTarget& it) { return it.version == target; };
     const auto standing = standings(node, *order);
-    if (standing(order->target) == VersionStanding::OnTrial) {
+    const auto targetStanding = standing(order->target);
+    if (targetStanding != VersionStanding::Bad && isSwitched(node, *order))
+        return [target = order->target](const ForwardTarget& it) { return it.version == target; };
+    if (targetStanding == VersionStanding::OnTrial) {
         if (const UpstreamId tested = testedInstance(node, *order, node.versionOrders.followers[call.backend]))
             return [tested](const ForwardTarget& it) { return it.id == tested; };
     }
@@ -416,31 +434,59 @@
         node.versionOrders.evidence[from] = decodeOr<VersionEvidenceFrame>(body, maxEvidenceFrame);
 }
 
+// Null if the order is not the one that is running here.
+static VersionFollowers::Follower* runningFollower(Node& node, const std::string& backend, const std::string& target, TimeMs orderedAt)
+{
+    const VersionOrder* order = orderOf(node, backend);
+    const bool isRunning = order && order->state == VersionOrderState::Running && order->target == target && order->orderedAt == orderedAt;
+    return isRunning ? &node.versionOrders.followers[backend] : nullptr;
+}
+
 void receiveVersionBurst(Node& node, std::string_view body)
 {
     const auto frame = decodeOr<VersionBurstFrame>(body, maxEvidenceFrame);
-    const VersionOrder* order = orderOf(node, frame.backend);
-    if (!order || order->state != VersionOrderState::Running || order->target != frame.target || order->orderedAt != frame.orderedAt)
+    auto* running = runningFollower(node, frame.backend, frame.target, frame.orderedAt);
+    if (!running)
         return;
-    auto& follower = node.versionOrders.followers[frame.backend];
+    auto& follower = *running;
     follower.limits = frame.limits;
     if (!(frame.share > 0))
         return;
     follower.burstInstance = frame.instance;
     follower.burstShare = std::min(1.0, frame.share);
-    follower.burstEnd = node.now + std::clamp(frame.length, TimeMs {}, TimeMs { 10000 });
+    follower.burstEnd = node.now + std::clamp(frame.length, TimeMs {}, maxDirective);
 }
 
-static void spreadBurst(Node& node, const VersionOrder& order, const VersionFollowers::Led& led, const RolloutDecision& decision)
+void receiveVersionSwitch(Node& node, std::string_view body)
+{
+    const auto frame = decodeOr<VersionSwitchFrame>(body, maxEvidenceFrame);
+    if (auto* follower = runningFollower(node, frame.backend, frame.target, frame.orderedAt))
+        follower->switchedUntil = node.now + std::clamp(frame.length, TimeMs {}, maxDirective);
+}
+
+static void sendToAll(Node& node, FrameKind kind, const std::string& body)
 {
-    const std::string body = encode(VersionBurstFrame { .backend = order.backend, .target = order.target, .orderedAt = order.orderedAt, .instance = canaryOf(node, order), .share = decision.share, .length = decision.length, .limits = led.rollout.limits });
     for (const auto& [id, member] : node.membership.members) {
         if (id != node.self && isAlive(node.membership, id))
-            sendFrame(node, id, FrameKind::VersionBurst, {}, body);
+            sendFrame(node, id, kind, {}, body);
     }
+}
+
+static void spreadBurst(Node& node, const VersionOrder& order, const VersionFollowers::Led& led, const RolloutDecision& decision)
+{
+    const std::string body = encode(VersionBurstFrame { .backend = order.backend, .target = order.target, .orderedAt = order.orderedAt, .instance = canaryOf(node, order), .share = decision.share, .length = decision.length, .limits = led.rollout.limits });
+    sendToAll(node, FrameKind::VersionBurst, body);
     receiveVersionBurst(node, body);
 }
 
+static void spreadSwitch(Node& node, const VersionOrder& order, const VersionFollowers::Led& led)
+{
+    const TimeMs length = led.rollout.startedAt + led.rollout.within - node.now;
+    const std::string body = encode(VersionSwitchFrame { .backend = order.backend, .target = order.target, .orderedAt = order.orderedAt, .length = length });
+    sendToAll(node, FrameKind::VersionSwitch, body);
+    receiveVersionSwitch(node, body);
+}
+
 static void recordState(Node& node, VersionOrder order, VersionOrderState state, std::string reason)
 {
     order.state = state;
@@ -525,6 +571,20 @@
     return { .exposureShare = forward.exposureShare, .exposureExtra = isTriedAgain ? forward.exposureExtra / 2 : forward.exposureExtra };
 }
 
+// At the completion the platform ends the upstreams of the other versions, with the requests that these have. The entry nodes are told again with each
+// step, since a frame is lost with its connection.
+static bool isDrained(Node& node, const VersionOrder& order, VersionFollowers::Led& led)
+{
+    if (!led.switchedAt.value) {
+        led.switchedAt = node.now;
+        addLog(node, LogLevel::Info, "version_switch", Step::Order, order.backend, "the other versions get no more requests", { { "target", order.target }, { "ms", std::to_string(completionDrain(order.within).value) } });
+    }
+    if (node.now >= led.switchedAt + completionDrain(order.within))
+        return true;
+    spreadSwitch(node, order, led);
+    return false;
+}
+
 static void stepOrder(Node& node, const VersionOrder& order)
 {
     if (order.state != VersionOrderState::Running || node.versionOrders.recording.contains(order.backend))
@@ -534,17 +594,34 @@
         addResults(node, node.self, std::move(results));
     const auto reports = reportsOf(node, order, led);
     const bool isInUse = standings(node, order)(order.target) == VersionStanding::InUse;
-    const auto decision = isInUse ? stepKnownVersion(led.rollout, reports, node.now) : stepRollout(led.rollout, reports, rolloutSettings(node, order), node.now);
+    auto decision = isInUse ? stepKnownVersion(led.rollout, reports, node.now) : stepRollout(led.rollout, reports, rolloutSettings(node, order), node.now);
+    // A completion that was decided stands unless the load of all requests shows a fault.
+    if (led.switchedAt.value && decision.action != RolloutAction::RollBack)
+        decision = led.completion;
+    if (decision.action == RolloutAction::Complete)
+        led.completion = decision;
     if (decision.action == RolloutAction::Burst)
         addLog(node, LogLevel::Info, "version_burst", Step::Order, order.backend, decision.reason, { { "target", order.target }, { "share", std::to_string(decision.share) }, { "ms", std::to_string(decision.length.value) }, { "sent_before", std::to_string(led.rollout.startedAfter) }, { "of", std::to_string(led.rollout.started) } });
     if (decision.action == RolloutAction::Burst || std::exchange(led.rollout.limitsChanged, false))
         spreadBurst(node, order, led, decision);
-    if (decision.action == RolloutAction::Complete)
+    if (decision.action == RolloutAction::Complete && isDrained(node, order, led))
         recordState(node, order, VersionOrderState::Completed, decision.reason);
     if (decision.action == RolloutAction::RollBack)
         recordState(node, order, VersionOrderState::RolledBack, decision.reason);
 }
 
+// No part of a short completion margin is lost to the interval.
+static TimeMs nextStepOf(const Node& node, const VersionOrder& order)
+{
+    const TimeMs next = node.now + stepInterval;
+    const auto it = node.versionOrders.led.find(order.backend);
+    if (order.state != VersionOrderState::Running || it == node.versionOrders.led.end())
+        return next;
+    const auto& [_, led] = *it;
+    const TimeMs event = led.switchedAt.value ? led.switchedAt + completionDrain(order.within) : led.rollout.startedAt + order.within - completionMargin(order.within);
+    return event > node.now ? std::min(next, event) : next;
+}
+
 void tickVersionOrders(Node& node)
 {
     reportResults(node);
@@ -557,8 +634,8 @@
         auto& next = node.versionOrders.nextStep[backend];
         if (node.now < next)
             continue;
-        next = node.now + stepInterval;
         stepOrder(node, order);
+        next = nextStepOf(node, order);
     }
 }
 
--- a/src/node/VersionOrders.h
+++ b/src/node/VersionOrders.h
@@ -34,6 +34,7 @@
 void tickVersionOrders(Node&);
 void receiveVersionResults(Node&, NodeId from, std::string_view body);
 void receiveVersionBurst(Node&, std::string_view body);
+void receiveVersionSwitch(Node&, std::string_view body);
 void receiveVersionEvidence(Node&, NodeId from, std::string_view body);
 
 }
--- a/src/versions/Rollout.cpp
+++ b/src/versions/Rollout.cpp
@@ -7,8 +7,9 @@
 
 namespace siskinshunt {
 
-// Covers the commit of the completion and the clocks of those who ask for it.
+// Covers the drain of the other versions, the commit of the completion and the clocks of those who ask for it.
 static constexpr double marginFraction = 0.05;
+static constexpr TimeMs commitTime { 500 };
 static constexpr TimeMs minMargin { 800 };
 static constexpr TimeMs maxMargin { 3000 };
 // One new instance gets this much of the load that each of them would carry.
@@ -300,6 +301,12 @@
     return std::min(std::clamp(margin, minMargin, maxMargin), within / 2);
 }
 
+TimeMs completionDrain(TimeMs within)
+{
+    const TimeMs margin = completionMargin(within);
+    return std::clamp(margin - commitTime, TimeMs {}, margin / 2);
+}
+
 Rollout startRollout(TimeMs startedAt, TimeMs within)
 {
     Rollout out;
--- a/tests/node/VersionOrderTest.cpp
+++ b/tests/node/VersionOrderTest.cpp
@@ -21,6 +21,7 @@
                 const auto& version = fleet.upstreams.at(dispatch.address).announced.version;
                 ++all;
                 ++sentTo[version];
+                lastSentTo[version] = fleet.now;
                 if (version == target) {
                     ++sent;
                     arrivals[dispatch.address].push_back(fleet.now);
@@ -113,6 +114,7 @@
         std::function<bool(const std::string& address)> fails; ///< Requests of the version that was ordered with order().
         std::string badVersion; ///< Fails a quarter of its requests.
         std::map<std::string, uint64_t> sentTo; ///< Requests by version.
+        std::map<std::string, TimeMs> lastSentTo; ///< By version.
         std::map<std::string, std::deque<TimeMs>> arrivals;
         uint64_t all = 0;
         uint64_t sent = 0;
@@ -149,6 +151,27 @@
     BOOST_CHECK_EQUAL(nameOf(it.state()), "completed");
 }
 
+// Guards against requests that are cut at the completion: the platform then ends the upstreams of the other versions at once.
+BOOST_AUTO_TEST_CASE(OtherVersionsGetNoRequestsBeforeTheCompletion)
+{
+    for (uint64_t seed = 1; seed <= 5; ++seed) {
+        VersionFleet it(seed);
+        it.run(2_s);
+        it.order("v2");
+        for (const TimeMs end = it.fleet.now + 20_s; it.fleet.now < end && it.state() == VersionOrderState::Running;)
+            it.run(10_ms);
+        BOOST_CHECK_EQUAL(nameOf(it.state()), "completed");
+        BOOST_CHECK_GE((it.fleet.now - it.lastSentTo["v1"]).value, 300);
+        // The other way around, while both versions are in use.
+        it.give("v1");
+        it.run(2_s);
+        for (const TimeMs end = it.fleet.now + 20_s; it.fleet.now < end && it.state() == VersionOrderState::Running;)
+            it.run(10_ms);
+        BOOST_CHECK_EQUAL(nameOf(it.state()), "completed");
+        BOOST_CHECK_GE((it.fleet.now - it.lastSentTo["v2"]).value, 300);
+    }
+}
+
 // Guards against a version without evidence because its answers come later than callers wait.
 BOOST_AUTO_TEST_CASE(VersionThatAnswersTooLateIsTakenBack)
 {
--- a/tests/versions/RolloutModel.h
+++ b/tests/versions/RolloutModel.h
@@ -58,7 +58,7 @@
 
 /// Entry nodes that follow the decisions at once, callers that arrive at random, and instances without queues. Time passes in steps of 10 ms,
 /// the leader steps every 300 ms on reports of the last 300 ms. Links and clocks are perfect, so it tells which decisions the
-/// evidence supports, not how long messages take.
+/// evidence supports, not how long messages take. A completion counts from its decision, at which the entry nodes use the version only.
 class RolloutModel {
 public:
     RolloutModel(const RolloutScenario& scenario, uint64_t seed)
