Name the reason of an ordered voter removal, and forget given-up learners that are gone

Cause: the log line voter_removed said that a voter was missing when an operator had ordered to replace it, and VoterRepair::givenUp kept every learner for the life of the process. Nothing that callers see changes.

--- a/src/node/VoterRepair.cpp
+++ b/src/node/VoterRepair.cpp
@@ -32,6 +32,7 @@
         repair.missingSince.clear();
     repair.checkedAt = node.now;
     std::erase_if(repair.missingSince, [&](const auto& it) { return !contains(voters, it.first); });
+    std::erase_if(repair.givenUp, [&](const auto& it) { return !nodeOfVoter(node, it.first); });
     for (const VoterId voter : voters) {
         if (nodeOfVoter(node, voter))
             repair.missingSince.erase(voter);
@@ -160,7 +161,8 @@
     const VoterId replaced = ordered ? ordered : missingVoter(node, group.repair, state);
     const bool isReplaced = ordered ? contains(state.voters, node.replacements.at(ordered).add) : state.voters.size() % 2 == 0;
     if (replaced && isReplaced) {
-        proposeChange(node, group, MemberChange::Remove, replaced, "voter_removed", "the voter is missing and the group does not need it");
+        const char* text = ordered ? "the voter was replaced by order of an operator" : "the voter is missing and the group does not need it";
+        proposeChange(node, group, MemberChange::Remove, replaced, "voter_removed", text);
         return true;
     }
     if (!state.learners.empty()) {
