Check the voters of a fleet in one place

Cause: two copies of isWhole(), in VoterRepairTest and the soak of lost disks, one of which allowed more voters than configured. Change: NodeFleet::hasAllVoters(), the stricter one.

--- a/src/soak/DiskLossSoak.cpp
+++ b/src/soak/DiskLossSoak.cpp
@@ -39,7 +39,6 @@
         void disturb();
         void applyRules();
         size_t drawVoter();
-        bool isWhole();
         void checkOutcome();
         void recordViolation(std::string);
 
@@ -169,30 +168,12 @@
     }
 }
 
-// Whether each group has a leader, and as many voters as configured, each on a running machine.
-bool DiskLossSchedule::isWhole()
-{
-    size_t whole = 0;
-    for (const auto& process : m_fleet.nodes) {
-        if (!process.node)
-            continue;
-        for (const auto& [id, group] : process.node->groups) {
-            const auto state = status(*group.replica);
-            const bool alive = std::all_of(state.voters.begin(), state.voters.end(), [&](VoterId voter) {
-                return std::any_of(m_fleet.nodes.begin(), m_fleet.nodes.end(), [&](const auto& it) { return it.node && it.voter == voter; });
-            });
-            whole += leadsGroup(*process.node, group) && alive && state.voters.size() >= static_cast<size_t>(m_shape.voters);
-        }
-    }
-    return whole == 1 + m_fleet.options.ledgerGroups;
-}
-
 void DiskLossSchedule::checkOutcome()
 {
     for (const auto& text : m_fleet.violations)
         recordViolation(text);
-    if (!m_fleet.runUntil([&] { return isWhole(); }, 20_s))
-        recordViolation("a group has fewer voters than configured, or one without a machine");
+    if (!m_fleet.runUntil([&] { return m_fleet.hasAllVoters(); }, 20_s))
+        recordViolation("a group does not have the configured number of voters, or has one without a machine");
     uint64_t acknowledged = 1;
     for (const uint64_t call : m_calls)
         acknowledged += m_fleet.caller(call).done && m_fleet.caller(call).status == 200;
--- a/src/soak/NodeFleet.cpp
+++ b/src/soak/NodeFleet.cpp
@@ -2,6 +2,7 @@
 
 #include "api/AnnouncementJson.h"
 #include "base/Hash.h"
+#include "node/Groups.h"
 #include "node/NodeState.h"
 
 #include <algorithm>
@@ -410,6 +411,21 @@
     return caller(number).body;
 }
 
+bool NodeFleet::hasAllVoters()
+{
+    size_t whole = 0;
+    for (const auto& process : nodes) {
+        if (!process.node)
+            continue;
+        for (const auto& [id, group] : process.node->groups) {
+            const auto voters = status(*group.replica).voters;
+            const auto running = std::count_if(nodes.begin(), nodes.end(), [&](const auto& it) { return it.node && std::find(voters.begin(), voters.end(), it.voter) != voters.end(); });
+            whole += leadsGroup(*process.node, group) && voters.size() == options.targetVoters && static_cast<size_t>(running) == voters.size();
+        }
+    }
+    return whole == 1 + options.ledgerGroups;
+}
+
 bool NodeFleet::agreeOnRevision(uint64_t revision)
 {
     return std::all_of(nodes.begin(), nodes.end(), [&](const Process& it) { return !it.node || (it.node->rules && it.node->view.rules.revision == revision); });
--- a/src/soak/NodeFleet.h
+++ b/src/soak/NodeFleet.h
@@ -156,6 +156,8 @@
     std::string adminGet(size_t node, const std::string& target);
     /// Whether this rules revision is in force on all running nodes.
     bool agreeOnRevision(uint64_t revision);
+    /// Whether each group has a leader and the configured number of voters, all on running nodes.
+    bool hasAllVoters();
     /// Index of the decision leader, or nodes.size() if there is none.
     size_t decisionLeader();
     int executionCount(const std::string& key) const;
--- a/tests/node/VoterRepairTest.cpp
+++ b/tests/node/VoterRepairTest.cpp
@@ -67,27 +67,11 @@
             return std::find(voters.begin(), voters.end(), fleet.nodes[n].voter) != voters.end();
         }
 
-        // Whether each group has a leader, and as many voters as configured, each on a running node.
-        bool isWhole()
-        {
-            size_t whole = 0;
-            for (const auto& process : fleet.nodes) {
-                if (!process.node)
-                    continue;
-                for (const auto& [id, group] : process.node->groups) {
-                    const auto voters = status(*group.replica).voters;
-                    const auto running = std::count_if(fleet.nodes.begin(), fleet.nodes.end(), [&](const auto& it) { return it.node && std::find(voters.begin(), voters.end(), it.voter) != voters.end(); });
-                    whole += leadsGroup(*process.node, group) && voters.size() == fleet.options.targetVoters && static_cast<size_t>(running) == voters.size();
-                }
-            }
-            return whole == 1 + fleet.options.ledgerGroups;
-        }
-
         void checkServes()
         {
             BOOST_CHECK(applyRules(10_s));
             BOOST_CHECK(fleet.runUntil([&] { return fleet.agreeOnRevision(acknowledged); }, 10_s));
-            BOOST_CHECK(fleet.runUntil([&] { return isWhole(); }, 10_s));
+            BOOST_CHECK(fleet.runUntil([&] { return fleet.hasAllVoters(); }, 10_s));
             checkFleet(fleet);
         }
 
@@ -265,7 +249,7 @@
     BOOST_REQUIRE(it.fleet.runUntil(hasLearner, 10_s));
     const size_t other = it.fleet.nodes[spares[0]].voter == learners.front() ? spares[1] : spares[0];
     it.fleet.nodes[other].disk->setFreeBytes(SIZE_MAX);
-    BOOST_CHECK(it.fleet.runUntil([&] { return it.isMember(other) && it.isWhole(); }, 20_s));
+    BOOST_CHECK(it.fleet.runUntil([&] { return it.isMember(other) && it.fleet.hasAllVoters(); }, 20_s));
 }
 
 // Guards against data folders of earlier builds, whose voter ids say nothing of the node.
