Order a version several times in the model of version orders

Cause: it was open whether what a version got in earlier trials has to be in the decision log, as the model gave at most two orders. Change: RolloutScenario::orders; the exposure of each former order is counted until its own time limit. Result: with two orders the figures are those from before; with four, 8 s apart, no bad version of 200 a scenario is over the limit of any order and all sound ones are completed. So the log stays as it is (version-moves.md). test_versions passes five times in a row.

--- a/tests/versions/RolloutModel.h
+++ b/tests/versions/RolloutModel.h
@@ -3,6 +3,7 @@
 #include "base/Random.h"
 #include "versions/Rollout.h"
 
+#include <algorithm>
 #include <cmath>
 #include <deque>
 #include <functional>
@@ -38,10 +39,18 @@
     int oldInstances = 3;
     int newInstances = 3;
     TimeMs within { 24000 };
-    /// When an order for the former version ends the first trial, and when the version is ordered again; 0: there is one order only. The
-    /// result is that of the last order.
-    TimeMs givenUpAt;
-    TimeMs orderedAgainAt;
+    /// Orders for the version. Each but the last is given up for the former version `givenUpAfter` its start, and the next one follows
+    /// `orderInterval` after it. The result is that of the last one.
+    int orders = 1;
+    TimeMs givenUpAfter;
+    TimeMs orderInterval;
+};
+
+/// Requests between an order and its time limit.
+struct RolloutExposure {
+    TimeMs orderedAt;
+    uint64_t all = 0;
+    uint64_t after = 0; ///< Of these, those to the new version.
 };
 
 struct RolloutResult {
@@ -50,8 +59,7 @@
     TimeMs endedAt; ///< Since the order.
     uint64_t all = 0; ///< Requests until the time limit.
     uint64_t after = 0; ///< Of these, those to the new version.
-    uint64_t allOfFirst = 0; ///< The same until the time limit of the first order, if there are two.
-    uint64_t afterOfFirst = 0;
+    std::vector<RolloutExposure> former; ///< Of the orders before the last one.
     uint64_t bad = 0; ///< Bad answers of the new version until the time limit.
     std::string reason;
 };
@@ -75,8 +83,8 @@
     RolloutResult run()
     {
         static constexpr TimeMs tick { 10 };
-        for (m_now = {}; m_now < m_scenario.orderedAgainAt + m_scenario.within; m_now += tick) {
-            if (m_scenario.orderedAgainAt.value && m_now == m_scenario.orderedAgainAt)
+        for (m_now = {}; m_now < m_rollout.startedAt + m_scenario.within; m_now += tick) {
+            if (hasNextOrder() && m_now == m_rollout.startedAt + m_scenario.orderInterval)
                 orderAgain();
             if (m_now.value % 1000 == 0)
                 m_outage = m_scenario.trouble == RolloutTrouble::Outage && m_random.chance(0.1);
@@ -104,24 +112,27 @@
 
     static constexpr std::array<const char*, 3> routes { "busy", "usual", "quiet" };
 
+    bool hasNextOrder() const { return static_cast<int>(m_result.former.size()) + 1 < m_scenario.orders; }
+
     bool isOnTrial() const
     {
-        const bool givenUp = m_scenario.givenUpAt.value && m_now >= m_scenario.givenUpAt && m_now < m_scenario.orderedAgainAt;
+        const bool givenUp = hasNextOrder() && m_now >= m_rollout.startedAt + m_scenario.givenUpAfter;
         return !givenUp && !m_result.completed && !m_result.rolledBack;
     }
 
     // As rolloutSettings() of the node.
     void orderAgain()
     {
+        auto former = std::move(m_result.former);
+        former.push_back({ .orderedAt = m_rollout.startedAt, .all = m_result.all, .after = m_result.after });
+        m_result = { .former = std::move(former) };
         m_rollout = startRollout(m_now, m_scenario.within);
         m_reports.nodes.clear();
         for (int n = 0; n < m_scenario.nodes; ++n)
             m_reports.nodes[NodeId { static_cast<uint64_t>(n + 1) }];
         m_attempts.clear();
         m_burstEnd = {};
-        if (m_now < m_scenario.within)
-            m_settings.exposureExtra /= 2;
-        m_result = { .allOfFirst = m_result.all, .afterOfFirst = m_result.after };
+        m_settings.exposureExtra = RolloutSettings {}.exposureExtra / (m_scenario.orderInterval < m_scenario.within ? 2 : 1);
     }
 
     bool usesNew()
@@ -138,9 +149,10 @@
         attempt.route = m_random.chance(0.6) ? 0 : m_random.chance(0.75) ? 1
                                                                          : 2;
         attempt.after = usesNew();
-        if (m_scenario.orderedAgainAt.value && m_now >= m_scenario.orderedAgainAt && m_now < m_scenario.within) {
-            ++m_result.allOfFirst;
-            m_result.afterOfFirst += attempt.after;
+        for (auto& it : m_result.former) {
+            const bool isBeforeLimit = m_now < it.orderedAt + m_scenario.within;
+            it.all += isBeforeLimit;
+            it.after += isBeforeLimit && attempt.after;
         }
         attempt.failed = m_random.chance(m_scenario.trouble == RolloutTrouble::BusyBackend ? 1.0 / 7 : m_outage ? 0.3
                                                                                                                 : 0.005);
@@ -290,7 +302,7 @@
         out.completed += result.completed;
         out.rolledBack += result.rolledBack;
         const auto isOver = [](uint64_t after, uint64_t all) { return static_cast<double>(after) > 0.1 * static_cast<double>(all) + 50; };
-        out.overExposed += isOver(result.after, result.all) || isOver(result.afterOfFirst, result.allOfFirst);
+        out.overExposed += isOver(result.after, result.all) || std::any_of(result.former.begin(), result.former.end(), [&](const auto& it) { return isOver(it.after, it.all); });
         out.bad += result.bad;
         out.most = std::max(out.most, result.after);
     }
--- a/tests/versions/RolloutTest.cpp
+++ b/tests/versions/RolloutTest.cpp
@@ -129,17 +129,22 @@
     BOOST_TEST((decision.action == RolloutAction::RollBack), decision.reason);
 }
 
-// Guards against a version that is ordered, given up for the former one and ordered again: a sound one has to be completed in time, a bad one
-// taken back within the exposure limit of both orders.
+// Guards against a version that is ordered, given up for the former one and ordered again, also several times: a sound one has to be completed in
+// time, a bad one taken back within the exposure limit of each order.
 BOOST_AUTO_TEST_CASE(VersionIsOrderedAgain)
 {
-    for (const TimeMs givenUpAt : { 2_s, 6_s, 15_s }) {
-        const TimeMs again = givenUpAt + 2_s;
-        checkGood("sound, ordered again", { .givenUpAt = givenUpAt, .orderedAgainAt = again });
-        checkGood("sound, ordered again, 500 a second", { .perSecond = 500, .oldInstances = 12, .newInstances = 12, .givenUpAt = givenUpAt, .orderedAgainAt = again });
-        checkBad("fails at once, ordered again", { .fault = RolloutFault::AtOnce, .givenUpAt = givenUpAt, .orderedAgainAt = again });
-        checkBad("fails under load, ordered again", { .fault = RolloutFault::UnderLoad, .givenUpAt = givenUpAt, .orderedAgainAt = again });
-        checkBad("slow, ordered again", { .fault = RolloutFault::Slow, .givenUpAt = givenUpAt, .orderedAgainAt = again });
+    const auto again = [](RolloutScenario scenario, int orders, TimeMs givenUpAfter) {
+        scenario.orders = orders;
+        scenario.givenUpAfter = givenUpAfter;
+        scenario.orderInterval = givenUpAfter + 2_s;
+        return scenario;
+    };
+    for (const auto& [orders, givenUpAfter] : { std::pair(2, 2_s), std::pair(2, 6_s), std::pair(2, 15_s), std::pair(4, 6_s) }) {
+        checkGood("sound, ordered again", again({}, orders, givenUpAfter));
+        checkGood("sound, ordered again, 500 a second", again({ .perSecond = 500, .oldInstances = 12, .newInstances = 12 }, orders, givenUpAfter));
+        checkBad("fails at once, ordered again", again({ .fault = RolloutFault::AtOnce }, orders, givenUpAfter));
+        checkBad("fails under load, ordered again", again({ .fault = RolloutFault::UnderLoad }, orders, givenUpAfter));
+        checkBad("slow, ordered again", again({ .fault = RolloutFault::Slow }, orders, givenUpAfter));
     }
 }
 
