Go on with the first requests of a version while one path may be at fault

Change: while the results are a fault but for the second look, the first requests go on up to twenty, until the first burst at the latest. Result: FirstRequestsGoOnWhileOnePathMayBeAtFault fails before.

--- a/src/versions/Rollout.cpp
+++ b/src/versions/Rollout.cpp
@@ -271,11 +271,17 @@
     return others.after.*measure.trials >= minTrialsElsewhere || worst->second.after.*measure.bad < minBadOfOne;
 }
 
-static std::optional<std::string> faultOf(const Rollout::TestedByNode& nodes)
+static Rollout::Tested sumOf(const Rollout::TestedByNode& nodes)
 {
     Rollout::Tested sum;
     for (const auto& [node, it] : nodes)
         sum += it;
+    return sum;
+}
+
+static std::optional<std::string> faultOf(const Rollout::TestedByNode& nodes)
+{
+    const auto sum = sumOf(nodes);
     for (const Measure& measure : measures) {
         if (isExcess(measure, sum, minBad, chanceDeviations) && !isOnOnePath(measure, nodes))
             return describe(measure, sum);
@@ -283,6 +289,22 @@
     return std::nullopt;
 }
 
+// Whether the results would be a fault, if they were not those of one path as well.
+static bool isUndecided(const Rollout& rollout)
+{
+    const auto nodes = rollout.tested.find({});
+    if (nodes == rollout.tested.end())
+        return false;
+    const auto sum = sumOf(nodes->second);
+    return std::any_of(measures.begin(), measures.end(), [&](const Measure& it) { return isExcess(it, sum, minBad, chanceDeviations); });
+}
+
+// Requests that the version gets before its first burst.
+static double firstRequests(const Rollout& rollout)
+{
+    return isUndecided(rollout) ? 2 * probeRequests : probeRequests;
+}
+
 static std::optional<std::string> findFault(const Rollout& rollout)
 {
     for (const auto* tested : { &rollout.tested, &rollout.testedRecently }) {
@@ -344,7 +366,7 @@
     if (now < rollout.startedAt + probeDelay || rollout.perMs <= 0)
         return {};
     rollout.probed = true;
-    const double requests = probeRequests - static_cast<double>(rollout.startedAfter);
+    const double requests = firstRequests(rollout) - static_cast<double>(rollout.startedAfter);
     const TimeMs length { static_cast<int64_t>(std::min(requests / (probeShare * rollout.perMs), 1e9)) };
     rollout.burstEnd = now + std::clamp(length, minBurstLength, maxProbeLength);
     return { .action = RolloutAction::Burst, .share = probeShare, .length = rollout.burstEnd - now, .reason = "first requests to one new instance" };
@@ -368,7 +390,7 @@
         return {};
     }
     const TimeMs first = rollout.startedAt + TimeMs { static_cast<int64_t>(firstBurstFraction * static_cast<double>(rollout.within.value)) };
-    if (!rollout.probed || (now < first && static_cast<double>(rollout.startedAfter) < probeRequests))
+    if (!rollout.probed || (now < first && static_cast<double>(rollout.startedAfter) < firstRequests(rollout)))
         return startProbe(rollout, now);
     const TimeMs pause { static_cast<int64_t>(burstPauseFraction * static_cast<double>(rollout.within.value)) };
     const TimeMs next = rollout.burst ? rollout.burstEnd + pause : first;
--- a/tests/versions/RolloutTest.cpp
+++ b/tests/versions/RolloutTest.cpp
@@ -1,5 +1,6 @@
 #include "RolloutModel.h"
 
+#include <array>
 #include <boost/test/unit_test.hpp>
 
 using namespace siskinshunt;
@@ -113,6 +114,38 @@
     }
 }
 
+// Counts the bursts before the first one under load. Three nodes send 20 requests a second each; of the first ten requests to the new version
+// they get 5, 3 and 2, of which so many fail.
+static int countFirstBursts(const std::array<uint32_t, 3>& failures)
+{
+    static constexpr std::array<uint32_t, 3> sent { 5, 3, 2 };
+    auto rollout = startRollout({}, 24_s);
+    RolloutReports reports { .nodes = {}, .oldInstances = 3, .newInstances = 3 };
+    int bursts = 0;
+    for (TimeMs now; now < 24_s / 5; now += 300_ms) {
+        for (size_t n = 0; n < sent.size(); ++n) {
+            auto& results = reports.nodes[NodeId { n + 1 }];
+            results.resize(1);
+            results[0].route = "busy";
+            results[0].before.started = results[0].before.ended = static_cast<uint32_t>(now.value / 50);
+            if (now > 2500_ms) {
+                results[0].after.started = results[0].after.ended = sent[n];
+                results[0].after.failures = failures[n];
+            }
+        }
+        bursts += stepRollout(rollout, reports, {}, now).action == RolloutAction::Burst;
+    }
+    return bursts;
+}
+
+// Guards against a trial that waits for its last burst although its first requests show a fault, of the version or of the path of one node.
+BOOST_AUTO_TEST_CASE(FirstRequestsGoOnWhileOnePathMayBeAtFault)
+{
+    BOOST_TEST(countFirstBursts({ 0, 0, 0 }) == 1);
+    BOOST_TEST(countFirstBursts({ 1, 1, 0 }) == 1);
+    BOOST_TEST(countFirstBursts({ 4, 1, 0 }) == 2);
+}
+
 // Guards against a version that is completed without evidence, since no connection to its instances can be made.
 BOOST_AUTO_TEST_CASE(VersionWithoutResultsIsTakenBack)
 {
