Keep to a completion once it is decided

Cause: the results in the drain before a completion still counted, so fewer or colder instances than before could take a sound version back at the last moment. Change: the decision stands; its results are not looked at any more.

--- a/src/node/ForwardState.h
+++ b/src/node/ForwardState.h
@@ -199,8 +199,8 @@
         TimeMs orderedAt;
         std::string target;
         Rollout rollout;
-        RolloutDecision completion; ///< If it was decided.
         TimeMs switchedAt; ///< When the completion was decided and the entry nodes were told to use the target version only; 0 before.
+        std::string completionReason; ///< Human-readable; set with switchedAt.
         std::map<NodeId, VersionResults> results; ///< The last of each node.
     };
 
--- a/src/node/VersionOrders.cpp
+++ b/src/node/VersionOrders.cpp
@@ -110,7 +110,7 @@
     return [order = &order, past = pastOrders(node, order.backend), tripped](const std::string& version) { return standingOf(*order, past, tripped, version); };
 }
 
-// Whether an upstream of such a version serves. One that is only busy does; one that cannot be reached or is silent does not.
+// Whether an upstream of a wanted version serves. One that is only busy does; one that cannot be reached or is silent does not.
 static bool serves(const Node& node, const std::string& backend, const std::function<bool(const std::string& version)>& isWanted)
 {
     const auto ids = node.forward.targets.byBackend.find(backend);
@@ -445,16 +445,15 @@
 void receiveVersionBurst(Node& node, std::string_view body)
 {
     const auto frame = decodeOr<VersionBurstFrame>(body, maxEvidenceFrame);
-    auto* running = runningFollower(node, frame.backend, frame.target, frame.orderedAt);
-    if (!running)
+    auto* follower = runningFollower(node, frame.backend, frame.target, frame.orderedAt);
+    if (!follower)
         return;
-    auto& follower = *running;
-    follower.limits = frame.limits;
+    follower->limits = frame.limits;
     if (!(frame.share > 0))
         return;
-    follower.burstInstance = frame.instance;
-    follower.burstShare = std::min(1.0, frame.share);
-    follower.burstEnd = node.now + std::clamp(frame.length, TimeMs {}, maxDirective);
+    follower->burstInstance = frame.instance;
+    follower->burstShare = std::min(1.0, frame.share);
+    follower->burstEnd = node.now + std::clamp(frame.length, TimeMs {}, maxDirective);
 }
 
 void receiveVersionSwitch(Node& node, std::string_view body)
@@ -571,18 +570,22 @@
     return { .exposureShare = forward.exposureShare, .exposureExtra = isTriedAgain ? forward.exposureExtra / 2 : forward.exposureExtra };
 }
 
-// At the completion the platform ends the upstreams of the other versions, with the requests that these have. The entry nodes are told again with each
-// step, since a frame is lost with its connection.
-static bool isDrained(Node& node, const VersionOrder& order, VersionFollowers::Led& led)
+// Records the completion when requests at the other versions have had time to end: the platform then ends their upstreams. Until then the entry nodes
+// are told again with each step, since a frame is lost with its connection.
+static void continueCompletion(Node& node, const VersionOrder& order, const VersionFollowers::Led& led)
 {
-    if (!led.switchedAt.value) {
-        led.switchedAt = node.now;
-        addLog(node, LogLevel::Info, "version_switch", Step::Order, order.backend, "the other versions get no more requests", { { "target", order.target }, { "ms", std::to_string(completionDrain(order.within).value) } });
-    }
     if (node.now >= led.switchedAt + completionDrain(order.within))
-        return true;
-    spreadSwitch(node, order, led);
-    return false;
+        recordState(node, order, VersionOrderState::Completed, led.completionReason);
+    else
+        spreadSwitch(node, order, led);
+}
+
+static void startCompletion(Node& node, const VersionOrder& order, VersionFollowers::Led& led, const std::string& reason)
+{
+    led.switchedAt = node.now;
+    led.completionReason = reason;
+    addLog(node, LogLevel::Info, "version_switch", Step::Order, order.backend, "the other versions get no more requests", { { "target", order.target }, { "ms", std::to_string(completionDrain(order.within).value) } });
+    continueCompletion(node, order, led);
 }
 
 static void stepOrder(Node& node, const VersionOrder& order)
@@ -590,34 +593,31 @@
     if (order.state != VersionOrderState::Running || node.versionOrders.recording.contains(order.backend))
         return;
     auto& led = ledOrder(node, order);
+    if (led.switchedAt.value)
+        return continueCompletion(node, order, led);
     for (auto& results : ownResults(node).orders)
         addResults(node, node.self, std::move(results));
     const auto reports = reportsOf(node, order, led);
     const bool isInUse = standings(node, order)(order.target) == VersionStanding::InUse;
-    auto decision = isInUse ? stepKnownVersion(led.rollout, reports, node.now) : stepRollout(led.rollout, reports, rolloutSettings(node, order), node.now);
-    // A completion that was decided stands unless the load of all requests shows a fault.
-    if (led.switchedAt.value && decision.action != RolloutAction::RollBack)
-        decision = led.completion;
-    if (decision.action == RolloutAction::Complete)
-        led.completion = decision;
+    const auto decision = isInUse ? stepKnownVersion(led.rollout, reports, node.now) : stepRollout(led.rollout, reports, rolloutSettings(node, order), node.now);
     if (decision.action == RolloutAction::Burst)
         addLog(node, LogLevel::Info, "version_burst", Step::Order, order.backend, decision.reason, { { "target", order.target }, { "share", std::to_string(decision.share) }, { "ms", std::to_string(decision.length.value) }, { "sent_before", std::to_string(led.rollout.startedAfter) }, { "of", std::to_string(led.rollout.started) } });
     if (decision.action == RolloutAction::Burst || std::exchange(led.rollout.limitsChanged, false))
         spreadBurst(node, order, led, decision);
-    if (decision.action == RolloutAction::Complete && isDrained(node, order, led))
-        recordState(node, order, VersionOrderState::Completed, decision.reason);
+    if (decision.action == RolloutAction::Complete)
+        startCompletion(node, order, led, decision.reason);
     if (decision.action == RolloutAction::RollBack)
         recordState(node, order, VersionOrderState::RolledBack, decision.reason);
 }
 
-// No part of a short completion margin is lost to the interval.
+// A step falls on the beginning of the completion margin and on the end of the drain, so that the interval takes nothing of a short margin.
 static TimeMs nextStepOf(const Node& node, const VersionOrder& order)
 {
     const TimeMs next = node.now + stepInterval;
     const auto it = node.versionOrders.led.find(order.backend);
     if (order.state != VersionOrderState::Running || it == node.versionOrders.led.end())
         return next;
-    const auto& [_, led] = *it;
+    const auto& led = it->second;
     const TimeMs event = led.switchedAt.value ? led.switchedAt + completionDrain(order.within) : led.rollout.startedAt + order.within - completionMargin(order.within);
     return event > node.now ? std::min(next, event) : next;
 }
--- a/src/versions/Rollout.cpp
+++ b/src/versions/Rollout.cpp
@@ -9,9 +9,10 @@
 
 // Covers the drain of the other versions, the commit of the completion and the clocks of those who ask for it.
 static constexpr double marginFraction = 0.05;
-static constexpr TimeMs commitTime { 500 };
 static constexpr TimeMs minMargin { 800 };
 static constexpr TimeMs maxMargin { 3000 };
+// The part of the margin that the drain leaves for the rest.
+static constexpr TimeMs commitTime { 500 };
 // One new instance gets this much of the load that each of them would carry.
 static constexpr double burstLoad = 1.5;
 // A fault that depends on the load of a second shows in the second after it.
@@ -289,7 +290,7 @@
     return std::nullopt;
 }
 
-// Whether the results would be a fault, if they were not those of one path as well.
+// Whether the results show a fault that may be one of the version or of the path of one node. The caller has found no fault of the version.
 static bool isUndecided(const Rollout& rollout)
 {
     const auto nodes = rollout.tested.find({});
--- a/src/versions/Rollout.h
+++ b/src/versions/Rollout.h
@@ -122,7 +122,7 @@
 RolloutDecision stepRollout(Rollout&, const RolloutReports&, const RolloutSettings&, TimeMs now);
 /// Time before the time limit at which a sound version is completed.
 TimeMs completionMargin(TimeMs within);
-/// Time between this decision and its record, in which requests at the other versions end.
+/// Time from the decision to complete a version to the record of it, in which requests at the other versions end.
 TimeMs completionDrain(TimeMs within);
 
 }
