Go on with the first requests while the limit has no room for a burst

Cause: the first requests ended at the time of the first burst, also when the limit had no room for one. Change: a burst that is due and has room comes first, else the first requests go on; they end in time for the last burst. Result: FirstRequestsGoOnWithoutRoomForABurst fails before.

--- a/src/versions/Rollout.cpp
+++ b/src/versions/Rollout.cpp
@@ -391,15 +391,16 @@
         return {};
     }
     const TimeMs first = rollout.startedAt + TimeMs { static_cast<int64_t>(firstBurstFraction * static_cast<double>(rollout.within.value)) };
-    if (!rollout.probed || (now < first && static_cast<double>(rollout.startedAfter) < firstRequests(rollout)))
-        return startProbe(rollout, now);
     const TimeMs pause { static_cast<int64_t>(burstPauseFraction * static_cast<double>(rollout.within.value)) };
     const TimeMs next = rollout.burst ? rollout.burstEnd + pause : first;
-    if (now < next || now + burstLength + settleTime > lastBurstAt)
-        return {};
-    // What the last burst needs is kept.
-    const TimeMs length = std::min(burstLength, affordable(budget.left - budget.burst * static_cast<double>(lastBurstLength.value)));
-    return length >= burstLength / 2 ? startBurst(rollout, budget, length, now) : RolloutDecision {};
+    if (rollout.probed && now >= next && now + burstLength + settleTime <= lastBurstAt) {
+        // What the last burst needs is kept.
+        const TimeMs length = std::min(burstLength, affordable(budget.left - budget.burst * static_cast<double>(lastBurstLength.value)));
+        if (length >= burstLength / 2)
+            return startBurst(rollout, budget, length, now);
+    }
+    const bool isTooFew = static_cast<double>(rollout.startedAfter) < firstRequests(rollout) && now + maxProbeLength + settleTime <= lastBurstAt;
+    return !rollout.probed || isTooFew ? startProbe(rollout, now) : RolloutDecision {};
 }
 
 // Requests that the new version has answered, or failed, since the last burst began.
--- a/tests/versions/RolloutTest.cpp
+++ b/tests/versions/RolloutTest.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <boost/test/unit_test.hpp>
+#include <vector>
 
 using namespace siskinshunt;
 
@@ -114,15 +115,14 @@
     }
 }
 
-// Counts the bursts before the first one under load. Three nodes send 20 requests a second each; of the first ten requests to the new version
-// they get 5, 3 and 2, of which so many fail.
-static int countFirstBursts(const std::array<uint32_t, 3>& failures)
+// Times of the bursts before the last one. Three nodes send 20 requests a second each; the new version gets `sent` in the first burst and none
+// after it, of which `failures` fail. The limit allows no burst under load but the last one.
+static std::vector<TimeMs> firstBursts(const std::array<uint32_t, 3>& sent, const std::array<uint32_t, 3>& failures)
 {
-    static constexpr std::array<uint32_t, 3> sent { 5, 3, 2 };
     auto rollout = startRollout({}, 24_s);
     RolloutReports reports { .nodes = {}, .oldInstances = 3, .newInstances = 3 };
-    int bursts = 0;
-    for (TimeMs now; now < 24_s / 5; now += 300_ms) {
+    std::vector<TimeMs> bursts;
+    for (TimeMs now; now < 12_s; now += 300_ms) {
         for (size_t n = 0; n < sent.size(); ++n) {
             auto& results = reports.nodes[NodeId { n + 1 }];
             results.resize(1);
@@ -133,7 +133,8 @@
                 results[0].after.failures = failures[n];
             }
         }
-        bursts += stepRollout(rollout, reports, {}, now).action == RolloutAction::Burst;
+        if (stepRollout(rollout, reports, {}, now).action == RolloutAction::Burst)
+            bursts.push_back(now);
     }
     return bursts;
 }
@@ -141,9 +142,15 @@
 // Guards against a trial that waits for its last burst although its first requests show a fault, of the version or of the path of one node.
 BOOST_AUTO_TEST_CASE(FirstRequestsGoOnWhileOnePathMayBeAtFault)
 {
-    BOOST_TEST(countFirstBursts({ 0, 0, 0 }) == 1);
-    BOOST_TEST(countFirstBursts({ 1, 1, 0 }) == 1);
-    BOOST_TEST(countFirstBursts({ 4, 1, 0 }) == 2);
+    BOOST_TEST(firstBursts({ 5, 3, 2 }, { 0, 0, 0 }).size() == 1U);
+    BOOST_TEST(firstBursts({ 5, 3, 2 }, { 1, 1, 0 }).size() == 1U);
+    BOOST_TEST(firstBursts({ 5, 3, 2 }, { 4, 1, 0 }).size() > 1U);
+}
+
+// Guards against first requests that end at the time of a burst for which the limit has no room.
+BOOST_AUTO_TEST_CASE(FirstRequestsGoOnWithoutRoomForABurst)
+{
+    BOOST_TEST(firstBursts({ 4, 2, 0 }, { 3, 0, 0 }).back().value > 24000 / 5);
 }
 
 // Guards against a version that is completed without evidence, since no connection to its instances can be made.
