--- a/tests/node/VoterRepairTest.cpp
+++ b/tests/node/VoterRepairTest.cpp
@@ -11,13 +11,15 @@
 
 /// As in deploy/node.json.tmpl.
 static constexpr TimeMs deployedMissingTimeout { 1000 };
+/// 1 Gbit/s.
+static constexpr double linkBytesPerMs = 125000;
 
 namespace {
 
     // A fleet whose nodes all have a data folder. Operators change the rules between losses.
     struct RepairFleet {
         explicit RepairFleet(int nodes, int voters, uint64_t seed = 1, TimeMs missingTimeout = 30_s, bool voterIdsNameNodes = true)
-            : fleet({ .nodes = nodes, .voters = voters, .disks = nodes, .seed = seed, .ledgerGroups = 1, .targetVoters = static_cast<uint32_t>(voters), .missingVoterTimeout = missingTimeout, .voterIdsNameNodes = voterIdsNameNodes })
+            : fleet({ .nodes = nodes, .voters = voters, .disks = nodes, .seed = seed, .ledgerGroups = 1, .targetVoters = static_cast<uint32_t>(voters), .missingVoterTimeout = missingTimeout, .voterIdsNameNodes = voterIdsNameNodes, .diskNodeBytesPerMs = linkBytesPerMs })
         {
             BOOST_REQUIRE(fleet.startCluster());
             fleet.runFor(2_s);
@@ -35,7 +37,7 @@
         bool applyRules(TimeMs limit)
         {
             const auto text = "change " + std::to_string(++changes);
-            const auto call = fleet.apply(anyRunning(), "apply-" + std::to_string(changes), acknowledged, NodeFleet::rulesText(text), "omar");
+            const auto call = fleet.apply(anyRunning(), "apply-" + std::to_string(changes), acknowledged, NodeFleet::rulesText(text) + moreRules, "omar");
             fleet.runUntil([&] { return fleet.caller(call).done; }, limit);
             acknowledged += fleet.caller(call).status == 200;
             return fleet.caller(call).status == 200;
@@ -78,8 +80,27 @@
         NodeFleet fleet;
         uint64_t acknowledged = 1; ///< Rules revision.
         int changes = 1;
+        std::string moreRules; ///< In each change.
     };
 
+    // As many forwarding rules as a configuration of the largest deployment has.
+    std::string manyRoutes()
+    {
+        std::string out = "backend desk health=/health connections=100 # omar: many routes\n";
+        Random random(7);
+        for (int n = 0; n < 4200; ++n) {
+            const std::string name = std::to_string(random.below(1000000000)) + "-" + std::to_string(n);
+            out.append("forward r-").append(name).append(" host=desk.example prefix=/").append(name).append("/ kind=stream timeout=3000ms target=500ms gap=250ms priority=0 attempts=1 anonymous=no affinity=yes resume=no to=desk:1 # omar: many routes\n");
+        }
+        return out;
+    }
+
+    void setCut(NodeFleet& fleet, size_t n, bool isCut)
+    {
+        for (size_t other = 0; other < fleet.nodes.size(); ++other)
+            fleet.blockedLinks[n][other] = fleet.blockedLinks[other][n] = isCut;
+    }
+
     // Loses the disk of a machine that is back after `downTime`, and lets the group have `catchUpBound` after it.
     void loseDiskOnce(RepairFleet& it, size_t n)
     {
@@ -146,6 +167,43 @@
     }
 }
 
+// Guards against a repair that does not bring large snapshots to a voter before the next loss.
+BOOST_AUTO_TEST_CASE(disksLostInSeriesWithManyRoutes)
+{
+    for (const int voters : { 3, 5 }) {
+        RepairFleet it(voters, voters);
+        it.moreRules = manyRoutes();
+        for (int n = 0; n < 5; ++n)
+            loseDiskOnce(it, it.voterNode(n % 2 == 0));
+        BOOST_CHECK_EQUAL(it.acknowledged, 6U);
+        it.checkServes();
+    }
+}
+
+// Guards against a repair that needs the voters on the other side of a split.
+BOOST_AUTO_TEST_CASE(disksLostInSeriesBesideSplits)
+{
+    for (uint64_t seed = 1; seed <= 5; ++seed) {
+        RepairFleet it(5, 5, seed, deployedMissingTimeout);
+        for (int n = 0; n < 8; ++n) {
+            const size_t lost = it.voterNode(n % 2 == 0);
+            size_t cut = it.voterNode(false);
+            while (cut == lost)
+                cut = it.voterNode(false);
+            it.applyRules(1_s);
+            setCut(it.fleet, cut, true);
+            it.fleet.runFor(TimeMs { it.fleet.random.between(0, 1500) });
+            it.fleet.loseDisk(lost);
+            it.fleet.runFor(downTime);
+            it.fleet.start(lost);
+            it.fleet.runFor(TimeMs { it.fleet.random.between(0, 2500) });
+            setCut(it.fleet, cut, false);
+            it.fleet.runFor(catchUpBound);
+        }
+        it.checkServes();
+    }
+}
+
 // Guards against waiting for as many losses as a larger group has to bear.
 BOOST_AUTO_TEST_CASE(twoDisksAtOnceInSeries)
 {
