Name the filter of the ordered version, and the wait for the end of an order

Cause: versionFilter() spelled the same filter twice, and OtherVersionsGetNoRequestsBeforeTheCompletion the same loop. Behaviour and assertions are the same.

--- a/src/node/VersionOrders.cpp
+++ b/src/node/VersionOrders.cpp
@@ -188,12 +188,13 @@
     const VersionOrder* order = orderOf(node, call.backend);
     if (!order)
         return nullptr;
+    const auto isTarget = [target = order->target](const ForwardTarget& it) { return it.version == target; };
     if (order->state == VersionOrderState::Completed)
-        return [target = order->target](const ForwardTarget& it) { return it.version == target; };
+        return isTarget;
     const auto standing = standings(node, *order);
     const auto targetStanding = standing(order->target);
     if (targetStanding != VersionStanding::Bad && isSwitched(node, *order))
-        return [target = order->target](const ForwardTarget& it) { return it.version == target; };
+        return isTarget;
     if (targetStanding == VersionStanding::OnTrial) {
         if (const UpstreamId tested = testedInstance(node, *order, node.versionOrders.followers[call.backend]))
             return [tested](const ForwardTarget& it) { return it.id == tested; };
--- a/tests/node/VersionOrderTest.cpp
+++ b/tests/node/VersionOrderTest.cpp
@@ -91,6 +91,12 @@
             }
         }
 
+        void runUntilOrderEnds()
+        {
+            for (const TimeMs end = fleet.now + 20_s; fleet.now < end && state() == VersionOrderState::Running;)
+                run(10_ms);
+        }
+
         // Whether the instance got the usual load of one in the last second.
         bool isLoaded(const std::string& address)
         {
@@ -158,15 +164,13 @@
         VersionFleet it(seed);
         it.run(2_s);
         it.order("v2");
-        for (const TimeMs end = it.fleet.now + 20_s; it.fleet.now < end && it.state() == VersionOrderState::Running;)
-            it.run(10_ms);
+        it.runUntilOrderEnds();
         BOOST_CHECK_EQUAL(nameOf(it.state()), "completed");
         BOOST_CHECK_GE((it.fleet.now - it.lastSentTo["v1"]).value, 300);
         // The other way around, while both versions are in use.
         it.give("v1");
         it.run(2_s);
-        for (const TimeMs end = it.fleet.now + 20_s; it.fleet.now < end && it.state() == VersionOrderState::Running;)
-            it.run(10_ms);
+        it.runUntilOrderEnds();
         BOOST_CHECK_EQUAL(nameOf(it.state()), "completed");
         BOOST_CHECK_GE((it.fleet.now - it.lastSentTo["v2"]).value, 300);
     }
