Look up the node of a voter in one place

Cause: addresseeOf() was a copy of nodeOfVoter() with another bound on the member's state. Change: both ask otherNodeOfVoter(). Behaviour stays as it is.

--- a/src/node/Groups.cpp
+++ b/src/node/Groups.cpp
@@ -79,26 +79,26 @@
     return it != node.groups.end() && !status(*it->second.replica).voters.empty();
 }
 
-NodeId nodeOfVoter(const Node& node, VoterId voter)
+// Another node that has the voter and is in this state or a better one.
+static NodeId otherNodeOfVoter(const Node& node, VoterId voter, MemberState worst)
 {
-    if (voter && voter == node.options.voter)
-        return node.self;
     for (const auto& [id, member] : node.membership.members) {
-        if (voter && member.status.voter == voter && isAlive(node.membership, id))
+        if (voter && member.status.voter == voter && member.status.state <= worst)
             return id;
     }
     return {};
 }
 
+NodeId nodeOfVoter(const Node& node, VoterId voter)
+{
+    return voter && voter == node.options.voter ? node.self : otherNodeOfVoter(node, voter, MemberState::Alive);
+}
+
 // The node to which messages for the voter are sent. One that is only suspected gets them too: datagrams can be lost while connections work,
 // and a leader that is silent towards a voter loses its lease.
 static NodeId addresseeOf(const Node& node, VoterId voter)
 {
-    for (const auto& [id, member] : node.membership.members) {
-        if (member.status.voter == voter && member.status.state <= MemberState::Suspect)
-            return id;
-    }
-    return {};
+    return otherNodeOfVoter(node, voter, MemberState::Suspect);
 }
 
 bool leadsGroup(const Node& node, const Group& group)
