Take an answer without a length for whole only after an orderly end

What callers saw: an upstream answered a long upload at once with a 200 that had no length, sent a part of the body and reset the connection while the upload was still being written. The caller got the part as the whole answer.

Cause: such an answer ends with its connection. Linux reports the error of a connection once. The write of the upload asked first and got it, UpstreamConnection dropped the error of its write, and the read that followed returned the end of the file like after an orderly end.

A reset after the upload was written fails the read, as before. An upstream that closes at a moment at which all bytes of the upload were read ends in order (FIN) and resets later; that cannot be told from an early refusal, so it stays a whole answer.

Change: findStreamEnd() decides from the state of the connection and the error of the write, and waits for a write in progress on a closed connection. Anything but a FIN fails the answer as `closed`. A connection whose write failed is not pooled.

Why it works: a FIN is the only proof of an orderly end, and the kernel keeps it apart from a reset in the state (CLOSE_WAIT while the connection lives) and in the error that the write gets (EPIPE after a FIN, ECONNRESET without one).

--- a/src/entry/UpstreamConnection.cpp
+++ b/src/entry/UpstreamConnection.cpp
@@ -1,5 +1,6 @@
 #include "entry/UpstreamConnection.h"
 
+#include "base/StreamEnd.h"
 #include "entry/HttpText.h"
 #include "entry/ToChrono.h"
 
@@ -113,6 +114,9 @@
     m_writing = true;
     asio::async_write(m_socket, asio::buffer(m_out), [self = shared_from_this()](const error_code& ec, size_t) {
         self->m_writing = false;
+        self->m_writeError = ec;
+        if (self->m_endReached && self->m_phase == Phase::Body)
+            return self->handleEndOfStream();
         if (ec && self->m_phase == Phase::Head && !self->m_reading)
             self->fail(UpstreamFailure::Closed, ec.message());
     });
@@ -142,13 +146,28 @@
         parseReceived();
         return read();
     }
-    if (ec == asio::error::eof && m_phase == Phase::Body && m_parser->need_eof()) {
-        error_code endError;
-        m_parser->put_eof(endError);
-        if (!endError && m_parser->is_done())
-            return m_skipping ? fail(UpstreamFailure::Closed, "connection closed after the response to another request") : finish();
+    if (ec == asio::error::eof && m_phase == Phase::Body && m_parser->need_eof())
+        return handleEndOfStream();
+    fail(UpstreamFailure::Closed, m_writeError ? m_writeError.message() : ec.message());
+}
+
+// The end of the stream completes a response without a length only if the upstream has ended it in order.
+void UpstreamConnection::handleEndOfStream()
+{
+    m_endReached = true;
+    switch (findStreamEnd(m_socket.native_handle(), { .active = m_writing, .error = m_writeError.value() })) {
+    case StreamEnd::Undecided:
+        return;
+    case StreamEnd::Aborted:
+        return fail(UpstreamFailure::Closed, "response without a length: " + m_writeError.message());
+    case StreamEnd::Orderly:
+        break;
     }
-    fail(UpstreamFailure::Closed, ec.message());
+    error_code ec;
+    m_parser->put_eof(ec);
+    if (ec || !m_parser->is_done())
+        return fail(UpstreamFailure::Closed, "response without a length: " + ec.message());
+    m_skipping ? fail(UpstreamFailure::Closed, "connection closed after the response to another request") : finish();
 }
 
 // Parses the received bytes until more are needed or the response is complete.
@@ -265,9 +284,9 @@
 
 void UpstreamConnection::finish()
 {
-    // Not reusable if bytes follow the response, since they belong to no request, or if the request is still being sent,
+    // Not reusable if bytes follow the response, since they belong to no request, or if the request was not sent whole,
     // since the upstream would read its rest as the next request.
-    const bool reusable = m_parser->keep_alive() && !m_parser->need_eof() && m_in.empty() && !m_writing && !m_reuseForbidden;
+    const bool reusable = m_parser->keep_alive() && !m_parser->need_eof() && m_in.empty() && !m_writing && !m_writeError && !m_reuseForbidden;
     const DispatchId dispatch = std::exchange(m_dispatch, 0);
     const auto self = shared_from_this();
     m_parser.reset();
--- a/src/entry/UpstreamConnection.h
+++ b/src/entry/UpstreamConnection.h
@@ -62,6 +62,7 @@
     void read();
     void readDone(const boost::system::error_code&, size_t);
     void write();
+    void handleEndOfStream();
     void parseReceived();
     bool parseHead();
     bool parseBody();
@@ -85,7 +86,9 @@
     bool m_isHeadRequest = false;
     bool m_reuseForbidden = false;
     bool m_writing = false;
+    boost::system::error_code m_writeError; ///< Of the last write.
     bool m_reading = false;
+    bool m_endReached = false; ///< A read has returned the end of the stream.
     bool m_skipping = false; ///< The response being read belongs to another request.
     std::string m_out;
     std::string m_in;
