Let the client of the tools tell a reset from the end of a response

Cause: experiment/HttpClient ignored the error of its write, which got the reset, and read the end of the stream after it.

Change: it keeps that error, and a response without a length is complete only if findStreamEnd() says that the connection ended in order; else the call ends as `cut`.

Why it works: the client reads only after its write has ended, so the error of the write is known when the stream ends.

--- a/src/experiment/HttpClient.cpp
+++ b/src/experiment/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "experiment/HttpClient.h"
 
+#include "base/StreamEnd.h"
 #include "experiment/SocketAddress.h"
 
 #include <boost/asio/io_context.hpp>
@@ -52,6 +53,7 @@
         void readHead();
         void readBody();
         void handleBody();
+        bool isWhole();
         void end(HttpEnd);
 
         Tcp::socket m_socket;
@@ -60,6 +62,7 @@
         HttpDataHandler m_onData;
         HttpDoneHandler m_onDone;
         std::string m_request;
+        Code m_writeError;
         boost::beast::flat_buffer m_buffer;
         http::response_parser<http::string_body> m_parser;
         HttpAnswer m_answer;
@@ -99,7 +102,7 @@
         asio::async_write(m_socket, asio::buffer(m_request), [self = shared_from_this()](Code ec, size_t) {
             // A server can respond and close the connection before it has read the whole request, so the response is read even
             // after a write error.
-            static_cast<void>(ec);
+            self->m_writeError = ec;
             self->readHead();
         });
     }
@@ -131,6 +134,12 @@
         });
     }
 
+    // Whether the end of the body is proved by its framing or, for a response without a length, by an orderly end of the connection.
+    bool Exchange::isWhole()
+    {
+        return !m_parser.need_eof() || findStreamEnd(m_socket.native_handle(), { .error = m_writeError.value() }) == StreamEnd::Orderly;
+    }
+
     void Exchange::handleBody()
     {
         auto& body = m_parser.get().body();
@@ -141,7 +150,7 @@
         if (m_ended)
             return;
         if (m_parser.is_done())
-            return end(HttpEnd::Complete);
+            return end(isWhole() ? HttpEnd::Complete : HttpEnd::Cut);
         readBody();
     }
 
