Refuse a status that is none, and what cannot be an interim response

What callers saw: of an upstream in trouble that answered with status 000, a 504 at the deadline, or, if the body of that answer held a response, that response as the answer. Of one with status 600 or more, the answer with that status. On other systems callers got the 000 itself.

Cause: UpstreamConnection took every status below 200 for an interim response, skipped its head, and read what followed as the next response; the library accepts any three digits. The same held for 101, although no request asks for another protocol, and for interim responses that state a body. The client of the tools took each of these, and every interim response, as the end of its call.

Change: findResponseProblem() checks the parsed head. A status outside 100 to 599, a 101 and an interim response with a body fail the attempt as `malformed` in UpstreamConnection::parseHead(); forward_attempt_failed (step `receive`, peer: the upstream) says why. Other 1xx are skipped, also unknown ones, as RFC 9110 (15.2) requires. The caller gets another upstream's answer where the route allows, else 502 with `run: unknown`. HttpClient ends such a call as `cut`, and reads on after an interim response.

What callers get of `malformed` was right before; ForwardEndings/UnreadableAnswerIsReplacedOrOfUnknownRun keeps a test of it.

Why it works: every head that the library has parsed passes the check before anything is learned from it or skipped.

--- a/src/api/HttpHeadCheck.cpp
+++ b/src/api/HttpHeadCheck.cpp
@@ -1,11 +1,13 @@
 #include "api/HttpHeadCheck.h"
 
-#include "api/HttpMessage.h"
-
 #include <algorithm>
 
 namespace siskinshunt {
 
+static constexpr unsigned minStatus = 100;
+static constexpr unsigned maxStatus = 599;
+static constexpr unsigned switchingProtocols = 101;
+
 static std::string_view trim(std::string_view text)
 {
     const auto first = text.find_first_not_of(" \t");
@@ -78,4 +80,21 @@
     return std::nullopt;
 }
 
+bool isInterimStatus(unsigned status)
+{
+    return status >= minStatus && status < 200;
+}
+
+std::optional<std::string> findResponseProblem(unsigned status, const HttpHeaders& headers)
+{
+    if (status < minStatus || status > maxStatus)
+        return "status " + std::to_string(status) + " is not from 100 to 599";
+    if (status == switchingProtocols)
+        return "a switch of the protocol that was not asked for";
+    const auto length = findHeader(headers, "Content-Length");
+    if (isInterimStatus(status) && ((!length.empty() && length != "0") || !findHeader(headers, "Transfer-Encoding").empty()))
+        return "an interim response with a body";
+    return std::nullopt;
+}
+
 }
--- a/src/entry/UpstreamConnection.cpp
+++ b/src/entry/UpstreamConnection.cpp
@@ -1,5 +1,6 @@
 #include "entry/UpstreamConnection.h"
 
+#include "api/HttpHeadCheck.h"
 #include "base/StreamEnd.h"
 #include "entry/HttpText.h"
 #include "entry/ToChrono.h"
@@ -197,16 +198,23 @@
     }
     if (!m_parser->is_header_done())
         return false;
-    if (m_parser->get().result_int() < 200) {
-        // An interim (1xx) response; the final one follows.
+    const unsigned status = m_parser->get().result_int();
+    HttpHeaders headers;
+    for (const auto& field : m_parser->get())
+        headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    if (const auto problem = findResponseProblem(status, headers)) {
+        fail(UpstreamFailure::Malformed, *problem);
+        return false;
+    }
+    if (isInterimStatus(status)) {
         m_parser.reset();
         return true;
     }
-    handleHead();
+    handleHead(std::move(headers));
     return m_phase == Phase::Body;
 }
 
-void UpstreamConnection::handleHead()
+void UpstreamConnection::handleHead(HttpHeaders headers)
 {
     const auto& message = m_parser->get();
     m_phase = Phase::Body;
@@ -217,9 +225,7 @@
     }
     if (m_skipping)
         return;
-    UpstreamEvent head { .dispatch = m_dispatch, .kind = UpstreamEventKind::Head, .status = static_cast<uint16_t>(message.result_int()) };
-    for (const auto& field : message)
-        head.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    UpstreamEvent head { .dispatch = m_dispatch, .kind = UpstreamEventKind::Head, .status = static_cast<uint16_t>(message.result_int()), .headers = std::move(headers) };
     if (m_parser->content_length())
         head.contentLength = *m_parser->content_length();
     renewDeadline(m_progressTimeout);
--- a/src/entry/UpstreamConnection.h
+++ b/src/entry/UpstreamConnection.h
@@ -66,7 +66,7 @@
     void parseReceived();
     bool parseHead();
     bool parseBody();
-    void handleHead();
+    void handleHead(HttpHeaders);
     void finishSkippedResponse();
     void finish();
     void fail(UpstreamFailure, const std::string& detail);
--- a/src/experiment/HttpClient.cpp
+++ b/src/experiment/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "experiment/HttpClient.h"
 
+#include "api/HttpHeadCheck.h"
 #include "base/StreamEnd.h"
 #include "experiment/SocketAddress.h"
 
@@ -12,6 +13,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <limits>
+#include <optional>
 
 namespace siskinshunt {
 
@@ -40,8 +42,6 @@
             , m_onData(std::move(onData))
             , m_onDone(std::move(onDone))
         {
-            m_parser.body_limit(std::numeric_limits<uint64_t>::max());
-            m_parser.eager(true);
         }
 
         void start();
@@ -51,6 +51,7 @@
         void connect(const Tcp::endpoint&);
         void send();
         void readHead();
+        void handleHead();
         void readBody();
         void handleBody();
         bool isWhole();
@@ -64,7 +65,7 @@
         std::string m_request;
         Code m_writeError;
         boost::beast::flat_buffer m_buffer;
-        http::response_parser<http::string_body> m_parser;
+        std::optional<http::response_parser<http::string_body>> m_parser;
         HttpAnswer m_answer;
         bool m_ended = false;
     };
@@ -111,23 +112,40 @@
     {
         if (m_ended)
             return;
-        http::async_read_header(m_socket, m_buffer, m_parser, [self = shared_from_this()](Code ec, size_t) {
+        m_parser.emplace();
+        m_parser->body_limit(std::numeric_limits<uint64_t>::max());
+        m_parser->eager(true);
+        http::async_read_header(m_socket, m_buffer, *m_parser, [self = shared_from_this()](Code ec, size_t) {
             if (ec)
                 return self->end(HttpEnd::Cut);
-            self->m_answer.status = self->m_parser.get().result_int();
-            for (const auto& it : self->m_parser.get())
-                self->m_answer.headers.emplace_back(it.name_string(), it.value());
-            self->handleBody();
+            self->handleHead();
         });
     }
 
+    void Exchange::handleHead()
+    {
+        if (m_ended)
+            return;
+        const unsigned status = m_parser->get().result_int();
+        HttpHeaders headers;
+        for (const auto& it : m_parser->get())
+            headers.emplace_back(it.name_string(), it.value());
+        if (findResponseProblem(status, headers))
+            return end(HttpEnd::Cut);
+        if (isInterimStatus(status))
+            return readHead();
+        m_answer.status = static_cast<int>(status);
+        m_answer.headers = std::move(headers);
+        handleBody();
+    }
+
     void Exchange::readBody()
     {
-        http::async_read_some(m_socket, m_buffer, m_parser, [self = shared_from_this()](Code ec, size_t) {
+        http::async_read_some(m_socket, m_buffer, *m_parser, [self = shared_from_this()](Code ec, size_t) {
             if (self->m_ended)
                 return;
             if (ec) {
-                self->m_answer.body += self->m_parser.get().body();
+                self->m_answer.body += self->m_parser->get().body();
                 return self->end(HttpEnd::Cut);
             }
             self->handleBody();
@@ -137,19 +155,19 @@
     // Whether the end of the body is proved by its framing or, for a response without a length, by an orderly end of the connection.
     bool Exchange::isWhole()
     {
-        return !m_parser.need_eof() || findStreamEnd(m_socket.native_handle(), { .error = m_writeError.value() }) == StreamEnd::Orderly;
+        return !m_parser->need_eof() || findStreamEnd(m_socket.native_handle(), { .error = m_writeError.value() }) == StreamEnd::Orderly;
     }
 
     void Exchange::handleBody()
     {
-        auto& body = m_parser.get().body();
+        auto& body = m_parser->get().body();
         const std::string data = std::exchange(body, {});
         m_answer.body += data;
         if (m_onData && !data.empty() && !m_ended)
             m_onData(m_answer, data);
         if (m_ended)
             return;
-        if (m_parser.is_done())
+        if (m_parser->is_done())
             return end(isWhole() ? HttpEnd::Complete : HttpEnd::Cut);
         readBody();
     }
--- a/src/experiment/HttpClient.h
+++ b/src/experiment/HttpClient.h
@@ -14,7 +14,7 @@
 enum class HttpEnd : uint8_t {
     Complete, ///< The whole response arrived.
     NotConnected, ///< The connection failed; the request was not sent.
-    Cut, ///< The connection ended after it was established and before the end of the response.
+    Cut, ///< The connection ended after it was established and before the end of the response, or the response was malformed.
     Timeout,
     Cancelled,
 };
@@ -39,7 +39,7 @@
 
 struct HttpAnswer {
     HttpEnd end = HttpEnd::NotConnected;
-    int status = 0; ///< 0 if no response header arrived.
+    int status = 0; ///< 0 if no valid response header arrived.
     HttpHeaders headers;
     std::string body;
 };
--- a/tests/experiment/HttpClientTest.cpp
+++ b/tests/experiment/HttpClientTest.cpp
@@ -27,3 +27,14 @@
     BOOST_TEST(call({ .responses = { head + "whole" }, .finishes = true }) == "200 whole complete");
     BOOST_TEST(call({ .responses = { makeResponse("a", "whole") }, .resets = true, .pause = 20ms }, uploadBytes) == "200 whole complete");
 }
+
+// Guards against a status that is none, an interim response, or what follows one with a body, as the result of a call.
+BOOST_AUTO_TEST_CASE(onlyAFinalStatusIsAResponse)
+{
+    const std::string inner = makeResponse("a", "inner");
+    for (const std::string status : { "000", "099", "101", "600", "999" })
+        BOOST_TEST(call({ { "HTTP/1.1 " + status + " Text\r\nContent-Length: 4\r\n\r\nbody" } }) == "0  cut", status);
+    BOOST_TEST(call({ { "HTTP/1.1 000 Text\r\n\r\n" + inner } }) == "0  cut");
+    BOOST_TEST(call({ { "HTTP/1.1 100 Continue\r\nContent-Length: " + std::to_string(inner.size()) + "\r\n\r\n" + inner } }) == "0  cut");
+    BOOST_TEST(call({ { "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" + makeResponse("a", "final") } }) == "200 final complete");
+}
--- a/tests/node/ForwardEndingsTest.cpp
+++ b/tests/node/ForwardEndingsTest.cpp
@@ -71,6 +71,38 @@
     }
 }
 
+// Guards against an unreadable answer that callers get, that ends a request which another upstream can answer, or that is told as not run. The line
+// of the attempt names the step, the upstream and what was wrong.
+BOOST_AUTO_TEST_CASE(UnreadableAnswerIsReplacedOrOfUnknownRun)
+{
+    ForwardNode entry;
+    entry.addUpstream("d1", "desk");
+    entry.addUpstream("d2", "desk");
+    const auto failUnreadable = [&] {
+        entry.sending();
+        entry.event({ .kind = UpstreamEventKind::Failed, .failure = UpstreamFailure::Malformed, .detail = "status 0" });
+    };
+    entry.post("/book/1");
+    failUnreadable();
+    BOOST_CHECK_EQUAL(entry.dispatches.size(), 1U);
+    BOOST_CHECK_EQUAL(entry.answer().first, 502);
+    BOOST_CHECK(entry.answer().second.find("\"run\":\"unknown\"") != std::string::npos);
+    const auto line = std::find_if(entry.logs.begin(), entry.logs.end(), [](const auto& it) { return it.code == "forward_attempt_failed"; });
+    BOOST_REQUIRE(line != entry.logs.end());
+    BOOST_CHECK(line->step == Step::Receive);
+    BOOST_CHECK(line->peer == "d1" || line->peer == "d2");
+    BOOST_CHECK_EQUAL(line->text, "malformed: status 0");
+    entry.post("/look/1");
+    failUnreadable();
+    BOOST_REQUIRE_EQUAL(entry.dispatches.size(), 3U);
+    BOOST_CHECK(entry.dispatches[1].address != entry.dispatches[2].address);
+    entry.sending();
+    entry.head(200);
+    entry.body("done");
+    entry.end();
+    BOOST_CHECK(entry.answer() == std::pair(200, std::string("done")));
+}
+
 // Guards against two concurrent runs of a stream after this node has closed the connection of the first one itself.
 BOOST_AUTO_TEST_CASE(StreamWaitsForTheEngineAfterAnUnreadableAnswer)
 {
