Refuse answers with a transfer coding that no request allows

What callers saw: the bytes of an upstream's transfer coding, such as gzip, as the body of its answer; the field that names the coding was dropped on the way, as it must be.

Cause: the library knows chunks only. It reads a body in another coding up to the end of the connection or by its length, and of `gzip, chunked` it takes the chunks off; nothing looked at the value of the field.

Change: findResponseProblem() accepts one Transfer-Encoding of exactly "chunked", as findHeadProblem() does for requests. Any other fails the attempt as `malformed` at the head, in UpstreamConnection and in the client of the tools (`cut`).

Why it works: siskinshunt sends no TE field, so no upstream may use another coding (RFC 9112, 7.4), and one that does is refused before a byte of its body is read.

--- a/src/api/HttpHeadCheck.cpp
+++ b/src/api/HttpHeadCheck.cpp
@@ -85,6 +85,20 @@
     return status >= minStatus && status < 200;
 }
 
+// The library passes the bytes of codings that it does not know on as they are, and reads the chunks around them.
+static bool hasUnknownTransferCoding(const HttpHeaders& headers)
+{
+    bool isChunked = false;
+    for (const auto& [name, value] : headers) {
+        if (!equalHeaderNames(name, "Transfer-Encoding"))
+            continue;
+        if (isChunked || !equalHeaderNames(trim(value), "chunked"))
+            return true;
+        isChunked = true;
+    }
+    return false;
+}
+
 std::optional<std::string> findResponseProblem(unsigned status, const HttpHeaders& headers)
 {
     if (status < minStatus || status > maxStatus)
@@ -94,6 +108,8 @@
     const auto length = findHeader(headers, "Content-Length");
     if (isInterimStatus(status) && ((!length.empty() && length != "0") || !findHeader(headers, "Transfer-Encoding").empty()))
         return "an interim response with a body";
+    if (hasUnknownTransferCoding(headers))
+        return "a transfer coding other than chunked";
     return std::nullopt;
 }
 
--- a/tests/entry/ResponseHeadTest.cpp
+++ b/tests/entry/ResponseHeadTest.cpp
@@ -160,3 +160,18 @@
     BOOST_TEST(receiveAndClose(responseWith({})) == "200 ok end");
     BOOST_TEST(receiveAndClose("HTTP/1.0 200 OK\r\nId: a\r\n\r\nok") == "200 ok end");
 }
+
+// Guards against the bytes of a transfer coding that callers get as the body. No request allows another coding than chunks (RFC 9112, 6.1).
+BOOST_AUTO_TEST_CASE(unknownTransferCodingIsMalformed)
+{
+    const std::string chunk = "2\r\nok\r\n0\r\n\r\n";
+    for (const char* coding : { "gzip", "GZIP", "deflate", "xchunked", "identity", "\"chunked\"", "gzip, chunked", "chunked, gzip", "chunked, chunked", "chunked;x=y", "" }) {
+        const std::string field = "Transfer-Encoding: " + std::string(coding) + "\r\n";
+        for (const std::string& body : { std::string("ok"), chunk })
+            BOOST_TEST(receive(responseWith(field, body)) == " malformed", coding);
+        BOOST_TEST(receive(responseWith(field + "Content-Length: 2\r\n")) == " malformed", coding);
+        BOOST_TEST(receive(responseWith("Content-Length: 2\r\n" + field)) == " malformed", coding);
+    }
+    BOOST_TEST(receive(responseWith("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n", chunk)) == " malformed");
+    BOOST_TEST(receive(responseWith("Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n", chunk)) == " malformed");
+}
--- a/tests/experiment/HttpClientTest.cpp
+++ b/tests/experiment/HttpClientTest.cpp
@@ -38,3 +38,10 @@
     BOOST_TEST(call({ { "HTTP/1.1 100 Continue\r\nContent-Length: " + std::to_string(inner.size()) + "\r\n\r\n" + inner } }) == "0  cut");
     BOOST_TEST(call({ { "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" + makeResponse("a", "final") } }) == "200 final complete");
 }
+
+// Guards against the bytes of a transfer coding as the body of a response.
+BOOST_AUTO_TEST_CASE(unknownTransferCodingIsNoResponse)
+{
+    BOOST_TEST(call({ { "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nbytes" }, true }) == "0  cut");
+    BOOST_TEST(call({ { "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n" } }) == "0  cut");
+}
