Reset the connection of an answer without a length unless it is whole

What callers saw: a caller that speaks HTTP/1.0 got a part of an answer as the whole one, when the entry node gave the answer up for another reason than its upstream.

Cause: such an answer comes without a length and without chunks, so it ends with the connection. AnswerPart::Abort resets the connection, but five other ends closed it in order: a caller that reads too slowly, the timeout of a write, a caller that has shut down its sending side, the end of the server, and the end of the process, where the kernel closes it.

Change: while such an answer is under way the connection is set to be reset by whatever closes it (SO_LINGER of 0 s). The option is taken back when the last byte is written, before the sending side is shut down.

Answers with a length or in chunks show themselves that they are cut, and are closed as before. A length that was announced and not met does not come from the forwarding code: a short answer of an upstream is `closed` and ends with Abort, and the length of a stream that can be resumed is not announced.

Why it works: the socket keeps the option, so no path has to remember it, not even one that ends with the process.

--- a/src/entry/HttpConnection.cpp
+++ b/src/entry/HttpConnection.cpp
@@ -210,9 +210,13 @@
         appendField(m_out, "Content-Length", std::to_string(*answer.contentLength));
     else if (answer.part == AnswerPart::Whole)
         appendField(m_out, "Content-Length", std::to_string(answer.body.size()));
-    else if (m_isHttp10)
+    else if (m_isHttp10) {
+        // The end of the connection is that of the body. Until all of it is written, every other end has to be a reset, also that by the kernel
+        // when the process is gone.
         m_keepAlive = false;
-    else if (hasBody || m_isHeadRequest) {
+        if (hasBody && !m_isHeadRequest)
+            setResetOnClose(true);
+    } else if (hasBody || m_isHeadRequest) {
         m_chunked = true;
         appendField(m_out, "Transfer-Encoding", "chunked");
     }
@@ -255,14 +259,12 @@
             m_out += "0\r\n\r\n";
         finishExchange();
         break;
-    case AnswerPart::Abort: {
-        // Resets the connection: an orderly close would look like the end of a response without a length.
-        error_code ec;
-        m_stream->socket().set_option(asio::socket_base::linger(true, 0), ec);
+    case AnswerPart::Abort:
+        // An orderly close would look like the end of a response without a length.
+        setResetOnClose(true);
         m_context.closeExchange(std::exchange(m_exchange, 0));
         return close();
     }
-    }
     if (m_out.size() > maxUnsentBytes + m_context.limits.bodyBytes) {
         m_context.log({ LogLevel::Warning, "caller_too_slow", Step::Send, m_peer, "the caller does not read its response; the connection is closed", {} });
         return close();
@@ -294,6 +296,7 @@
             setPhase(Phase::Idle);
         if (m_phase != Phase::Flushing)
             return;
+        setResetOnClose(false);
         error_code ec;
         m_stream->socket().shutdown(tcp::socket::shutdown_send, ec);
         setPhase(Phase::Lingering);
@@ -311,6 +314,13 @@
     });
 }
 
+// A reset discards what the socket buffer still holds. On a connection that has failed already the option has no effect, so its error is ignored.
+void HttpConnection::setResetOnClose(bool enabled)
+{
+    error_code ec;
+    m_stream->socket().set_option(asio::socket_base::linger(enabled, 0), ec);
+}
+
 void HttpConnection::checkTimeout(Clock::time_point now)
 {
     const auto& limits = m_context.limits;
--- a/src/entry/HttpConnection.h
+++ b/src/entry/HttpConnection.h
@@ -64,6 +64,7 @@
     void finishExchange();
     void flush();
     void setPhase(Phase);
+    void setResetOnClose(bool);
 
     std::unique_ptr<ByteStream> m_stream;
     std::string m_peer;
