Let the stand-ins of the fault runs break answers in four ways

Change: /control/drop-answers takes `mixed`, and the fault plans use it: answers are dropped, cut after a part without a length by a reset, sent with status 000 and a response behind it, or sent in a transfer coding that was not asked for, in turn.

The reset shows nothing here, since the requests of the load tool are short: their write has ended before, so the read gets the error.

--- a/src/experiment/FakeEngine.cpp
+++ b/src/experiment/FakeEngine.cpp
@@ -253,8 +253,8 @@
 
 void FakeEngine::finish(Call& call)
 {
-    if (consumeDroppedAnswer())
-        return call.reply->drop();
+    if (const auto way = consumeBrokenAnswer())
+        return breakAnswer(*call.reply, *way);
     if (!call.stream) {
         auto body = chunk(call, call.text, true);
         body.set("usage", usage(call));
--- a/src/experiment/FakeService.cpp
+++ b/src/experiment/FakeService.cpp
@@ -64,13 +64,13 @@
         out.set("executions", static_cast<uint64_t>(m_executions.count(std::string(path.substr(path.rfind('/') + 1)))));
     }
     ++m_running;
-    const bool drop = request.method != "GET" && consumeDroppedAnswer();
-    loop().after(m_config.serviceTime, [this, alive = m_alive, generation = m_generation, reply, headers, drop, text = toText(out)] {
+    const auto broken = request.method != "GET" ? consumeBrokenAnswer() : std::nullopt;
+    loop().after(m_config.serviceTime, [this, alive = m_alive, generation = m_generation, reply, headers, broken, text = toText(out)] {
         if (!*alive || generation != m_generation)
             return;
         --m_running;
-        if (drop)
-            reply->drop();
+        if (broken)
+            breakAnswer(*reply, *broken);
         else
             reply->answer(200, headers, text);
     });
--- a/src/experiment/FakeUpstream.cpp
+++ b/src/experiment/FakeUpstream.cpp
@@ -42,7 +42,7 @@
     m_announcer.reset();
     m_server.reset();
     m_reclaimAt.reset();
-    m_dropAnswers = 0;
+    m_brokenAnswers = 0;
     clearState();
 }
 
@@ -79,12 +79,33 @@
         ++m_workAfterNotice;
 }
 
-bool FakeUpstream::consumeDroppedAnswer()
+void FakeUpstream::breakAnswers(uint32_t count, bool mixed)
 {
-    if (!m_dropAnswers)
-        return false;
-    --m_dropAnswers;
-    return true;
+    m_brokenAnswers = count;
+    m_mixedBreaks = mixed;
+}
+
+std::optional<AnswerBreak> FakeUpstream::consumeBrokenAnswer()
+{
+    if (!m_brokenAnswers)
+        return std::nullopt;
+    --m_brokenAnswers;
+    const auto& breaks = enumNames<AnswerBreak>;
+    return m_mixedBreaks ? breaks[m_brokenAnswers % breaks.size()].value : AnswerBreak::Dropped;
+}
+
+void FakeUpstream::breakAnswer(HttpReply& reply, AnswerBreak way)
+{
+    switch (way) {
+    case AnswerBreak::Dropped:
+        return reply.drop();
+    case AnswerBreak::Reset:
+        return reply.breakOff("HTTP/1.1 200 OK\r\n\r\n{\"confirmation\":", true);
+    case AnswerBreak::UnknownStatus:
+        return reply.breakOff("HTTP/1.1 000 None\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", false);
+    case AnswerBreak::UnknownCoding:
+        return reply.breakOff("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nbytes", false);
+    }
 }
 
 void FakeUpstream::setLeaving()
--- a/src/experiment/FakeUpstream.h
+++ b/src/experiment/FakeUpstream.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "base/EnumNames.h"
 #include "experiment/Announcer.h"
 #include "experiment/FakesConfig.h"
 #include "experiment/HttpServer.h"
 #include "fleet/Upstream.h"
 
+#include <array>
 #include <memory>
 #include <optional>
 
@@ -16,6 +18,22 @@
     std::string token;
 };
 
+/// How a stand-in breaks an answer.
+enum class AnswerBreak : uint8_t {
+    Dropped, ///< The connection is closed without an answer.
+    Reset, ///< A part of an answer without a length, then a reset.
+    UnknownStatus, ///< Status 000, and a response to no request behind it.
+    UnknownCoding, ///< A body in a transfer coding that was not asked for.
+};
+
+template <>
+inline constexpr auto enumNames<AnswerBreak> = std::to_array<EnumName<AnswerBreak>>({
+    { AnswerBreak::Dropped, "dropped" },
+    { AnswerBreak::Reset, "reset" },
+    { AnswerBreak::UnknownStatus, "unknown_status" },
+    { AnswerBreak::UnknownCoding, "unknown_coding" },
+});
+
 /// Base class of the upstream stand-ins: identity, port, announcements, reclaim and faults. Derived classes handle requests.
 class FakeUpstream {
 public:
@@ -32,8 +50,8 @@
     std::optional<TimeMs> reclaimIn() const;
     /// Stops responding on open connections; new ones are not affected.
     void freezeConnections();
-    /// Each of the next `count` calls is executed, then its connection is closed without an answer.
-    void dropAnswers(uint32_t count) { m_dropAnswers = count; }
+    /// Each of the next `count` calls is executed, then its answer is dropped or, if `mixed`, broken in each way in turn.
+    void breakAnswers(uint32_t count, bool mixed);
     const FakeIdentity& identity() const { return m_identity; }
     /// Number of calls that arrived more than 3 s after a reclaim notice, over all starts.
     uint64_t workAfterNotice() const { return m_workAfterNotice; }
@@ -49,7 +67,9 @@
     virtual void handleRequest(const HttpRequest&, const std::shared_ptr<HttpReply>&) = 0;
     /// Clears the state that a process loses when it ends.
     virtual void clearState() = 0;
-    bool consumeDroppedAnswer();
+    /// How to break the next answer, if it is to be broken.
+    std::optional<AnswerBreak> consumeBrokenAnswer();
+    static void breakAnswer(HttpReply&, AnswerBreak);
     /// Must be called for each incoming call.
     void recordCall();
     void setLeaving();
@@ -72,7 +92,8 @@
     uint64_t m_incarnation = 0;
     uint64_t m_sequence = 0;
     uint64_t m_workAfterNotice = 0;
-    uint32_t m_dropAnswers = 0;
+    uint32_t m_brokenAnswers = 0; ///< Still to be broken.
+    bool m_mixedBreaks = false;
     bool m_leaving = false;
 };
 
--- a/src/experiment/Fakes.cpp
+++ b/src/experiment/Fakes.cpp
@@ -120,7 +120,7 @@
     if (path == "/control/freeze")
         return forEachSelected(order, [](FakeUpstream& it) { it.freezeConnections(); });
     if (path == "/control/drop-answers")
-        return forEachSelected(order, [&](FakeUpstream& it) { it.dropAnswers(static_cast<uint32_t>(order["count"].asInt(1))); });
+        return forEachSelected(order, [&](FakeUpstream& it) { it.breakAnswers(static_cast<uint32_t>(order["count"].asInt(1)), order["mixed"].asBool()); });
     if (path == "/control/refuse-starts") {
         m_fleet.refuseStarts(std::string(order["domain"].asText()), order["refuse"].asBool(true));
         return 1;
--- a/src/experiment/HttpServer.cpp
+++ b/src/experiment/HttpServer.cpp
@@ -65,6 +65,7 @@
         void freeze();
         void close();
         void send(uint64_t exchange, std::string_view text, bool last);
+        void breakOff(uint64_t exchange, std::string_view bytes, bool resets);
         void setOnDisconnect(uint64_t exchange, std::function<void()>);
         bool isCurrent(uint64_t exchange) const { return exchange == m_exchange && m_busy && !m_closed; }
 
@@ -88,6 +89,7 @@
         bool m_frozen = false;
         bool m_closed = false;
         bool m_keepAlive = true;
+        bool m_resets = false; ///< Instead of closing in order.
     };
 
     class Reply : public HttpReply {
@@ -126,6 +128,8 @@
                 m_connection->close();
         }
 
+        void breakOff(std::string_view bytes, bool resets) override { m_connection->breakOff(m_exchange, bytes, resets); }
+
         void onDisconnect(std::function<void()> body) override { m_connection->setOnDisconnect(m_exchange, std::move(body)); }
 
     private:
@@ -188,6 +192,13 @@
             write();
     }
 
+    void Connection::breakOff(uint64_t exchange, std::string_view bytes, bool resets)
+    {
+        m_keepAlive = false;
+        m_resets = resets;
+        send(exchange, bytes, true);
+    }
+
     void Connection::write()
     {
         m_writing.swap(m_pending);
@@ -244,6 +255,8 @@
             return;
         m_closed = true;
         Code ec;
+        if (m_resets)
+            m_socket.set_option(asio::socket_base::linger(true, 0), ec);
         m_socket.close(ec);
         const auto onDisconnectHandler = std::exchange(m_onDisconnect, nullptr);
         if (const auto server = m_server.lock())
--- a/src/experiment/HttpServer.h
+++ b/src/experiment/HttpServer.h
@@ -20,6 +20,8 @@
     virtual void finish() = 0;
     /// Closes the connection without sending anything further.
     virtual void drop() = 0;
+    /// Sends the bytes as they are, then closes or resets the connection.
+    virtual void breakOff(std::string_view bytes, bool resets) = 0;
     /// Sets a callback that is invoked once if the peer disconnects before the end of the response.
     virtual void onDisconnect(std::function<void()>) = 0;
 };
--- a/tools/lib/faults.sh
+++ b/tools/lib/faults.sh
@@ -122,7 +122,7 @@
     good-version) fault_version mode=good ;;
     racing-operators) fault_race "$(fault_word lose_answer "$@")" ;;
     freeze-connections) fault_control freeze "{\"name\":\"$name\"}" ;;
-    drop-answers) fault_control drop-answers "{\"name\":\"$name\",\"count\":$(fault_word count "$@")}" ;;
+    drop-answers) fault_control drop-answers "{\"name\":\"$name\",\"count\":$(fault_word count "$@"),\"mixed\":true}" ;;
     *) echo "unknown action $action" >&2; return 1 ;;
     esac
 }
