Make the stand-ins of broken answers independent of timing

Cause: an upstream that closes while it happens to have read all of a request ends in order, so a test of a close with unread bytes could fail on a busy machine; another test waited 100 ms for an answer to be written.

Change: the stand-in waits for unread bytes before it closes, and the caller looks at what has arrived without reading it. Timeouts of answers that never come are 5 s.

--- a/tests/entry/ResponseHeadTest.cpp
+++ b/tests/entry/ResponseHeadTest.cpp
@@ -11,7 +11,7 @@
 {
     ScriptedUpstream upstream({ { { bytes } } });
     DispatchClient client;
-    return client.sendRequest(upstream.address(), "a", TimeMs { 1000 });
+    return client.sendRequest(upstream.address(), "a", TimeMs { 5000 });
 }
 
 static std::string statusLine(const std::string& status)
@@ -150,7 +150,7 @@
     const auto receiveAndClose = [](const std::string& bytes) {
         ScriptedUpstream upstream({ { .responses = { bytes }, .closes = true } });
         DispatchClient client;
-        return client.sendRequest(upstream.address(), "a", TimeMs { 1000 });
+        return client.sendRequest(upstream.address(), "a", TimeMs { 5000 });
     };
     BOOST_TEST(receiveAndClose("HTTP/1.1 200 OK\r\nId: a\r\n") == " closed");
     BOOST_TEST(receiveAndClose(responseWith("Content-Length: 3\r\n")) == "200 ok closed");
--- a/tests/entry/ScriptedUpstream.h
+++ b/tests/entry/ScriptedUpstream.h
@@ -14,11 +14,12 @@
 public:
     struct ConnectionScript {
         std::vector<std::string> responses;
-        bool closes = false; ///< After the last response. With unread bytes of the request, this resets the connection.
+        bool closes = false; ///< After the last response.
         bool resets = false; ///< After the last response.
         std::chrono::milliseconds pause { 0 }; ///< Before the unsolicited bytes and the end of the connection.
         std::string unsolicited; ///< Sent after the last response.
         bool finishes = false; ///< Ends the sending side in order after the last byte, before a close or reset.
+        bool awaitsUnread = false; ///< Closes once bytes of the request are unread, which resets the connection.
     };
 
     explicit ScriptedUpstream(std::vector<ConnectionScript> scripts)
@@ -53,6 +54,8 @@
                 continue;
             }
             boost::system::error_code ec;
+            if (script.awaitsUnread)
+                wait([&](boost::system::error_code& waitError) { waitError = socket.available() ? boost::system::error_code {} : boost::asio::error::would_block; });
             if (script.resets)
                 socket.set_option(boost::asio::socket_base::linger(true, 0), ec);
             // The destructor would ignore the option.
--- a/tests/entry/UnframedAnswerTest.cpp
+++ b/tests/entry/UnframedAnswerTest.cpp
@@ -30,6 +30,14 @@
         }
     }
 
+    // Waits until the text is the end of what has arrived, and leaves all of it unread.
+    void awaitUnread(const std::string& text)
+    {
+        std::array<char, 4096> buf {};
+        while (!std::string_view(buf.data(), socket.receive(asio::buffer(buf), tcp::socket::message_peek)).ends_with(text))
+            std::this_thread::sleep_for(1ms);
+    }
+
     bool hasPart() const { return received.find("\r\n\r\npart") != std::string::npos; }
 
     asio::io_context context;
@@ -161,9 +169,8 @@
 {
     EchoServer server;
     OldCaller caller(server.port(), "/stream");
-    std::this_thread::sleep_for(100ms);
+    caller.awaitUnread("onetwo");
     server.end();
-    std::this_thread::sleep_for(100ms);
     caller.read();
     BOOST_TEST(caller.received.ends_with("\r\n\r\nonetwo"));
     BOOST_TEST(caller.ec == asio::error::eof);
--- a/tests/entry/UpstreamEndTest.cpp
+++ b/tests/entry/UpstreamEndTest.cpp
@@ -20,7 +20,7 @@
 
 static std::string upload(DispatchClient& client, const ScriptedUpstream& upstream, size_t bytes = uploadBytes)
 {
-    return client.sendRequest(upstream.address(), "a", TimeMs { 2000 }, std::string(bytes, 'x'));
+    return client.sendRequest(upstream.address(), "a", TimeMs { 5000 }, std::string(bytes, 'x'));
 }
 
 // Serves one request from an upstream with the script. `busy`: the event loop of the client does nothing from shortly after the start of the
@@ -40,7 +40,7 @@
 BOOST_AUTO_TEST_CASE(resetDuringAnUploadCutsAnAnswerWithoutALength)
 {
     for (int n = 0; n < rounds; ++n) {
-        BOOST_TEST(uploadOnce({ .responses = { unframedHead + "part" }, .closes = true, .pause = 20ms }) == "200 part closed");
+        BOOST_TEST(uploadOnce({ .responses = { unframedHead + "part" }, .closes = true, .pause = 20ms, .awaitsUnread = true }) == "200 part closed");
         BOOST_TEST(uploadOnce({ .responses = { unframedHead + "part" }, .resets = true, .pause = 20ms }) == "200 part closed");
         // The event loop of the client finds the answer and the reset at once.
         BOOST_TEST(uploadOnce({ .responses = { "" }, .resets = true, .pause = 100ms, .unsolicited = unframedHead + "part" }, uploadBytes, true) == "200 part closed");
@@ -67,7 +67,7 @@
     const std::string pieces(3 * piece.size(), 'p');
     const std::string answer = "200 " + pieces + " closed";
     for (int n = 0; n < rounds; ++n) {
-        BOOST_CHECK(uploadOnce({ .responses = { unframedHead + piece, piece, piece }, .closes = true, .pause = 20ms }) == answer);
+        BOOST_CHECK(uploadOnce({ .responses = { unframedHead + piece, piece, piece }, .closes = true, .pause = 20ms, .awaitsUnread = true }) == answer);
         BOOST_CHECK(uploadOnce({ .responses = { "" }, .resets = true, .pause = 100ms, .unsolicited = unframedHead + pieces }, uploadBytes, true) == answer);
     }
 }
--- a/tests/experiment/HttpClientTest.cpp
+++ b/tests/experiment/HttpClientTest.cpp
@@ -20,7 +20,7 @@
     // More than the socket buffers of both sides hold.
     constexpr size_t uploadBytes = 32 << 20;
     const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
-    BOOST_TEST(call({ .responses = { head + "part" }, .closes = true, .pause = 20ms }, uploadBytes) == "200 part cut");
+    BOOST_TEST(call({ .responses = { head + "part" }, .closes = true, .pause = 20ms, .awaitsUnread = true }, uploadBytes) == "200 part cut");
     BOOST_TEST(call({ .responses = { head + "part" }, .resets = true, .pause = 20ms }, uploadBytes) == "200 part cut");
     BOOST_TEST(call({ .responses = { head + "part" }, .resets = true, .pause = 20ms }) == "200 part cut");
     BOOST_TEST(call({ .responses = { head + "whole" }, .resets = true, .finishes = true }, uploadBytes) == "200 whole complete");
