Say what is known when the end of an answer without a length is not orderly

Change: if the state of the connection can't be read, the line of the attempt says "no orderly end" instead of "Success". A stand-in breaks off the answer of the current request only. Comments name an invalid status as such.

--- a/src/api/HttpHeadCheck.h
+++ b/src/api/HttpHeadCheck.h
@@ -14,9 +14,9 @@
 /// a length together with a transfer coding, and transfer codings other than exactly "chunked".
 std::optional<std::string> findHeadProblem(std::string_view head);
 
-/// Checks what HTTP libraries accept in the parsed head of a response. Returns a description of the problem, or nothing if the head is valid.
-/// Rejects a status that is none (100 to 599 are), a switch of the protocol, since no request asks for one, an interim response that states a
-/// body, whose bytes would be read as the next response, and transfer codings other than exactly "chunked", since no request allows them.
+/// Checks the head of a response for what an HTTP parser accepts and a client must not use. Returns a description of the problem, or nothing if
+/// the head is valid. Rejects a status outside 100 to 599, a switch of the protocol, since no request asks for one, an interim response that
+/// states a body, whose bytes would be read as the next response, and transfer codings other than exactly "chunked", since no request allows them.
 std::optional<std::string> findResponseProblem(unsigned status, const HttpHeaders&);
 
 /// Whether responses with this status precede the final response to the same request (RFC 9110, 15.2). They have no body.
--- a/src/base/StreamEnd.cpp
+++ b/src/base/StreamEnd.cpp
@@ -11,6 +11,7 @@
 {
     tcp_info info {};
     socklen_t length = sizeof(info);
+    // Without the state nothing proves an orderly end.
     if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &length))
         return StreamEnd::Aborted;
     // After a FIN the connection stays half open until it is reset or this side ends.
--- a/src/base/StreamEnd.h
+++ b/src/base/StreamEnd.h
@@ -8,7 +8,7 @@
 enum class StreamEnd : uint8_t {
     Orderly, ///< By a FIN, after all of its bytes.
     Aborted, ///< By a reset or a timeout of the connection, so that bytes may be missing.
-    Undecided, ///< The write in progress has the answer; ask again when it has completed.
+    Undecided, ///< The error of the write in progress will tell; ask again when it has completed.
 };
 
 /// A write on the socket whose stream has ended.
--- a/src/entry/UpstreamConnection.cpp
+++ b/src/entry/UpstreamConnection.cpp
@@ -160,7 +160,7 @@
     case StreamEnd::Undecided:
         return;
     case StreamEnd::Aborted:
-        return fail(UpstreamFailure::Closed, "response without a length: " + m_writeError.message());
+        return fail(UpstreamFailure::Closed, "response without a length: " + (m_writeError ? m_writeError.message() : "no orderly end"));
     case StreamEnd::Orderly:
         break;
     }
--- a/src/experiment/HttpServer.cpp
+++ b/src/experiment/HttpServer.cpp
@@ -194,6 +194,8 @@
 
     void Connection::breakOff(uint64_t exchange, std::string_view bytes, bool resets)
     {
+        if (!isCurrent(exchange))
+            return;
         m_keepAlive = false;
         m_resets = resets;
         send(exchange, bytes, true);
--- a/tests/entry/ResponseHeadTest.cpp
+++ b/tests/entry/ResponseHeadTest.cpp
@@ -19,8 +19,8 @@
     return "HTTP/1.1 " + status + " Text\r\nId: a\r\n";
 }
 
-// Guards against a status that is none, which callers got as an answer, and against taking it for an interim response: what follows it was read as
-// the answer.
+// Guards against an invalid status that callers get as an answer, or that is taken for an interim response, so that what follows it is read as the
+// answer.
 BOOST_AUTO_TEST_CASE(unknownStatusIsMalformed)
 {
     const std::string inner = makeResponse("a", "inner");
--- a/tests/experiment/HttpClientTest.cpp
+++ b/tests/experiment/HttpClientTest.cpp
@@ -28,7 +28,7 @@
     BOOST_TEST(call({ .responses = { makeResponse("a", "whole") }, .resets = true, .pause = 20ms }, uploadBytes) == "200 whole complete");
 }
 
-// Guards against a status that is none, an interim response, or what follows one with a body, as the result of a call.
+// Guards against an invalid status, an interim response, or what follows one with a body, as the result of a call.
 BOOST_AUTO_TEST_CASE(onlyAFinalStatusIsAResponse)
 {
     const std::string inner = makeResponse("a", "inner");
