Set SO_LINGER only on connections whose answer ends with them

Cause: each connection that closed after its answer had the option taken back, also those that never had it, which costs callers of HTTP/1.1 a system call.

Change: the connection remembers whether it has the option. Result: test_entry passes.

--- a/src/entry/HttpConnection.cpp
+++ b/src/entry/HttpConnection.cpp
@@ -317,6 +317,8 @@
 // A reset discards what the socket buffer still holds. On a connection that has failed already the option has no effect, so its error is ignored.
 void HttpConnection::setResetOnClose(bool enabled)
 {
+    if (std::exchange(m_resetsOnClose, enabled) == enabled)
+        return;
     error_code ec;
     m_stream->socket().set_option(asio::socket_base::linger(enabled, 0), ec);
 }
--- a/src/entry/HttpConnection.h
+++ b/src/entry/HttpConnection.h
@@ -85,6 +85,7 @@
     bool m_isHttp10 = false; ///< HTTP/1.0 has no chunked transfer coding.
     bool m_isHeadRequest = false;
     bool m_chunked = false; ///< Whether the current response is chunked.
+    bool m_resetsOnClose = false; ///< Whether a close resets the connection.
 };
 
 }
