Split the evidence of a roll-out from its plan

Change: RolloutEvidence holds the results and what they show, Rollout the schedule. No change of behaviour.

--- a/src/node/VersionOrders.cpp
+++ b/src/node/VersionOrders.cpp
@@ -474,7 +474,7 @@
 
 static void spreadBurst(Node& node, const VersionOrder& order, const VersionFollowers::Led& led, const RolloutDecision& decision)
 {
-    const std::string body = encode(VersionBurstFrame { .backend = order.backend, .target = order.target, .orderedAt = order.orderedAt, .instance = canaryOf(node, order), .share = decision.share, .length = decision.length, .limits = led.rollout.limits });
+    const std::string body = encode(VersionBurstFrame { .backend = order.backend, .target = order.target, .orderedAt = order.orderedAt, .instance = canaryOf(node, order), .share = decision.share, .length = decision.length, .limits = led.rollout.evidence.limits });
     sendToAll(node, FrameKind::VersionBurst, body);
     receiveVersionBurst(node, body);
 }
@@ -603,7 +603,7 @@
     const auto decision = isInUse ? stepKnownVersion(led.rollout, reports, node.now) : stepRollout(led.rollout, reports, rolloutSettings(node, order), node.now);
     if (decision.action == RolloutAction::Burst)
         addLog(node, LogLevel::Info, "version_burst", Step::Order, order.backend, decision.reason, { { "target", order.target }, { "share", std::to_string(decision.share) }, { "ms", std::to_string(decision.length.value) }, { "sent_before", std::to_string(led.rollout.startedAfter) }, { "of", std::to_string(led.rollout.started) } });
-    if (decision.action == RolloutAction::Burst || std::exchange(led.rollout.limitsChanged, false))
+    if (decision.action == RolloutAction::Burst || std::exchange(led.rollout.evidence.limitsChanged, false))
         spreadBurst(node, order, led, decision);
     if (decision.action == RolloutAction::Complete)
         startCompletion(node, order, led, decision.reason);
--- a/tests/versions/RolloutModel.h
+++ b/tests/versions/RolloutModel.h
@@ -229,8 +229,8 @@
             ++counts.ended;
             counts.failures += it.failed;
             counts.milliseconds += static_cast<float>((it.endsAt - it.sentAt).value);
-            const auto limits = m_rollout.limits.find(routes[it.route]);
-            if (limits != m_rollout.limits.end() && limits->second.answer > 0 && !it.failed) {
+            const auto limits = m_rollout.evidence.limits.find(routes[it.route]);
+            if (limits != m_rollout.evidence.limits.end() && limits->second.answer > 0 && !it.failed) {
                 ++counts.timed;
                 counts.slow += static_cast<float>((it.endsAt - it.sentAt).value) > limits->second.answer;
             }
@@ -246,7 +246,7 @@
         const double pace = 0.2 * (0.7 + 0.6 * m_random.uniform()) * (it.slowStream ? 6 : 1);
         ++counts.paced;
         counts.pace += static_cast<float>(pace);
-        const float limit = m_rollout.limits[routes[it.route]].pace;
+        const float limit = m_rollout.evidence.limits[routes[it.route]].pace;
         if (limit > 0) {
             ++counts.comparedPaces;
             counts.slowPaces += static_cast<float>(pace) > limit;
