Let a completion need results, on every route that has requests

Callers: an operator ordered a bad version of a backend with 2.5 requests a second.

Cause: below 40 requests in the time limit a trial completed without results; above, one result since the last burst was enough, and requests were drawn from all routes alike.

Change: findEvidenceGap() says what a completion needs, 16 results since the last burst and 14 on each route, or what chance leaves of the requests that were offered. Shares are told by route (VersionShares), the last burst is longer at low rates, and fewer failures count at the end of a trial while the others hardly fail.

--- a/src/node/ForwardState.h
+++ b/src/node/ForwardState.h
@@ -191,6 +191,9 @@
         UpstreamId burstInstance;
         double burstShare = 0;
         TimeMs burstEnd;
+        UpstreamId sharesInstance;
+        std::map<std::string, double> shares; ///< By route, beside bursts.
+        TimeMs sharesEnd;
         TimeMs switchedUntil; ///< Requests go to the target version only; the others are about to end.
         int failuresInRow = 0;
     };
@@ -201,6 +204,7 @@
         Rollout rollout;
         TimeMs switchedAt; ///< When the completion was decided and the entry nodes were told to use the target version only; 0 before.
         std::string completionReason; ///< Human-readable; set with switchedAt.
+        TimeMs sharesToldAt; ///< When the entry nodes were last told the shares of the routes.
         std::map<NodeId, VersionResults> results; ///< The last of each node.
     };
 
--- a/src/node/PeerMessages.h
+++ b/src/node/PeerMessages.h
@@ -71,6 +71,7 @@
     VersionResults, ///< A VersionResultsFrame from an entry node to the decision leader.
     VersionBurst, ///< A VersionBurstFrame from the decision leader to all nodes.
     VersionSwitch, ///< A VersionSwitchFrame from the decision leader to all nodes.
+    VersionShares, ///< A VersionSharesFrame from the decision leader to all nodes.
 };
 
 template <>
@@ -121,6 +122,7 @@
     { FrameKind::VersionResults, "version_results" },
     { FrameKind::VersionBurst, "version_burst" },
     { FrameKind::VersionSwitch, "version_switch" },
+    { FrameKind::VersionShares, "version_shares" },
 });
 
 /// Asks a voter to propose a command; resent with the same request number until answered.
@@ -409,6 +411,19 @@
     void serialize(Archive& archive) { archive(backend, target, orderedAt, length); }
 };
 
+/// The decision leader has one new instance tested by shares of single routes, beside bursts. Replaces the shares told before.
+struct VersionSharesFrame {
+    std::string backend;
+    std::string target;
+    TimeMs orderedAt; ///< UTC.
+    UpstreamId instance;
+    std::map<std::string, double> shares; ///< By route, 0 to 1.
+    TimeMs length; ///< From the receipt on.
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(backend, target, orderedAt, instance, shares, length); }
+};
+
 constexpr size_t maxForwardLoadBytes = 512 << 10;
 constexpr size_t maxViewBytes = 12 << 20; ///< Decompressed.
 constexpr size_t maxEvidenceBytes = 1 << 20;
--- a/src/node/Peers.cpp
+++ b/src/node/Peers.cpp
@@ -116,6 +116,8 @@
         return receiveVersionBurst(node, envelope.body);
     case FrameKind::VersionSwitch:
         return receiveVersionSwitch(node, envelope.body);
+    case FrameKind::VersionShares:
+        return receiveVersionShares(node, envelope.body);
     case FrameKind::VersionEvidence:
         return receiveVersionEvidence(node, envelope.sender, envelope.body);
     case FrameKind::TableDigest:
--- a/src/node/VersionOrders.cpp
+++ b/src/node/VersionOrders.cpp
@@ -27,7 +27,10 @@
 // A proposer's clock may be behind; with a clock ahead, the time at which the order was seen is nearer.
 static constexpr TimeMs maxProposalTime { 1000 };
 static constexpr size_t maxEvidenceFrame = 512 << 10;
-// Longest time for which an entry node follows a burst or a switch without hearing of it again.
+// Shares of routes are told again after this time, since a frame is lost with its connection.
+static constexpr TimeMs sharesInterval { 1200 };
+static constexpr TimeMs sharesLength { 3000 };
+// Longest time for which an entry node follows a burst, shares or a switch without hearing of it again.
 static constexpr TimeMs maxDirective { 10000 };
 
 static bool isSameOrder(const VersionOrder& a, const VersionOrder& b)
@@ -165,13 +168,24 @@
     return canary;
 }
 
-// During a burst, the instance that the decision leader has named, if this node can use it.
-static UpstreamId testedInstance(Node& node, const VersionOrder& order, const VersionFollowers::Follower& follower)
+// Share of the requests of a route that goes to the named instance of the version on trial.
+static std::pair<double, UpstreamId> trialShare(const VersionFollowers::Follower& follower, const std::string& route, TimeMs now)
 {
-    const bool bursting = node.now < follower.burstEnd;
-    if (!node.random.chance(bursting ? follower.burstShare : rolloutBaseShare))
+    const double burst = now < follower.burstEnd ? follower.burstShare : 0;
+    const auto it = follower.shares.find(route);
+    const double share = it != follower.shares.end() && now < follower.sharesEnd ? it->second : 0;
+    if (burst > 0 || share > 0)
+        return burst >= share ? std::pair(burst, follower.burstInstance) : std::pair(share, follower.sharesInstance);
+    return { rolloutBaseShare, UpstreamId {} };
+}
+
+// The instance for a request that is drawn for the trial: the one that the decision leader has named, if this node can use it.
+static UpstreamId testedInstance(Node& node, const VersionOrder& order, const VersionFollowers::Follower& follower, const std::string& route)
+{
+    const auto [share, instance] = trialShare(follower, route, node.now);
+    if (!node.random.chance(share))
         return {};
-    const ForwardTarget* named = bursting ? findTarget(node.forward.targets, follower.burstInstance) : nullptr;
+    const ForwardTarget* named = instance ? findTarget(node.forward.targets, instance) : nullptr;
     return named && named->version == order.target && isUsable(node, *named) ? named->id : canaryOf(node, order);
 }
 
@@ -196,7 +210,7 @@
     if (targetStanding != VersionStanding::Bad && isSwitched(node, *order))
         return isTarget;
     if (targetStanding == VersionStanding::OnTrial) {
-        if (const UpstreamId tested = testedInstance(node, *order, node.versionOrders.followers[call.backend]))
+        if (const UpstreamId tested = testedInstance(node, *order, node.versionOrders.followers[call.backend], call.rule->name))
             return [tested](const ForwardTarget& it) { return it.id == tested; };
     }
     // Upstreams that came without an order serve only if there are no others.
@@ -464,6 +478,17 @@
         follower->switchedUntil = node.now + std::clamp(frame.length, TimeMs {}, maxDirective);
 }
 
+void receiveVersionShares(Node& node, std::string_view body)
+{
+    auto frame = decodeOr<VersionSharesFrame>(body, maxEvidenceFrame);
+    auto* follower = runningFollower(node, frame.backend, frame.target, frame.orderedAt);
+    if (!follower)
+        return;
+    follower->sharesInstance = frame.instance;
+    follower->shares = std::move(frame.shares);
+    follower->sharesEnd = node.now + std::clamp(frame.length, TimeMs {}, maxDirective);
+}
+
 static void sendToAll(Node& node, FrameKind kind, const std::string& body)
 {
     for (const auto& [id, member] : node.membership.members) {
@@ -479,6 +504,17 @@
     receiveVersionBurst(node, body);
 }
 
+static void spreadShares(Node& node, const VersionOrder& order, VersionFollowers::Led& led)
+{
+    const auto shares = takeRouteShares(led.rollout);
+    if (shares.empty() && !led.sharesToldAt.value)
+        return;
+    led.sharesToldAt = shares.empty() ? TimeMs {} : node.now;
+    const std::string body = encode(VersionSharesFrame { .backend = order.backend, .target = order.target, .orderedAt = order.orderedAt, .instance = canaryOf(node, order), .shares = shares, .length = sharesLength });
+    sendToAll(node, FrameKind::VersionShares, body);
+    receiveVersionShares(node, body);
+}
+
 static void spreadSwitch(Node& node, const VersionOrder& order, const VersionFollowers::Led& led)
 {
     const TimeMs length = led.rollout.startedAt + led.rollout.within - node.now;
@@ -605,6 +641,8 @@
         addLog(node, LogLevel::Info, "version_burst", Step::Order, order.backend, decision.reason, { { "target", order.target }, { "share", std::to_string(decision.share) }, { "ms", std::to_string(decision.length.value) }, { "sent_before", std::to_string(led.rollout.startedAfter) }, { "of", std::to_string(led.rollout.started) } });
     if (decision.action == RolloutAction::Burst || std::exchange(led.rollout.evidence.limitsChanged, false))
         spreadBurst(node, order, led, decision);
+    if (led.rollout.sharesChanged || (led.sharesToldAt.value && node.now >= led.sharesToldAt + sharesInterval))
+        spreadShares(node, order, led);
     if (decision.action == RolloutAction::Complete)
         startCompletion(node, order, led, decision.reason);
     if (decision.action == RolloutAction::RollBack)
--- a/src/node/VersionOrders.h
+++ b/src/node/VersionOrders.h
@@ -35,6 +35,7 @@
 void receiveVersionResults(Node&, NodeId from, std::string_view body);
 void receiveVersionBurst(Node&, std::string_view body);
 void receiveVersionSwitch(Node&, std::string_view body);
+void receiveVersionShares(Node&, std::string_view body);
 void receiveVersionEvidence(Node&, NodeId from, std::string_view body);
 
 }
--- a/src/versions/Rollout.cpp
+++ b/src/versions/Rollout.cpp
@@ -1,6 +1,7 @@
 #include "versions/Rollout.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace siskinshunt {
@@ -27,12 +28,29 @@
 static constexpr double firstBurstFraction = 0.2;
 static constexpr double burstPauseFraction = 0.15;
 // Part of the exposure limit that is planned with: requests are counted when they have been sent, and reported later.
-static constexpr double plannedExposure = 0.95;
+static constexpr double plannedExposure = 0.97;
 static constexpr double rateWeight = 0.2; // Of a new window, in the rate of requests.
 // The first step may come in the same moment as the order: a single request would then count as a rate of a thousand in a second.
 static constexpr TimeMs minRateWindow { 200 };
-// Requests in the time limit below which no burst is owed: nearly all of them may go to a bad version.
-static constexpr double fewRequests = 40;
+// Results that a completion needs since the last burst began, and on each route: of 16 results of a version that fails half of its requests, four are
+// failures in 99 of 100 cases, and of 14 three.
+static constexpr double neededResults = 16;
+static constexpr double neededOnRoute = 14;
+// Standard deviations that the results may fall short of the requests that were offered: chance draws them.
+static constexpr double offeredDeviations = 3;
+// None of as many requests is not chance.
+static constexpr double minOffered = 8;
+// Part of what the version may get that goes to routes with few requests; the rest is for the load of an instance.
+static constexpr double routesFraction = 0.4;
+static constexpr double routesTime = 0.75;
+// The other versions keep some requests, with which the results are compared.
+static constexpr double maxRouteShare = 0.85;
+// A longer last burst would leave too little of the time for others.
+static constexpr double maxLastBurstFraction = 0.4;
+// Change of a share that the entry nodes are told.
+static constexpr double shareChange = 0.2;
+// Time after which what the entry nodes did is in the reports.
+static constexpr TimeMs reportDelay { 300 };
 
 static void addRequests(Rollout& rollout, const NewRequests& all, TimeMs now)
 {
@@ -48,6 +66,22 @@
     rollout.windowStart = now;
 }
 
+static void addRouteRequests(Rollout& rollout, const std::map<std::string, NewRequests>& requests, TimeMs now)
+{
+    const double burstShare = now - reportDelay < rollout.burstEnd ? rollout.burstShare : 0;
+    for (const auto& [route, added] : requests) {
+        if (route.empty())
+            continue;
+        auto& trial = rollout.routes[route];
+        const uint64_t started = added.before + added.after;
+        const double offered = std::max(burstShare, trial.toldShare) * static_cast<double>(started);
+        trial.started += started;
+        trial.startedAfter += added.after;
+        trial.offered += offered;
+        rollout.offeredRecently += offered;
+    }
+}
+
 // Requests that the version gets before its first burst.
 static double firstRequests(const Rollout& rollout)
 {
@@ -107,6 +141,7 @@
     const double requests = firstRequests(rollout) - static_cast<double>(rollout.startedAfter);
     const TimeMs length { static_cast<int64_t>(std::min(requests / (probeShare * rollout.perMs), 1e9)) };
     rollout.burstEnd = now + std::clamp(length, minBurstLength, maxProbeLength);
+    rollout.burstShare = probeShare;
     return { .action = RolloutAction::Burst, .share = probeShare, .length = rollout.burstEnd - now, .reason = "first requests to one new instance" };
 }
 
@@ -114,25 +149,78 @@
 {
     rollout.burst = rollout.probed = true;
     rollout.burstEnd = now + length;
+    rollout.burstShare = budget.share;
     rollout.evidence.testedRecently.clear();
+    rollout.offeredRecently = 0;
     return { .action = RolloutAction::Burst, .share = budget.share, .length = length, .reason = "one new instance gets the load that each of them would carry" };
 }
 
+// At a low rate the last burst takes longer to bring the results that a completion needs.
+static TimeMs lastBurstLengthOf(const Rollout& rollout, const Budget& budget)
+{
+    const auto longest = static_cast<double>(std::max(lastBurstLength, TimeMs { static_cast<int64_t>(maxLastBurstFraction * static_cast<double>(rollout.within.value)) }).value);
+    const double length = budget.burst > 0 ? neededResults / budget.burst : longest;
+    return TimeMs { static_cast<int64_t>(std::clamp(length, static_cast<double>(lastBurstLength.value), longest)) };
+}
+
+// Sets the shares of the routes so that each has the results that a completion needs. Returns the requests that this will take.
+static double planRoutes(Rollout& rollout, const Budget& budget, TimeMs lastBurstAt, TimeMs now)
+{
+    const TimeMs end = rollout.startedAt + rollout.within - completionMargin(rollout.within) - settleTime;
+    // The last part of the time makes up for chance.
+    const auto left = routesTime * static_cast<double>((end - now).value);
+    const bool isOpen = now >= rollout.startedAt + probeDelay && left > 0;
+    const auto elapsed = static_cast<double>((now - rollout.startedAt).value);
+    const auto lastBurst = static_cast<double>((end - std::max(lastBurstAt, now)).value);
+    std::map<std::string, double> lacking;
+    double sum = 0;
+    for (const auto& [route, it] : rollout.routes) {
+        const double perMs = isOpen ? static_cast<double>(it.started) / elapsed : 0;
+        const double inLastBurst = budget.share * perMs * lastBurst;
+        lacking[route] = std::clamp(neededOnRoute - static_cast<double>(it.startedAfter) - inLastBurst, 0.0, maxRouteShare * perMs * left);
+        sum += lacking[route];
+    }
+    const double affordable = std::min(sum, std::max(0.0, routesFraction * budget.left));
+    for (auto& [route, it] : rollout.routes) {
+        const double expected = static_cast<double>(it.started) / std::max(1.0, elapsed) * left;
+        it.share = lacking[route] > 0 ? lacking[route] * affordable / sum / expected : 0;
+        rollout.sharesChanged = rollout.sharesChanged || std::abs(it.share - it.toldShare) > shareChange * std::max(it.share, it.toldShare);
+    }
+    return affordable;
+}
+
+std::map<std::string, double> takeRouteShares(Rollout& rollout)
+{
+    std::map<std::string, double> shares;
+    rollout.sharesChanged = false;
+    for (auto& [route, it] : rollout.routes) {
+        it.toldShare = it.share;
+        if (it.share > 0)
+            shares[route] = it.share;
+    }
+    return shares;
+}
+
 static RolloutDecision planBurst(Rollout& rollout, const Budget& budget, TimeMs lastBurstAt, TimeMs now)
 {
     const auto affordable = [&](double requests) { return TimeMs { budget.burst > 0 ? static_cast<int64_t>(std::clamp(requests / budget.burst, 0.0, 1e9)) : 0 }; };
-    if (now >= lastBurstAt) {
-        // The last burst is what the completion rests on, so it is given also when it has to be short.
-        if (rollout.burstEnd < lastBurstAt)
-            return startBurst(rollout, budget, std::clamp(affordable(budget.left), minBurstLength, lastBurstLength), now);
+    const TimeMs completeAt = rollout.startedAt + rollout.within - completionMargin(rollout.within);
+    const TimeMs lastLength = std::clamp(completeAt - settleTime - now, minBurstLength, lastBurstLengthOf(rollout, budget));
+    const double forRoutes = planRoutes(rollout, budget, lastBurstAt, now);
+    if (now < rollout.burstEnd + settleTime)
         return {};
+    if (rollout.lastBurst || now >= lastBurstAt) {
+        // The last burst is what the completion rests on, so it is given also when it has to be short.
+        if (std::exchange(rollout.lastBurst, true))
+            return {};
+        return startBurst(rollout, budget, std::clamp(affordable(budget.left - forRoutes), minBurstLength, lastLength), now);
     }
     const TimeMs first = rollout.startedAt + TimeMs { static_cast<int64_t>(firstBurstFraction * static_cast<double>(rollout.within.value)) };
     const TimeMs pause { static_cast<int64_t>(burstPauseFraction * static_cast<double>(rollout.within.value)) };
     const TimeMs next = rollout.burst ? rollout.burstEnd + pause : first;
     if (rollout.probed && now >= next && now + burstLength + settleTime <= lastBurstAt) {
         // What the last burst needs is kept.
-        const TimeMs length = std::min(burstLength, affordable(budget.left - budget.burst * static_cast<double>(lastBurstLength.value)));
+        const TimeMs length = std::min(burstLength, affordable(budget.left - forRoutes - budget.burst * static_cast<double>(lastLength.value)));
         if (length >= burstLength / 2)
             return startBurst(rollout, budget, length, now);
     }
@@ -140,40 +228,53 @@
     return !rollout.probed || isTooFew ? startProbe(rollout, now) : RolloutDecision {};
 }
 
-// Requests that the new version has answered, or failed, since the last burst began.
-static uint64_t resultsOfBurst(const Rollout& rollout)
+static bool isEnough(double results, double needed, double offered)
+{
+    const double least = std::max(offered >= minOffered ? 1.0 : 0.0, offered - offeredDeviations * std::sqrt(offered));
+    return results >= std::min(needed, least);
+}
+
+static double endedOf(const std::map<std::string, RolloutEvidence::TestedByNode>& tested, const std::string& route)
 {
-    const auto all = rollout.evidence.testedRecently.find({});
-    uint64_t n = 0;
-    if (all == rollout.evidence.testedRecently.end())
-        return n;
-    for (const auto& [node, it] : all->second)
-        n += it.after.ended;
-    return n;
+    const auto it = tested.find(route);
+    return it == tested.end() ? 0 : sumOf(it->second).after.ended;
+}
+
+// Returns what is still unknown of the version; none if it can be completed. Requests that never came are none that it has not answered.
+static std::optional<std::string> findEvidenceGap(const Rollout& rollout)
+{
+    if (!isEnough(endedOf(rollout.evidence.testedRecently, {}), neededResults, rollout.offeredRecently))
+        return "its instances have not answered the requests of the last burst";
+    for (const auto& [route, it] : rollout.routes) {
+        if (!isEnough(endedOf(rollout.evidence.tested, route), neededOnRoute, it.offered))
+            return "its instances have not answered the requests of route " + route;
+    }
+    return std::nullopt;
 }
 
 RolloutDecision stepRollout(Rollout& rollout, const RolloutReports& reports, const RolloutSettings& settings, TimeMs now)
 {
-    addRequests(rollout, recordReports(rollout.evidence, reports)[{}], now);
+    const auto requests = recordReports(rollout.evidence, reports);
+    const auto all = requests.find({});
+    addRequests(rollout, all == requests.end() ? NewRequests {} : all->second, now);
+    addRouteRequests(rollout, requests, now);
     if (auto fault = findFault(rollout.evidence))
         return { .action = RolloutAction::RollBack, .reason = *fault };
     const TimeMs limit = rollout.startedAt + rollout.within;
     const TimeMs completeAt = limit - completionMargin(rollout.within);
     if (!reports.newInstances)
         return now >= limit ? RolloutDecision { .action = RolloutAction::RollBack, .reason = "no upstream of the version takes requests" } : RolloutDecision {};
-    const auto remaining = static_cast<double>(std::max<int64_t>(0, (limit - now).value));
-    const bool hasFewRequests = static_cast<double>(rollout.started) + rollout.perMs * remaining < fewRequests;
-    if (hasFewRequests)
-        return now >= completeAt ? RolloutDecision { .action = RolloutAction::Complete, .reason = "no fault was found; the backend has few requests" } : RolloutDecision {};
-    const TimeMs lastBurstAt = completeAt - settleTime - lastBurstLength;
-    if (now >= completeAt && rollout.burst && rollout.burstEnd >= lastBurstAt && now >= rollout.burstEnd + settleTime) {
-        if (resultsOfBurst(rollout))
+    const Budget budget = budgetOf(rollout, reports, settings, now);
+    const TimeMs lastBurstAt = completeAt - settleTime - lastBurstLengthOf(rollout, budget);
+    if (now >= completeAt && rollout.lastBurst && now >= rollout.burstEnd + settleTime) {
+        if (auto fault = findLikelyFault(rollout.evidence))
+            return { .action = RolloutAction::RollBack, .reason = *fault };
+        const auto gap = findEvidenceGap(rollout);
+        if (!gap)
             return { .action = RolloutAction::Complete, .reason = "no fault was found under the load of an instance" };
-        return now >= limit ? RolloutDecision { .action = RolloutAction::RollBack, .reason = "its instances have answered no requests" } : RolloutDecision {};
+        return now >= limit ? RolloutDecision { .action = RolloutAction::RollBack, .reason = *gap } : RolloutDecision {};
     }
-    if (now < rollout.burstEnd + settleTime)
-        return {};
-    return planBurst(rollout, budgetOf(rollout, reports, settings, now), lastBurstAt, now);
+    return planBurst(rollout, budget, lastBurstAt, now);
 }
 
 }
--- a/src/versions/Rollout.h
+++ b/src/versions/Rollout.h
@@ -40,6 +40,15 @@
     std::string reason; ///< Human-readable.
 };
 
+/// Requests of one route since the start of an order.
+struct RouteTrial {
+    uint64_t started = 0; ///< Sent to any version.
+    uint64_t startedAfter = 0; ///< Sent to the version that was ordered.
+    double offered = 0; ///< As many as the shares in force would have sent to it.
+    double share = 0; ///< Share of the requests that goes to one new instance, beside bursts.
+    double toldShare = 0; ///< As it was when the entry nodes were told.
+};
+
 /// State of one order at the decision leader. A later leader begins anew, from the cumulative reports.
 struct Rollout {
     TimeMs startedAt;
@@ -47,12 +56,17 @@
     RolloutEvidence evidence;
     uint64_t started = 0; ///< Requests sent to any version.
     uint64_t startedAfter = 0; ///< Requests sent to the version that was ordered.
+    std::map<std::string, RouteTrial> routes; ///< By route.
+    double offeredRecently = 0; ///< As RouteTrial::offered, on all routes since the last burst began.
     double perMs = 0; ///< Recent requests, moving average.
     TimeMs windowStart; ///< Of the requests that are not part of the rate yet.
     uint64_t startedInWindow = 0;
     bool probed = false; ///< The first requests have been sent.
     bool burst = false; ///< There was a burst.
-    TimeMs burstEnd; ///< Of the last burst, or of the first requests.
+    bool lastBurst = false; ///< The last burst has begun.
+    double burstShare = 0; ///< Of the last burst, or of the first requests.
+    TimeMs burstEnd;
+    bool sharesChanged = false; ///< The shares of the routes have to be told to the entry nodes.
 };
 
 /// Share of the requests that goes to one new instance outside of bursts.
@@ -60,6 +74,8 @@
 
 Rollout startRollout(TimeMs startedAt, TimeMs within);
 RolloutDecision stepRollout(Rollout&, const RolloutReports&, const RolloutSettings&, TimeMs now);
+/// Shares by route, as the entry nodes have to follow them from now on.
+std::map<std::string, double> takeRouteShares(Rollout&);
 /// Time before the time limit at which a sound version is completed.
 TimeMs completionMargin(TimeMs within);
 /// Time from the decision to complete a version to the record of it, in which requests at the other versions end.
--- a/src/versions/RolloutEvidence.cpp
+++ b/src/versions/RolloutEvidence.cpp
@@ -8,6 +8,14 @@
 
 // A version is bad with this many failures or slow requests more than the other versions explain.
 static constexpr uint64_t minBad = 4;
+// The same with up to `trials` results, at the end of a trial while the other versions have hardly any failures.
+struct LeastBad {
+    uint64_t trials = 0;
+    uint64_t bad = 0;
+};
+static constexpr std::array<LeastBad, 2> leastBad { { { 8, 2 }, { 20, 3 } } };
+static constexpr uint64_t minFaultless = 1; // Results of the others.
+static constexpr double maxFaultlessRate = 0.02;
 static constexpr double excessFailureRate = 0.08;
 static constexpr double excessSlowRate = 0.25;
 static constexpr double expectedFactor = 1.5;
@@ -23,7 +31,9 @@
 // Taken off the rates of a few windows, so that chance alone does not raise them.
 static constexpr double recentDeviations = 0.5;
 static constexpr double windowDeviations = 0.2;
-static constexpr uint64_t minBaseline = 20;
+// Results of the other versions on a route from which its limits are taken first, and once more.
+static constexpr uint32_t minBaseline = 5;
+static constexpr uint32_t fullBaseline = 20;
 static constexpr double slowFactor = 3;
 static constexpr double recentWeight = 0.75; // Of the former windows, in the counts of the other versions.
 
@@ -119,17 +129,21 @@
     return sum;
 }
 
+static bool updateLimit(float& limit, uint32_t& trials, uint32_t n, double sum)
+{
+    if (n < minBaseline || (trials && (trials >= fullBaseline || n < fullBaseline)) || sum <= 0)
+        return false;
+    trials = n;
+    limit = static_cast<float>(slowFactor * sum / n);
+    return true;
+}
+
 static void updateLimits(RolloutEvidence& evidence, const std::string& route, const RolloutCounts& before)
 {
     auto& limits = evidence.limits[route];
-    if (!limits.answer && before.ended >= minBaseline) {
-        limits.answer = static_cast<float>(slowFactor * std::max(1.0, static_cast<double>(before.milliseconds) / before.ended));
-        evidence.limitsChanged = true;
-    }
-    if (!limits.pace && before.paced >= minBaseline && before.pace > 0) {
-        limits.pace = static_cast<float>(slowFactor * static_cast<double>(before.pace) / before.paced);
-        evidence.limitsChanged = true;
-    }
+    auto& trials = evidence.limitTrials[route];
+    const bool changed = updateLimit(limits.answer, trials.answer, before.ended, std::max<double>(before.milliseconds, before.ended));
+    evidence.limitsChanged = updateLimit(limits.pace, trials.pace, before.paced, before.pace) || changed || evidence.limitsChanged;
 }
 
 namespace {
@@ -166,6 +180,7 @@
 {
     std::map<std::string, NewRequests> requests;
     auto windows = windowsOf(evidence, reports);
+    evidence.before += windows[{}].before;
     const UsualRates current = currentRates(evidence.beforeRecently, windows[{}].before);
     for (const auto& [route, window] : windows) {
         if (!route.empty())
@@ -214,12 +229,17 @@
     return std::string(measure.text) + ": " + std::to_string(it.after.*measure.bad) + " of " + std::to_string(it.after.*measure.trials) + ", " + std::to_string(std::lround(it.*measure.expected)) + " expected";
 }
 
+static RolloutEvidence::TestedByNode::const_iterator worstNode(const Measure& measure, const RolloutEvidence::TestedByNode& nodes)
+{
+    return std::max_element(nodes.begin(), nodes.end(), [&](const auto& a, const auto& b) { return a.second.after.*measure.bad < b.second.after.*measure.bad; });
+}
+
 // Whether the bad results may be those of the path of one node only.
 static bool isOnOnePath(const Measure& measure, const RolloutEvidence::TestedByNode& nodes)
 {
     if (nodes.size() < minNodesToLeaveOut)
         return false;
-    const auto worst = std::max_element(nodes.begin(), nodes.end(), [&](const auto& a, const auto& b) { return a.second.after.*measure.bad < b.second.after.*measure.bad; });
+    const auto worst = worstNode(measure, nodes);
     RolloutEvidence::Tested others;
     for (const auto& [node, it] : nodes) {
         if (node != worst->first)
@@ -258,12 +278,45 @@
     return std::any_of(measures.begin(), measures.end(), [&](const Measure& it) { return isExcess(it, sum, minBad, chanceDeviations); });
 }
 
+static std::string describeRoute(const std::string& route)
+{
+    return route.empty() ? std::string() : "on route " + route + " it ";
+}
+
+// Whether the few bad results of a route may be those of the path of one node: a path that is at fault shows on the other routes, too.
+static bool isLikelyOnOnePath(const Measure& measure, const RolloutEvidence& evidence, const std::string& route, uint64_t least)
+{
+    const auto& nodes = evidence.tested.at(route);
+    if (nodes.size() < minNodesToLeaveOut)
+        return false;
+    const auto& [worst, tested] = *worstNode(measure, nodes);
+    const uint64_t bad = tested.after.*measure.bad;
+    if (sumOf(nodes).after.*measure.bad - bad + 1 >= least)
+        return false;
+    const RolloutCounts& all = evidence.tested.at({}).at(worst).after;
+    return all.*measure.bad > bad || all.*measure.trials < tested.after.*measure.trials + minTrialsElsewhere;
+}
+
+std::optional<std::string> findLikelyFault(const RolloutEvidence& evidence)
+{
+    if (evidence.before.failures > maxFaultlessRate * evidence.before.ended || evidence.before.ended < minFaultless)
+        return std::nullopt;
+    const Measure& failures = measures.front();
+    for (const auto& [route, nodes] : evidence.tested) {
+        const auto sum = sumOf(nodes);
+        const auto least = std::find_if(leastBad.begin(), leastBad.end(), [&](const LeastBad& it) { return sum.after.ended <= it.trials; });
+        if (least != leastBad.end() && isExcess(failures, sum, least->bad, chanceDeviations) && !isLikelyOnOnePath(failures, evidence, route, least->bad))
+            return describeRoute(route) + describe(failures, sum) + "; the other versions hardly fail";
+    }
+    return std::nullopt;
+}
+
 std::optional<std::string> findFault(const RolloutEvidence& evidence)
 {
     for (const auto* tested : { &evidence.tested, &evidence.testedRecently }) {
         for (const auto& [route, nodes] : *tested) {
             if (auto fault = faultOf(nodes))
-                return (route.empty() ? std::string() : "on route " + route + " it ") + *fault;
+                return describeRoute(route) + *fault;
         }
     }
     return std::nullopt;
--- a/src/versions/RolloutEvidence.h
+++ b/src/versions/RolloutEvidence.h
@@ -65,10 +65,17 @@
     };
     using TestedByNode = std::map<NodeId, Tested>;
 
+    struct LimitTrials {
+        uint32_t answer = 0;
+        uint32_t pace = 0;
+    };
+
     std::map<std::string, RouteLimits> limits; ///< By route.
+    std::map<std::string, LimitTrials> limitTrials; ///< Results from which the limits were taken, by route.
     std::map<NodeId, std::map<std::string, RouteResults>> last; ///< Cumulative reports at the last step, by route.
     std::map<std::string, TestedByNode> tested; ///< Since the start, by route.
     std::map<std::string, TestedByNode> testedRecently; ///< Since the last burst began, by route.
+    RolloutCounts before; ///< Of the other versions since the start, on all routes.
     RolloutCounts beforeRecently; ///< Decaying counts of the other versions, on all routes.
     bool limitsChanged = false; ///< `limits` has to be told to the entry nodes.
 };
@@ -84,6 +91,9 @@
 RolloutEvidence::Tested sumOf(const RolloutEvidence::TestedByNode&);
 /// Returns what is wrong with the version, human-readable; none while its results can be explained otherwise.
 std::optional<std::string> findFault(const RolloutEvidence&);
+/// Returns what may be wrong with the version where the results on a route are too few for findFault(). Fewer failures count while the other versions
+/// have none.
+std::optional<std::string> findLikelyFault(const RolloutEvidence&);
 /// Whether the results show a fault that may be one of the version or of the path of one node. The caller has found no fault of the version.
 bool isUndecided(const RolloutEvidence&);
 
--- a/tests/node/VersionOrderTest.cpp
+++ b/tests/node/VersionOrderTest.cpp
@@ -80,12 +80,13 @@
             run(1_s);
         }
 
-        // Sixty requests a second on the average.
-        void run(TimeMs duration)
+        // Requests arrive at random.
+        void run(TimeMs duration, double perSecond = 60)
         {
+            const double chance = perSecond / 100 / static_cast<double>(fleet.nodes.size() - 5);
             for (const TimeMs end = fleet.now + duration; fleet.now < end; fleet.runFor(10_ms)) {
                 for (size_t n = 5; n < fleet.nodes.size(); ++n) {
-                    if (fleet.random.chance(0.15))
+                    if (fleet.random.chance(chance))
                         fleet.post(n, { "POST", "/book/1", { { "Host", "h" }, { names.requestId, "r" + std::to_string(++requests) }, { names.timeLeft, "1000" } }, "b" }, ListenerKind::Forward);
                 }
             }
@@ -189,6 +190,28 @@
     it.checkExposure();
 }
 
+// Guards against a version that is completed on hardly any results, since its backend has few requests, and against a sound one that is not.
+BOOST_AUTO_TEST_CASE(BackendWithFewRequests)
+{
+    for (const bool bad : { false, true }) {
+        VersionFleet it;
+        it.run(2_s, 2.5);
+        it.fails = [&](const std::string&) { return bad && it.fleet.random.chance(0.6); };
+        it.order("v2");
+        it.run(21_s, 2.5);
+        BOOST_CHECK_EQUAL(nameOf(it.state()), bad ? "rolled_back" : "completed");
+    }
+}
+
+// Guards against a version that is never completed because nobody sends requests: there is nothing to wait for.
+BOOST_AUTO_TEST_CASE(BackendWithoutRequests)
+{
+    VersionFleet it;
+    it.order("v2");
+    it.run(21_s, 0);
+    BOOST_CHECK_EQUAL(nameOf(it.state()), "completed");
+}
+
 // Guards against evidence and shares that are lost with the decision leader.
 BOOST_AUTO_TEST_CASE(LeaderChangeDuringAnOrder)
 {
--- a/tests/versions/RolloutModel.h
+++ b/tests/versions/RolloutModel.h
@@ -35,6 +35,7 @@
     RolloutTrouble trouble = RolloutTrouble::None;
     double failureRate = 0.5; ///< Of the faults.
     double perSecond = 60; ///< Requests of all entry nodes.
+    double quietShare = 0.1; ///< Of the requests, on the route with the fewest.
     int nodes = 7;
     int oldInstances = 3;
     int newInstances = 3;
@@ -83,7 +84,7 @@
     RolloutResult run()
     {
         static constexpr TimeMs tick { 10 };
-        for (m_now = {}; m_now < m_rollout.startedAt + m_scenario.within; m_now += tick) {
+        for (m_now = {}; m_now <= m_rollout.startedAt + m_scenario.within; m_now += tick) {
             if (hasNextOrder() && m_now == m_rollout.startedAt + m_scenario.orderInterval)
                 orderAgain();
             if (m_now.value % 1000 == 0)
@@ -132,23 +133,25 @@
             m_reports.nodes[NodeId { static_cast<uint64_t>(n + 1) }];
         m_attempts.clear();
         m_burstEnd = {};
+        m_routeShares.clear();
         m_settings.exposureExtra = RolloutSettings {}.exposureExtra / (m_scenario.orderInterval < m_scenario.within ? 2 : 1);
     }
 
-    bool usesNew()
+    bool usesNew(size_t route)
     {
         if (!isOnTrial())
             return m_result.completed;
-        return m_random.chance(m_now < m_burstEnd ? m_burstShare : rolloutBaseShare);
+        const auto share = m_routeShares.find(routes[route]);
+        return m_random.chance(std::max(m_now < m_burstEnd ? m_burstShare : rolloutBaseShare, share == m_routeShares.end() ? 0 : share->second));
     }
 
     void arrive()
     {
         ++m_result.all;
         Attempt attempt { .sentAt = m_now, .node = { 1 + m_random.below(static_cast<uint64_t>(m_scenario.nodes)) } };
-        attempt.route = m_random.chance(0.6) ? 0 : m_random.chance(0.75) ? 1
-                                                                         : 2;
-        attempt.after = usesNew();
+        attempt.route = m_random.chance(0.6) ? 0 : m_random.chance(1 - m_scenario.quietShare / 0.4) ? 1
+                                                                                                    : 2;
+        attempt.after = usesNew(attempt.route);
         for (auto& it : m_result.former) {
             const bool isBeforeLimit = m_now < it.orderedAt + m_scenario.within;
             it.all += isBeforeLimit;
@@ -256,6 +259,8 @@
     void step()
     {
         const auto decision = stepRollout(m_rollout, m_reports, m_settings, m_now);
+        if (m_rollout.sharesChanged)
+            m_routeShares = takeRouteShares(m_rollout);
         if (decision.action == RolloutAction::Burst) {
             m_burstEnd = m_now + decision.length;
             m_burstShare = decision.share;
@@ -280,6 +285,7 @@
     TimeMs m_now;
     TimeMs m_burstEnd;
     double m_burstShare = 0;
+    std::map<std::string, double> m_routeShares;
     bool m_outage = false;
 };
 
--- a/tests/versions/RolloutTest.cpp
+++ b/tests/versions/RolloutTest.cpp
@@ -73,6 +73,58 @@
     checkBad("fails on one route of ten", { .fault = RolloutFault::OneRoute, .perSecond = 200, .oldInstances = 4, .newInstances = 4 });
 }
 
+static constexpr std::array<std::pair<double, TimeMs>, 12> fewRequests { {
+    { 1, 12_s },
+    { 1, 20_s },
+    { 1, 30_s },
+    { 2.5, 12_s },
+    { 2.5, 20_s },
+    { 2.5, 30_s },
+    { 4.5, 12_s },
+    { 4.5, 20_s },
+    { 4.5, 30_s },
+    { 8, 12_s },
+    { 8, 20_s },
+    { 8, 30_s },
+} };
+
+static std::string describe(const char* what, double perSecond, TimeMs within)
+{
+    return std::string(what) + ", " + std::to_string(perSecond) + " a second, " + std::to_string(within.value / 1000) + " s";
+}
+
+// Guards against a bad version that is completed on hardly any results, since its backend has few requests.
+BOOST_AUTO_TEST_CASE(BadVersionOfABackendWithFewRequestsIsTakenBack)
+{
+    for (const auto& [perSecond, within] : fewRequests) {
+        // With 20 requests and fewer in all, the version may answer too few of them to show its fault.
+        if (perSecond * within.seconds() <= 20)
+            continue;
+        const RolloutScenario scenario { .fault = RolloutFault::AtOnce, .failureRate = 0.6, .perSecond = perSecond, .within = within };
+        checkBad(describe("3 of 5 fail", perSecond, within).c_str(), scenario);
+    }
+}
+
+// Guards against a sound version that is taken back, or never completed, since its backend has few requests or none.
+BOOST_AUTO_TEST_CASE(SoundVersionOfABackendWithFewRequestsIsCompleted)
+{
+    for (const auto& [perSecond, within] : fewRequests)
+        checkGood(describe("sound", perSecond, within).c_str(), { .perSecond = perSecond, .within = within });
+    checkGood("sound, one request", { .perSecond = 0.05, .within = 20_s });
+    checkGood("sound, no request", { .perSecond = 0, .within = 20_s });
+}
+
+// Guards against a version that is completed on the results of other routes: its fault is on one with a thirtieth of the requests.
+BOOST_AUTO_TEST_CASE(BadRouteWithFewRequestsIsFound)
+{
+    for (const TimeMs within : { 12_s, 24_s }) {
+        RolloutScenario scenario { .fault = RolloutFault::OneRoute, .failureRate = 0.6, .perSecond = 62, .quietShare = 2 / 62.0, .within = within };
+        checkBad(describe("3 of 5 fail on a route with 2 of", 62, within).c_str(), scenario);
+        scenario.fault = RolloutFault::None;
+        checkGood(describe("sound, a route with 2 of", 62, within).c_str(), scenario);
+    }
+}
+
 // Guards against faults that trouble hides.
 BOOST_AUTO_TEST_CASE(BadVersionIsTakenBackInSpiteOfTrouble)
 {
