Read the results of a version until its completion is recorded

Callers: a version turned bad 2.5 s before the end of an order of 40 s.

Cause: the completion was decided at the switch of all requests. Until its record the leader read neither results nor which nodes had stopped using the version, and the record overruled them.

Change: the switch is a state of the trial. Reports and steps come every 100 ms in it, and failures above an outage's or tripped nodes take the switch back at once. A version that nodes have stopped using is not switched to, either.

Why it works: in the switch the version answers all requests, so the evidence reaches up to the proposal of the record.

--- a/src/node/ForwardState.h
+++ b/src/node/ForwardState.h
@@ -202,8 +202,6 @@
         TimeMs orderedAt;
         std::string target;
         Rollout rollout;
-        TimeMs switchedAt; ///< When the completion was decided and the entry nodes were told to use the target version only; 0 before.
-        std::string completionReason; ///< Human-readable; set with switchedAt.
         TimeMs sharesToldAt; ///< When the entry nodes were last told the shares of the routes.
         std::map<NodeId, VersionResults> results; ///< The last of each node.
     };
--- a/src/node/VersionOrders.cpp
+++ b/src/node/VersionOrders.cpp
@@ -12,6 +12,9 @@
 
 static constexpr TimeMs stepInterval { 300 };
 static constexpr TimeMs reportInterval { 300 };
+// The same after the switch of all requests: there is little time until the completion. In large fleets the leader reads no more frames than before.
+static constexpr TimeMs minSwitchedInterval { 100 };
+static constexpr TimeMs switchedIntervalPerNode { 5 };
 static constexpr TimeMs evidenceInterval { 900 };
 static constexpr TimeMs recordTimeout { 2000 };
 // A node stops using a version after this many consecutive failures, or as many as have less than this probability by the failure rate of
@@ -30,6 +33,8 @@
 // Shares of routes are told again after this time, since a frame is lost with its connection.
 static constexpr TimeMs sharesInterval { 1200 };
 static constexpr TimeMs sharesLength { 3000 };
+// An entry node that does not hear of the switch again returns to the other versions; the record of a completion takes less time.
+static constexpr TimeMs maxSwitch { 2500 };
 // Longest time for which an entry node follows a burst, shares or a switch without hearing of it again.
 static constexpr TimeMs maxDirective { 10000 };
 
@@ -410,12 +415,18 @@
     return frame;
 }
 
+static TimeMs switchedInterval(const Node& node)
+{
+    return std::clamp(switchedIntervalPerNode * static_cast<int64_t>(node.membership.members.size()), minSwitchedInterval, reportInterval);
+}
+
 static void reportResults(Node& node)
 {
     auto& state = node.versionOrders;
     if (node.now < state.nextReport)
         return;
-    state.nextReport = node.now + reportInterval;
+    const bool anySwitched = std::any_of(state.followers.begin(), state.followers.end(), [&](const auto& it) { return node.now < it.second.switchedUntil; });
+    state.nextReport = node.now + (anySwitched ? switchedInterval(node) : reportInterval);
     const auto frame = ownResults(node);
     const NodeId leader = decisionLeader(node);
     if (frame.orders.empty() || !leader || leader == node.self)
@@ -474,8 +485,11 @@
 void receiveVersionSwitch(Node& node, std::string_view body)
 {
     const auto frame = decodeOr<VersionSwitchFrame>(body, maxEvidenceFrame);
-    if (auto* follower = runningFollower(node, frame.backend, frame.target, frame.orderedAt))
-        follower->switchedUntil = node.now + std::clamp(frame.length, TimeMs {}, maxDirective);
+    auto* follower = runningFollower(node, frame.backend, frame.target, frame.orderedAt);
+    if (!follower)
+        return;
+    follower->switchedUntil = node.now + std::clamp(frame.length, TimeMs {}, maxDirective);
+    node.versionOrders.nextReport = std::min(node.versionOrders.nextReport, node.now + switchedInterval(node));
 }
 
 void receiveVersionShares(Node& node, std::string_view body)
@@ -515,9 +529,9 @@
     receiveVersionShares(node, body);
 }
 
-static void spreadSwitch(Node& node, const VersionOrder& order, const VersionFollowers::Led& led)
+// A length of 0 takes the switch back.
+static void spreadSwitch(Node& node, const VersionOrder& order, TimeMs length)
 {
-    const TimeMs length = led.rollout.startedAt + led.rollout.within - node.now;
     const std::string body = encode(VersionSwitchFrame { .backend = order.backend, .target = order.target, .orderedAt = order.orderedAt, .length = length });
     sendToAll(node, FrameKind::VersionSwitch, body);
     receiveVersionSwitch(node, body);
@@ -571,8 +585,11 @@
 {
     RolloutReports reports;
     const auto standing = standings(node, order);
-    for (const auto& [from, results] : led.results)
+    for (const auto& [from, results] : led.results) {
         reports.nodes[from] = results.routes;
+        if (results.tripped)
+            reports.tripped.insert(from);
+    }
     addEarlierBuilds(node, order.backend, reports);
     const auto ids = node.forward.targets.byBackend.find(order.backend);
     if (ids == node.forward.targets.byBackend.end())
@@ -589,12 +606,17 @@
 
 // A version that was in use before its order needs no evidence. It is completed as late as another one: the platform then ends the upstreams of
 // all other versions, whose requests in progress have that long to end.
-static RolloutDecision stepKnownVersion(const Rollout& rollout, const RolloutReports& reports, TimeMs now)
+static RolloutDecision stepKnownVersion(Rollout& rollout, const RolloutReports& reports, TimeMs now)
 {
     const TimeMs limit = rollout.startedAt + rollout.within;
-    if (reports.newInstances)
-        return now >= limit - completionMargin(rollout.within) ? RolloutDecision { .action = RolloutAction::Complete, .reason = "the version was in use before the order" } : RolloutDecision {};
-    return now >= limit ? RolloutDecision { .action = RolloutAction::RollBack, .reason = "no upstream of the version takes requests" } : RolloutDecision {};
+    if (!reports.newInstances)
+        return now >= limit ? RolloutDecision { .action = RolloutAction::RollBack, .reason = "no upstream of the version takes requests" } : RolloutDecision {};
+    if (!rollout.switchedAt.value && now >= limit - completionMargin(rollout.within))
+        rollout.switchedAt = now;
+    if (!rollout.switchedAt.value)
+        return {};
+    const bool isDrained = now >= rollout.switchedAt + completionDrain(rollout.within);
+    return { .action = isDrained ? RolloutAction::Complete : RolloutAction::Switch, .length = completionDrain(rollout.within), .reason = "the version was in use before the order" };
 }
 
 // What the target may get. A trial that was ended within its time limit has used some of the requests that a version may get beyond the share.
@@ -607,22 +629,39 @@
     return { .exposureShare = forward.exposureShare, .exposureExtra = isTriedAgain ? forward.exposureExtra / 2 : forward.exposureExtra };
 }
 
-// Records the completion when requests at the other versions have had time to end: the platform then ends their upstreams. Until then the entry nodes
-// are told again with each step, since a frame is lost with its connection.
-static void continueCompletion(Node& node, const VersionOrder& order, const VersionFollowers::Led& led)
+static void logDecision(Node& node, const VersionOrder& order, const Rollout& rollout, const RolloutDecision& decision)
 {
-    if (node.now >= led.switchedAt + completionDrain(order.within))
-        recordState(node, order, VersionOrderState::Completed, led.completionReason);
-    else
-        spreadSwitch(node, order, led);
+    const std::pair<std::string, std::string> target { "target", order.target };
+    const std::pair<std::string, std::string> length { "ms", std::to_string(decision.length.value) };
+    if (decision.action == RolloutAction::Burst)
+        addLog(node, LogLevel::Info, "version_burst", Step::Order, order.backend, decision.reason, { target, { "share", std::to_string(decision.share) }, length, { "sent_before", std::to_string(rollout.startedAfter) }, { "of", std::to_string(rollout.started) } });
+    if (decision.action == RolloutAction::Switch && rollout.switchedAt == node.now)
+        addLog(node, LogLevel::Info, "version_switch", Step::Order, order.backend, "the other versions get no more requests", { target, length });
+    if (decision.action == RolloutAction::RollBack && rollout.switchedAt.value)
+        addLog(node, LogLevel::Warning, "version_switch_taken_back", Step::Order, order.backend, decision.reason, { target });
 }
 
-static void startCompletion(Node& node, const VersionOrder& order, VersionFollowers::Led& led, const std::string& reason)
+static void carryOut(Node& node, const VersionOrder& order, VersionFollowers::Led& led, const RolloutDecision& decision)
 {
-    led.switchedAt = node.now;
-    led.completionReason = reason;
-    addLog(node, LogLevel::Info, "version_switch", Step::Order, order.backend, "the other versions get no more requests", { { "target", order.target }, { "ms", std::to_string(completionDrain(order.within).value) } });
-    continueCompletion(node, order, led);
+    if (decision.action == RolloutAction::Burst || std::exchange(led.rollout.evidence.limitsChanged, false))
+        spreadBurst(node, order, led, decision);
+    if (led.rollout.sharesChanged || (led.sharesToldAt.value && node.now >= led.sharesToldAt + sharesInterval))
+        spreadShares(node, order, led);
+    switch (decision.action) {
+    case RolloutAction::Wait:
+    case RolloutAction::Burst:
+        return;
+    case RolloutAction::Switch:
+        // Told again with each step, since a frame is lost with its connection.
+        return spreadSwitch(node, order, maxSwitch);
+    case RolloutAction::Complete:
+        return recordState(node, order, VersionOrderState::Completed, decision.reason);
+    case RolloutAction::RollBack:
+        // The record takes longer to reach the entry nodes.
+        if (led.rollout.switchedAt.value)
+            spreadSwitch(node, order, {});
+        return recordState(node, order, VersionOrderState::RolledBack, decision.reason);
+    }
 }
 
 static void stepOrder(Node& node, const VersionOrder& order)
@@ -630,34 +669,25 @@
     if (order.state != VersionOrderState::Running || node.versionOrders.recording.contains(order.backend))
         return;
     auto& led = ledOrder(node, order);
-    if (led.switchedAt.value)
-        return continueCompletion(node, order, led);
     for (auto& results : ownResults(node).orders)
         addResults(node, node.self, std::move(results));
     const auto reports = reportsOf(node, order, led);
     const bool isInUse = standings(node, order)(order.target) == VersionStanding::InUse;
     const auto decision = isInUse ? stepKnownVersion(led.rollout, reports, node.now) : stepRollout(led.rollout, reports, rolloutSettings(node, order), node.now);
-    if (decision.action == RolloutAction::Burst)
-        addLog(node, LogLevel::Info, "version_burst", Step::Order, order.backend, decision.reason, { { "target", order.target }, { "share", std::to_string(decision.share) }, { "ms", std::to_string(decision.length.value) }, { "sent_before", std::to_string(led.rollout.startedAfter) }, { "of", std::to_string(led.rollout.started) } });
-    if (decision.action == RolloutAction::Burst || std::exchange(led.rollout.evidence.limitsChanged, false))
-        spreadBurst(node, order, led, decision);
-    if (led.rollout.sharesChanged || (led.sharesToldAt.value && node.now >= led.sharesToldAt + sharesInterval))
-        spreadShares(node, order, led);
-    if (decision.action == RolloutAction::Complete)
-        startCompletion(node, order, led, decision.reason);
-    if (decision.action == RolloutAction::RollBack)
-        recordState(node, order, VersionOrderState::RolledBack, decision.reason);
+    logDecision(node, order, led.rollout, decision);
+    carryOut(node, order, led, decision);
 }
 
 // A step falls on the beginning of the completion margin and on the end of the drain, so that the interval takes nothing of a short margin.
 static TimeMs nextStepOf(const Node& node, const VersionOrder& order)
 {
-    const TimeMs next = node.now + stepInterval;
     const auto it = node.versionOrders.led.find(order.backend);
     if (order.state != VersionOrderState::Running || it == node.versionOrders.led.end())
-        return next;
-    const auto& led = it->second;
-    const TimeMs event = led.switchedAt.value ? led.switchedAt + completionDrain(order.within) : led.rollout.startedAt + order.within - completionMargin(order.within);
+        return node.now + stepInterval;
+    const Rollout& rollout = it->second.rollout;
+    const bool isSwitched = rollout.switchedAt.value > 0;
+    const TimeMs event = isSwitched ? rollout.switchedAt + completionDrain(order.within) : rollout.startedAt + order.within - completionMargin(order.within);
+    const TimeMs next = node.now + (isSwitched ? switchedInterval(node) : stepInterval);
     return event > node.now ? std::min(next, event) : next;
 }
 
--- a/src/versions/Rollout.cpp
+++ b/src/versions/Rollout.cpp
@@ -47,6 +47,8 @@
 static constexpr double maxRouteShare = 0.85;
 // A longer last burst would leave too little of the time for others.
 static constexpr double maxLastBurstFraction = 0.4;
+// Results after the switch are judged in windows of this length.
+static constexpr TimeMs switchWindow { 500 };
 // Change of a share that the entry nodes are told.
 static constexpr double shareChange = 0.2;
 // Time after which what the entry nodes did is in the reports.
@@ -252,12 +254,37 @@
     return std::nullopt;
 }
 
+static RolloutDecision stepSwitched(Rollout& rollout, const RolloutReports& reports, TimeMs now)
+{
+    if (auto fault = findFaultAfterSwitch(rollout.evidence))
+        return { .action = RolloutAction::RollBack, .reason = *fault };
+    if (auto fault = findTrippedNodes(reports))
+        return { .action = RolloutAction::RollBack, .reason = *fault };
+    // Good results of the first part of a long drain would hide a version that turns bad in it.
+    if (now >= rollout.recentSince + switchWindow) {
+        rollout.recentSince = now;
+        rollout.evidence.testedRecently.clear();
+    }
+    const bool isDrained = now >= rollout.switchedAt + completionDrain(rollout.within);
+    return { .action = isDrained ? RolloutAction::Complete : RolloutAction::Switch, .reason = rollout.completionReason };
+}
+
+static RolloutDecision startSwitch(Rollout& rollout, std::string reason, TimeMs now)
+{
+    rollout.switchedAt = rollout.recentSince = now;
+    rollout.completionReason = std::move(reason);
+    rollout.evidence.testedRecently.clear();
+    return { .action = RolloutAction::Switch, .length = completionDrain(rollout.within), .reason = rollout.completionReason };
+}
+
 RolloutDecision stepRollout(Rollout& rollout, const RolloutReports& reports, const RolloutSettings& settings, TimeMs now)
 {
     const auto requests = recordReports(rollout.evidence, reports);
     const auto all = requests.find({});
     addRequests(rollout, all == requests.end() ? NewRequests {} : all->second, now);
     addRouteRequests(rollout, requests, now);
+    if (rollout.switchedAt.value)
+        return stepSwitched(rollout, reports, now);
     if (auto fault = findFault(rollout.evidence))
         return { .action = RolloutAction::RollBack, .reason = *fault };
     const TimeMs limit = rollout.startedAt + rollout.within;
@@ -269,9 +296,11 @@
     if (now >= completeAt && rollout.lastBurst && now >= rollout.burstEnd + settleTime) {
         if (auto fault = findLikelyFault(rollout.evidence))
             return { .action = RolloutAction::RollBack, .reason = *fault };
+        if (auto fault = findTrippedNodes(reports))
+            return { .action = RolloutAction::RollBack, .reason = *fault };
         const auto gap = findEvidenceGap(rollout);
         if (!gap)
-            return { .action = RolloutAction::Complete, .reason = "no fault was found under the load of an instance" };
+            return startSwitch(rollout, "no fault was found under the load of an instance", now);
         return now >= limit ? RolloutDecision { .action = RolloutAction::RollBack, .reason = *gap } : RolloutDecision {};
     }
     return planBurst(rollout, budget, lastBurstAt, now);
--- a/src/versions/Rollout.h
+++ b/src/versions/Rollout.h
@@ -21,6 +21,7 @@
 enum class RolloutAction : uint8_t {
     Wait,
     Burst, ///< Send `share` of the requests to one new instance for `length`.
+    Switch, ///< Send all requests to the version, so that those at the others can end before it is completed.
     Complete,
     RollBack,
 };
@@ -29,6 +30,7 @@
 inline constexpr auto enumNames<RolloutAction> = std::to_array<EnumName<RolloutAction>>({
     { RolloutAction::Wait, "wait" },
     { RolloutAction::Burst, "burst" },
+    { RolloutAction::Switch, "switch" },
     { RolloutAction::Complete, "complete" },
     { RolloutAction::RollBack, "roll_back" },
 });
@@ -66,6 +68,9 @@
     bool lastBurst = false; ///< The last burst has begun.
     double burstShare = 0; ///< Of the last burst, or of the first requests.
     TimeMs burstEnd;
+    TimeMs switchedAt; ///< When all requests began to go to the version; 0 before.
+    TimeMs recentSince; ///< Begin of the evidence since the switch.
+    std::string completionReason; ///< Human-readable; set with switchedAt.
     bool sharesChanged = false; ///< The shares of the routes have to be told to the entry nodes.
 };
 
@@ -78,7 +83,7 @@
 std::map<std::string, double> takeRouteShares(Rollout&);
 /// Time before the time limit at which a sound version is completed.
 TimeMs completionMargin(TimeMs within);
-/// Time from the decision to complete a version to the record of it, in which requests at the other versions end.
+/// Time from the switch of all requests to the completion, in which requests at the other versions end.
 TimeMs completionDrain(TimeMs within);
 
 }
--- a/src/versions/RolloutEvidence.cpp
+++ b/src/versions/RolloutEvidence.cpp
@@ -28,6 +28,9 @@
 static constexpr double chanceDeviationsElsewhere = 1;
 static constexpr uint64_t minTrialsElsewhere = 4;
 static constexpr uint64_t minBadOfOne = 8;
+// Nodes stop using a version by their own results; the path of a single one may be at fault.
+static constexpr size_t minTripped = 2;
+static constexpr double trippedShare = 0.25;
 // Taken off the rates of a few windows, so that chance alone does not raise them.
 static constexpr double recentDeviations = 0.5;
 static constexpr double windowDeviations = 0.2;
@@ -104,8 +107,11 @@
 // Rates now, over all routes: an outage hits all versions, and a single route may have too few requests to show it.
 static UsualRates currentRates(RolloutCounts& recent, const RolloutCounts& window)
 {
-    decay(recent);
-    recent += window;
+    // Without new results the last ones still say what is usual.
+    if (window.ended) {
+        decay(recent);
+        recent += window;
+    }
     UsualRates out;
     raise(out, recent, recentDeviations);
     raise(out, window, windowDeviations);
@@ -217,6 +223,12 @@
     { "streams more slowly", &RolloutCounts::slowPaces, &RolloutCounts::comparedPaces, &RolloutEvidence::Tested::expectedSlowPaces, excessSlowRate },
 } };
 
+// Three in ten requests of all versions may fail in an outage, and instances that are fewer or colder than the former ones are slower.
+static constexpr std::array<Measure, 2> measuresAfterSwitch { {
+    { "fails", &RolloutCounts::failures, &RolloutCounts::ended, &RolloutEvidence::Tested::expectedFailures, 0.42 },
+    { "is slow", &RolloutCounts::slow, &RolloutCounts::timed, &RolloutEvidence::Tested::expectedSlow, 0.9 },
+} };
+
 static bool isExcess(const Measure& measure, const RolloutEvidence::Tested& it, uint64_t least, double deviations)
 {
     const uint32_t bad = it.after.*measure.bad;
@@ -311,6 +323,26 @@
     return std::nullopt;
 }
 
+std::optional<std::string> findFaultAfterSwitch(const RolloutEvidence& evidence)
+{
+    for (const auto& [route, nodes] : evidence.testedRecently) {
+        const auto sum = sumOf(nodes);
+        for (const Measure& measure : measuresAfterSwitch) {
+            if (isExcess(measure, sum, minBad, chanceDeviations) && !isOnOnePath(measure, nodes))
+                return "after the switch " + describeRoute(route) + describe(measure, sum);
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string> findTrippedNodes(const RolloutReports& reports)
+{
+    const size_t tripped = reports.tripped.size();
+    if (tripped < minTripped || static_cast<double>(tripped) < trippedShare * static_cast<double>(reports.nodes.size()))
+        return std::nullopt;
+    return std::to_string(tripped) + " of " + std::to_string(reports.nodes.size()) + " nodes have stopped using it";
+}
+
 std::optional<std::string> findFault(const RolloutEvidence& evidence)
 {
     for (const auto* tested : { &evidence.tested, &evidence.testedRecently }) {
--- a/src/versions/RolloutEvidence.h
+++ b/src/versions/RolloutEvidence.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,7 @@
 /// What the fleet knows of an order now.
 struct RolloutReports {
     std::map<NodeId, std::vector<RouteResults>> nodes; ///< Cumulative since the start of the order.
+    std::set<NodeId> tripped; ///< Nodes that have stopped using the version.
     size_t oldInstances = 0;
     size_t newInstances = 0; ///< That take requests.
 };
@@ -74,7 +76,7 @@
     std::map<std::string, LimitTrials> limitTrials; ///< Results from which the limits were taken, by route.
     std::map<NodeId, std::map<std::string, RouteResults>> last; ///< Cumulative reports at the last step, by route.
     std::map<std::string, TestedByNode> tested; ///< Since the start, by route.
-    std::map<std::string, TestedByNode> testedRecently; ///< Since the last burst began, by route.
+    std::map<std::string, TestedByNode> testedRecently; ///< Since the last burst or the switch began, by route.
     RolloutCounts before; ///< Of the other versions since the start, on all routes.
     RolloutCounts beforeRecently; ///< Decaying counts of the other versions, on all routes.
     bool limitsChanged = false; ///< `limits` has to be told to the entry nodes.
@@ -94,6 +96,11 @@
 /// Returns what may be wrong with the version where the results on a route are too few for findFault(). Fewer failures count while the other versions
 /// have none.
 std::optional<std::string> findLikelyFault(const RolloutEvidence&);
+/// Returns what is wrong with the version after the switch of all requests, when there is nothing to compare it with: failures or slow answers that
+/// an outage, or fewer and colder instances than before, do not explain.
+std::optional<std::string> findFaultAfterSwitch(const RolloutEvidence&);
+/// Returns whether so many entry nodes have stopped using the version that its results say nothing of them; human-readable.
+std::optional<std::string> findTrippedNodes(const RolloutReports&);
 /// Whether the results show a fault that may be one of the version or of the path of one node. The caller has found no fault of the version.
 bool isUndecided(const RolloutEvidence&);
 
--- a/tests/node/VersionOrderTest.cpp
+++ b/tests/node/VersionOrderTest.cpp
@@ -190,6 +190,22 @@
     it.checkExposure();
 }
 
+// Guards against a completion that overrules what the entry nodes see of the version after the switch of all requests, a second before its limit.
+BOOST_AUTO_TEST_CASE(VersionThatTurnsBadAfterTheSwitchIsTakenBack)
+{
+    for (uint64_t seed = 1; seed <= 5; ++seed) {
+        VersionFleet it(seed);
+        it.run(2_s);
+        it.order("v2");
+        const TimeMs badFrom = it.fleet.now + 18800_ms;
+        it.fails = [&](const std::string&) { return it.fleet.now >= badFrom && it.fleet.random.chance(0.8); };
+        it.run(21_s);
+        BOOST_CHECK_EQUAL(nameOf(it.state()), "rolled_back");
+        it.checkExposure();
+        BOOST_CHECK_LE((it.lastSentTo["v2"] - badFrom).value, 1000);
+    }
+}
+
 // Guards against a version that is completed on hardly any results, since its backend has few requests, and against a sound one that is not.
 BOOST_AUTO_TEST_CASE(BackendWithFewRequests)
 {
--- a/tests/versions/RolloutModel.h
+++ b/tests/versions/RolloutModel.h
@@ -14,7 +14,7 @@
 enum class RolloutFault : uint8_t {
     None,
     AtOnce, ///< A part of its answers are failures.
-    Late, ///< The same, from the middle of the time limit on.
+    Late, ///< The same, from `badFrom` on.
     OneRoute, ///< The same, on the route with the fewest requests.
     UnderLoad, ///< The same, on an instance that gets at least the usual requests of one.
     Slow, ///< Its answers take four times as long.
@@ -35,6 +35,8 @@
     RolloutTrouble trouble = RolloutTrouble::None;
     double failureRate = 0.5; ///< Of the faults.
     double perSecond = 60; ///< Requests of all entry nodes.
+    TimeMs badFrom { 0 }; ///< Of a late fault, since the order; 0: the middle of the time limit.
+    double slowdown = 1; ///< Answer times after the switch, against those before: the instances are fewer or colder.
     double quietShare = 0.1; ///< Of the requests, on the route with the fewest.
     int nodes = 7;
     int oldInstances = 3;
@@ -66,8 +68,8 @@
 };
 
 /// Entry nodes that follow the decisions at once, callers that arrive at random, and instances without queues. Time passes in steps of 10 ms,
-/// the leader steps every 300 ms on reports of the last 300 ms. Links and clocks are perfect, so it tells which decisions the
-/// evidence supports, not how long messages take. A completion counts from its decision, at which the entry nodes use the version only.
+/// the leader steps every 300 ms on reports of the last 300 ms, and every 100 ms after the switch. Links and clocks are perfect, so it tells which
+/// decisions the evidence supports, not how long messages take.
 class RolloutModel {
 public:
     RolloutModel(const RolloutScenario& scenario, uint64_t seed)
@@ -94,7 +96,7 @@
                 if (m_random.chance(std::min(1.0, mean)))
                     arrive();
             }
-            if (m_now.value % 300 == 0 && isOnTrial())
+            if (m_now.value % (m_rollout.switchedAt.value ? 100 : 300) == 0 && isOnTrial())
                 step();
         }
         return m_result;
@@ -141,6 +143,8 @@
     {
         if (!isOnTrial())
             return m_result.completed;
+        if (m_rollout.switchedAt.value)
+            return true;
         const auto share = m_routeShares.find(routes[route]);
         return m_random.chance(std::max(m_now < m_burstEnd ? m_burstShare : rolloutBaseShare, share == m_routeShares.end() ? 0 : share->second));
     }
@@ -163,7 +167,7 @@
         double milliseconds = 40 - 60 * std::log(1 - m_random.uniform());
         if (attempt.after) {
             ++m_result.after;
-            milliseconds = applyFault(attempt, milliseconds);
+            milliseconds = applyFault(attempt, milliseconds) * (m_rollout.switchedAt.value ? m_scenario.slowdown : 1);
         }
         attempt.endsAt = m_now + TimeMs { static_cast<int64_t>(milliseconds) };
         ++countsOf(attempt).started;
@@ -181,7 +185,7 @@
             fails(true);
             break;
         case RolloutFault::Late:
-            fails(m_now * 2 > m_scenario.within);
+            fails(m_now >= (m_scenario.badFrom.value ? m_scenario.badFrom : m_scenario.within / 2));
             break;
         case RolloutFault::OneRoute:
             fails(attempt.route == 2);
@@ -209,7 +213,7 @@
         m_sentAfter.push_back(m_now);
         while (m_now - m_sentAfter.front() > TimeMs { 1000 })
             m_sentAfter.pop_front();
-        const double instances = m_result.completed ? m_scenario.newInstances : 1;
+        const double instances = m_rollout.switchedAt.value ? m_scenario.newInstances : 1;
         return static_cast<double>(m_sentAfter.size()) / instances >= m_scenario.perSecond / m_scenario.oldInstances;
     }
 
@@ -266,7 +270,7 @@
             m_burstShare = decision.share;
             return;
         }
-        if (decision.action == RolloutAction::Wait)
+        if (decision.action == RolloutAction::Wait || decision.action == RolloutAction::Switch)
             return;
         m_result.completed = decision.action == RolloutAction::Complete;
         m_result.rolledBack = !m_result.completed;
--- a/tests/versions/RolloutTest.cpp
+++ b/tests/versions/RolloutTest.cpp
@@ -114,6 +114,23 @@
     checkGood("sound, no request", { .perSecond = 0, .within = 20_s });
 }
 
+// Guards against a version that is completed although its results after the switch of all requests show that it has turned bad.
+BOOST_AUTO_TEST_CASE(VersionThatTurnsBadBeforeItsCompletionIsTakenBack)
+{
+    for (const TimeMs within : { 40_s, 60_s }) {
+        const TimeMs switchAt = within - completionMargin(within);
+        for (const TimeMs badFrom : { switchAt - 500_ms, switchAt, switchAt + 100_ms })
+            checkBad(describe("3 of 5 fail late", 60, badFrom).c_str(), { .fault = RolloutFault::Late, .failureRate = 0.6, .badFrom = badFrom, .within = within });
+    }
+}
+
+// Guards against a sound version that is taken back after the switch, since fewer and colder instances than before answer more slowly.
+BOOST_AUTO_TEST_CASE(SoundVersionIsCompletedThoughItSlowsDownAfterTheSwitch)
+{
+    for (const TimeMs within : { 12_s, 24_s, 40_s, 60_s })
+        checkGood(describe("sound, slower after the switch", 60, within).c_str(), { .slowdown = 2.5, .within = within });
+}
+
 // Guards against a version that is completed on the results of other routes: its fault is on one with a thirtieth of the requests.
 BOOST_AUTO_TEST_CASE(BadRouteWithFewRequestsIsFound)
 {
