Let a new decision leader wait for the reports of an order

Callers: a version turned bad in its last burst, and the core lost power for 3 s.

Cause: the first step of a leader has no reports, which counted as no requests; nodes without results sent none; and no decision read that nodes had stopped using the version.

Change: nodes report on every running order; a leader that takes over decides nothing before their reports, and takes the rate from the time since the order; a completion needs recent reports, and an order ends at its limit.

Why it works: what entry nodes know is cumulative, so the first full set of reports shows what the former leader saw.

--- a/src/node/ForwardState.h
+++ b/src/node/ForwardState.h
@@ -204,6 +204,7 @@
         Rollout rollout;
         TimeMs sharesToldAt; ///< When the entry nodes were last told the shares of the routes.
         std::map<NodeId, VersionResults> results; ///< The last of each node.
+        std::map<NodeId, TimeMs> heardAt; ///< When it came.
     };
 
     std::map<std::string, VersionOrder> orders; ///< In force, by backend.
--- a/src/node/VersionOrders.cpp
+++ b/src/node/VersionOrders.cpp
@@ -17,6 +17,8 @@
 static constexpr TimeMs switchedIntervalPerNode { 5 };
 static constexpr TimeMs evidenceInterval { 900 };
 static constexpr TimeMs recordTimeout { 2000 };
+// Time after which the last report of a node says nothing of now.
+static constexpr TimeMs reportTimeout { 1200 };
 // A node stops using a version after this many consecutive failures, or as many as have less than this probability by the failure rate of
 // the other versions.
 static constexpr int minTripFailures = 3;
@@ -388,7 +390,8 @@
     VersionResultsFrame frame;
     for (const auto& [backend, follower] : node.versionOrders.followers) {
         const VersionOrder* order = orderOf(node, backend);
-        if (!order || order->state != VersionOrderState::Running || follower.results.empty())
+        // A node without results reports that: the leader tells it from one that is not heard.
+        if (!order || order->state != VersionOrderState::Running)
             continue;
         VersionResults results { .backend = backend, .target = order->target, .orderedAt = order->orderedAt, .tripped = follower.tripped, .routes = {} };
         for (const auto& [route, counts] : follower.results)
@@ -445,6 +448,7 @@
     if (it == node.versionOrders.led.end() || it->second.target != results.target || it->second.orderedAt != results.orderedAt)
         return;
     it->second.results[from] = std::move(results);
+    it->second.heardAt[from] = node.now;
 }
 
 void receiveVersionResults(Node& node, NodeId from, std::string_view body)
@@ -591,6 +595,11 @@
             reports.tripped.insert(from);
     }
     addEarlierBuilds(node, order.backend, reports);
+    for (const NodeId id : liveMembers(node.membership)) {
+        const auto heard = led.heardAt.find(id);
+        const bool isRecent = heard != led.heardAt.end() && node.now - heard->second <= reportTimeout;
+        ++(isRecent ? reports.recent : reports.missing);
+    }
     const auto ids = node.forward.targets.byBackend.find(order.backend);
     if (ids == node.forward.targets.byBackend.end())
         return reports;
--- a/src/versions/Rollout.cpp
+++ b/src/versions/Rollout.cpp
@@ -47,6 +47,12 @@
 static constexpr double maxRouteShare = 0.85;
 // A longer last burst would leave too little of the time for others.
 static constexpr double maxLastBurstFraction = 0.4;
+// A leader that takes over an order waits so long for the reports of all nodes, and longer for those of nodes that are silent.
+static constexpr TimeMs minTakeOverTime { 700 };
+static constexpr TimeMs maxTakeOverTime { 1500 };
+static constexpr TimeMs maxFirstStepDelay { 1000 };
+// Part of the margin that is left for the commit when a completion had to wait for reports.
+static constexpr TimeMs shortCommitTime { 300 };
 // Results after the switch are judged in windows of this length.
 static constexpr TimeMs switchWindow { 500 };
 // Change of a share that the entry nodes are told.
@@ -54,11 +60,25 @@
 // Time after which what the entry nodes did is in the reports.
 static constexpr TimeMs reportDelay { 300 };
 
-static void addRequests(Rollout& rollout, const NewRequests& all, TimeMs now)
+// Whether a leader that has not led since the order was given knows what the nodes have done before.
+static bool hasTakenOver(const Rollout& rollout, const RolloutReports& reports, TimeMs now)
+{
+    const bool ledFromTheStart = rollout.firstStepAt <= rollout.startedAt + maxFirstStepDelay;
+    const TimeMs elapsed = now - rollout.firstStepAt;
+    return ledFromTheStart || elapsed >= maxTakeOverTime || (!reports.missing && elapsed >= minTakeOverTime);
+}
+
+static void addRequests(Rollout& rollout, const NewRequests& all, bool hasTakenOver, TimeMs now)
 {
     const uint64_t started = all.before + all.after;
     rollout.started += started;
     rollout.startedAfter += all.after;
+    if (!hasTakenOver) {
+        // The first reports tell of the whole time since the order.
+        rollout.perMs = static_cast<double>(rollout.started) / static_cast<double>(std::max<int64_t>(1, (now - rollout.startedAt).value));
+        rollout.windowStart = now;
+        return;
+    }
     rollout.startedInWindow += started;
     const TimeMs elapsed = now - rollout.windowStart;
     if (elapsed < minRateWindow)
@@ -242,9 +262,22 @@
     return it == tested.end() ? 0 : sumOf(it->second).after.ended;
 }
 
+// A node that has stopped reporting may be cut off. It is waited for while there is time, and never for the greater part of the nodes.
+static bool lacksReports(const Rollout& rollout, const RolloutReports& reports, TimeMs completeAt, TimeMs now)
+{
+    const TimeMs patience = completionMargin(rollout.within) - completionDrain(rollout.within) - shortCommitTime;
+    return reports.missing > reports.recent || (reports.missing && now < completeAt + patience);
+}
+
 // Returns what is still unknown of the version; none if it can be completed. Requests that never came are none that it has not answered.
-static std::optional<std::string> findEvidenceGap(const Rollout& rollout)
+static std::optional<std::string> findEvidenceGap(const Rollout& rollout, const RolloutReports& reports, TimeMs completeAt, TimeMs now)
 {
+    if (lacksReports(rollout, reports, completeAt, now))
+        return std::to_string(reports.missing) + " nodes do not report its results";
+    if (!rollout.started)
+        return std::nullopt;
+    if (!rollout.lastBurst || now < rollout.burstEnd + settleTime)
+        return "its instances have not been tested under load";
     if (!isEnough(endedOf(rollout.evidence.testedRecently, {}), neededResults, rollout.offeredRecently))
         return "its instances have not answered the requests of the last burst";
     for (const auto& [route, it] : rollout.routes) {
@@ -277,31 +310,44 @@
     return { .action = RolloutAction::Switch, .length = completionDrain(rollout.within), .reason = rollout.completionReason };
 }
 
+// Without evidence an order ends at its limit, and the version is rolled back: the upstreams of the others could not be brought back.
+static RolloutDecision decideCompletion(Rollout& rollout, const RolloutReports& reports, TimeMs completeAt, TimeMs now)
+{
+    if (auto fault = findLikelyFault(rollout.evidence))
+        return { .action = RolloutAction::RollBack, .reason = *fault };
+    if (auto fault = findTrippedNodes(reports))
+        return { .action = RolloutAction::RollBack, .reason = *fault };
+    const auto gap = findEvidenceGap(rollout, reports, completeAt, now);
+    if (!gap)
+        return startSwitch(rollout, rollout.started ? "no fault was found under the load of an instance" : "there were no requests", now);
+    return now >= rollout.startedAt + rollout.within ? RolloutDecision { .action = RolloutAction::RollBack, .reason = *gap } : RolloutDecision {};
+}
+
 RolloutDecision stepRollout(Rollout& rollout, const RolloutReports& reports, const RolloutSettings& settings, TimeMs now)
 {
+    if (!rollout.firstStepAt.value)
+        rollout.firstStepAt = now;
     const auto requests = recordReports(rollout.evidence, reports);
     const auto all = requests.find({});
-    addRequests(rollout, all == requests.end() ? NewRequests {} : all->second, now);
+    const bool takenOver = hasTakenOver(rollout, reports, now);
+    addRequests(rollout, all == requests.end() ? NewRequests {} : all->second, takenOver, now);
     addRouteRequests(rollout, requests, now);
     if (rollout.switchedAt.value)
         return stepSwitched(rollout, reports, now);
     if (auto fault = findFault(rollout.evidence))
         return { .action = RolloutAction::RollBack, .reason = *fault };
+    if (!takenOver)
+        return {};
     const TimeMs limit = rollout.startedAt + rollout.within;
     const TimeMs completeAt = limit - completionMargin(rollout.within);
     if (!reports.newInstances)
         return now >= limit ? RolloutDecision { .action = RolloutAction::RollBack, .reason = "no upstream of the version takes requests" } : RolloutDecision {};
     const Budget budget = budgetOf(rollout, reports, settings, now);
     const TimeMs lastBurstAt = completeAt - settleTime - lastBurstLengthOf(rollout, budget);
-    if (now >= completeAt && rollout.lastBurst && now >= rollout.burstEnd + settleTime) {
-        if (auto fault = findLikelyFault(rollout.evidence))
-            return { .action = RolloutAction::RollBack, .reason = *fault };
-        if (auto fault = findTrippedNodes(reports))
-            return { .action = RolloutAction::RollBack, .reason = *fault };
-        const auto gap = findEvidenceGap(rollout);
-        if (!gap)
-            return startSwitch(rollout, "no fault was found under the load of an instance", now);
-        return now >= limit ? RolloutDecision { .action = RolloutAction::RollBack, .reason = *gap } : RolloutDecision {};
+    if (now >= completeAt) {
+        const auto decision = decideCompletion(rollout, reports, completeAt, now);
+        if (decision.action != RolloutAction::Wait)
+            return decision;
     }
     return planBurst(rollout, budget, lastBurstAt, now);
 }
--- a/src/versions/Rollout.h
+++ b/src/versions/Rollout.h
@@ -51,10 +51,11 @@
     double toldShare = 0; ///< As it was when the entry nodes were told.
 };
 
-/// State of one order at the decision leader. A later leader begins anew, from the cumulative reports.
+/// State of one order at the decision leader. A later leader begins anew, from the cumulative reports; until it has them it decides nothing.
 struct Rollout {
     TimeMs startedAt;
     TimeMs within;
+    TimeMs firstStepAt; ///< At this leader; 0 before.
     RolloutEvidence evidence;
     uint64_t started = 0; ///< Requests sent to any version.
     uint64_t startedAfter = 0; ///< Requests sent to the version that was ordered.
--- a/src/versions/RolloutEvidence.h
+++ b/src/versions/RolloutEvidence.h
@@ -51,6 +51,8 @@
 /// What the fleet knows of an order now.
 struct RolloutReports {
     std::map<NodeId, std::vector<RouteResults>> nodes; ///< Cumulative since the start of the order.
+    size_t recent = 0; ///< Living nodes with a recent report. One that has sent no requests reports that.
+    size_t missing = 0; ///< Living nodes without.
     std::set<NodeId> tripped; ///< Nodes that have stopped using the version.
     size_t oldInstances = 0;
     size_t newInstances = 0; ///< That take requests.
--- a/tests/node/VersionOrderTest.cpp
+++ b/tests/node/VersionOrderTest.cpp
@@ -245,6 +245,46 @@
     }
 }
 
+// Guards against a new decision leader that completes a version without evidence: the core loses power before, in and after the last burst, between
+// the switch and its record, and past the limit.
+BOOST_AUTO_TEST_CASE(CoreIsGoneLateInAnOrder)
+{
+    for (const auto& [goneAt, backAt] : { std::pair(15_s, 17_s), std::pair(17_s, 18_s), std::pair(18500_ms, 19_s), std::pair(19100_ms, 20_s), std::pair(17_s, 21_s) }) {
+        VersionFleet it;
+        it.run(2_s);
+        it.order("v2");
+        const TimeMs orderedAt = it.fleet.now;
+        it.fails = [&](const std::string&) { return it.fleet.now >= orderedAt + 16700_ms && it.fleet.random.chance(0.6); };
+        it.run(goneAt);
+        for (size_t n = 0; n < 5; ++n)
+            it.fleet.kill(n, true);
+        it.run(backAt - goneAt);
+        for (size_t n = 0; n < 5; ++n)
+            it.fleet.start(n);
+        it.run(6_s);
+        BOOST_CHECK_MESSAGE(it.state() == VersionOrderState::RolledBack, nameOf(it.state()) << ", core gone after " << goneAt.value << " ms");
+    }
+}
+
+// Guards against a leader that stands still while the version turns bad, and completes it on what it knew before.
+BOOST_AUTO_TEST_CASE(LeaderStandsStillLateInAnOrder)
+{
+    for (const auto& [stillAt, goesOnAt] : { std::pair(15_s, 17_s), std::pair(17_s, 17800_ms), std::pair(18100_ms, 18900_ms), std::pair(18800_ms, 19400_ms), std::pair(17_s, 22_s) }) {
+        VersionFleet it;
+        it.run(2_s);
+        it.order("v2");
+        const TimeMs orderedAt = it.fleet.now;
+        it.fails = [&](const std::string&) { return it.fleet.now >= orderedAt + 16700_ms && it.fleet.random.chance(0.6); };
+        it.run(stillAt);
+        const size_t leader = it.fleet.decisionLeader();
+        it.fleet.freeze(leader);
+        it.run(goesOnAt - stillAt);
+        it.fleet.thaw(leader);
+        it.run(6_s);
+        BOOST_CHECK_MESSAGE(it.state() == VersionOrderState::RolledBack, nameOf(it.state()) << ", leader still after " << stillAt.value << " ms");
+    }
+}
+
 // Guards against a bad version that becomes an ordinary one because the operator orders the former version while it is on trial.
 BOOST_AUTO_TEST_CASE(FormerVersionOrderedDuringABadOne)
 {
--- a/tests/versions/RolloutModel.h
+++ b/tests/versions/RolloutModel.h
@@ -7,6 +7,8 @@
 #include <cmath>
 #include <deque>
 #include <functional>
+#include <optional>
+#include <utility>
 
 namespace siskinshunt {
 
@@ -38,6 +40,8 @@
     TimeMs badFrom { 0 }; ///< Of a late fault, since the order; 0: the middle of the time limit.
     double slowdown = 1; ///< Answer times after the switch, against those before: the instances are fewer or colder.
     double quietShare = 0.1; ///< Of the requests, on the route with the fewest.
+    TimeMs leaderLostAt; ///< Since the order; nobody leads until `leaderBackAt`, when another leader takes over.
+    TimeMs leaderBackAt;
     int nodes = 7;
     int oldInstances = 3;
     int newInstances = 3;
@@ -86,7 +90,9 @@
     RolloutResult run()
     {
         static constexpr TimeMs tick { 10 };
-        for (m_now = {}; m_now <= m_rollout.startedAt + m_scenario.within; m_now += tick) {
+        // A leader that comes after the limit still has to end the order.
+        const TimeMs more = std::max(TimeMs {}, m_scenario.leaderBackAt + 5_s - m_scenario.within);
+        for (m_now = {}; m_now <= m_rollout.startedAt + m_scenario.within + more; m_now += tick) {
             if (hasNextOrder() && m_now == m_rollout.startedAt + m_scenario.orderInterval)
                 orderAgain();
             if (m_now.value % 1000 == 0)
@@ -96,7 +102,9 @@
                 if (m_random.chance(std::min(1.0, mean)))
                     arrive();
             }
-            if (m_now.value % (m_rollout.switchedAt.value ? 100 : 300) == 0 && isOnTrial())
+            if (m_scenario.leaderBackAt.value && m_now == m_rollout.startedAt + m_scenario.leaderBackAt)
+                takeOver();
+            if (m_now.value % (m_rollout.switchedAt.value ? 100 : 300) == 0 && isOnTrial() && isLed())
                 step();
         }
         return m_result;
@@ -123,6 +131,20 @@
         return !givenUp && !m_result.completed && !m_result.rolledBack;
     }
 
+    bool isLed() const
+    {
+        const TimeMs elapsed = m_now - m_rollout.startedAt;
+        return elapsed < m_scenario.leaderLostAt || elapsed >= m_scenario.leaderBackAt;
+    }
+
+    // The new leader has the order, and in its first step the reports of no node.
+    void takeOver()
+    {
+        m_rollout = startRollout(m_rollout.startedAt, m_scenario.within);
+        RolloutReports none { .nodes = {}, .missing = static_cast<size_t>(m_scenario.nodes), .tripped = {}, .oldInstances = m_reports.oldInstances, .newInstances = m_reports.newInstances };
+        m_firstReports = std::move(none);
+    }
+
     // As rolloutSettings() of the node.
     void orderAgain()
     {
@@ -151,7 +173,8 @@
 
     void arrive()
     {
-        ++m_result.all;
+        const bool counts = m_now <= m_rollout.startedAt + m_scenario.within;
+        m_result.all += counts;
         Attempt attempt { .sentAt = m_now, .node = { 1 + m_random.below(static_cast<uint64_t>(m_scenario.nodes)) } };
         attempt.route = m_random.chance(0.6) ? 0 : m_random.chance(1 - m_scenario.quietShare / 0.4) ? 1
                                                                                                     : 2;
@@ -166,12 +189,12 @@
         // A mean of 100 ms with a long tail.
         double milliseconds = 40 - 60 * std::log(1 - m_random.uniform());
         if (attempt.after) {
-            ++m_result.after;
+            m_result.after += counts;
             milliseconds = applyFault(attempt, milliseconds) * (m_rollout.switchedAt.value ? m_scenario.slowdown : 1);
         }
         attempt.endsAt = m_now + TimeMs { static_cast<int64_t>(milliseconds) };
         ++countsOf(attempt).started;
-        m_result.bad += attempt.after && (attempt.failed || attempt.slowStream || milliseconds > 400);
+        m_result.bad += counts && attempt.after && (attempt.failed || attempt.slowStream || milliseconds > 400);
         m_attempts.push_back(attempt);
     }
 
@@ -262,7 +285,8 @@
 
     void step()
     {
-        const auto decision = stepRollout(m_rollout, m_reports, m_settings, m_now);
+        const auto first = std::exchange(m_firstReports, std::nullopt);
+        const auto decision = stepRollout(m_rollout, first ? *first : m_reports, m_settings, m_now);
         if (m_rollout.sharesChanged)
             m_routeShares = takeRouteShares(m_rollout);
         if (decision.action == RolloutAction::Burst) {
@@ -282,6 +306,7 @@
     Random m_random;
     Rollout m_rollout;
     RolloutReports m_reports;
+    std::optional<RolloutReports> m_firstReports; ///< Of a leader that has just taken over.
     RolloutSettings m_settings;
     RolloutResult m_result;
     std::deque<Attempt> m_attempts;
--- a/tests/versions/RolloutTest.cpp
+++ b/tests/versions/RolloutTest.cpp
@@ -131,6 +131,37 @@
         checkGood(describe("sound, slower after the switch", 60, within).c_str(), { .slowdown = 2.5, .within = within });
 }
 
+// When the core is gone, in ms after an order of 12 s: before, in and after the last burst, from the switch to its record, and past the limit.
+static constexpr std::array<std::pair<TimeMs, TimeMs>, 6> leaderChanges { { { 5_s, 7_s }, { 8800_ms, 10_s }, { 10500_ms, 11500_ms }, { 11300_ms, 12_s }, { 8800_ms, 12800_ms }, { 11_s, 15_s } } };
+
+// Guards against a new decision leader that takes the absence of reports for the absence of requests, and completes a version without evidence.
+BOOST_AUTO_TEST_CASE(BadVersionIsTakenBackByANewLeader)
+{
+    for (const auto& [lostAt, backAt] : leaderChanges) {
+        const std::string name = "bad from 8.7 s, no leader from " + std::to_string(lostAt.value) + " to " + std::to_string(backAt.value) + " ms";
+        checkBad(name.c_str(), { .fault = RolloutFault::Late, .failureRate = 0.6, .badFrom = 8700_ms, .leaderLostAt = lostAt, .leaderBackAt = backAt, .within = 12_s });
+        const std::string loaded = "under load, no leader from " + std::to_string(lostAt.value) + " to " + std::to_string(backAt.value) + " ms";
+        checkBad(loaded.c_str(), { .fault = RolloutFault::UnderLoad, .failureRate = 0.6, .leaderLostAt = lostAt, .leaderBackAt = backAt, .within = 12_s });
+    }
+}
+
+// Guards against a sound version that is not completed because the leader changed while there was time for its trial.
+BOOST_AUTO_TEST_CASE(SoundVersionIsCompletedByANewLeader)
+{
+    checkGood("sound, no leader from 5 to 7 s", { .leaderLostAt = 5_s, .leaderBackAt = 7_s, .within = 12_s });
+    checkGood("sound, no leader from 8 to 12 s", { .leaderLostAt = 8_s, .leaderBackAt = 12_s });
+}
+
+// Guards against an order that never ends because the leader came after its limit.
+BOOST_AUTO_TEST_CASE(OrderEndsUnderALeaderThatComesLate)
+{
+    for (const auto& [lostAt, backAt] : leaderChanges) {
+        const auto rates = runRollouts({ .leaderLostAt = lostAt, .leaderBackAt = backAt, .within = 12_s }, seeds);
+        check(("sound, no leader from " + std::to_string(lostAt.value) + " to " + std::to_string(backAt.value) + " ms").c_str(), rates);
+        BOOST_TEST(rates.completed + rates.rolledBack == rates.runs);
+    }
+}
+
 // Guards against a version that is completed on the results of other routes: its fault is on one with a thirtieth of the requests.
 BOOST_AUTO_TEST_CASE(BadRouteWithFewRequestsIsFound)
 {
