Give short orders a last burst, and end every order at its limit

Cause: with limits up to about 7 s the first requests ended after the time of the last burst, which was then never given; nothing ended an order without one.

Change: every order ends at its limit. Below 10 s nodes report and the leader steps every 100 ms, the first requests come only where they leave room for 1.4 s of load, and of the exposure limit a trial keeps what a version gets until it is taken back after the switch.

Why it works: the last burst is given whatever came before it, and long enough to show a fault of load.

--- a/src/node/VersionOrders.cpp
+++ b/src/node/VersionOrders.cpp
@@ -12,9 +12,9 @@
 
 static constexpr TimeMs stepInterval { 300 };
 static constexpr TimeMs reportInterval { 300 };
-// The same after the switch of all requests: there is little time until the completion. In large fleets the leader reads no more frames than before.
-static constexpr TimeMs minSwitchedInterval { 100 };
-static constexpr TimeMs switchedIntervalPerNode { 5 };
+// The same after the switch of all requests, and with short time limits: there is little time until the completion. In large fleets the leader reads no more frames than before.
+static constexpr TimeMs minShortInterval { 100 };
+static constexpr TimeMs shortIntervalPerNode { 5 };
 static constexpr TimeMs evidenceInterval { 900 };
 static constexpr TimeMs recordTimeout { 2000 };
 // Time after which the last report of a node says nothing of now.
@@ -418,9 +418,9 @@
     return frame;
 }
 
-static TimeMs switchedInterval(const Node& node)
+static TimeMs shortInterval(const Node& node)
 {
-    return std::clamp(switchedIntervalPerNode * static_cast<int64_t>(node.membership.members.size()), minSwitchedInterval, reportInterval);
+    return std::clamp(shortIntervalPerNode * static_cast<int64_t>(node.membership.members.size()), minShortInterval, reportInterval);
 }
 
 static void reportResults(Node& node)
@@ -428,8 +428,11 @@
     auto& state = node.versionOrders;
     if (node.now < state.nextReport)
         return;
-    const bool anySwitched = std::any_of(state.followers.begin(), state.followers.end(), [&](const auto& it) { return node.now < it.second.switchedUntil; });
-    state.nextReport = node.now + (anySwitched ? switchedInterval(node) : reportInterval);
+    const bool isUrgent = std::any_of(state.followers.begin(), state.followers.end(), [&](const auto& it) {
+        const VersionOrder* order = orderOf(node, it.first);
+        return order && order->state == VersionOrderState::Running && (node.now < it.second.switchedUntil || isShortRollout(order->within));
+    });
+    state.nextReport = node.now + (isUrgent ? shortInterval(node) : reportInterval);
     const auto frame = ownResults(node);
     const NodeId leader = decisionLeader(node);
     if (frame.orders.empty() || !leader || leader == node.self)
@@ -493,7 +496,7 @@
     if (!follower)
         return;
     follower->switchedUntil = node.now + std::clamp(frame.length, TimeMs {}, maxDirective);
-    node.versionOrders.nextReport = std::min(node.versionOrders.nextReport, node.now + switchedInterval(node));
+    node.versionOrders.nextReport = std::min(node.versionOrders.nextReport, node.now + shortInterval(node));
 }
 
 void receiveVersionShares(Node& node, std::string_view body)
@@ -696,7 +699,7 @@
     const Rollout& rollout = it->second.rollout;
     const bool isSwitched = rollout.switchedAt.value > 0;
     const TimeMs event = isSwitched ? rollout.switchedAt + completionDrain(order.within) : rollout.startedAt + order.within - completionMargin(order.within);
-    const TimeMs next = node.now + (isSwitched ? switchedInterval(node) : stepInterval);
+    const TimeMs next = node.now + (isSwitched || isShortRollout(order.within) ? shortInterval(node) : stepInterval);
     return event > node.now ? std::min(next, event) : next;
 }
 
--- a/src/soak/NodeFleet.h
+++ b/src/soak/NodeFleet.h
@@ -58,6 +58,8 @@
 };
 
 constexpr const char* coldTimeHeader = "Cold-Time-Left";
+/// Time limit of an order for a version in ms; 20 s without it.
+constexpr const char* orderWithinHeader = "Order-Within";
 
 /// Control calls as a platform could have them: POST announces an upstream, DELETE /NAME its shutdown, PUT /NUMBER replaces the
 /// configuration by the rules in its body, POST and DELETE /evacuations/DOMAIN start and end an evacuation, POST /versions/BACKEND/VERSION orders a
--- a/src/soak/NodeFleetUpstreams.cpp
+++ b/src/soak/NodeFleetUpstreams.cpp
@@ -21,6 +21,12 @@
     return text.empty() ? std::nullopt : std::optional(TimeMs { std::stoll(std::string(text)) });
 }
 
+static TimeMs withinOf(const HttpRequest& request)
+{
+    const auto text = findHeader(request.headers, orderWithinHeader);
+    return text.empty() ? 20_s : TimeMs { std::stoll(std::string(text)) };
+}
+
 std::shared_ptr<const Dialect> makeFleetDialect()
 {
     Dialect dialect;
@@ -29,7 +35,7 @@
             return OrderEvacuationCall { .domain = request.target.substr(13), .start = request.method == "POST" };
         if (request.target.starts_with("/versions/")) {
             const auto slash = request.target.rfind('/');
-            return OrderVersionCall { .backend = request.target.substr(10, slash - 10), .target = request.target.substr(slash + 1), .within = 20_s };
+            return OrderVersionCall { .backend = request.target.substr(10, slash - 10), .target = request.target.substr(slash + 1), .within = withinOf(request) };
         }
         if (request.method == "DELETE")
             return LeaveCall { request.target.substr(1) };
--- a/src/versions/Rollout.cpp
+++ b/src/versions/Rollout.cpp
@@ -20,6 +20,16 @@
 static constexpr TimeMs minBurstLength { 300 };
 // Time in which the results of a burst have been reported.
 static constexpr TimeMs settleTime { 700 };
+// In a short time limit the first requests and the last burst share the time: the burst needs this much of it to show a fault of load.
+static constexpr TimeMs shortRollout { 10000 };
+static constexpr double shortBurstLoad = 1.7;
+static constexpr TimeMs shortSettleTime { 350 };
+static constexpr TimeMs minLastBurstLength { 1400 };
+static constexpr TimeMs minProbeLength { 600 };
+static constexpr double maxProbeDelayFraction = 0.15;
+// Part of a short time limit, in requests, that is kept for a version between the switch and its record.
+static constexpr double keptFraction = 0.06;
+static constexpr TimeMs takeBackTime { 50 };
 // The first requests come soon and without load, so that a version that fails always is found with few of them.
 static constexpr TimeMs probeDelay { 1000 };
 static constexpr double probeShare = 0.1;
@@ -60,6 +70,33 @@
 // Time after which what the entry nodes did is in the reports.
 static constexpr TimeMs reportDelay { 300 };
 
+static TimeMs fractionOf(TimeMs time, double fraction)
+{
+    return TimeMs { static_cast<int64_t>(fraction * static_cast<double>(time.value)) };
+}
+
+// Time from the end of a burst until its results have been reported.
+static TimeMs settleTimeOf(TimeMs within)
+{
+    return isShortRollout(within) ? shortSettleTime : settleTime;
+}
+
+static TimeMs firstRequestsAt(const Rollout& rollout)
+{
+    return rollout.startedAt + std::min(probeDelay, fractionOf(rollout.within, maxProbeDelayFraction));
+}
+
+static TimeMs completionTimeOf(const Rollout& rollout)
+{
+    return rollout.startedAt + rollout.within - completionMargin(rollout.within);
+}
+
+// When the results of the trial have to be there.
+static TimeMs trialEndOf(const Rollout& rollout)
+{
+    return completionTimeOf(rollout) - settleTimeOf(rollout.within);
+}
+
 // Whether a leader that has not led since the order was given knows what the nodes have done before.
 static bool hasTakenOver(const Rollout& rollout, const RolloutReports& reports, TimeMs now)
 {
@@ -110,6 +147,11 @@
     return isUndecided(rollout.evidence) ? 2 * probeRequests : probeRequests;
 }
 
+bool isShortRollout(TimeMs within)
+{
+    return within < shortRollout;
+}
+
 TimeMs completionMargin(TimeMs within)
 {
     const TimeMs margin { static_cast<int64_t>(marginFraction * static_cast<double>(within.value)) };
@@ -147,22 +189,24 @@
 {
     const auto instances = static_cast<double>(std::max<size_t>(1, std::min(reports.newInstances, std::max<size_t>(1, reports.oldInstances))));
     const auto remaining = static_cast<double>(std::max<int64_t>(0, (rollout.startedAt + rollout.within - now).value));
-    const auto margin = static_cast<double>(completionMargin(rollout.within).value);
+    const TimeMs taken = std::max(completionDrain(rollout.within) + takeBackTime, fractionOf(rollout.within, keptFraction));
+    const auto margin = static_cast<double>(std::min(completionMargin(rollout.within), taken).value);
     const double total = static_cast<double>(rollout.started) + rollout.perMs * remaining;
     const double limit = plannedExposure * (settings.exposureShare * total + settings.exposureExtra);
     const double reserved = rollout.perMs * margin + rolloutBaseShare * rollout.perMs * std::max(0.0, remaining - margin);
-    const double share = std::min(1.0, burstLoad / instances);
+    const double share = std::min(1.0, (isShortRollout(rollout.within) ? shortBurstLoad : burstLoad) / instances);
     return { .left = limit - static_cast<double>(rollout.startedAfter) - reserved, .burst = share * rollout.perMs, .share = share };
 }
 
-static RolloutDecision startProbe(Rollout& rollout, TimeMs now)
+static RolloutDecision startProbe(Rollout& rollout, TimeMs lastBurstAt, TimeMs now)
 {
-    if (now < rollout.startedAt + probeDelay || rollout.perMs <= 0)
+    const TimeMs longest = std::min(maxProbeLength, lastBurstAt - settleTimeOf(rollout.within) - now);
+    if (now < firstRequestsAt(rollout) || rollout.perMs <= 0 || longest < minProbeLength)
         return {};
     rollout.probed = true;
     const double requests = firstRequests(rollout) - static_cast<double>(rollout.startedAfter);
     const TimeMs length { static_cast<int64_t>(std::min(requests / (probeShare * rollout.perMs), 1e9)) };
-    rollout.burstEnd = now + std::clamp(length, minBurstLength, maxProbeLength);
+    rollout.burstEnd = now + std::clamp(length, minBurstLength, longest);
     rollout.burstShare = probeShare;
     return { .action = RolloutAction::Burst, .share = probeShare, .length = rollout.burstEnd - now, .reason = "first requests to one new instance" };
 }
@@ -180,7 +224,10 @@
 // At a low rate the last burst takes longer to bring the results that a completion needs.
 static TimeMs lastBurstLengthOf(const Rollout& rollout, const Budget& budget)
 {
-    const auto longest = static_cast<double>(std::max(lastBurstLength, TimeMs { static_cast<int64_t>(maxLastBurstFraction * static_cast<double>(rollout.within.value)) }).value);
+    const TimeMs time = trialEndOf(rollout) - firstRequestsAt(rollout);
+    if (isShortRollout(rollout.within))
+        return std::clamp(time / 2, minLastBurstLength, lastBurstLength);
+    const auto longest = static_cast<double>(std::max(lastBurstLength, fractionOf(rollout.within, maxLastBurstFraction)).value);
     const double length = budget.burst > 0 ? neededResults / budget.burst : longest;
     return TimeMs { static_cast<int64_t>(std::clamp(length, static_cast<double>(lastBurstLength.value), longest)) };
 }
@@ -188,10 +235,10 @@
 // Sets the shares of the routes so that each has the results that a completion needs. Returns the requests that this will take.
 static double planRoutes(Rollout& rollout, const Budget& budget, TimeMs lastBurstAt, TimeMs now)
 {
-    const TimeMs end = rollout.startedAt + rollout.within - completionMargin(rollout.within) - settleTime;
+    const TimeMs end = trialEndOf(rollout);
     // The last part of the time makes up for chance.
     const auto left = routesTime * static_cast<double>((end - now).value);
-    const bool isOpen = now >= rollout.startedAt + probeDelay && left > 0;
+    const bool isOpen = now >= firstRequestsAt(rollout) && left > 0;
     const auto elapsed = static_cast<double>((now - rollout.startedAt).value);
     const auto lastBurst = static_cast<double>((end - std::max(lastBurstAt, now)).value);
     std::map<std::string, double> lacking;
@@ -202,7 +249,8 @@
         lacking[route] = std::clamp(neededOnRoute - static_cast<double>(it.startedAfter) - inLastBurst, 0.0, maxRouteShare * perMs * left);
         sum += lacking[route];
     }
-    const double affordable = std::min(sum, std::max(0.0, routesFraction * budget.left));
+    const double forLastBurst = rollout.lastBurst ? 0 : budget.burst * static_cast<double>(minLastBurstLength.value);
+    const double affordable = std::min(sum, std::max(0.0, std::min(routesFraction * budget.left, budget.left - forLastBurst)));
     for (auto& [route, it] : rollout.routes) {
         const double expected = static_cast<double>(it.started) / std::max(1.0, elapsed) * left;
         it.share = lacking[route] > 0 ? lacking[route] * affordable / sum / expected : 0;
@@ -226,28 +274,30 @@
 static RolloutDecision planBurst(Rollout& rollout, const Budget& budget, TimeMs lastBurstAt, TimeMs now)
 {
     const auto affordable = [&](double requests) { return TimeMs { budget.burst > 0 ? static_cast<int64_t>(std::clamp(requests / budget.burst, 0.0, 1e9)) : 0 }; };
-    const TimeMs completeAt = rollout.startedAt + rollout.within - completionMargin(rollout.within);
-    const TimeMs lastLength = std::clamp(completeAt - settleTime - now, minBurstLength, lastBurstLengthOf(rollout, budget));
+    const TimeMs settled = settleTimeOf(rollout.within);
+    const TimeMs lastLength = std::max(minBurstLength, std::min(trialEndOf(rollout) - now, lastBurstLengthOf(rollout, budget)));
     const double forRoutes = planRoutes(rollout, budget, lastBurstAt, now);
-    if (now < rollout.burstEnd + settleTime)
+    if (now < rollout.burstEnd + settled)
         return {};
     if (rollout.lastBurst || now >= lastBurstAt) {
         // The last burst is what the completion rests on, so it is given also when it has to be short.
-        if (std::exchange(rollout.lastBurst, true))
+        // Without a rate its length and share are not known.
+        if (rollout.lastBurst || now < firstRequestsAt(rollout) || (budget.burst <= 0 && now < completionTimeOf(rollout)))
             return {};
+        rollout.lastBurst = true;
         return startBurst(rollout, budget, std::clamp(affordable(budget.left - forRoutes), minBurstLength, lastLength), now);
     }
-    const TimeMs first = rollout.startedAt + TimeMs { static_cast<int64_t>(firstBurstFraction * static_cast<double>(rollout.within.value)) };
-    const TimeMs pause { static_cast<int64_t>(burstPauseFraction * static_cast<double>(rollout.within.value)) };
+    const TimeMs first = rollout.startedAt + fractionOf(rollout.within, firstBurstFraction);
+    const TimeMs pause = fractionOf(rollout.within, burstPauseFraction);
     const TimeMs next = rollout.burst ? rollout.burstEnd + pause : first;
-    if (rollout.probed && now >= next && now + burstLength + settleTime <= lastBurstAt) {
+    if (rollout.probed && now >= next && now + burstLength + settled <= lastBurstAt) {
         // What the last burst needs is kept.
         const TimeMs length = std::min(burstLength, affordable(budget.left - forRoutes - budget.burst * static_cast<double>(lastLength.value)));
         if (length >= burstLength / 2)
             return startBurst(rollout, budget, length, now);
     }
-    const bool isTooFew = static_cast<double>(rollout.startedAfter) < firstRequests(rollout) && now + maxProbeLength + settleTime <= lastBurstAt;
-    return !rollout.probed || isTooFew ? startProbe(rollout, now) : RolloutDecision {};
+    const bool isTooFew = static_cast<double>(rollout.startedAfter) < firstRequests(rollout) && now + maxProbeLength + settled <= lastBurstAt;
+    return !rollout.probed || isTooFew ? startProbe(rollout, lastBurstAt, now) : RolloutDecision {};
 }
 
 static bool isEnough(double results, double needed, double offered)
@@ -274,9 +324,9 @@
 {
     if (lacksReports(rollout, reports, completeAt, now))
         return std::to_string(reports.missing) + " nodes do not report its results";
-    if (!rollout.started)
-        return std::nullopt;
-    if (!rollout.lastBurst || now < rollout.burstEnd + settleTime)
+    // Fewer requests than that are no load; the shares of their routes have offered them to the version.
+    const bool hasLoad = static_cast<double>(rollout.started) >= neededResults;
+    if ((hasLoad && !rollout.lastBurst) || now < rollout.burstEnd + settleTimeOf(rollout.within))
         return "its instances have not been tested under load";
     if (!isEnough(endedOf(rollout.evidence.testedRecently, {}), neededResults, rollout.offeredRecently))
         return "its instances have not answered the requests of the last burst";
@@ -339,11 +389,11 @@
     if (!takenOver)
         return {};
     const TimeMs limit = rollout.startedAt + rollout.within;
-    const TimeMs completeAt = limit - completionMargin(rollout.within);
+    const TimeMs completeAt = completionTimeOf(rollout);
     if (!reports.newInstances)
         return now >= limit ? RolloutDecision { .action = RolloutAction::RollBack, .reason = "no upstream of the version takes requests" } : RolloutDecision {};
     const Budget budget = budgetOf(rollout, reports, settings, now);
-    const TimeMs lastBurstAt = completeAt - settleTime - lastBurstLengthOf(rollout, budget);
+    const TimeMs lastBurstAt = trialEndOf(rollout) - lastBurstLengthOf(rollout, budget);
     if (now >= completeAt) {
         const auto decision = decideCompletion(rollout, reports, completeAt, now);
         if (decision.action != RolloutAction::Wait)
--- a/src/versions/Rollout.h
+++ b/src/versions/Rollout.h
@@ -82,6 +82,8 @@
 RolloutDecision stepRollout(Rollout&, const RolloutReports&, const RolloutSettings&, TimeMs now);
 /// Shares by route, as the entry nodes have to follow them from now on.
 std::map<std::string, double> takeRouteShares(Rollout&);
+/// Whether a time limit is so short that reports and steps have to come more often.
+bool isShortRollout(TimeMs within);
 /// Time before the time limit at which a sound version is completed.
 TimeMs completionMargin(TimeMs within);
 /// Time from the switch of all requests to the completion, in which requests at the other versions end.
--- a/tests/node/VersionOrderTest.cpp
+++ b/tests/node/VersionOrderTest.cpp
@@ -53,18 +53,18 @@
             }
         }
 
-        void order(const std::string& version)
+        void order(const std::string& version, TimeMs within = 20_s)
         {
             target = version;
-            give(version);
+            give(version, within);
             addVersion(version);
             all = sent = 0;
         }
 
         // Gives the order without new upstreams.
-        void give(const std::string& version)
+        void give(const std::string& version, TimeMs within = 20_s)
         {
-            const auto call = fleet.post(0, { "POST", "/versions/desk/" + version, {}, {} }, ListenerKind::Control);
+            const auto call = fleet.post(0, { "POST", "/versions/desk/" + version, { { orderWithinHeader, std::to_string(within.value) } }, {} }, ListenerKind::Control);
             BOOST_REQUIRE(waitFor(fleet, call, 2_s));
             BOOST_REQUIRE_EQUAL(fleet.caller(call).status, 200U);
         }
@@ -285,6 +285,23 @@
     }
 }
 
+// Guards against an order with a short time limit that never ends, so that the next leader completes it, or that is completed without the load of an
+// instance.
+BOOST_AUTO_TEST_CASE(OrderWithAShortTimeLimit)
+{
+    for (const TimeMs within : { 1_s, 3_s, 4_s, 6_s, 8_s }) {
+        for (const bool bad : { false, true }) {
+            VersionFleet it;
+            it.run(2_s);
+            it.fails = [&](const std::string& address) { return bad && it.isLoaded(address) && it.fleet.random.chance(0.6); };
+            it.order("v2", within);
+            it.run(within + 500_ms);
+            const char* expected = bad || within < 3_s ? "rolled_back" : "completed";
+            BOOST_CHECK_MESSAGE(nameOf(it.state()) == expected, nameOf(it.state()) << " instead of " << expected << ", within " << within.value << " ms");
+        }
+    }
+}
+
 // Guards against a bad version that becomes an ordinary one because the operator orders the former version while it is on trial.
 BOOST_AUTO_TEST_CASE(FormerVersionOrderedDuringABadOne)
 {
--- a/tests/versions/RolloutModel.h
+++ b/tests/versions/RolloutModel.h
@@ -72,7 +72,7 @@
 };
 
 /// Entry nodes that follow the decisions at once, callers that arrive at random, and instances without queues. Time passes in steps of 10 ms,
-/// the leader steps every 300 ms on reports of the last 300 ms, and every 100 ms after the switch. Links and clocks are perfect, so it tells which
+/// the leader steps every 300 ms on reports of the last 300 ms, and every 100 ms after the switch and with short time limits. Links and clocks are perfect, so it tells which
 /// decisions the evidence supports, not how long messages take.
 class RolloutModel {
 public:
@@ -104,7 +104,7 @@
             }
             if (m_scenario.leaderBackAt.value && m_now == m_rollout.startedAt + m_scenario.leaderBackAt)
                 takeOver();
-            if (m_now.value % (m_rollout.switchedAt.value ? 100 : 300) == 0 && isOnTrial() && isLed())
+            if (m_now.value % (m_rollout.switchedAt.value || isShortRollout(m_scenario.within) ? 100 : 300) == 0 && isOnTrial() && isLed())
                 step();
         }
         return m_result;
--- a/tests/versions/RolloutTest.cpp
+++ b/tests/versions/RolloutTest.cpp
@@ -31,6 +31,15 @@
     BOOST_TEST(rates.overExposed == 0, name);
 }
 
+// For time limits in which a version that is not found goes over the exposure limit by its completion alone.
+static void checkBadIsFound(const char* name, const RolloutScenario& scenario)
+{
+    const auto rates = runRollouts(scenario, seeds);
+    check(name, rates);
+    BOOST_TEST(rates.rolledBack >= seeds - seeds / 100, name);
+    BOOST_TEST(rates.overExposed <= rates.completed, name);
+}
+
 BOOST_AUTO_TEST_SUITE(Rollouts)
 
 // Guards against a sound version that is taken back, or completed after its time limit.
@@ -162,6 +171,21 @@
     }
 }
 
+// Guards against an order with a short time limit that never ends, or that is completed without the load of an instance.
+BOOST_AUTO_TEST_CASE(OrderWithAShortTimeLimit)
+{
+    for (const TimeMs within : { 3_s, 4_s, 5_s, 6_s, 7_s, 8_s }) {
+        checkGood(describe("sound", 60, within).c_str(), { .within = within });
+        checkBad(describe("3 of 5 fail", 60, within).c_str(), { .fault = RolloutFault::AtOnce, .failureRate = 0.6, .within = within });
+        checkBadIsFound(describe("3 of 5 fail under load", 60, within).c_str(), { .fault = RolloutFault::UnderLoad, .failureRate = 0.6, .within = within });
+    }
+    for (const TimeMs within : { 1_s, 2_s }) {
+        const auto rates = runRollouts({ .within = within }, seeds);
+        check(describe("sound", 60, within).c_str(), rates);
+        BOOST_TEST(rates.completed + rates.rolledBack == rates.runs);
+    }
+}
+
 // Guards against a version that is completed on the results of other routes: its fault is on one with a thirtieth of the requests.
 BOOST_AUTO_TEST_CASE(BadRouteWithFewRequestsIsFound)
 {
