Compare a version in use with the others before it is completed

An order for a version in use was completed without a look at its results, so one that had turned bad since took all requests.

Cause: stepKnownVersion() asked for instances only.

Change: stepVersionInUse() in the pure code rolls the order back if its results are worse than those of other versions in use, by the tests of a trial. Without others to go back to it is completed as before, since an outage would otherwise end the only version that serves.

--- a/src/node/VersionOrders.cpp
+++ b/src/node/VersionOrders.cpp
@@ -616,21 +616,6 @@
     return reports;
 }
 
-// A version that was in use before its order needs no evidence. It is completed as late as another one: the platform then ends the upstreams of
-// all other versions, whose requests in progress have that long to end.
-static RolloutDecision stepKnownVersion(Rollout& rollout, const RolloutReports& reports, TimeMs now)
-{
-    const TimeMs limit = rollout.startedAt + rollout.within;
-    if (!reports.newInstances)
-        return now >= limit ? RolloutDecision { .action = RolloutAction::RollBack, .reason = "no upstream of the version takes requests" } : RolloutDecision {};
-    if (!rollout.switchedAt.value && now >= limit - completionMargin(rollout.within))
-        rollout.switchedAt = now;
-    if (!rollout.switchedAt.value)
-        return {};
-    const bool isDrained = now >= rollout.switchedAt + completionDrain(rollout.within);
-    return { .action = isDrained ? RolloutAction::Complete : RolloutAction::Switch, .length = completionDrain(rollout.within), .reason = "the version was in use before the order" };
-}
-
 // What the target may get. A trial that was ended within its time limit has used some of the requests that a version may get beyond the share.
 // Without any of them, bursts are too short to show a version that fails under load.
 static RolloutSettings rolloutSettings(const Node& node, const VersionOrder& order)
@@ -685,7 +670,7 @@
         addResults(node, node.self, std::move(results));
     const auto reports = reportsOf(node, order, led);
     const bool isInUse = standings(node, order)(order.target) == VersionStanding::InUse;
-    const auto decision = isInUse ? stepKnownVersion(led.rollout, reports, node.now) : stepRollout(led.rollout, reports, rolloutSettings(node, order), node.now);
+    const auto decision = isInUse ? stepVersionInUse(led.rollout, reports, node.now) : stepRollout(led.rollout, reports, rolloutSettings(node, order), node.now);
     logDecision(node, order, led.rollout, decision);
     carryOut(node, order, led, decision);
 }
--- a/src/versions/Rollout.cpp
+++ b/src/versions/Rollout.cpp
@@ -65,6 +65,8 @@
 static constexpr TimeMs shortCommitTime { 300 };
 // Results after the switch are judged in windows of this length.
 static constexpr TimeMs switchWindow { 500 };
+// Results of other versions with which a version in use is compared.
+static constexpr uint32_t minComparable = 20;
 // Change of a share that the entry nodes are told.
 static constexpr double shareChange = 0.2;
 // Time after which what the entry nodes did is in the reports.
@@ -373,7 +375,8 @@
     return now >= rollout.startedAt + rollout.within ? RolloutDecision { .action = RolloutAction::RollBack, .reason = *gap } : RolloutDecision {};
 }
 
-RolloutDecision stepRollout(Rollout& rollout, const RolloutReports& reports, const RolloutSettings& settings, TimeMs now)
+// Adds the reports of a step. Returns whether they tell enough to decide on.
+static bool addStep(Rollout& rollout, const RolloutReports& reports, TimeMs now)
 {
     if (!rollout.firstStepAt.value)
         rollout.firstStepAt = now;
@@ -382,20 +385,51 @@
     const bool takenOver = hasTakenOver(rollout, reports, now);
     addRequests(rollout, all == requests.end() ? NewRequests {} : all->second, takenOver, now);
     addRouteRequests(rollout, requests, now);
+    return takenOver;
+}
+
+static RolloutDecision waitForInstances(const Rollout& rollout, TimeMs now)
+{
+    if (now < rollout.startedAt + rollout.within)
+        return {};
+    return { .action = RolloutAction::RollBack, .reason = "no upstream of the version takes requests" };
+}
+
+RolloutDecision stepVersionInUse(Rollout& rollout, const RolloutReports& reports, TimeMs now)
+{
+    const bool takenOver = addStep(rollout, reports, now);
+    // Without others to go back to, an outage would end the only version that serves.
+    const bool isComparable = reports.oldInstances && rollout.evidence.before.ended >= minComparable;
+    const auto fault = isComparable ? findFault(rollout.evidence) : std::nullopt;
+    if (fault)
+        return { .action = RolloutAction::RollBack, .reason = *fault };
+    if (!reports.newInstances)
+        return waitForInstances(rollout, now);
+    if (!takenOver)
+        return {};
+    if (rollout.switchedAt.value) {
+        const bool isDrained = now >= rollout.switchedAt + completionDrain(rollout.within);
+        return { .action = isDrained ? RolloutAction::Complete : RolloutAction::Switch, .reason = rollout.completionReason };
+    }
+    return now >= completionTimeOf(rollout) ? startSwitch(rollout, "the version was in use before the order", now) : RolloutDecision {};
+}
+
+RolloutDecision stepRollout(Rollout& rollout, const RolloutReports& reports, const RolloutSettings& settings, TimeMs now)
+{
+    const bool takenOver = addStep(rollout, reports, now);
     if (rollout.switchedAt.value)
         return stepSwitched(rollout, reports, now);
     if (auto fault = findFault(rollout.evidence))
         return { .action = RolloutAction::RollBack, .reason = *fault };
     if (!takenOver)
         return {};
-    const TimeMs limit = rollout.startedAt + rollout.within;
     const TimeMs completeAt = completionTimeOf(rollout);
     if (!reports.newInstances)
-        return now >= limit ? RolloutDecision { .action = RolloutAction::RollBack, .reason = "no upstream of the version takes requests" } : RolloutDecision {};
+        return waitForInstances(rollout, now);
     const Budget budget = budgetOf(rollout, reports, settings, now);
     const TimeMs lastBurstAt = trialEndOf(rollout) - lastBurstLengthOf(rollout, budget);
     if (now >= completeAt) {
-        const auto decision = decideCompletion(rollout, reports, completeAt, now);
+        auto decision = decideCompletion(rollout, reports, completeAt, now);
         if (decision.action != RolloutAction::Wait)
             return decision;
     }
--- a/src/versions/Rollout.h
+++ b/src/versions/Rollout.h
@@ -79,6 +79,9 @@
 constexpr double rolloutBaseShare = 0.005;
 
 Rollout startRollout(TimeMs startedAt, TimeMs within);
+/// For a version that was in use before its order and needs no trial: it is completed as late as another one, unless its results are worse than those of
+/// other versions that are still in use.
+RolloutDecision stepVersionInUse(Rollout&, const RolloutReports&, TimeMs now);
 RolloutDecision stepRollout(Rollout&, const RolloutReports&, const RolloutSettings&, TimeMs now);
 /// Shares by route, as the entry nodes have to follow them from now on.
 std::map<std::string, double> takeRouteShares(Rollout&);
--- a/tests/versions/RolloutTest.cpp
+++ b/tests/versions/RolloutTest.cpp
@@ -277,6 +277,36 @@
     BOOST_TEST(firstBursts({ 4, 2, 0 }, { 3, 0, 0 }).back().value > 24000 / 5);
 }
 
+// The decision on a version in use that fails `failures` of its 200 results within 24 s, beside another one with `others` results.
+static RolloutAction decisionOnVersionInUse(uint32_t failures, uint32_t others, size_t oldInstances)
+{
+    auto rollout = startRollout({}, 24_s);
+    RolloutReports reports { .nodes = {}, .oldInstances = oldInstances, .newInstances = 3 };
+    RolloutAction action = RolloutAction::Wait;
+    for (TimeMs now; now <= 24_s && (action == RolloutAction::Wait || action == RolloutAction::Switch); now += 300_ms) {
+        for (uint64_t n = 1; n <= 4; ++n) {
+            auto& results = reports.nodes[NodeId { n }];
+            results.resize(1);
+            results[0].route = "busy";
+            const auto part = static_cast<uint32_t>(now.value);
+            results[0].before.started = results[0].before.ended = others / 4 * part / 24000;
+            results[0].after.started = results[0].after.ended = 50 * part / 24000;
+            results[0].after.failures = failures / 4 * part / 24000;
+        }
+        action = stepVersionInUse(rollout, reports, now).action;
+    }
+    return action;
+}
+
+// Guards against a version in use that has turned bad and is completed without a look at its results, and against an outage that takes back the only
+// version that serves.
+BOOST_AUTO_TEST_CASE(VersionInUseIsComparedWithOthersInUse)
+{
+    BOOST_TEST((decisionOnVersionInUse(0, 200, 3) == RolloutAction::Complete));
+    BOOST_TEST((decisionOnVersionInUse(120, 200, 3) == RolloutAction::RollBack));
+    BOOST_TEST((decisionOnVersionInUse(120, 0, 0) == RolloutAction::Complete));
+}
+
 // Guards against a version that is completed without evidence, since no connection to its instances can be made.
 BOOST_AUTO_TEST_CASE(VersionWithoutResultsIsTakenBack)
 {
