Do not take a leader without reports for a backend without requests

After a restart of all voters the leader knows the entry nodes one by one. With its own report only, a count of 0 requests completed a version 0.7 s after its first step. A leader that stood still between the switch and the record completed on the results from before.

Change: a new leader believes that there were no requests after 4 s only, and needs a last burst of its own otherwise; the record needs recent reports of the greater part of the living nodes.

Evidence: NothingIsCompletedWithoutReports brings both about.

--- a/src/versions/Rollout.cpp
+++ b/src/versions/Rollout.cpp
@@ -27,7 +27,8 @@
 static constexpr TimeMs minLastBurstLength { 1400 };
 static constexpr TimeMs minProbeLength { 600 };
 static constexpr double maxProbeDelayFraction = 0.15;
-// Part of a short time limit, in requests, that is kept for a version between the switch and its record.
+// The trial keeps the requests that a version gets from the switch until it is taken back: those of the drain and some more, at least of this part of
+// the time limit, and at most those of the margin.
 static constexpr double keptFraction = 0.06;
 static constexpr TimeMs takeBackTime { 50 };
 // The first requests come soon and without load, so that a version that fails always is found with few of them.
@@ -52,6 +53,7 @@
 static constexpr double minOffered = 8;
 // Part of what the version may get that goes to routes with few requests; the rest is for the load of an instance.
 static constexpr double routesFraction = 0.4;
+// Part of the time in which these are planned; the rest makes up for chance.
 static constexpr double routesTime = 0.75;
 // The other versions keep some requests, with which the results are compared.
 static constexpr double maxRouteShare = 0.85;
@@ -61,6 +63,8 @@
 static constexpr TimeMs minTakeOverTime { 700 };
 static constexpr TimeMs maxTakeOverTime { 1500 };
 static constexpr TimeMs maxFirstStepDelay { 1000 };
+// After a restart of all voters the leader learns of the entry nodes one by one: that no one has sent a request is believed after this time only.
+static constexpr TimeMs noRequestsTime { 4000 };
 // Part of the margin that is left for the commit when a completion had to wait for reports.
 static constexpr TimeMs shortCommitTime { 300 };
 // Results after the switch are judged in windows of this length.
@@ -99,12 +103,17 @@
     return completionTimeOf(rollout) - settleTimeOf(rollout.within);
 }
 
-// Whether a leader that has not led since the order was given knows what the nodes have done before.
+// Whether this leader has led since the order was given.
+static bool isFirstLeader(const Rollout& rollout)
+{
+    return rollout.firstStepAt <= rollout.startedAt + maxFirstStepDelay;
+}
+
+// Whether the leader knows what the nodes have done before its first step.
 static bool hasTakenOver(const Rollout& rollout, const RolloutReports& reports, TimeMs now)
 {
-    const bool ledFromTheStart = rollout.firstStepAt <= rollout.startedAt + maxFirstStepDelay;
     const TimeMs elapsed = now - rollout.firstStepAt;
-    return ledFromTheStart || elapsed >= maxTakeOverTime || (!reports.missing && elapsed >= minTakeOverTime);
+    return isFirstLeader(rollout) || elapsed >= maxTakeOverTime || (!reports.missing && elapsed >= minTakeOverTime);
 }
 
 static void addRequests(Rollout& rollout, const NewRequests& all, bool hasTakenOver, TimeMs now)
@@ -191,11 +200,11 @@
 {
     const auto instances = static_cast<double>(std::max<size_t>(1, std::min(reports.newInstances, std::max<size_t>(1, reports.oldInstances))));
     const auto remaining = static_cast<double>(std::max<int64_t>(0, (rollout.startedAt + rollout.within - now).value));
-    const TimeMs taken = std::max(completionDrain(rollout.within) + takeBackTime, fractionOf(rollout.within, keptFraction));
-    const auto margin = static_cast<double>(std::min(completionMargin(rollout.within), taken).value);
+    const TimeMs untilTakenBack = std::max(completionDrain(rollout.within) + takeBackTime, fractionOf(rollout.within, keptFraction));
+    const auto kept = static_cast<double>(std::min(completionMargin(rollout.within), untilTakenBack).value);
     const double total = static_cast<double>(rollout.started) + rollout.perMs * remaining;
     const double limit = plannedExposure * (settings.exposureShare * total + settings.exposureExtra);
-    const double reserved = rollout.perMs * margin + rolloutBaseShare * rollout.perMs * std::max(0.0, remaining - margin);
+    const double reserved = rollout.perMs * kept + rolloutBaseShare * rollout.perMs * std::max(0.0, remaining - kept);
     const double share = std::min(1.0, (isShortRollout(rollout.within) ? shortBurstLoad : burstLoad) / instances);
     return { .left = limit - static_cast<double>(rollout.startedAfter) - reserved, .burst = share * rollout.perMs, .share = share };
 }
@@ -238,7 +247,6 @@
 static double planRoutes(Rollout& rollout, const Budget& budget, TimeMs lastBurstAt, TimeMs now)
 {
     const TimeMs end = trialEndOf(rollout);
-    // The last part of the time makes up for chance.
     const auto left = routesTime * static_cast<double>((end - now).value);
     const bool isOpen = now >= firstRequestsAt(rollout) && left > 0;
     const auto elapsed = static_cast<double>((now - rollout.startedAt).value);
@@ -314,6 +322,11 @@
     return it == tested.end() ? 0 : sumOf(it->second).after.ended;
 }
 
+static std::string describeMissing(const RolloutReports& reports)
+{
+    return std::to_string(reports.missing) + " nodes do not report its results";
+}
+
 // A node that has stopped reporting may be cut off. It is waited for while there is time, and never for the greater part of the nodes.
 static bool lacksReports(const Rollout& rollout, const RolloutReports& reports, TimeMs completeAt, TimeMs now)
 {
@@ -325,10 +338,12 @@
 static std::optional<std::string> findEvidenceGap(const Rollout& rollout, const RolloutReports& reports, TimeMs completeAt, TimeMs now)
 {
     if (lacksReports(rollout, reports, completeAt, now))
-        return std::to_string(reports.missing) + " nodes do not report its results";
-    // Fewer requests than that are no load; the shares of their routes have offered them to the version.
-    const bool hasLoad = static_cast<double>(rollout.started) >= neededResults;
-    if ((hasLoad && !rollout.lastBurst) || now < rollout.burstEnd + settleTimeOf(rollout.within))
+        return describeMissing(reports);
+    if (!rollout.started && !isFirstLeader(rollout) && now < rollout.firstStepAt + noRequestsTime)
+        return "no requests have been reported to a new leader yet";
+    // Fewer requests are no load; the shares of their routes have offered them to the version.
+    const bool needsLoad = static_cast<double>(rollout.started) >= neededResults || (rollout.started && !isFirstLeader(rollout));
+    if ((needsLoad && !rollout.lastBurst) || now < rollout.burstEnd + settleTimeOf(rollout.within))
         return "its instances have not been tested under load";
     if (!isEnough(endedOf(rollout.evidence.testedRecently, {}), neededResults, rollout.offeredRecently))
         return "its instances have not answered the requests of the last burst";
@@ -350,8 +365,12 @@
         rollout.recentSince = now;
         rollout.evidence.testedRecently.clear();
     }
-    const bool isDrained = now >= rollout.switchedAt + completionDrain(rollout.within);
-    return { .action = isDrained ? RolloutAction::Complete : RolloutAction::Switch, .reason = rollout.completionReason };
+    if (now < rollout.switchedAt + completionDrain(rollout.within))
+        return { .action = RolloutAction::Switch, .reason = rollout.completionReason };
+    // A leader that has stood still, or is cut off, does not know the last results.
+    if (reports.missing > reports.recent)
+        return { .action = now < rollout.startedAt + rollout.within ? RolloutAction::Switch : RolloutAction::RollBack, .reason = describeMissing(reports) };
+    return { .action = RolloutAction::Complete, .reason = rollout.completionReason };
 }
 
 static RolloutDecision startSwitch(Rollout& rollout, std::string reason, TimeMs now)
--- a/tests/versions/RolloutTest.cpp
+++ b/tests/versions/RolloutTest.cpp
@@ -171,6 +171,26 @@
     }
 }
 
+// Guards against a new leader that knows no entry node yet, or one that has stood still, and takes this for a backend without requests or without
+// faults.
+BOOST_AUTO_TEST_CASE(NothingIsCompletedWithoutReports)
+{
+    RolloutReports onlyItsOwn { .nodes = {}, .recent = 1, .missing = 0, .tripped = {}, .oldInstances = 3, .newInstances = 3 };
+    auto late = startRollout({}, 12_s);
+    RolloutDecision decision;
+    for (TimeMs now { 11200 }; now <= 13_s && (decision.action == RolloutAction::Wait || decision.action == RolloutAction::Burst); now += 100_ms)
+        decision = stepRollout(late, onlyItsOwn, {}, now);
+    BOOST_TEST((decision.action == RolloutAction::RollBack), decision.reason);
+
+    auto still = startRollout({}, 12_s);
+    for (TimeMs now; now <= 11200_ms; now += 100_ms)
+        decision = stepRollout(still, onlyItsOwn, {}, now);
+    BOOST_TEST((decision.action == RolloutAction::Switch), decision.reason);
+    const RolloutReports silent { .nodes = {}, .recent = 0, .missing = 12, .tripped = {}, .oldInstances = 3, .newInstances = 3 };
+    BOOST_TEST((stepRollout(still, silent, {}, 11900_ms).action == RolloutAction::Switch));
+    BOOST_TEST((stepRollout(still, silent, {}, 12100_ms).action == RolloutAction::RollBack));
+}
+
 // Guards against an order with a short time limit that never ends, or that is completed without the load of an instance.
 BOOST_AUTO_TEST_CASE(OrderWithAShortTimeLimit)
 {
