Judge the results of a trial and of its switch with one piece of code

Change: faultOf() takes the measures; isDrained(), fractionOf() and orderVersionThatTurnsBad() serve both sides. No change of behaviour.

--- a/src/versions/Rollout.cpp
+++ b/src/versions/Rollout.cpp
@@ -165,7 +165,7 @@
 
 TimeMs completionMargin(TimeMs within)
 {
-    const TimeMs margin { static_cast<int64_t>(marginFraction * static_cast<double>(within.value)) };
+    const TimeMs margin = fractionOf(within, marginFraction);
     // At least half of a short time limit remains for the evidence.
     return std::min(std::clamp(margin, minMargin, maxMargin), within / 2);
 }
@@ -262,8 +262,8 @@
     const double forLastBurst = rollout.lastBurst ? 0 : budget.burst * static_cast<double>(minLastBurstLength.value);
     const double affordable = std::min(sum, std::max(0.0, std::min(routesFraction * budget.left, budget.left - forLastBurst)));
     for (auto& [route, it] : rollout.routes) {
-        const double expected = static_cast<double>(it.started) / std::max(1.0, elapsed) * left;
-        it.share = lacking[route] > 0 ? lacking[route] * affordable / sum / expected : 0;
+        // Nothing is lacking before the first requests, or on a route without any.
+        it.share = lacking[route] > 0 ? lacking[route] * affordable / sum / (static_cast<double>(it.started) / elapsed * left) : 0;
         rollout.sharesChanged = rollout.sharesChanged || std::abs(it.share - it.toldShare) > shareChange * std::max(it.share, it.toldShare);
     }
     return affordable;
@@ -354,6 +354,11 @@
     return std::nullopt;
 }
 
+static bool isDrained(const Rollout& rollout, TimeMs now)
+{
+    return now >= rollout.switchedAt + completionDrain(rollout.within);
+}
+
 static RolloutDecision stepSwitched(Rollout& rollout, const RolloutReports& reports, TimeMs now)
 {
     if (auto fault = findFaultAfterSwitch(rollout.evidence))
@@ -365,7 +370,7 @@
         rollout.recentSince = now;
         rollout.evidence.testedRecently.clear();
     }
-    if (now < rollout.switchedAt + completionDrain(rollout.within))
+    if (!isDrained(rollout, now))
         return { .action = RolloutAction::Switch, .reason = rollout.completionReason };
     // A leader that has stood still, or is cut off, does not know the last results.
     if (reports.missing > reports.recent)
@@ -426,10 +431,8 @@
         return waitForInstances(rollout, now);
     if (!takenOver)
         return {};
-    if (rollout.switchedAt.value) {
-        const bool isDrained = now >= rollout.switchedAt + completionDrain(rollout.within);
-        return { .action = isDrained ? RolloutAction::Complete : RolloutAction::Switch, .reason = rollout.completionReason };
-    }
+    if (rollout.switchedAt.value)
+        return { .action = isDrained(rollout, now) ? RolloutAction::Complete : RolloutAction::Switch, .reason = rollout.completionReason };
     return now >= completionTimeOf(rollout) ? startSwitch(rollout, "the version was in use before the order", now) : RolloutDecision {};
 }
 
--- a/src/versions/RolloutEvidence.cpp
+++ b/src/versions/RolloutEvidence.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <span>
 
 namespace siskinshunt {
 
@@ -270,10 +271,10 @@
     return sum;
 }
 
-static std::optional<std::string> faultOf(const RolloutEvidence::TestedByNode& nodes)
+static std::optional<std::string> faultOf(const RolloutEvidence::TestedByNode& nodes, std::span<const Measure> looked)
 {
     const auto sum = sumOf(nodes);
-    for (const Measure& measure : measures) {
+    for (const Measure& measure : looked) {
         if (isExcess(measure, sum, minBad, chanceDeviations) && !isOnOnePath(measure, nodes))
             return describe(measure, sum);
     }
@@ -326,11 +327,8 @@
 std::optional<std::string> findFaultAfterSwitch(const RolloutEvidence& evidence)
 {
     for (const auto& [route, nodes] : evidence.testedRecently) {
-        const auto sum = sumOf(nodes);
-        for (const Measure& measure : measuresAfterSwitch) {
-            if (isExcess(measure, sum, minBad, chanceDeviations) && !isOnOnePath(measure, nodes))
-                return "after the switch " + describeRoute(route) + describe(measure, sum);
-        }
+        if (auto fault = faultOf(nodes, measuresAfterSwitch))
+            return "after the switch " + describeRoute(route) + *fault;
     }
     return std::nullopt;
 }
@@ -347,7 +345,7 @@
 {
     for (const auto* tested : { &evidence.tested, &evidence.testedRecently }) {
         for (const auto& [route, nodes] : *tested) {
-            if (auto fault = faultOf(nodes))
+            if (auto fault = faultOf(nodes, measures))
                 return describeRoute(route) + *fault;
         }
     }
--- a/tests/node/VersionOrderTest.cpp
+++ b/tests/node/VersionOrderTest.cpp
@@ -61,6 +61,14 @@
             all = sent = 0;
         }
 
+        // Orders v2 within 20 s, which fails three in five requests from 16.7 s on.
+        void orderVersionThatTurnsBad()
+        {
+            run(2_s);
+            order("v2");
+            fails = [this, badFrom = fleet.now + 16700_ms](const std::string&) { return fleet.now >= badFrom && fleet.random.chance(0.6); };
+        }
+
         // Gives the order without new upstreams.
         void give(const std::string& version, TimeMs within = 20_s)
         {
@@ -251,10 +259,7 @@
 {
     for (const auto& [goneAt, backAt] : { std::pair(15_s, 17_s), std::pair(17_s, 18_s), std::pair(18500_ms, 19_s), std::pair(19100_ms, 20_s), std::pair(17_s, 21_s) }) {
         VersionFleet it;
-        it.run(2_s);
-        it.order("v2");
-        const TimeMs orderedAt = it.fleet.now;
-        it.fails = [&](const std::string&) { return it.fleet.now >= orderedAt + 16700_ms && it.fleet.random.chance(0.6); };
+        it.orderVersionThatTurnsBad();
         it.run(goneAt);
         for (size_t n = 0; n < 5; ++n)
             it.fleet.kill(n, true);
@@ -271,10 +276,7 @@
 {
     for (const auto& [stillAt, goesOnAt] : { std::pair(15_s, 17_s), std::pair(17_s, 17800_ms), std::pair(18100_ms, 18900_ms), std::pair(18800_ms, 19400_ms), std::pair(17_s, 22_s) }) {
         VersionFleet it;
-        it.run(2_s);
-        it.order("v2");
-        const TimeMs orderedAt = it.fleet.now;
-        it.fails = [&](const std::string&) { return it.fleet.now >= orderedAt + 16700_ms && it.fleet.random.chance(0.6); };
+        it.orderVersionThatTurnsBad();
         it.run(stillAt);
         const size_t leader = it.fleet.decisionLeader();
         it.fleet.freeze(leader);
